Set down the layers and the core types

The first modules fix the shape that everything later stands on: state (immutable types, shared tables with numbered locks), coordination (decisions and ports), protocol (CBOR frames, the store's JSON form, configuration documents, settings).

--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/classification/Classification.kt
@@ -0,0 +1,15 @@
+package org.acaciaflow.coordination.classification
+
+import org.acaciaflow.state.refusal.NotRun
+import org.acaciaflow.state.work.RequestProfile
+
+/** Outcome of classifying a call. */
+sealed interface Classification {
+    data class Classified(
+        val profile: RequestProfile,
+    ) : Classification
+
+    data class Refused(
+        val reason: NotRun,
+    ) : Classification
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/dispatch/Assignment.kt
@@ -0,0 +1,12 @@
+package org.acaciaflow.coordination.dispatch
+
+import org.acaciaflow.state.identity.AttemptIdentity
+import org.acaciaflow.state.identity.ProcessIdentity
+import org.acaciaflow.state.waiting.WaitingRequest
+
+/** A waiting request and the sidecar life that gets it. */
+data class Assignment(
+    val request: WaitingRequest,
+    val attempt: AttemptIdentity,
+    val server: ProcessIdentity,
+)
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -0,0 +1,104 @@
+package org.acaciaflow.coordination.event
+
+import org.acaciaflow.coordination.configuration.ConfigurationFault
+import org.acaciaflow.coordination.port.StoreFailure
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.identity.ProcessIdentity
+import org.acaciaflow.state.identity.RequestIdentity
+import org.acaciaflow.state.refusal.Refusal
+import org.acaciaflow.state.work.RequestDigest
+
+/** A numbered log event with its details. */
+sealed class Event(
+    val kind: EventKind,
+) {
+    data class ProcessStarted(
+        val process: ProcessIdentity,
+    ) : Event(EventKind.PROCESS_STARTED)
+
+    data class ProcessStopping(
+        val process: ProcessIdentity,
+    ) : Event(EventKind.PROCESS_STOPPING)
+
+    data class ProcessStopped(
+        val process: ProcessIdentity,
+    ) : Event(EventKind.PROCESS_STOPPED)
+
+    data class ConfigurationAdopted(
+        val revision: Long,
+    ) : Event(EventKind.CONFIGURATION_ADOPTED)
+
+    data class ConfigurationRejected(
+        val revision: Long,
+        val fault: ConfigurationFault,
+    ) : Event(EventKind.CONFIGURATION_REJECTED)
+
+    data class ConfigurationOlderIgnored(
+        val revision: Long,
+        val current: Long,
+    ) : Event(EventKind.CONFIGURATION_OLDER_IGNORED)
+
+    data class SidecarJoined(
+        val sidecar: ProcessIdentity,
+    ) : Event(EventKind.SIDECAR_JOINED)
+
+    data class SidecarLost(
+        val sidecar: ProcessIdentity,
+    ) : Event(EventKind.SIDECAR_LOST)
+
+    data class SidecarLeaving(
+        val sidecar: ProcessIdentity,
+    ) : Event(EventKind.SIDECAR_LEAVING)
+
+    data class FrameRejected(
+        val peer: HostAddress,
+        val fault: FrameFault,
+    ) : Event(EventKind.FRAME_REJECTED)
+
+    data class GatewayJoined(
+        val gateway: ProcessIdentity,
+    ) : Event(EventKind.GATEWAY_JOINED)
+
+    data class GatewayLost(
+        val gateway: ProcessIdentity,
+    ) : Event(EventKind.GATEWAY_LOST)
+
+    data class BackendUp(
+        val life: String,
+    ) : Event(EventKind.BACKEND_UP)
+
+    data object BackendDown : Event(EventKind.BACKEND_DOWN)
+
+    data class BackendCrashed(
+        val running: Int,
+    ) : Event(EventKind.BACKEND_CRASHED)
+
+    data class ExecutionUnknown(
+        val identity: RequestIdentity,
+        val reason: Refusal,
+    ) : Event(EventKind.EXECUTION_UNKNOWN)
+
+    data class ExecutionSettled(
+        val identity: RequestIdentity,
+    ) : Event(EventKind.EXECUTION_SETTLED)
+
+    data class StoreUnavailable(
+        val reason: StoreFailure,
+    ) : Event(EventKind.STORE_UNAVAILABLE)
+
+    data object StoreAvailable : Event(EventKind.STORE_AVAILABLE)
+
+    data object HostListUnavailable : Event(EventKind.HOST_LIST_UNAVAILABLE)
+
+    data class CrashSuspected(
+        val digest: RequestDigest,
+    ) : Event(EventKind.CRASH_SUSPECTED)
+
+    data class CrashQuarantined(
+        val digest: RequestDigest,
+    ) : Event(EventKind.CRASH_QUARANTINED)
+
+    data class WorkerFailed(
+        val cause: Throwable,
+    ) : Event(EventKind.WORKER_FAILED)
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/execution/RecordStep.kt
@@ -0,0 +1,89 @@
+package org.acaciaflow.coordination.execution
+
+import org.acaciaflow.coordination.port.KeyValueStore
+import org.acaciaflow.coordination.port.VersionedRecord
+import org.acaciaflow.state.record.ExecutionRecord
+import org.acaciaflow.state.record.StoredAnswer
+import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.refusal.ThisCallNotRun
+import kotlin.time.Instant
+
+/** The next step in finding out whether a request was executed. */
+sealed interface RecordStep {
+    data class Resolved(
+        val resolution: RecordResolution,
+    ) : RecordStep
+
+    /** Ask the sidecar named by [running]; the record is at [revision]. */
+    data class AskSidecar(
+        val running: ExecutionRecord.MaybeRunning,
+        val revision: Long,
+    ) : RecordStep
+
+    /** Write [record] over revision [revision], then [resolution] holds. */
+    data class Write(
+        val record: ExecutionRecord,
+        val revision: Long,
+        val resolution: RecordResolution,
+    ) : RecordStep
+
+    /** Wait a little, then read the record again. */
+    data object Wait : RecordStep
+}
+
+/** What a record that was just read leads to. */
+fun stepAfterRead(found: VersionedRecord?): RecordStep {
+    if (found == null) return proceed(KeyValueStore.ABSENT, recordOpen = false)
+    return when (val record = found.record) {
+        is ExecutionRecord.NotExecuted -> proceed(found.revision, recordOpen = false)
+        is ExecutionRecord.Answered -> RecordStep.Resolved(replayOf(record.answer))
+        is ExecutionRecord.Unknown -> refused(ThisCallNotRun.EARLIER_OUTCOME_UNKNOWN)
+        is ExecutionRecord.MaybeRunning -> RecordStep.AskSidecar(record, found.revision)
+    }
+}
+
+/** What a sidecar's answer about the attempt of [asked] leads to, as of [now]. */
+fun stepAfterSettle(
+    asked: RecordStep.AskSidecar,
+    answer: SettleAnswer,
+    now: Instant,
+): RecordStep =
+    when (answer) {
+        SettleAnswer.NeverStarted -> proceed(asked.revision, recordOpen = true)
+        SettleAnswer.StillRunning, SettleAnswer.Unreachable -> RecordStep.Wait
+        is SettleAnswer.Completed -> writeAnswered(asked, answer.answer, now)
+        is SettleAnswer.Broken -> writeUnknown(asked, answer.reason, now)
+        SettleAnswer.Forgotten -> writeUnknown(asked, MayHaveRun.LINK_LOST, now)
+    }
+
+private fun proceed(
+    revision: Long,
+    recordOpen: Boolean,
+): RecordStep = RecordStep.Resolved(RecordResolution.Proceed(revision, recordOpen))
+
+private fun refused(reason: ThisCallNotRun): RecordStep = RecordStep.Resolved(RecordResolution.Refused(reason))
+
+private fun replayOf(answer: StoredAnswer?): RecordResolution =
+    when (answer) {
+        null -> RecordResolution.Refused(ThisCallNotRun.EARLIER_ANSWER_NOT_KEPT)
+        else -> RecordResolution.Replay(answer)
+    }
+
+private fun writeAnswered(
+    asked: RecordStep.AskSidecar,
+    answer: StoredAnswer?,
+    now: Instant,
+): RecordStep {
+    val record = ExecutionRecord.Answered(asked.running.attempt, answer, now)
+    return RecordStep.Write(record, asked.revision, replayOf(answer))
+}
+
+private fun writeUnknown(
+    asked: RecordStep.AskSidecar,
+    reason: MayHaveRun,
+    now: Instant,
+): RecordStep {
+    val record = ExecutionRecord.Unknown(asked.running.attempt, asked.running.sidecar, reason, now)
+    val resolution = RecordResolution.Refused(ThisCallNotRun.EARLIER_OUTCOME_UNKNOWN)
+    return RecordStep.Write(record, asked.revision, resolution)
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/ArrivalService.kt
@@ -0,0 +1,101 @@
+package org.acaciaflow.coordination.gateway
+
+import kotlinx.collections.immutable.persistentSetOf
+import org.acaciaflow.coordination.classification.CallClassifier
+import org.acaciaflow.coordination.classification.Classification
+import org.acaciaflow.coordination.execution.RecordResolution
+import org.acaciaflow.coordination.execution.RecordResolver
+import org.acaciaflow.coordination.port.CallerExchange
+import org.acaciaflow.coordination.port.KeyValueStore
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.coordination.queue.EnqueueOutcome
+import org.acaciaflow.coordination.queue.QueueLimits
+import org.acaciaflow.coordination.queue.WaitingQueue
+import org.acaciaflow.coordination.retry.RetryBudgetPolicy
+import org.acaciaflow.state.identity.Ticket
+import org.acaciaflow.state.refusal.Refusal
+import org.acaciaflow.state.waiting.WaitingRequest
+import org.acaciaflow.state.work.RequestProfile
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Clock
+import kotlin.time.Instant
+
+/** Takes calls in: classifies them, checks their execution record and puts them into the queue. */
+class ArrivalService(
+    private val tables: GatewayTables,
+    private val classifier: CallClassifier,
+    private val resolver: RecordResolver,
+    private val limits: QueueLimits,
+    private val wakeUp: WakeUp,
+    private val observations: Observations,
+    private val clock: Clock,
+) {
+    private val lastTicket = AtomicLong()
+
+    /** Queues the call or answers it at once. */
+    suspend fun accept(exchange: CallerExchange) {
+        val now = clock.now()
+        val configuration = tables.configuration.snapshot()
+        when (val classified = classifier.classify(configuration, exchange.call, exchange.body, now)) {
+            is Classification.Refused -> refuse(exchange, classified.reason)
+            is Classification.Classified -> check(exchange, classified.profile, now)
+        }
+    }
+
+    private suspend fun check(
+        exchange: CallerExchange,
+        profile: RequestProfile,
+        now: Instant,
+    ) {
+        observations.accepted(profile.rank)
+        val identity = profile.atMostOnce ?: return enqueue(exchange, profile, FRESH, now)
+        when (val resolution = resolver.resolve(identity, profile.deadline)) {
+            is RecordResolution.Proceed -> enqueue(exchange, profile, resolution, now)
+            is RecordResolution.Replay -> replayTo(exchange, resolution.answer)
+            is RecordResolution.Refused -> refuse(exchange, resolution.refusal)
+        }
+    }
+
+    private suspend fun enqueue(
+        exchange: CallerExchange,
+        profile: RequestProfile,
+        record: RecordResolution.Proceed,
+        now: Instant,
+    ) {
+        val ticket = Ticket(lastTicket.incrementAndGet())
+        val request = WaitingRequest(ticket, profile, arrivedAt = now, excluded = persistentSetOf())
+        val pending =
+            PendingExchange(
+                request = request,
+                exchange = exchange,
+                recordRevision = record.recordRevision,
+                recordOpen = record.recordOpen,
+                progress = DeliveryProgress.NOTHING,
+                failedAttempts = 0,
+            )
+        tables.exchanges.update { it.put(ticket, pending) }
+        when (val outcome = tables.waiting.transition { WaitingQueue.enqueue(it, request, limits) }) {
+            EnqueueOutcome.Queued -> {
+                tables.retryBudget.update(RetryBudgetPolicy::earned)
+                wakeUp.signal()
+            }
+
+            is EnqueueOutcome.Refused -> {
+                tables.exchanges.update { it.remove(ticket) }
+                refuse(exchange, outcome.reason)
+            }
+        }
+    }
+
+    private suspend fun refuse(
+        exchange: CallerExchange,
+        refusal: Refusal,
+    ) {
+        observations.refused(refusal)
+        exchange.refuse(refusal)
+    }
+
+    private companion object {
+        val FRESH = RecordResolution.Proceed(KeyValueStore.ABSENT, recordOpen = false)
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/ExchangeWorker.kt
@@ -0,0 +1,161 @@
+package org.acaciaflow.coordination.gateway
+
+import org.acaciaflow.coordination.dispatch.Assignment
+import org.acaciaflow.coordination.dispatch.Dispatcher
+import org.acaciaflow.coordination.port.ExecutionRecords
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.coordination.port.RecordSwap
+import org.acaciaflow.coordination.port.StoreResult
+import org.acaciaflow.coordination.queue.WaitingQueue
+import org.acaciaflow.coordination.retry.RetryBudgetPolicy
+import org.acaciaflow.state.identity.Ticket
+import org.acaciaflow.state.record.ExecutionRecord
+import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.refusal.NotRun
+import org.acaciaflow.state.refusal.Refusal
+import org.acaciaflow.state.refusal.ThisCallNotRun
+import org.acaciaflow.state.table.Transition
+import org.acaciaflow.state.waiting.WaitingRequest
+import kotlin.time.Clock
+import kotlin.time.Instant
+
+/** Serves waiting requests, one at a time for each worker that runs it. */
+class ExchangeWorker internal constructor(
+    private val tables: GatewayTables,
+    private val dispatcher: Dispatcher,
+    private val wakeUp: WakeUp,
+    private val repeatable: RepeatableAttempt,
+    private val guarded: GuardedAttempt,
+    private val records: ExecutionRecords,
+    private val observations: Observations,
+    private val clock: Clock,
+) {
+    /** Waits for a wake-up, then serves one request if one can be dispatched. */
+    suspend fun serveNext() {
+        wakeUp.await()
+        val assignment = dispatcher.next(clock.now()) ?: return
+        wakeUp.signal()
+        try {
+            serve(assignment)
+        } finally {
+            dispatcher.release(assignment)
+            wakeUp.signal()
+        }
+    }
+
+    /** Refuses the requests whose deadline has passed as of [now]. */
+    suspend fun refuseExpired(now: Instant) {
+        val expired = WaitingQueue.expired(tables.waiting.snapshot(), now)
+        expired.forEach { refuseExpired(it, now) }
+    }
+
+    private suspend fun refuseExpired(
+        request: WaitingRequest,
+        now: Instant,
+    ) {
+        val pending = takePending(request.ticket) ?: return
+        tables.waiting.update { WaitingQueue.remove(it, request) }
+        refuseWaiting(pending, NotRun.DEADLINE_PASSED, now)
+    }
+
+    private suspend fun serve(assignment: Assignment) {
+        val pending = takePending(assignment.request.ticket) ?: return
+        if (pending.exchange.gone) return refuseWaiting(pending, NotRun.CALLER_GONE, clock.now())
+        val identity = assignment.request.profile.atMostOnce
+        val conclusion =
+            when (identity) {
+                null -> repeatable.run(pending, assignment, clock.now())
+                else -> guarded.run(identity, pending, assignment)
+            }
+        conclude(pending, conclusion)
+    }
+
+    private suspend fun conclude(
+        pending: PendingExchange,
+        conclusion: AttemptConclusion,
+    ) {
+        when (conclusion) {
+            AttemptConclusion.Delivered -> observations.delivered(pending.request.profile.rank)
+
+            AttemptConclusion.CallerGone -> observations.refused(MayHaveRun.CALLER_GONE)
+
+            is AttemptConclusion.Refused -> refuse(pending, conclusion.refusal)
+
+            is AttemptConclusion.Cut -> cut(pending, conclusion.refusal)
+
+            is AttemptConclusion.Retry -> retry(conclusion)
+        }
+    }
+
+    private suspend fun retry(retry: AttemptConclusion.Retry) {
+        if (retry.charged && !tables.retryBudget.transition(RetryBudgetPolicy::spent)) {
+            return giveUp(retry.pending, MayHaveRun.RETRY_BUDGET_SPENT)
+        }
+        observations.retried(retry.reason)
+        tables.exchanges.update { it.put(retry.pending.request.ticket, retry.pending) }
+        tables.waiting.update { WaitingQueue.requeue(it, retry.pending.request) }
+    }
+
+    private suspend fun giveUp(
+        pending: PendingExchange,
+        refusal: MayHaveRun,
+    ) {
+        when {
+            pending.progress.begun -> cut(pending, refusal)
+            else -> refuse(pending, refusal)
+        }
+    }
+
+    private fun cut(
+        pending: PendingExchange,
+        refusal: Refusal,
+    ) {
+        observations.refused(refusal)
+        pending.exchange.abort()
+    }
+
+    private suspend fun refuseWaiting(
+        pending: PendingExchange,
+        refusal: NotRun,
+        now: Instant,
+    ) {
+        when {
+            pending.failedAttempts > 0 -> giveUp(pending, MayHaveRun.DEADLINE_PASSED)
+            else -> refuse(pending, sealed(pending, refusal, now))
+        }
+    }
+
+    /** The refusal to tell once the record of a reserved request says that it was not executed. */
+    private suspend fun sealed(
+        pending: PendingExchange,
+        refusal: NotRun,
+        now: Instant,
+    ): Refusal {
+        val identity = pending.request.profile.atMostOnce ?: return refusal
+        if (!pending.recordOpen) return refusal
+        val record = ExecutionRecord.NotExecuted(refusal, now)
+        return when (val written = records.swap(identity, pending.recordRevision, record)) {
+            is StoreResult.Failure -> {
+                ThisCallNotRun.RECORD_UNWRITABLE
+            }
+
+            is StoreResult.Success -> {
+                when (written.value) {
+                    RecordSwap.Conflict -> ThisCallNotRun.EARLIER_CALL_RUNNING
+                    is RecordSwap.Written -> refusal
+                }
+            }
+        }
+    }
+
+    private suspend fun refuse(
+        pending: PendingExchange,
+        refusal: Refusal,
+    ) {
+        observations.refused(refusal)
+        pending.exchange.refuse(refusal)
+    }
+
+    private fun takePending(ticket: Ticket): PendingExchange? =
+        tables.exchanges.transition { Transition(it.remove(ticket), it[ticket]) }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/GatewayCore.kt
@@ -0,0 +1,99 @@
+package org.acaciaflow.coordination.gateway
+
+import org.acaciaflow.coordination.classification.BodyReader
+import org.acaciaflow.coordination.classification.CallClassifier
+import org.acaciaflow.coordination.dispatch.DispatchPolicy
+import org.acaciaflow.coordination.dispatch.Dispatcher
+import org.acaciaflow.coordination.execution.RecordResolver
+import org.acaciaflow.coordination.port.ExecutionRecords
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.coordination.port.SidecarConnections
+import org.acaciaflow.coordination.queue.QueueLimits
+import org.acaciaflow.state.identity.AttemptIdentityFactory
+import org.acaciaflow.state.identity.DataCentre
+import org.acaciaflow.state.identity.ProcessIdentity
+import kotlin.random.Random
+import kotlin.time.Clock
+
+/** The decisions of a gateway, ready to be put behind a front end. */
+class GatewayCore internal constructor(
+    val arrivals: ArrivalService,
+    val worker: ExchangeWorker,
+)
+
+/** What a gateway's decisions need from the layers around them. */
+data class GatewayPorts(
+    val records: ExecutionRecords,
+    val connections: SidecarConnections,
+    val bodyReader: BodyReader,
+    val framing: StreamFraming,
+    val observations: Observations,
+    val clock: Clock,
+)
+
+/** Who a gateway is and by which rules it decides. */
+data class GatewayRules(
+    val process: ProcessIdentity,
+    val dataCentre: DataCentre,
+    val limits: QueueLimits,
+    val dispatch: DispatchPolicy,
+)
+
+/** Builds the decisions of a gateway on [tables]. */
+fun createGatewayCore(
+    tables: GatewayTables,
+    ports: GatewayPorts,
+    rules: GatewayRules,
+    wakeUp: WakeUp,
+    random: Random,
+): GatewayCore {
+    val resolver = RecordResolver(ports.records, ports.connections, ports.observations, ports.clock)
+    val dispatcher =
+        Dispatcher(
+            waiting = tables.waiting,
+            servers = tables.servers,
+            attempts = AttemptIdentityFactory(rules.process),
+            ownDataCentre = rules.dataCentre,
+            policy = rules.dispatch,
+            random = random,
+        )
+    val arrivals =
+        ArrivalService(
+            tables = tables,
+            classifier = CallClassifier(ports.bodyReader),
+            resolver = resolver,
+            limits = rules.limits,
+            wakeUp = wakeUp,
+            observations = ports.observations,
+            clock = ports.clock,
+        )
+    return GatewayCore(arrivals, createWorker(tables, ports, dispatcher, resolver, wakeUp))
+}
+
+private fun createWorker(
+    tables: GatewayTables,
+    ports: GatewayPorts,
+    dispatcher: Dispatcher,
+    resolver: RecordResolver,
+    wakeUp: WakeUp,
+): ExchangeWorker {
+    val guarded =
+        GuardedAttempt(
+            records = ports.records,
+            resolver = resolver,
+            connections = ports.connections,
+            framing = ports.framing,
+            observations = ports.observations,
+            clock = ports.clock,
+        )
+    return ExchangeWorker(
+        tables = tables,
+        dispatcher = dispatcher,
+        wakeUp = wakeUp,
+        repeatable = RepeatableAttempt(ports.connections, ports.framing),
+        guarded = guarded,
+        records = ports.records,
+        observations = ports.observations,
+        clock = ports.clock,
+    )
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
@@ -0,0 +1,27 @@
+package org.acaciaflow.coordination.port
+
+import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.retry.RetryReason
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.refusal.Refusal
+import org.acaciaflow.state.work.Rank
+
+/** Where decisions are counted and logged. */
+interface Observations {
+    fun event(event: Event)
+
+    fun accepted(rank: Rank)
+
+    fun delivered(rank: Rank)
+
+    fun refused(refusal: Refusal)
+
+    fun attemptRefused(reason: AttemptRefusal)
+
+    fun retried(reason: RetryReason)
+
+    fun storeFailed(reason: StoreFailure)
+
+    /** An answer part that belongs to no attempt in progress was dropped. */
+    fun strayFrameDropped()
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/retry/RetryReason.kt
@@ -0,0 +1,13 @@
+package org.acaciaflow.coordination.retry
+
+/** Why a request is tried again. */
+enum class RetryReason(
+    val code: String,
+) {
+    ATTEMPT_REFUSED("attempt-refused"),
+    LINK_LOST("link-lost"),
+    BACKEND_CRASHED("backend-crashed"),
+    ANSWER_INCOMPLETE("answer-incomplete"),
+    STREAM_RESUMED("stream-resumed"),
+    NEVER_STARTED("never-started"),
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/AttemptIntake.kt
@@ -0,0 +1,84 @@
+package org.acaciaflow.coordination.sidecar
+
+import org.acaciaflow.coordination.execution.SettleAnswer
+import org.acaciaflow.coordination.port.AttemptOrder
+import org.acaciaflow.state.attempt.AttemptJournal
+import org.acaciaflow.state.attempt.AttemptProgress
+import org.acaciaflow.state.identity.AttemptIdentity
+import org.acaciaflow.state.identity.ProcessIdentity
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.sidecar.RunningExchange
+import org.acaciaflow.state.sidecar.SidecarLoad
+import org.acaciaflow.state.table.Transition
+
+/** Admits attempts into a sidecar's tables and settles those in doubt. */
+class AttemptIntake(
+    private val self: ProcessIdentity,
+    private val tables: SidecarTables,
+) {
+    /** Starts the attempt, or tells why it will never start. */
+    fun admit(order: AttemptOrder): AttemptRefusal? =
+        tables.load.transition { load ->
+            tables.journal.transition { journal ->
+                val refusal = admissionRefusal(self, load, journal, order)
+                if (refusal == null) {
+                    Transition(started(journal, order), Transition(running(load, order), null))
+                } else {
+                    Transition(journal, Transition(load, refusal))
+                }
+            }
+        }
+
+    /** Notes how the attempt ended. */
+    fun finish(
+        order: AttemptOrder,
+        progress: AttemptProgress,
+    ) {
+        if (order.atMostOnce) tables.journal.update { it.noted(order.attempt, progress) }
+        tables.load.update { it.copy(running = it.running.remove(order.attempt)) }
+    }
+
+    /** Tells what became of an attempt; one that never started is kept from starting for good. */
+    fun settle(
+        attempt: AttemptIdentity,
+        sidecar: ProcessIdentity,
+    ): SettleAnswer =
+        when (sidecar) {
+            self -> tables.journal.transition { settled(it, attempt) }
+            else -> SettleAnswer.Forgotten
+        }
+
+    private fun started(
+        journal: AttemptJournal,
+        order: AttemptOrder,
+    ): AttemptJournal = if (order.atMostOnce) journal.noted(order.attempt, AttemptProgress.Started) else journal
+
+    private fun running(
+        load: SidecarLoad,
+        order: AttemptOrder,
+    ): SidecarLoad = load.copy(running = load.running.put(order.attempt, RunningExchange(order.digest, order.alone)))
+
+    private fun settled(
+        journal: AttemptJournal,
+        attempt: AttemptIdentity,
+    ): Transition<AttemptJournal, SettleAnswer> =
+        when (val progress = journal.entries[attempt]) {
+            null -> settledUnknown(journal, attempt)
+            AttemptProgress.Started -> Transition(journal, SettleAnswer.StillRunning)
+            AttemptProgress.Tombstoned -> Transition(journal, SettleAnswer.NeverStarted)
+            is AttemptProgress.Completed -> Transition(journal, SettleAnswer.Completed(progress.answer))
+            is AttemptProgress.Broken -> Transition(journal, SettleAnswer.Broken(progress.reason))
+        }
+
+    private fun settledUnknown(
+        journal: AttemptJournal,
+        attempt: AttemptIdentity,
+    ): Transition<AttemptJournal, SettleAnswer> =
+        when {
+            journal.mayBeForgotten(attempt) -> Transition(journal, SettleAnswer.Forgotten)
+
+            else -> {
+                Transition(journal.noted(attempt, AttemptProgress.Tombstoned), SettleAnswer.NeverStarted)
+            }
+        }
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/configuration/StoredConfigurationSource.kt
@@ -0,0 +1,52 @@
+package org.acaciaflow.protocol.configuration
+
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.map
+import kotlinx.io.bytestring.decodeToString
+import org.acaciaflow.coordination.configuration.ConfigurationFault
+import org.acaciaflow.coordination.configuration.ConfigurationRead
+import org.acaciaflow.coordination.configuration.ConfigurationSource
+import org.acaciaflow.coordination.port.KeyValueStore
+import org.acaciaflow.coordination.port.StoreResult
+import org.acaciaflow.coordination.port.StoredValue
+import org.acaciaflow.protocol.store.StoreLayout
+
+/** Accepted configurations in the key-value service: a head that names immutable content. */
+class StoredConfigurationSource(
+    private val store: KeyValueStore,
+) : ConfigurationSource {
+    override suspend fun read(): StoreResult<ConfigurationRead> =
+        when (val read = store.read(StoreLayout.CONFIGURATION_HEAD)) {
+            is StoreResult.Failure -> read
+            is StoreResult.Success -> readContent(read.value)
+        }
+
+    override fun changes(): Flow<Unit> = store.watch(StoreLayout.CONFIGURATION_HEAD).map { }
+
+    private suspend fun readContent(headValue: StoredValue?): StoreResult<ConfigurationRead> {
+        if (headValue == null) return StoreResult.Success(ConfigurationRead.NoneAccepted)
+        val head =
+            ConfigurationCodec.decodeHead(headValue.value.decodeToString())
+                ?: return faulty(headValue.revision, ConfigurationFault.Undecodable("head"))
+        return when (val read = store.read(StoreLayout.configurationContent(head.content))) {
+            is StoreResult.Failure -> read
+            is StoreResult.Success -> decoded(head, read.value)
+        }
+    }
+
+    private fun decoded(
+        head: ConfigurationHead,
+        content: StoredValue?,
+    ): StoreResult<ConfigurationRead> {
+        if (content == null) return faulty(head.revision, ConfigurationFault.Undecodable("content missing"))
+        return when (val decoded = ConfigurationCodec.decodeContent(content.value.decodeToString(), head.revision)) {
+            is DecodedConfiguration.Decoded -> StoreResult.Success(ConfigurationRead.Found(decoded.configuration))
+            is DecodedConfiguration.Faulty -> faulty(head.revision, decoded.faults.first())
+        }
+    }
+
+    private fun faulty(
+        revision: Long,
+        fault: ConfigurationFault,
+    ): StoreResult<ConfigurationRead> = StoreResult.Success(ConfigurationRead.Faulty(revision, fault))
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/JsonBodyReader.kt
@@ -0,0 +1,75 @@
+package org.acaciaflow.protocol.http
+
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.io.bytestring.ByteString
+import kotlinx.io.bytestring.decodeToString
+import kotlinx.io.bytestring.isEmpty
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.acaciaflow.coordination.classification.BodyFacts
+import org.acaciaflow.coordination.classification.BodyReader
+import org.acaciaflow.state.work.CallHead
+import org.acaciaflow.state.work.RequestDigest
+import org.acaciaflow.state.work.WorkEstimate
+import org.acaciaflow.state.work.digestOf
+
+/** Reads fields and sizes from JSON bodies; completion and chat requests give an estimate of their work. */
+class JsonBodyReader : BodyReader {
+    override fun read(
+        call: CallHead,
+        body: ByteString,
+    ): BodyFacts {
+        val root = parsed(body) ?: return BodyFacts.OPAQUE
+        val prompt = promptText(root)
+        return BodyFacts(
+            fields = textFields(root),
+            estimate = prompt?.let { estimate(root, it) },
+            prefix = prompt?.let { prefixOf(it) },
+        )
+    }
+
+    private fun parsed(body: ByteString): JsonObject? {
+        if (body.isEmpty() || body[0] != OPENING_BRACE) return null
+        return try {
+            Json.parseToJsonElement(body.decodeToString()) as? JsonObject
+        } catch (_: SerializationException) {
+            null
+        }
+    }
+
+    private fun textFields(root: JsonObject) =
+        root
+            .mapNotNull { (name, element) -> (element as? JsonPrimitive)?.let { name to it.content } }
+            .toMap()
+            .toPersistentMap()
+
+    /** The prompt of a completion request, or the messages of a chat request as one text. */
+    private fun promptText(root: JsonObject): String? {
+        val element: JsonElement = root["prompt"] ?: root["messages"] ?: return null
+        return if (element is JsonPrimitive) element.content else element.toString()
+    }
+
+    private fun estimate(
+        root: JsonObject,
+        prompt: String,
+    ): WorkEstimate {
+        val limit = (root["max_tokens"] as? JsonPrimitive)?.content?.toIntOrNull()
+        return WorkEstimate(
+            promptTokens = prompt.length / CHARACTERS_PER_TOKEN,
+            outputTokens = limit ?: DEFAULT_OUTPUT_TOKENS,
+        )
+    }
+
+    private fun prefixOf(prompt: String): RequestDigest =
+        digestOf(method = "prefix", target = "", prompt.take(PREFIX_CHARACTERS).encodeToByteArray())
+
+    private companion object {
+        const val OPENING_BRACE = '{'.code.toByte()
+        const val CHARACTERS_PER_TOKEN = 4
+        const val DEFAULT_OUTPUT_TOKENS = 128
+        const val PREFIX_CHARACTERS = 1024
+    }
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/record/EncodedExecutionRecords.kt
@@ -0,0 +1,110 @@
+package org.acaciaflow.protocol.record
+
+import kotlinx.io.bytestring.ByteString
+import kotlinx.io.bytestring.decodeToString
+import kotlinx.io.bytestring.encodeToByteString
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.acaciaflow.coordination.port.ExecutionRecords
+import org.acaciaflow.coordination.port.KeyValueStore
+import org.acaciaflow.coordination.port.RecordSwap
+import org.acaciaflow.coordination.port.StoreFailure
+import org.acaciaflow.coordination.port.StoreKey
+import org.acaciaflow.coordination.port.StoreResult
+import org.acaciaflow.coordination.port.StoredValue
+import org.acaciaflow.coordination.port.SwapOutcome
+import org.acaciaflow.coordination.port.VersionedRecord
+import org.acaciaflow.protocol.store.StoreLayout
+import org.acaciaflow.state.identity.RequestIdentity
+import org.acaciaflow.state.record.ExecutionRecord
+
+/** Execution records as JSON documents in the platform's key-value service. */
+class EncodedExecutionRecords(
+    private val store: KeyValueStore,
+) : ExecutionRecords {
+    private val json = Json { explicitNulls = false }
+
+    override suspend fun read(identity: RequestIdentity): StoreResult<VersionedRecord?> =
+        when (val read = store.read(StoreLayout.execution(identity))) {
+            is StoreResult.Failure -> read
+            is StoreResult.Success -> decoded(read.value)
+        }
+
+    override suspend fun swap(
+        identity: RequestIdentity,
+        expected: Long,
+        record: ExecutionRecord,
+    ): StoreResult<RecordSwap> {
+        val key = StoreLayout.execution(identity)
+        val value = encode(identity, record)
+        return when (val swapped = store.swap(key, expected, value)) {
+            is StoreResult.Success -> StoreResult.Success(swapOf(swapped.value, value))
+            is StoreResult.Failure -> settled(key, value, swapped)
+        }
+    }
+
+    /** A write whose answer was lost has taken effect exactly when the value read back is the one written. */
+    private suspend fun settled(
+        key: StoreKey,
+        value: ByteString,
+        failure: StoreResult.Failure,
+    ): StoreResult<RecordSwap> {
+        if (!failure.reason.mayHaveTakenEffect) return failure
+        return when (val read = store.read(key)) {
+            is StoreResult.Failure -> failure
+            is StoreResult.Success -> settledBy(read.value, value, failure)
+        }
+    }
+
+    private fun settledBy(
+        found: StoredValue?,
+        value: ByteString,
+        failure: StoreResult.Failure,
+    ): StoreResult<RecordSwap> =
+        when (found?.value) {
+            value -> StoreResult.Success(RecordSwap.Written(found.revision))
+            else -> failure
+        }
+
+    private fun swapOf(
+        outcome: SwapOutcome,
+        value: ByteString,
+    ): RecordSwap =
+        when (outcome) {
+            is SwapOutcome.Swapped -> RecordSwap.Written(outcome.revision)
+            is SwapOutcome.Conflict -> conflictOf(outcome.current, value)
+        }
+
+    /** A repeated write can conflict with its own first try, which holds the same value. */
+    private fun conflictOf(
+        current: StoredValue?,
+        value: ByteString,
+    ): RecordSwap =
+        when (current?.value) {
+            value -> RecordSwap.Written(current.revision)
+            else -> RecordSwap.Conflict
+        }
+
+    private fun encode(
+        identity: RequestIdentity,
+        record: ExecutionRecord,
+    ): ByteString {
+        val document = ExecutionRecordDocument(identity.deployment.name, identity.key, record.toDocument())
+        return json.encodeToString(ExecutionRecordDocument.serializer(), document).encodeToByteString()
+    }
+
+    private fun decoded(found: StoredValue?): StoreResult<VersionedRecord?> {
+        if (found == null) return StoreResult.Success(null)
+        val record = decode(found.value) ?: return StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
+        return StoreResult.Success(VersionedRecord(record, found.revision))
+    }
+
+    private fun decode(value: ByteString): ExecutionRecord? =
+        try {
+            json.decodeFromString(ExecutionRecordDocument.serializer(), value.decodeToString()).state.toRecord()
+        } catch (_: SerializationException) {
+            null
+        } catch (_: IllegalArgumentException) {
+            null
+        }
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/settings/IniSettings.kt
@@ -0,0 +1,107 @@
+package org.acaciaflow.protocol.settings
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.identity.parseHostAddress
+import org.apache.commons.configuration2.INIConfiguration
+
+/** Reads the keys of an INI file and collects every fault on the way. */
+internal class IniSettings(
+    private val source: INIConfiguration,
+) {
+    private var known: PersistentSet<IniKey> = persistentSetOf()
+    private var found: PersistentList<SettingsFault> = persistentListOf()
+
+    /** All faults found so far, with the keys that nobody asked for. */
+    fun faults(): PersistentList<SettingsFault> {
+        val unknown = presentKeys().filter { it !in known }
+        return found.addAll(unknown.map { SettingsFault.Unknown(it.section, it.key) })
+    }
+
+    fun text(
+        section: String,
+        key: String,
+    ): String = required(section, key, "a text") { it.ifBlank { null } } ?: ""
+
+    fun address(
+        section: String,
+        key: String,
+    ): HostAddress = required(section, key, ADDRESS_FORM, ::parseNumericAddress) ?: NO_ADDRESS
+
+    fun optionalAddress(
+        section: String,
+        key: String,
+    ): HostAddress? = if (raw(section, key) == null) null else address(section, key)
+
+    fun integer(
+        section: String,
+        key: String,
+        range: IntRange,
+        default: Int,
+    ): Int {
+        val allowed = "a whole number from ${range.first} to ${range.last}"
+        val value = raw(section, key) ?: return default
+        return checked(section, key, value, allowed) { text -> text.toIntOrNull()?.takeIf { it in range } } ?: default
+    }
+
+    private fun <Value> required(
+        section: String,
+        key: String,
+        allowed: String,
+        parse: (String) -> Value?,
+    ): Value? {
+        val value = raw(section, key)
+        if (value == null) {
+            found = found.add(SettingsFault.Missing(section, key, allowed))
+            return null
+        }
+        return checked(section, key, value, allowed, parse)
+    }
+
+    private fun <Value> checked(
+        section: String,
+        key: String,
+        value: String,
+        allowed: String,
+        parse: (String) -> Value?,
+    ): Value? {
+        val parsed = parse(value)
+        if (parsed == null) found = found.add(SettingsFault.Invalid(section, key, value, allowed))
+        return parsed
+    }
+
+    private fun raw(
+        section: String,
+        key: String,
+    ): String? {
+        known = known.add(IniKey(section, key))
+        return source.getSection(section).getString(key)
+    }
+
+    private fun presentKeys(): List<IniKey> =
+        source.sections.flatMap { section ->
+            source
+                .getSection(section)
+                .keys
+                .asSequence()
+                .map { IniKey(section.orEmpty(), it) }
+                .toList()
+        }
+
+    private fun parseNumericAddress(text: String): HostAddress? =
+        parseHostAddress(text)?.takeIf { address -> address.ip.all { it in IP_CHARACTERS } }
+
+    private data class IniKey(
+        val section: String,
+        val key: String,
+    )
+
+    private companion object {
+        const val ADDRESS_FORM = "an IP number and a port, such as 127.0.0.1:8080"
+        const val IP_CHARACTERS = "0123456789abcdefABCDEF.:[]"
+        val NO_ADDRESS = HostAddress("0.0.0.0", 1)
+    }
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/settings/SettingsResult.kt
@@ -0,0 +1,14 @@
+package org.acaciaflow.protocol.settings
+
+import kotlinx.collections.immutable.PersistentList
+
+/** Outcome of reading a settings file. */
+sealed interface SettingsResult<out Settings> {
+    data class Valid<out Settings>(
+        val settings: Settings,
+    ) : SettingsResult<Settings>
+
+    data class Faulty(
+        val faults: PersistentList<SettingsFault>,
+    ) : SettingsResult<Nothing>
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/store/EtcdJson.kt
@@ -0,0 +1,70 @@
+package org.acaciaflow.protocol.store
+
+import kotlinx.io.bytestring.ByteString
+import kotlinx.serialization.json.Json
+import org.acaciaflow.coordination.port.StoreKey
+import org.acaciaflow.coordination.port.StoredValue
+import kotlin.io.encoding.Base64
+
+/** Paths and encodings of the store's published JSON form. */
+object EtcdJson {
+    const val RANGE_PATH = "/v3/kv/range"
+    const val TRANSACTION_PATH = "/v3/kv/txn"
+    const val LEASE_GRANT_PATH = "/v3/lease/grant"
+    const val LEASE_KEEP_ALIVE_PATH = "/v3/lease/keepalive"
+    const val WATCH_PATH = "/v3/watch"
+
+    val json =
+        Json {
+            ignoreUnknownKeys = true
+            explicitNulls = false
+        }
+
+    fun encodeKey(key: StoreKey): String = Base64.encode(key.path.encodeToByteArray())
+
+    fun encodeValue(value: ByteString): String = Base64.encode(value.toByteArray())
+
+    /** The key after the last one that starts with [prefix], as a range request wants it. */
+    fun encodeRangeEnd(prefix: StoreKey): String {
+        val bytes = prefix.path.encodeToByteArray()
+        bytes[bytes.lastIndex] = (bytes.last() + 1).toByte()
+        return Base64.encode(bytes)
+    }
+
+    fun decodeValue(pair: KeyValue): StoredValue =
+        StoredValue(
+            key = StoreKey(Base64.decode(pair.key).decodeToString()),
+            value = ByteString(Base64.decode(pair.value)),
+            revision = pair.modRevision.toLong(),
+        )
+
+    /** Reads one key. */
+    fun readRequest(key: StoreKey): RangeRequest = RangeRequest(encodeKey(key))
+
+    /** Reads the keys below a prefix. */
+    fun listRequest(
+        prefix: StoreKey,
+        limit: Int,
+    ): RangeRequest = RangeRequest(encodeKey(prefix), encodeRangeEnd(prefix), limit.toString())
+
+    /** Writes a key if it is at the expected revision, and reads it otherwise. */
+    fun swapRequest(
+        key: StoreKey,
+        expected: Long,
+        value: ByteString,
+        lease: Long?,
+    ): TransactionRequest {
+        val encodedKey = encodeKey(key)
+        val compare = Compare(encodedKey, target = "MOD", result = "EQUAL", modRevision = expected.toString())
+        val put = PutRequest(encodedKey, encodeValue(value), lease?.toString())
+        return TransactionRequest(
+            compare = listOf(compare),
+            success = listOf(RequestOperation(put = put)),
+            failure = listOf(RequestOperation(range = RangeRequest(encodedKey))),
+        )
+    }
+
+    /** Watches the keys below a prefix. */
+    fun watchRequest(prefix: StoreKey): WatchRequest =
+        WatchRequest(WatchCreate(encodeKey(prefix), encodeRangeEnd(prefix)))
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/store/StoreLayout.kt
@@ -0,0 +1,23 @@
+package org.acaciaflow.protocol.store
+
+import org.acaciaflow.coordination.port.StoreKey
+import org.acaciaflow.state.identity.RequestIdentity
+import org.acaciaflow.state.work.digestOf
+
+/** Where things lie in the platform's store. */
+object StoreLayout {
+    private val ROOT = StoreKey("acaciaflow")
+
+    val CONFIGURATION = ROOT / "configuration"
+    val CONFIGURATION_HEAD = CONFIGURATION / "head"
+    val EXECUTIONS = ROOT / "executions"
+
+    /** The content of one accepted or proposed configuration. */
+    fun configurationContent(name: String): StoreKey = CONFIGURATION / "content" / name
+
+    /** The execution record of a request; the identity is digested, since callers choose it. */
+    fun execution(identity: RequestIdentity): StoreKey {
+        val digest = digestOf(identity.deployment.name, identity.key, ByteArray(0))
+        return EXECUTIONS / identity.deployment.name / digest.hexadecimal
+    }
+}
--- /dev/null
+++ b/state/src/main/kotlin/org/acaciaflow/state/configuration/Repeatability.kt
@@ -0,0 +1,12 @@
+package org.acaciaflow.state.configuration
+
+/** Whether a call may be executed more than once. */
+sealed interface Repeatability {
+    /** Idempotent: a retry on another backend server is harmless. */
+    data object Repeatable : Repeatability
+
+    /** Non-idempotent: executed at most once for each identity read from [identity]. */
+    data class AtMostOnce(
+        val identity: IdentitySource,
+    ) : Repeatability
+}
--- /dev/null
+++ b/state/src/main/kotlin/org/acaciaflow/state/identity/HostAddress.kt
@@ -0,0 +1,19 @@
+package org.acaciaflow.state.identity
+
+/** An IP number and a TCP port, printed as `ip:port`. */
+data class HostAddress(
+    val ip: String,
+    val port: Int,
+) {
+    override fun toString(): String = "$ip:$port"
+}
+
+/** Reads `ip:port`; null when the text has no valid port. */
+fun parseHostAddress(text: String): HostAddress? {
+    val ip = text.substringBeforeLast(':', missingDelimiterValue = "")
+    val port = text.substringAfterLast(':').toIntOrNull()
+    if (ip.isEmpty() || port == null || port !in 1..MAXIMUM_PORT) return null
+    return HostAddress(ip, port)
+}
+
+private const val MAXIMUM_PORT = 65_535
--- /dev/null
+++ b/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
@@ -0,0 +1,21 @@
+package org.acaciaflow.state.lock
+
+/**
+ * The order in which locks of shared tables are taken.
+ *
+ * A thread that holds a lock may take only locks with a higher [number]. The gaps leave room for new tables.
+ */
+enum class LockOrder(
+    val number: Int,
+) {
+    CONFIGURATION(10),
+    ENGINE(20),
+    WAITING_REQUESTS(30),
+    BACKEND_SERVERS(40),
+    CRASH_SUSPECTS(50),
+    ATTEMPT_JOURNAL(60),
+    RETRY_BUDGET(70),
+    EXCHANGES(80),
+    LINKS(90),
+    STREAMS(100),
+}
--- /dev/null
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/AttemptRefusal.kt
@@ -0,0 +1,18 @@
+package org.acaciaflow.state.refusal
+
+/** Why a sidecar did not start an attempt. The attempt will never start, so the request is free to go elsewhere. */
+enum class AttemptRefusal(
+    val code: String,
+) {
+    AT_CAPACITY("at-capacity"),
+    LEAVING("leaving"),
+    OTHER_LIFE("other-life"),
+    TOMBSTONED("tombstoned"),
+    STALE_ATTEMPT("stale-attempt"),
+    REPEATED_ATTEMPT("repeated-attempt"),
+    BACKEND_DOWN("backend-down"),
+    CHANGING("changing"),
+    SUSPECT_NOT_ALONE("suspect-not-alone"),
+    CONNECTION_REFUSED("connection-refused"),
+    LINK_UNAVAILABLE("link-unavailable"),
+}
--- /dev/null
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
@@ -0,0 +1,14 @@
+package org.acaciaflow.state.refusal
+
+/** The request may have been executed; nothing is promised. */
+enum class MayHaveRun(
+    override val code: String,
+) : Refusal {
+    LINK_LOST("link-lost"),
+    BACKEND_CRASHED("backend-crashed"),
+    ANSWER_INCOMPLETE("answer-incomplete"),
+    BACKEND_TIMEOUT("backend-timeout"),
+    CALLER_GONE("caller-gone-running"),
+    RETRY_BUDGET_SPENT("retry-budget-spent"),
+    DEADLINE_PASSED("deadline-passed-running"),
+}
