--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/ExchangeWorker.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/ExchangeWorker.kt
@@ -62,12 +62,17 @@
         val pending = takePending(assignment.request.ticket) ?: return
         if (pending.exchange.gone) return refuseWaiting(pending, NotRun.CALLER_GONE, clock.now())
         val identity = assignment.request.profile.atMostOnce
-        val conclusion =
-            when (identity) {
-                null -> repeatable.run(pending, assignment, clock.now())
-                else -> guarded.run(identity, pending, assignment)
-            }
-        conclude(pending, conclusion)
+        try {
+            val conclusion =
+                when (identity) {
+                    null -> repeatable.run(pending, assignment, clock.now())
+                    else -> guarded.run(identity, pending, assignment)
+                }
+            conclude(pending, conclusion)
+        } catch (failure: Exception) {
+            pending.exchange.abort()
+            throw failure
+        }
     }
 
     private suspend fun conclude(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/SidecarExchange.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/SidecarExchange.kt
@@ -11,12 +11,14 @@
 import org.acaciaflow.state.attempt.AttemptProgress
 import org.acaciaflow.state.bytes.joined
 import org.acaciaflow.state.record.StoredAnswer
+import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
 
 /** Runs admitted attempts against the engine or service. */
 class SidecarExchange(
     private val intake: AttemptIntake,
     private val caller: BackendCaller,
+    private val supervisor: BackendSupervisor,
 ) {
     /** Makes the call of an admitted attempt and notes its outcome before telling it. */
     suspend fun run(
@@ -25,9 +27,15 @@
         sink: AnswerSink,
     ): BackendResult {
         val keeping = KeepingSink(sink, if (order.atMostOnce) KEPT_ANSWER_BYTES else 0)
-        val result = caller.call(order, body, keeping)
-        intake.finish(order, progressOf(result, keeping.answer))
-        return result
+        var progress: AttemptProgress = AttemptProgress.Broken(MayHaveRun.CALLER_GONE)
+        try {
+            val result = caller.call(order, body, keeping)
+            if (result is BackendResult.NotStarted) supervisor.unreachable()
+            progress = progressOf(result, keeping.answer)
+            return result
+        } finally {
+            intake.finish(order, progress)
+        }
     }
 
     private fun progressOf(
--- /dev/null
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/DaemonRunner.kt
@@ -0,0 +1,36 @@
+package org.acaciaflow.daemon
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.ProgramResult
+import kotlinx.coroutines.runBlocking
+import org.acaciaflow.protocol.settings.SettingsResult
+import org.acaciaflow.transport.process.Daemon
+import java.util.concurrent.CountDownLatch
+
+/** The settings, or an exit with status 2 after every fault was printed. */
+internal fun <Settings> CliktCommand.validOrExit(result: SettingsResult<Settings>): Settings =
+    when (result) {
+        is SettingsResult.Valid -> {
+            result.settings
+        }
+
+        is SettingsResult.Faulty -> {
+            result.faults.forEach { echo(it.toString(), err = true) }
+            throw ProgramResult(EXIT_FAULTY_SETTINGS)
+        }
+    }
+
+/** Runs the daemon until the process is told to terminate, then stops it gracefully. */
+internal fun runUntilTerminated(daemon: Daemon) {
+    val stopped = CountDownLatch(1)
+    runBlocking { daemon.start() }
+    val hook =
+        Thread {
+            runBlocking { daemon.stop() }
+            stopped.countDown()
+        }
+    Runtime.getRuntime().addShutdownHook(hook)
+    stopped.await()
+}
+
+private const val EXIT_FAULTY_SETTINGS = 2
--- /dev/null
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/SidecarCommand.kt
@@ -0,0 +1,23 @@
+package org.acaciaflow.daemon
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.path
+import org.acaciaflow.protocol.settings.SettingsReader
+import org.acaciaflow.transport.process.createSidecarDaemon
+import kotlin.time.Clock
+
+/** `acaciaflow sidecar --settings FILE`. */
+internal class SidecarCommand : CliktCommand(name = "sidecar") {
+    private val settings by option("--settings", help = "The INI file of this sidecar.").path().required()
+
+    override fun help(context: Context): String =
+        "Runs a sidecar beside its backend server until SIGTERM. Example: acaciaflow sidecar --settings sidecar.ini"
+
+    override fun run() {
+        val checked = validOrExit(SettingsReader.readSidecar(settings))
+        runUntilTerminated(createSidecarDaemon(checked, Clock.System))
+    }
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
@@ -0,0 +1,106 @@
+package org.acaciaflow.protocol.http
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.io.bytestring.ByteString
+import kotlinx.io.bytestring.encodeToByteString
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.refusal.NotRun
+import org.acaciaflow.state.refusal.Refusal
+import org.acaciaflow.state.refusal.ThisCallNotRun
+import org.acaciaflow.state.work.HeaderField
+
+/** The HTTP answer that tells a caller about a refusal. */
+data class RefusalAnswer(
+    val status: Int,
+    val headers: PersistentList<HeaderField>,
+    val body: ByteString,
+) {
+    companion object {
+        const val EXECUTION_HEADER = "Acaciaflow-Execution"
+        const val REASON_HEADER = "Acaciaflow-Reason"
+
+        fun of(refusal: Refusal): RefusalAnswer {
+            val execution = executionOf(refusal)
+            val document = RefusalDocument(RefusalDetail(refusal.code, execution.code))
+            val body = Json.encodeToString(RefusalDocument.serializer(), document).encodeToByteString()
+            val headers =
+                persistentListOf(
+                    HeaderField("Content-Type", "application/json"),
+                    HeaderField("Content-Length", body.size.toString()),
+                    HeaderField(EXECUTION_HEADER, execution.code),
+                    HeaderField(REASON_HEADER, refusal.code),
+                )
+            val status = statusOf(refusal)
+            return when (status) {
+                UNAVAILABLE -> RefusalAnswer(status, headers.add(HeaderField("Retry-After", "1")), body)
+                else -> RefusalAnswer(status, headers, body)
+            }
+        }
+
+        private fun executionOf(refusal: Refusal): ExecutionAssurance =
+            when (refusal) {
+                is NotRun -> ExecutionAssurance.NOT_RUN
+                is ThisCallNotRun -> ExecutionAssurance.THIS_CALL_NOT_RUN
+                is MayHaveRun -> ExecutionAssurance.MAY_HAVE_RUN
+            }
+
+        private fun statusOf(refusal: Refusal): Int =
+            when (refusal) {
+                is NotRun -> statusOf(refusal)
+                is ThisCallNotRun -> UNAVAILABLE
+                is MayHaveRun -> GATEWAY_TIMEOUT
+            }
+
+        private fun statusOf(refusal: NotRun): Int =
+            when (refusal) {
+                NotRun.UNKNOWN_CALL -> NOT_FOUND
+
+                NotRun.MALFORMED_CALL, NotRun.IDENTITY_MISSING -> BAD_REQUEST
+
+                NotRun.BODY_TOO_LARGE -> CONTENT_TOO_LARGE
+
+                NotRun.CRASH_SUSPECT -> UNPROCESSABLE
+
+                NotRun.NO_CONFIGURATION,
+                NotRun.QUEUE_FULL,
+                NotRun.PREDICTED_LATE,
+                NotRun.DEADLINE_PASSED,
+                NotRun.CALLER_GONE,
+                NotRun.SHUTTING_DOWN,
+                -> UNAVAILABLE
+            }
+
+        private const val BAD_REQUEST = 400
+        private const val NOT_FOUND = 404
+        private const val CONTENT_TOO_LARGE = 413
+        private const val UNPROCESSABLE = 422
+        private const val UNAVAILABLE = 503
+        private const val GATEWAY_TIMEOUT = 504
+    }
+}
+
+/** What a refusal tells about execution. */
+enum class ExecutionAssurance(
+    val code: String,
+) {
+    NOT_RUN("not-run"),
+    THIS_CALL_NOT_RUN("this-call-not-run"),
+    MAY_HAVE_RUN("may-have-run"),
+}
+
+/** The JSON body of a refusal, in the form that completion clients know. */
+@Serializable
+data class RefusalDocument(
+    val error: RefusalDetail,
+)
+
+/** [type] is the reason, [execution] what is known about execution. */
+@Serializable
+data class RefusalDetail(
+    val type: String,
+    @SerialName("acaciaflow_execution") val execution: String,
+)
--- /dev/null
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/Main.kt
@@ -0,0 +1,17 @@
+package org.acaciaflow.standin
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+import org.acaciaflow.standin.trial.TrialCommand
+
+/** Entry point of the stand-ins and of the tools that drive them. */
+fun main(arguments: Array<String>) {
+    StandinRoot()
+        .subcommands(StandinsCommand(), TrialCommand())
+        .main(arguments)
+}
+
+private class StandinRoot : CliktCommand(name = "acaciaflow-standin") {
+    override fun run() = Unit
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineProfile.kt
@@ -0,0 +1,21 @@
+package org.acaciaflow.standin.engine
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** How fast and how large a stand-in engine is. */
+data class EngineProfile(
+    val maximumBatch: Int = 32,
+    val stepBase: Duration = 8.milliseconds,
+    val stepPerSequenceMicroseconds: Long = 250,
+    val prefillTokensPerStep: Int = 512,
+    val prefillMicrosecondsPerToken: Long = 40,
+    val contextNanosecondsPerToken: Long = 200,
+    val cachePieces: Int = 1000,
+    val tokensPerPiece: Int = 64,
+    val roleChange: Duration = 3.seconds,
+    val restart: Duration = 2.seconds,
+    val loadLag: Duration = 100.milliseconds,
+    val speed: Double = 1.0,
+)
--- /dev/null
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineStandin.kt
@@ -0,0 +1,168 @@
+package org.acaciaflow.standin.engine
+
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerResponse
+import io.vertx.ext.web.Router
+import io.vertx.ext.web.RoutingContext
+import io.vertx.ext.web.handler.BodyHandler
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.acaciaflow.protocol.http.EngineHeaders
+import org.acaciaflow.standin.fault.FaultSwitch
+import org.acaciaflow.standin.fault.addFaultRoutes
+import org.acaciaflow.state.identity.HostAddress
+import kotlin.random.Random
+
+/** Stands in for a continuously batching model engine; one Vert.x event loop owns its state. */
+class EngineStandin(
+    private val vertx: Vertx,
+    private val name: String,
+    private val profile: EngineProfile,
+    private val checksFencing: Boolean,
+) {
+    val faults = FaultSwitch()
+    private val orders = EngineOrders(vertx, profile, checksFencing)
+    private var batch = EngineBatch.empty(profile)
+    private var answers: PersistentMap<Long, EngineAnswer> = persistentMapOf()
+    private var lastNumber = 0L
+    private var stepping = false
+    private var life = newLife()
+    private var down = false
+    private var reportedWaitingTokens = 0
+    private var crashes = 0
+
+    suspend fun start(address: HostAddress): HttpServer {
+        val router = Router.router(vertx)
+        router.addFaultRoutes(faults)
+        router.route().handler { if (down) it.request().connection().close() else it.next() }
+        router.get("/health").handler(::health)
+        router.get("/standin/crashes").handler { it.end(crashes.toString()) }
+        router.get("/engine/state").handler { it.end(orders.describe()) }
+        router.route().handler(BodyHandler.create(false))
+        router.post("/engine/order").handler(orders::take)
+        router.post("/v1/completions").handler { complete(it, chat = false) }
+        router.post("/v1/chat/completions").handler { complete(it, chat = true) }
+        return vertx
+            .createHttpServer()
+            .requestHandler(router)
+            .listen(address.port, address.ip)
+            .coAwait()
+    }
+
+    private fun health(context: RoutingContext) {
+        if (faults.faults.down) {
+            return context
+                .response()
+                .setStatusCode(UNAVAILABLE)
+                .end()
+                .let { }
+        }
+        context
+            .response()
+            .putHeader(EngineHeaders.ROLE, orders.role)
+            .putHeader(EngineHeaders.LIFE, life)
+            .putHeader(EngineHeaders.WAITING_TOKENS, reportedWaitingTokens.toString())
+            .end()
+    }
+
+    private fun complete(
+        context: RoutingContext,
+        chat: Boolean,
+    ) {
+        val request = context.request()
+        val call =
+            EngineCall.parse(
+                text = context.body().asString().orEmpty(),
+                chat = chat,
+                priority = request.getHeader(EngineHeaders.PRIORITY)?.toIntOrNull() ?: 0,
+                resumeFrom = request.getHeader(EngineHeaders.RESUME_FROM_TOKEN)?.toIntOrNull() ?: 0,
+            )
+        if (call == null) {
+            return context
+                .response()
+                .setStatusCode(BAD_REQUEST)
+                .end("not a completion\n")
+                .let { }
+        }
+        if (orders.changing) {
+            return context
+                .response()
+                .setStatusCode(UNAVAILABLE)
+                .end("changing\n")
+                .let { }
+        }
+        start(context, call)
+    }
+
+    private fun start(
+        context: RoutingContext,
+        call: EngineCall,
+    ) {
+        lastNumber += 1
+        val number = lastNumber
+        val response = context.response().putHeader(NAME_HEADER, name)
+        answers = answers.put(number, EngineAnswer(call, response, faults.takeCutAnswer()))
+        response.closeHandler { forget(number) }
+        batch = batch.added(number, call, profile)
+        if (!stepping) step()
+    }
+
+    private fun step() {
+        stepping = !batch.idle && !down
+        if (!stepping) return
+        val step = batch.step(profile)
+        batch = step.batch
+        val lifeOfStep = life
+        vertx.setTimer(step.duration.inWholeMilliseconds.coerceAtLeast(1)) {
+            if (life == lifeOfStep) {
+                step.advanced.forEach(::emit)
+                step()
+            }
+        }
+        reportLater(batch.waitingPromptTokens)
+    }
+
+    private fun reportLater(tokens: Int) {
+        vertx.setTimer(profile.loadLag.inWholeMilliseconds) { reportedWaitingTokens = tokens }
+    }
+
+    private fun emit(sequence: EngineSequence) {
+        val answer = answers[sequence.number] ?: return
+        if (sequence.prefillLeft == 0 && sequence.call.crashes) return crash()
+        answer.advance(sequence)
+        if (sequence.done) forget(sequence.number)
+    }
+
+    private fun forget(number: Long) {
+        answers = answers.remove(number)
+        batch = batch.removed(number)
+    }
+
+    /** Loses everything in progress and comes back as a new life after the restart time. */
+    private fun crash() {
+        crashes += 1
+        down = true
+        val broken = answers.values.map { it.response }
+        answers = persistentMapOf()
+        batch = EngineBatch.empty(profile)
+        life = newLife()
+        stepping = false
+        broken.forEach { it.close() }
+        vertx.setTimer(profile.restart.inWholeMilliseconds) { down = false }
+    }
+
+    private fun HttpServerResponse.close() {
+        reset()
+    }
+
+    private fun newLife(): String = Random.nextLong().toULong().toString(HEXADECIMAL)
+
+    companion object {
+        const val NAME_HEADER = "X-Standin-Name"
+        private const val BAD_REQUEST = 400
+        private const val UNAVAILABLE = 503
+        private const val HEXADECIMAL = 16
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/fault/FaultRoutes.kt
@@ -0,0 +1,21 @@
+package org.acaciaflow.standin.fault
+
+import io.vertx.ext.web.Router
+import io.vertx.ext.web.RoutingContext
+
+/** Adds `POST /standin/faults?down=&delay=&lose=&cut=`, which replaces the faults in force. */
+fun Router.addFaultRoutes(switch: FaultSwitch) {
+    post("/standin/faults").handler { context ->
+        switch.set(
+            Faults(
+                down = context.parameter("down") == "true",
+                delayMilliseconds = context.parameter("delay")?.toLong() ?: 0,
+                answersToLose = context.parameter("lose")?.toInt() ?: 0,
+                answersToCut = context.parameter("cut")?.toInt() ?: 0,
+            ),
+        )
+        context.end("set\n")
+    }
+}
+
+private fun RoutingContext.parameter(name: String): String? = queryParam(name).firstOrNull()
--- /dev/null
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/service/ServiceStandin.kt
@@ -0,0 +1,136 @@
+package org.acaciaflow.standin.service
+
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.ext.web.Router
+import io.vertx.ext.web.RoutingContext
+import io.vertx.ext.web.handler.BodyHandler
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.acaciaflow.standin.engine.EngineStandin
+import org.acaciaflow.standin.fault.FaultSwitch
+import org.acaciaflow.standin.fault.addFaultRoutes
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.work.digestOf
+
+/** Stands in for a plain service that counts how often it executed each claim or release. */
+class ServiceStandin(
+    private val vertx: Vertx,
+    private val name: String,
+) {
+    val faults = FaultSwitch()
+    private var executions: PersistentMap<String, Int> = persistentMapOf()
+
+    suspend fun start(address: HostAddress): HttpServer {
+        val router = Router.router(vertx)
+        router.addFaultRoutes(faults)
+        router.get("/health").handler { it.end("well\n") }
+        router.get("/standin/executions").handler { it.end(Json.encodeToString(executions.toMap())) }
+        router.get("/download/:bytes").handler(::download)
+        router.route().handler(BodyHandler.create(false))
+        router.route().handler(::serve)
+        return vertx
+            .createHttpServer()
+            .requestHandler(router)
+            .listen(address.port, address.ip)
+            .coAwait()
+    }
+
+    private fun serve(context: RoutingContext) {
+        val inForce = faults.faults
+        if (inForce.down) {
+            return context
+                .request()
+                .connection()
+                .close()
+                .let { }
+        }
+        when (inForce.delayMilliseconds) {
+            0L -> answer(context)
+            else -> vertx.setTimer(inForce.delayMilliseconds) { answer(context) }
+        }
+    }
+
+    private fun answer(context: RoutingContext) {
+        val request = context.request()
+        val body = context.body().buffer()?.bytes ?: ByteArray(0)
+        val identity = identityOf(request, body)
+        if (identity != null) executions = executions.put(identity, (executions[identity] ?: 0) + 1)
+        if (faults.takeLostAnswer()) return request.connection().close().let { }
+        val echo =
+            ServiceEcho(
+                service = name,
+                method = request.method().name(),
+                target = request.uri(),
+                identity = identity,
+                execution = identity?.let { executions[it] },
+                bodyBytes = body.size,
+                bodyDigest = digestOf("", "", body).hexadecimal,
+                headers = request.headers().entries().map { "${it.key}: ${it.value}" },
+            )
+        send(context, Json.encodeToString(ServiceEcho.serializer(), echo))
+    }
+
+    private fun send(
+        context: RoutingContext,
+        text: String,
+    ) {
+        val response = context.response().putHeader(EngineStandin.NAME_HEADER, name)
+        response.putHeader("Content-Type", "application/json").putHeader("x-odd-CASE", "Kept As Sent")
+        if (faults.takeCutAnswer()) {
+            response.putHeader("Content-Length", text.length.toString()).write(text.take(text.length / 2))
+            vertx.setTimer(CUT_DELAY_MILLISECONDS) { context.request().connection().close() }
+        } else {
+            response.end(text)
+        }
+    }
+
+    /** Sends a body of the wanted size, as fast as it is read. */
+    private fun download(context: RoutingContext) {
+        val size = context.pathParam("bytes").toLong()
+        val response = context.response().putHeader("Content-Length", size.toString())
+        response.putHeader(EngineStandin.NAME_HEADER, name)
+        val source = PatternStream(size)
+        source.pipeTo(response)
+        source.start()
+    }
+
+    private fun identityOf(
+        request: HttpServerRequest,
+        body: ByteArray,
+    ): String? {
+        if (request.method().name() != "POST") return null
+        return request.getHeader("X-Claim") ?: jsonField(body, "claim") ?: jsonField(body, "release")
+    }
+
+    private fun jsonField(
+        body: ByteArray,
+        field: String,
+    ): String? {
+        val root = runCatching { Json.parseToJsonElement(body.decodeToString()) as? JsonObject }.getOrNull()
+        return (root?.get(field) as? JsonPrimitive)?.content
+    }
+
+    private companion object {
+        const val CUT_DELAY_MILLISECONDS = 20L
+    }
+}
+
+/** What the stand-in service tells about the call that it got. */
+@Serializable
+data class ServiceEcho(
+    val service: String,
+    val method: String,
+    val target: String,
+    val identity: String?,
+    val execution: Int?,
+    val bodyBytes: Int,
+    val bodyDigest: String,
+    val headers: List<String>,
+)
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/backend/VertxBackendCaller.kt
@@ -0,0 +1,224 @@
+package org.acaciaflow.transport.backend
+
+import io.vertx.core.Vertx
+import io.vertx.core.VertxException
+import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpClientResponse
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.PoolOptions
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.coordination.port.AnswerSink
+import org.acaciaflow.coordination.port.AttemptOrder
+import org.acaciaflow.coordination.port.BackendCaller
+import org.acaciaflow.coordination.port.BackendHealth
+import org.acaciaflow.coordination.port.BackendResult
+import org.acaciaflow.coordination.port.BodyPart
+import org.acaciaflow.coordination.port.CallBody
+import org.acaciaflow.protocol.http.AnswerCompleteness
+import org.acaciaflow.protocol.http.EngineHeaders
+import org.acaciaflow.protocol.http.HopByHopHeaders
+import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.work.AnswerHead
+import org.acaciaflow.transport.http.BodyChannel
+import org.acaciaflow.transport.http.toBuffer
+import org.acaciaflow.transport.http.toFields
+import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Calls the engine or service over HTTP. */
+internal class VertxBackendCaller(
+    vertx: Vertx,
+    private val backend: HostAddress,
+    private val probePath: String,
+    connections: Int,
+) : BackendCaller {
+    private val client: HttpClient =
+        vertx.createHttpClient(
+            HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds.toInt()),
+            PoolOptions().setHttp1MaxSize(connections + PROBE_CONNECTIONS),
+        )
+
+    /** Calls that must not repeat get a fresh connection, since a reused one can be closed under the call. */
+    private val freshClient: HttpClient =
+        vertx.createHttpClient(
+            HttpClientOptions()
+                .setConnectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
+                .setKeepAlive(false),
+            PoolOptions().setHttp1MaxSize(connections),
+        )
+
+    override suspend fun call(
+        order: AttemptOrder,
+        body: CallBody,
+        sink: AnswerSink,
+    ): BackendResult {
+        val request =
+            try {
+                connect(order)
+            } catch (_: IOException) {
+                return BackendResult.NotStarted(AttemptRefusal.CONNECTION_REFUSED)
+            } catch (_: VertxException) {
+                return BackendResult.NotStarted(AttemptRefusal.CONNECTION_REFUSED)
+            }
+        return try {
+            exchange(request, order, body, sink)
+        } catch (_: IOException) {
+            BackendResult.Broken(MayHaveRun.BACKEND_CRASHED)
+        } catch (_: VertxException) {
+            BackendResult.Broken(MayHaveRun.BACKEND_CRASHED)
+        } finally {
+            request.reset()
+        }
+    }
+
+    override suspend fun probe(): BackendHealth =
+        withTimeoutOrNull(PROBE_TIMEOUT) { healthOf() } ?: BackendHealth.Unreachable
+
+    private suspend fun healthOf(): BackendHealth? =
+        try {
+            val options = optionsFor(HttpMethod.GET, probePath)
+            val request = client.request(options).coAwait()
+            val response = request.send().coAwait()
+            response.body().coAwait()
+            if (response.statusCode() == SUCCESS) aliveAs(response) else null
+        } catch (_: IOException) {
+            null
+        } catch (_: VertxException) {
+            null
+        }
+
+    private fun aliveAs(response: HttpClientResponse): BackendHealth {
+        val role = response.getHeader(EngineHeaders.ROLE)?.uppercase()
+        return BackendHealth.Alive(
+            life = response.getHeader(EngineHeaders.LIFE).orEmpty(),
+            role = EngineRole.entries.firstOrNull { it.name == role } ?: EngineRole.MIXED,
+            waitingPromptTokens = response.getHeader(EngineHeaders.WAITING_TOKENS)?.toIntOrNull() ?: 0,
+        )
+    }
+
+    private suspend fun connect(order: AttemptOrder): HttpClientRequest {
+        val options = optionsFor(HttpMethod.valueOf(order.call.method), order.call.target)
+        val chosen = if (order.atMostOnce) freshClient else client
+        return chosen.request(options).coAwait()
+    }
+
+    private fun optionsFor(
+        method: HttpMethod,
+        target: String,
+    ): RequestOptions =
+        RequestOptions()
+            .setMethod(method)
+            .setHost(backend.ip)
+            .setPort(backend.port)
+            .setURI(target)
+
+    private suspend fun exchange(
+        request: HttpClientRequest,
+        order: AttemptOrder,
+        body: CallBody,
+        sink: AnswerSink,
+    ): BackendResult =
+        coroutineScope {
+            val answered = request.response().map { OpenedAnswer(it, BodyChannel(it.pause())) }
+            order.call.headers.forEach { request.headers().add(it.name, it.value) }
+            EngineHeaders.fieldsFor(order).forEach { request.headers().set(it.name, it.value) }
+            val sending = send(request, body)
+            val opened = withTimeoutOrNull(SILENCE_TIMEOUT) { answered.coAwait() }
+            val result = if (opened == null) timedOut() else passOn(opened, order, sink)
+            sending.cancel()
+            result
+        }
+
+    private fun CoroutineScope.send(
+        request: HttpClientRequest,
+        body: CallBody,
+    ): Job {
+        val start = body.buffered
+        if (body.whole) {
+            if (start.size > 0) request.end(start.toBuffer()) else request.end()
+            return Job()
+        }
+        if (request.headers()["content-length"] == null) request.isChunked = true
+        return launch { sendRest(request, start, body) }
+    }
+
+    private suspend fun sendRest(
+        request: HttpClientRequest,
+        start: ByteString,
+        body: CallBody,
+    ) {
+        request.write(start.toBuffer()).coAwait()
+        while (true) {
+            when (val part = body.next()) {
+                is BodyPart.Data -> request.write(part.bytes.toBuffer()).coAwait()
+
+                BodyPart.End -> return request.end().coAwait().let { }
+
+                BodyPart.Broken -> return request.reset().let { }
+            }
+        }
+    }
+
+    private suspend fun passOn(
+        opened: OpenedAnswer,
+        order: AttemptOrder,
+        sink: AnswerSink,
+    ): BackendResult {
+        val response = opened.response
+        val head = AnswerHead(response.statusCode(), HopByHopHeaders.removedFrom(response.headers().toFields()))
+        val completeness = AnswerCompleteness(order.call, head)
+        sink.head(head)
+        while (true) {
+            when (val part = withTimeoutOrNull(SILENCE_TIMEOUT) { opened.body.next() }) {
+                is BodyPart.Data -> {
+                    completeness.passed(part.bytes)
+                    sink.data(part.bytes)
+                }
+
+                BodyPart.End -> {
+                    return if (completeness.whole) BackendResult.Completed else incomplete()
+                }
+
+                BodyPart.Broken -> {
+                    return BackendResult.Broken(MayHaveRun.BACKEND_CRASHED)
+                }
+
+                null -> {
+                    return timedOut()
+                }
+            }
+        }
+    }
+
+    private fun incomplete(): BackendResult = BackendResult.Broken(MayHaveRun.ANSWER_INCOMPLETE)
+
+    private fun timedOut(): BackendResult = BackendResult.Broken(MayHaveRun.BACKEND_TIMEOUT)
+
+    /** The head of an answer, and its body from the first byte on. */
+    private class OpenedAnswer(
+        val response: HttpClientResponse,
+        val body: BodyChannel,
+    )
+
+    private companion object {
+        const val SUCCESS = 200
+        const val PROBE_CONNECTIONS = 2
+        val CONNECT_TIMEOUT: Duration = 500.milliseconds
+        val PROBE_TIMEOUT: Duration = 500.milliseconds
+        val SILENCE_TIMEOUT: Duration = 30.seconds
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
@@ -0,0 +1,109 @@
+package org.acaciaflow.transport.http
+
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerOptions
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.ext.web.Router
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
+import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.gateway.ArrivalService
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.protocol.http.HopByHopHeaders
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.refusal.NotRun
+import org.acaciaflow.state.work.CallHead
+import org.acaciaflow.state.work.HeaderField
+import java.util.concurrent.atomic.AtomicInteger
+
+/** The HTTP front end for callers: any method, path, header and body. */
+internal class CallerServer(
+    private val vertx: Vertx,
+    private val arrivals: ArrivalService,
+    private val observations: Observations,
+    private val scope: CoroutineScope,
+    private val bodyLimitBytes: Long,
+) {
+    private val open = AtomicInteger()
+
+    /** Calls whose answer is not complete. */
+    val openCalls: Int
+        get() = open.get()
+
+    suspend fun start(address: HostAddress): HttpServer {
+        val router = Router.router(vertx)
+        router.route().handler { context -> take(context.request()) }
+        val options = HttpServerOptions().setHandle100ContinueAutomatically(true).setMaxInitialLineLength(LINE_BYTES)
+        return vertx
+            .createHttpServer(options)
+            .requestHandler(router)
+            .listen(address.port, address.ip)
+            .coAwait()
+    }
+
+    private fun take(request: HttpServerRequest) {
+        val closed = CompletableDeferred<Unit>()
+        val channel = BodyChannel(request.pause())
+        open.incrementAndGet()
+        request.response().endHandler { open.decrementAndGet() }
+        request.response().closeHandler {
+            channel.broke()
+            closed.complete(Unit)
+        }
+        scope.launch { arriveOrAbort(request, channel, closed) }
+    }
+
+    private suspend fun arriveOrAbort(
+        request: HttpServerRequest,
+        channel: BodyChannel,
+        closed: CompletableDeferred<Unit>,
+    ) {
+        try {
+            arrive(request, channel, closed)
+        } catch (failure: Exception) {
+            currentCoroutineContext().ensureActive()
+            observations.event(Event.WorkerFailed(failure))
+            request.connection().close()
+        }
+    }
+
+    private suspend fun arrive(
+        request: HttpServerRequest,
+        channel: BodyChannel,
+        closed: CompletableDeferred<Unit>,
+    ) {
+        val start = readStart(channel)
+        val body = VertxCallBody(channel, start, bodyLimitBytes)
+        val exchange = VertxCallerExchange(request, headOf(request), body, closed)
+        val declared = request.getHeader("content-length")?.toLongOrNull() ?: 0
+        when {
+            start.broken -> observations.refused(NotRun.CALLER_GONE)
+            declared > bodyLimitBytes -> refuse(exchange)
+            else -> arrivals.accept(exchange)
+        }
+    }
+
+    private suspend fun refuse(exchange: VertxCallerExchange) {
+        observations.refused(NotRun.BODY_TOO_LARGE)
+        exchange.refuse(NotRun.BODY_TOO_LARGE)
+    }
+
+    private fun headOf(request: HttpServerRequest): CallHead {
+        val fields = HopByHopHeaders.removedFrom(request.headers().toFields())
+        return CallHead(request.method().name(), request.uri(), withoutExpectation(fields))
+    }
+
+    /** The expectation was already met here, so it is not passed on. */
+    private fun withoutExpectation(fields: List<HeaderField>) =
+        fields.filterNot { it.name.equals("expect", ignoreCase = true) }.toPersistentList()
+
+    private companion object {
+        const val LINE_BYTES = 16 * 1024
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/OperatorsServer.kt
@@ -0,0 +1,49 @@
+package org.acaciaflow.transport.http
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServer
+import io.vertx.ext.web.Router
+import io.vertx.ext.web.RoutingContext
+import io.vertx.kotlin.coroutines.coAwait
+import org.acaciaflow.state.identity.HostAddress
+
+/** What an operators' port tells about its process. */
+interface OperatorsView {
+    /** True while the process should get new work. */
+    val ready: Boolean
+
+    /** The state of the process as a JSON text. */
+    fun status(): String
+}
+
+/** The operators' port: `/live`, `/ready`, `/metrics` and `/status`. */
+internal class OperatorsServer(
+    private val vertx: Vertx,
+    private val registry: PrometheusMeterRegistry,
+    private val view: OperatorsView,
+) {
+    suspend fun start(address: HostAddress): HttpServer {
+        val router = Router.router(vertx)
+        router.get("/live").handler { it.end("live\n") }
+        router.get("/ready").handler { answerReady(it) }
+        router.get("/metrics").handler { it.end(registry.scrape()) }
+        router.get("/status").handler { it.response().putHeader("content-type", "application/json").end(view.status()) }
+        return vertx
+            .createHttpServer()
+            .requestHandler(router)
+            .listen(address.port, address.ip)
+            .coAwait()
+    }
+
+    private fun answerReady(context: RoutingContext) {
+        when (view.ready) {
+            true -> context.end("ready\n")
+            false -> context.response().setStatusCode(UNAVAILABLE).end("not ready\n")
+        }
+    }
+
+    private companion object {
+        const val UNAVAILABLE = 503
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/VertxCallBody.kt
@@ -0,0 +1,50 @@
+package org.acaciaflow.transport.http
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.coordination.port.BodyPart
+import org.acaciaflow.coordination.port.CallBody
+import org.acaciaflow.state.bytes.joined
+
+/** A caller's body: its start is buffered, the rest is passed on up to [limitBytes] in all. */
+internal class VertxCallBody(
+    private val channel: BodyChannel,
+    start: BodyStart,
+    private val limitBytes: Long,
+) : CallBody {
+    override val buffered: ByteString = start.bytes
+    override val whole: Boolean = start.whole
+    private var readBytes: Long = start.bytes.size.toLong()
+
+    override suspend fun next(): BodyPart {
+        val part = channel.next()
+        if (part is BodyPart.Data) readBytes += part.bytes.size
+        return if (readBytes > limitBytes) BodyPart.Broken else part
+    }
+}
+
+/** Reads the start of a body, up to [BUFFERED_BYTES]. */
+internal suspend fun readStart(channel: BodyChannel): BodyStart {
+    var parts: PersistentList<ByteString> = persistentListOf()
+    var size = 0
+    while (size <= BUFFERED_BYTES) {
+        when (val part = channel.next()) {
+            is BodyPart.Data -> {
+                parts = parts.add(part.bytes)
+                size += part.bytes.size
+            }
+
+            BodyPart.End -> {
+                return BodyStart(joined(parts), whole = true, broken = false)
+            }
+
+            BodyPart.Broken -> {
+                return BodyStart(joined(parts), whole = false, broken = true)
+            }
+        }
+    }
+    return BodyStart(joined(parts), whole = false, broken = false)
+}
+
+private const val BUFFERED_BYTES = 1024 * 1024
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/VertxCallerExchange.kt
@@ -0,0 +1,87 @@
+package org.acaciaflow.transport.http
+
+import io.vertx.core.Future
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.http.HttpServerResponse
+import io.vertx.core.http.HttpVersion
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.selects.select
+import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.coordination.port.CallBody
+import org.acaciaflow.coordination.port.CallerExchange
+import org.acaciaflow.coordination.port.CallerWrite
+import org.acaciaflow.protocol.http.HopByHopHeaders
+import org.acaciaflow.protocol.http.RefusalAnswer
+import org.acaciaflow.state.refusal.Refusal
+import org.acaciaflow.state.work.AnswerHead
+import org.acaciaflow.state.work.CallHead
+
+/** A caller's HTTP call; its answer is written as fast as the caller reads. */
+internal class VertxCallerExchange(
+    private val request: HttpServerRequest,
+    override val call: CallHead,
+    override val body: CallBody,
+    private val closed: CompletableDeferred<Unit>,
+) : CallerExchange {
+    private val response: HttpServerResponse = request.response()
+
+    override val gone: Boolean
+        get() = closed.isCompleted
+
+    override fun onGone(action: () -> Unit) {
+        closed.invokeOnCompletion { action() }
+    }
+
+    override suspend fun begin(head: AnswerHead): CallerWrite {
+        if (gone) return CallerWrite.CALLER_GONE
+        response.statusCode = head.status
+        val fields = HopByHopHeaders.removedFrom(head.headers)
+        fields.forEach { response.headers().add(it.name, it.value) }
+        val sized = fields.any { it.name.equals("content-length", ignoreCase = true) }
+        if (!sized && request.version() != HttpVersion.HTTP_1_0 && mayHaveBody(head)) response.isChunked = true
+        return CallerWrite.WRITTEN
+    }
+
+    override suspend fun send(bytes: ByteString): CallerWrite {
+        if (gone) return CallerWrite.CALLER_GONE
+        val written = response.write(bytes.toBuffer())
+        if (!response.writeQueueFull()) return CallerWrite.WRITTEN
+        return awaitWritten(written)
+    }
+
+    override suspend fun end(): CallerWrite {
+        if (gone) return CallerWrite.CALLER_GONE
+        return awaitWritten(response.end())
+    }
+
+    override suspend fun refuse(refusal: Refusal): CallerWrite {
+        if (gone) return CallerWrite.CALLER_GONE
+        val answer = RefusalAnswer.of(refusal)
+        response.statusCode = answer.status
+        answer.headers.forEach { response.headers().add(it.name, it.value) }
+        return awaitWritten(response.end(answer.body.toBuffer()))
+    }
+
+    override fun abort() {
+        request.connection().close()
+    }
+
+    private fun mayHaveBody(head: AnswerHead): Boolean =
+        request.method().name() != "HEAD" && head.status != NO_CONTENT && head.status != NOT_MODIFIED
+
+    private suspend fun awaitWritten(written: Future<Void>): CallerWrite {
+        val done = CompletableDeferred<CallerWrite>()
+        written.onComplete { result ->
+            done.complete(if (result.succeeded()) CallerWrite.WRITTEN else CallerWrite.CALLER_GONE)
+        }
+        return select {
+            done.onAwait { it }
+            closed.onAwait { CallerWrite.CALLER_GONE }
+        }
+    }
+
+    private companion object {
+        const val NO_CONTENT = 204
+        const val NOT_MODIFIED = 304
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
@@ -0,0 +1,61 @@
+package org.acaciaflow.transport.observation
+
+import io.micrometer.core.instrument.MeterRegistry
+import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.event.EventLevel
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.coordination.port.StoreFailure
+import org.acaciaflow.coordination.retry.RetryReason
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.refusal.Refusal
+import org.acaciaflow.state.work.Rank
+import org.tinylog.kotlin.Logger
+
+/** Counts with Micrometer and logs with tinylog. */
+class MeteredObservations(
+    private val registry: MeterRegistry,
+) : Observations {
+    private val strayFrames = registry.counter(Meters.STRAY_FRAMES)
+
+    override fun event(event: Event) {
+        registry.counter(Meters.EVENTS, "kind", event.kind.name.lowercase()).increment()
+        val text = "AF${event.kind.number} $event"
+        when (event.kind.level) {
+            EventLevel.INFORMATION -> Logger.info(text)
+            EventLevel.WARNING -> Logger.warn(text)
+            EventLevel.ERROR -> logError(event, text)
+        }
+    }
+
+    override fun accepted(rank: Rank) = count(Meters.ACCEPTED, "rank", rank.name.lowercase())
+
+    override fun delivered(rank: Rank) = count(Meters.DELIVERED, "rank", rank.name.lowercase())
+
+    override fun refused(refusal: Refusal) = count(Meters.REFUSED, "reason", refusal.code)
+
+    override fun attemptRefused(reason: AttemptRefusal) = count(Meters.ATTEMPTS_REFUSED, "reason", reason.code)
+
+    override fun retried(reason: RetryReason) = count(Meters.RETRIED, "reason", reason.code)
+
+    override fun storeFailed(reason: StoreFailure) = count(Meters.STORE_FAILURES, "reason", reason.code)
+
+    override fun strayFrameDropped() = strayFrames.increment()
+
+    private fun logError(
+        event: Event,
+        text: String,
+    ) {
+        when (event) {
+            is Event.WorkerFailed -> Logger.error(event.cause, text)
+            else -> Logger.error(text)
+        }
+    }
+
+    private fun count(
+        meter: String,
+        tag: String,
+        value: String,
+    ) {
+        registry.counter(meter, tag, value).increment()
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
@@ -0,0 +1,27 @@
+package org.acaciaflow.transport.observation
+
+/** The names of all meters; docs/METRICS.md says what each counts. */
+object Meters {
+    const val EVENTS = "acaciaflow.events"
+    const val ACCEPTED = "acaciaflow.requests.accepted"
+    const val DELIVERED = "acaciaflow.requests.delivered"
+    const val REFUSED = "acaciaflow.requests.refused"
+    const val ATTEMPTS_REFUSED = "acaciaflow.attempts.refused"
+    const val RETRIED = "acaciaflow.requests.retried"
+    const val STORE_FAILURES = "acaciaflow.store.failures"
+    const val STORE_CALLS = "acaciaflow.store.calls"
+    const val STRAY_FRAMES = "acaciaflow.frames.stray"
+
+    val ALL =
+        listOf(
+            EVENTS,
+            ACCEPTED,
+            DELIVERED,
+            REFUSED,
+            ATTEMPTS_REFUSED,
+            RETRIED,
+            STORE_FAILURES,
+            STORE_CALLS,
+            STRAY_FRAMES,
+        )
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemon.kt
@@ -0,0 +1,79 @@
+package org.acaciaflow.transport.process
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.acaciaflow.coordination.configuration.ConfigurationKeeper
+import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.gateway.ExchangeWorker
+import org.acaciaflow.coordination.gateway.GatewayTables
+import org.acaciaflow.protocol.settings.GatewaySettings
+import org.acaciaflow.state.configuration.Configuration
+import org.acaciaflow.state.identity.ProcessIdentity
+import org.acaciaflow.transport.http.CallerServer
+import org.acaciaflow.transport.http.OperatorsServer
+import org.acaciaflow.transport.http.OperatorsView
+import org.acaciaflow.transport.link.HostFollower
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A gateway: callers in front, links to sidecars behind. */
+internal class GatewayDaemon(
+    private val settings: GatewaySettings,
+    private val self: ProcessIdentity,
+    private val runtime: Runtime,
+    private val tables: GatewayTables,
+    private val configuration: ConfigurationKeeper,
+    private val hosts: HostFollower,
+    private val worker: ExchangeWorker,
+    private val callers: CallerServer,
+    private val clock: Clock,
+) : Daemon,
+    OperatorsView {
+    @Volatile
+    private var stopping = false
+
+    override val ready: Boolean
+        get() = !stopping && tables.configuration.snapshot().revision != Configuration.NO_REVISION
+
+    override suspend fun start() {
+        configuration.start(runtime.workers.scope)
+        hosts.start()
+        runtime.workers.startWorkers(settings.exchangeWorkers) { worker.serveNext() }
+        runtime.workers.scope.launch { refuseExpired() }
+        OperatorsServer(runtime.vertx, runtime.registry, this).start(settings.operators)
+        callers.start(settings.callers)
+        runtime.observations.event(Event.ProcessStarted(self))
+    }
+
+    override suspend fun stop() {
+        runtime.observations.event(Event.ProcessStopping(self))
+        stopping = true
+        delay(BALANCER_NOTICE)
+        withTimeoutOrNull(DRAIN_LIMIT) { awaitIdle() }
+        runtime.observations.event(Event.ProcessStopped(self))
+        runtime.close()
+    }
+
+    override fun status(): String = GatewayStatus.describe(self, tables, clock.now())
+
+    private suspend fun awaitIdle() {
+        while (callers.openCalls > 0) delay(DRAIN_CHECK)
+    }
+
+    private suspend fun refuseExpired() {
+        while (true) {
+            delay(EXPIRY_INTERVAL)
+            worker.refuseExpired(clock.now())
+        }
+    }
+
+    private companion object {
+        val EXPIRY_INTERVAL: Duration = 50.milliseconds
+        val BALANCER_NOTICE: Duration = 2.seconds
+        val DRAIN_CHECK: Duration = 50.milliseconds
+        val DRAIN_LIMIT: Duration = 120.seconds
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
@@ -0,0 +1,126 @@
+package org.acaciaflow.transport.process
+
+import org.acaciaflow.coordination.configuration.ConfigurationKeeper
+import org.acaciaflow.coordination.dispatch.DispatchPolicy
+import org.acaciaflow.coordination.gateway.GatewayCore
+import org.acaciaflow.coordination.gateway.GatewayPorts
+import org.acaciaflow.coordination.gateway.GatewayRules
+import org.acaciaflow.coordination.gateway.GatewayTables
+import org.acaciaflow.coordination.gateway.WakeUp
+import org.acaciaflow.coordination.gateway.createGatewayCore
+import org.acaciaflow.coordination.gateway.createGatewayTables
+import org.acaciaflow.coordination.queue.QueueLimits
+import org.acaciaflow.coordination.queue.QueuePolicy
+import org.acaciaflow.coordination.selection.SelectionPolicy
+import org.acaciaflow.protocol.configuration.StoredConfigurationSource
+import org.acaciaflow.protocol.http.JsonBodyReader
+import org.acaciaflow.protocol.http.ServerSentEvents
+import org.acaciaflow.protocol.record.EncodedExecutionRecords
+import org.acaciaflow.protocol.settings.GatewaySettings
+import org.acaciaflow.state.identity.ProcessIdentity
+import org.acaciaflow.transport.hosts.HttpHostList
+import org.acaciaflow.transport.http.CallerServer
+import org.acaciaflow.transport.link.HostFollower
+import org.acaciaflow.transport.link.LinkContext
+import org.acaciaflow.transport.link.SidecarDirectory
+import org.acaciaflow.transport.link.SidecarLinkRunner
+import org.acaciaflow.transport.store.EtcdKeyValueStore
+import kotlin.random.Random
+import kotlin.time.Clock
+
+/** Builds a gateway from its settings. */
+fun createGatewayDaemon(
+    settings: GatewaySettings,
+    clock: Clock,
+    random: Random,
+): Daemon {
+    val runtime = createRuntime()
+    val self = newProcessIdentity(settings.callers)
+    val tables = createGatewayTables()
+    val store = EtcdKeyValueStore(runtime.vertx, settings.store, runtime.registry)
+    val keeper = ConfigurationKeeper(StoredConfigurationSource(store), tables.configuration, runtime.observations)
+    val directory = SidecarDirectory(runtime.workers.scope)
+    val wakeUp = WakeUp()
+    val ports =
+        GatewayPorts(
+            records = EncodedExecutionRecords(store),
+            connections = directory,
+            bodyReader = JsonBodyReader(),
+            framing = ServerSentEvents,
+            observations = runtime.observations,
+            clock = clock,
+        )
+    val core = createCore(settings, self, tables, ports, wakeUp, random)
+    val runner = createRunner(settings, self, runtime, directory, tables, keeper, wakeUp)
+    val hosts = HttpHostList(runtime.vertx, settings.hostList)
+    return GatewayDaemon(
+        settings = settings,
+        self = self,
+        runtime = runtime,
+        tables = tables,
+        configuration = keeper,
+        hosts = HostFollower(hosts, runner, runtime.observations, runtime.workers.scope, random),
+        worker = core.worker,
+        callers = createCallers(settings, runtime, core),
+        clock = clock,
+    )
+}
+
+private fun createCore(
+    settings: GatewaySettings,
+    self: ProcessIdentity,
+    tables: GatewayTables,
+    ports: GatewayPorts,
+    wakeUp: WakeUp,
+    random: Random,
+): GatewayCore {
+    val limits = QueueLimits.DEFAULT
+    val policy =
+        DispatchPolicy(
+            queue = QueuePolicy.RankedWithFloors(limits),
+            selection = SelectionPolicy.LeastPredicted(SAMPLED_SERVERS),
+        )
+    return createGatewayCore(
+        tables,
+        ports,
+        GatewayRules(self, settings.dataCentre, limits, policy),
+        wakeUp,
+        random,
+    )
+}
+
+private fun createRunner(
+    settings: GatewaySettings,
+    self: ProcessIdentity,
+    runtime: Runtime,
+    directory: SidecarDirectory,
+    tables: GatewayTables,
+    keeper: ConfigurationKeeper,
+    wakeUp: WakeUp,
+): SidecarLinkRunner =
+    SidecarLinkRunner(
+        self = self,
+        dataCentre = settings.dataCentre,
+        selector = runtime.selector,
+        directory = directory,
+        tables = tables,
+        context = LinkContext(tables.configuration, keeper, runtime.observations),
+        wakeUp = wakeUp,
+        observations = runtime.observations,
+        scope = runtime.workers.scope,
+    )
+
+private fun createCallers(
+    settings: GatewaySettings,
+    runtime: Runtime,
+    core: GatewayCore,
+): CallerServer =
+    CallerServer(
+        vertx = runtime.vertx,
+        arrivals = core.arrivals,
+        observations = runtime.observations,
+        scope = runtime.workers.scope,
+        bodyLimitBytes = settings.bodyLimitBytes,
+    )
+
+private const val SAMPLED_SERVERS = 3
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemon.kt
@@ -0,0 +1,85 @@
+package org.acaciaflow.transport.process
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.acaciaflow.coordination.configuration.ConfigurationKeeper
+import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.sidecar.BackendSupervisor
+import org.acaciaflow.coordination.sidecar.SidecarTables
+import org.acaciaflow.protocol.settings.SidecarSettings
+import org.acaciaflow.state.identity.ProcessIdentity
+import org.acaciaflow.state.sidecar.SidecarPhase
+import org.acaciaflow.transport.http.OperatorsServer
+import org.acaciaflow.transport.http.OperatorsView
+import org.acaciaflow.transport.link.ExchangeQueue
+import org.acaciaflow.transport.link.LinkServer
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A sidecar: links of gateways in front, one engine or service behind. */
+internal class SidecarDaemon(
+    private val settings: SidecarSettings,
+    private val self: ProcessIdentity,
+    private val runtime: Runtime,
+    private val tables: SidecarTables,
+    private val configuration: ConfigurationKeeper,
+    private val supervisor: BackendSupervisor,
+    private val exchanges: ExchangeQueue,
+    private val links: LinkServer,
+    private val clock: Clock,
+) : Daemon,
+    OperatorsView {
+    override val ready: Boolean
+        get() = tables.load.snapshot().phase == SidecarPhase.Serving
+
+    override suspend fun start() {
+        supervisor.probe()
+        configuration.start(runtime.workers.scope)
+        runtime.workers.startWorkers(settings.capacity) { exchanges.serveNext() }
+        links.start(settings.links)
+        runtime.workers.scope.launch { superviseBackend() }
+        OperatorsServer(runtime.vertx, runtime.registry, this).start(settings.operators)
+        runtime.observations.event(Event.ProcessStarted(self))
+    }
+
+    override suspend fun stop() {
+        runtime.observations.event(Event.ProcessStopping(self))
+        tables.load.update { it.copy(phase = SidecarPhase.Leaving) }
+        links.tellAll()
+        delay(LEAVING_NOTICE)
+        withTimeoutOrNull(DRAIN_LIMIT) { awaitIdle() }
+        delay(LAST_FRAMES)
+        runtime.observations.event(Event.ProcessStopped(self))
+        runtime.close()
+    }
+
+    override fun status(): String = SidecarStatus.describe(self, tables, clock.now())
+
+    private suspend fun awaitIdle() {
+        while (tables.load
+                .snapshot()
+                .running
+                .isNotEmpty()
+        ) {
+            delay(DRAIN_CHECK)
+        }
+    }
+
+    private suspend fun superviseBackend() {
+        while (true) {
+            delay(PROBE_INTERVAL)
+            if (supervisor.probe()) links.tellAll()
+        }
+    }
+
+    private companion object {
+        val PROBE_INTERVAL: Duration = 500.milliseconds
+        val LEAVING_NOTICE: Duration = 500.milliseconds
+        val LAST_FRAMES: Duration = 200.milliseconds
+        val DRAIN_CHECK: Duration = 50.milliseconds
+        val DRAIN_LIMIT: Duration = 120.seconds
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemonFactory.kt
@@ -0,0 +1,59 @@
+package org.acaciaflow.transport.process
+
+import org.acaciaflow.coordination.configuration.ConfigurationKeeper
+import org.acaciaflow.coordination.sidecar.AttemptIntake
+import org.acaciaflow.coordination.sidecar.BackendSupervisor
+import org.acaciaflow.coordination.sidecar.SidecarExchange
+import org.acaciaflow.coordination.sidecar.SidecarTables
+import org.acaciaflow.coordination.sidecar.createSidecarTables
+import org.acaciaflow.protocol.configuration.StoredConfigurationSource
+import org.acaciaflow.protocol.settings.SidecarSettings
+import org.acaciaflow.state.identity.ProcessIdentity
+import org.acaciaflow.transport.backend.VertxBackendCaller
+import org.acaciaflow.transport.link.ExchangeQueue
+import org.acaciaflow.transport.link.LinkContext
+import org.acaciaflow.transport.link.LinkServer
+import org.acaciaflow.transport.store.EtcdKeyValueStore
+import kotlin.time.Clock
+
+/** Builds a sidecar from its settings. */
+fun createSidecarDaemon(
+    settings: SidecarSettings,
+    clock: Clock,
+): Daemon {
+    val runtime = createRuntime()
+    val self = newProcessIdentity(settings.links)
+    val tables = createSidecarTables(settings.capacity, JOURNAL_ENTRIES)
+    val store = EtcdKeyValueStore(runtime.vertx, settings.store, runtime.registry)
+    val keeper = ConfigurationKeeper(StoredConfigurationSource(store), tables.configuration, runtime.observations)
+    val caller = VertxBackendCaller(runtime.vertx, settings.backend, settings.probePath, settings.capacity)
+    val supervisor = BackendSupervisor(tables, caller, runtime.observations)
+    val intake = AttemptIntake(self, tables)
+    val exchanges = ExchangeQueue(SidecarExchange(intake, caller, supervisor), runtime.observations)
+    val links = createLinks(settings, self, runtime, tables, keeper, intake, exchanges)
+    return SidecarDaemon(settings, self, runtime, tables, keeper, supervisor, exchanges, links, clock)
+}
+
+private fun createLinks(
+    settings: SidecarSettings,
+    self: ProcessIdentity,
+    runtime: Runtime,
+    tables: SidecarTables,
+    keeper: ConfigurationKeeper,
+    intake: AttemptIntake,
+    exchanges: ExchangeQueue,
+): LinkServer =
+    LinkServer(
+        self = self,
+        dataCentre = settings.dataCentre,
+        pool = settings.pool,
+        selector = runtime.selector,
+        tables = tables,
+        context = LinkContext(tables.configuration, keeper, runtime.observations),
+        intake = intake,
+        exchanges = exchanges,
+        observations = runtime.observations,
+        scope = runtime.workers.scope,
+    )
+
+private const val JOURNAL_ENTRIES = 16_384
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarStatus.kt
@@ -0,0 +1,45 @@
+package org.acaciaflow.transport.process
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.acaciaflow.coordination.sidecar.SidecarTables
+import org.acaciaflow.state.identity.ProcessIdentity
+import kotlin.time.Instant
+
+/** The state of a sidecar for operators. */
+@Serializable
+internal data class SidecarStatus(
+    val process: String,
+    val at: String,
+    val revision: Long,
+    val phase: String,
+    val role: String,
+    val running: Int,
+    val capacity: Int,
+    val journalEntries: Int,
+) {
+    companion object {
+        fun describe(
+            self: ProcessIdentity,
+            tables: SidecarTables,
+            now: Instant,
+        ): String {
+            val load = tables.load.snapshot()
+            val status =
+                SidecarStatus(
+                    process = self.toString(),
+                    at = now.toString(),
+                    revision = tables.configuration.snapshot().revision,
+                    phase = load.phase::class.simpleName.orEmpty(),
+                    role = load.role.name.lowercase(),
+                    running = load.running.size,
+                    capacity = load.capacity,
+                    journalEntries =
+                        tables.journal
+                            .snapshot()
+                            .entries.size,
+                )
+            return Json.encodeToString(serializer(), status)
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
@@ -0,0 +1,220 @@
+package org.acaciaflow.transport.store
+
+import io.micrometer.core.instrument.MeterRegistry
+import io.vertx.core.Vertx
+import io.vertx.core.VertxException
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.RequestOptions
+import io.vertx.core.parsetools.RecordParser
+import io.vertx.ext.web.client.HttpResponse
+import io.vertx.ext.web.client.WebClient
+import io.vertx.ext.web.client.WebClientOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.channels.awaitClose
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.callbackFlow
+import kotlinx.io.bytestring.ByteString
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import org.acaciaflow.coordination.port.KeyValueStore
+import org.acaciaflow.coordination.port.LeaseIdentity
+import org.acaciaflow.coordination.port.StoreFailure
+import org.acaciaflow.coordination.port.StoreKey
+import org.acaciaflow.coordination.port.StoreResult
+import org.acaciaflow.coordination.port.StoredValue
+import org.acaciaflow.coordination.port.SwapOutcome
+import org.acaciaflow.protocol.store.EtcdJson
+import org.acaciaflow.protocol.store.LeaseGrantRequest
+import org.acaciaflow.protocol.store.LeaseGrantResponse
+import org.acaciaflow.protocol.store.LeaseKeepAliveRequest
+import org.acaciaflow.protocol.store.LeaseKeepAliveResponse
+import org.acaciaflow.protocol.store.RangeRequest
+import org.acaciaflow.protocol.store.RangeResponse
+import org.acaciaflow.protocol.store.TransactionRequest
+import org.acaciaflow.protocol.store.TransactionResponse
+import org.acaciaflow.protocol.store.WatchRequest
+import org.acaciaflow.protocol.store.WatchResponse
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.transport.observation.Meters
+import java.io.IOException
+import java.net.ConnectException
+import java.util.concurrent.TimeoutException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** The platform's key-value service over the etcd v3 JSON form. */
+internal class EtcdKeyValueStore(
+    vertx: Vertx,
+    private val address: HostAddress,
+    registry: MeterRegistry,
+) : KeyValueStore {
+    private val client =
+        WebClient.create(vertx, WebClientOptions().setConnectTimeout(CALL_TIMEOUT.inWholeMilliseconds.toInt()))
+    private val watches = vertx.createHttpClient(HttpClientOptions())
+    private val calls = registry.counter(Meters.STORE_CALLS)
+
+    override suspend fun read(key: StoreKey): StoreResult<StoredValue?> =
+        range(EtcdJson.readRequest(key)).mapped { response -> response.kvs.firstOrNull()?.let(EtcdJson::decodeValue) }
+
+    override suspend fun list(
+        prefix: StoreKey,
+        limit: Int,
+    ): StoreResult<PersistentList<StoredValue>> =
+        range(EtcdJson.listRequest(prefix, limit)).mapped { response ->
+            response.kvs.map(EtcdJson::decodeValue).toPersistentList()
+        }
+
+    override suspend fun swap(
+        key: StoreKey,
+        expected: Long,
+        value: ByteString,
+        lease: LeaseIdentity?,
+    ): StoreResult<SwapOutcome> {
+        val request = EtcdJson.swapRequest(key, expected, value, lease?.number)
+        val response =
+            call(
+                EtcdJson.TRANSACTION_PATH,
+                TransactionRequest.serializer(),
+                request,
+                TransactionResponse.serializer(),
+            )
+        return response.mapped(::swapOutcome)
+    }
+
+    override suspend fun grantLease(timeToLive: Duration): StoreResult<LeaseIdentity> {
+        val request = LeaseGrantRequest(timeToLive.inWholeSeconds.toString())
+        val response =
+            call(
+                EtcdJson.LEASE_GRANT_PATH,
+                LeaseGrantRequest.serializer(),
+                request,
+                LeaseGrantResponse.serializer(),
+            )
+        return response.mapped { LeaseIdentity(it.identity.toLong()) }
+    }
+
+    override suspend fun renewLease(lease: LeaseIdentity): StoreResult<Boolean> {
+        val request = LeaseKeepAliveRequest(lease.number.toString())
+        val response =
+            call(
+                EtcdJson.LEASE_KEEP_ALIVE_PATH,
+                LeaseKeepAliveRequest.serializer(),
+                request,
+                LeaseKeepAliveResponse.serializer(),
+            )
+        return response.mapped { it.result.timeToLive.toLong() > 0 }
+    }
+
+    override fun watch(prefix: StoreKey): Flow<StoredValue> =
+        callbackFlow {
+            calls.increment()
+            val request = EtcdJson.json.encodeToString(WatchRequest.serializer(), EtcdJson.watchRequest(prefix))
+            val lines =
+                RecordParser.newDelimited("\n") { line -> eventsOf(line).forEach { trySend(it) } }
+            val options =
+                RequestOptions()
+                    .setMethod(HttpMethod.POST)
+                    .setHost(address.ip)
+                    .setPort(address.port)
+                    .setURI(EtcdJson.WATCH_PATH)
+            watches
+                .request(options)
+                .compose { it.send(Buffer.buffer(request)) }
+                .onFailure { close() }
+                .onSuccess { response ->
+                    response.handler(lines).endHandler { close() }.exceptionHandler { close() }
+                }
+            awaitClose { }
+        }
+
+    private suspend fun range(request: RangeRequest): StoreResult<RangeResponse> =
+        call(EtcdJson.RANGE_PATH, RangeRequest.serializer(), request, RangeResponse.serializer())
+
+    private suspend fun <Request, Response> call(
+        path: String,
+        requestType: KSerializer<Request>,
+        request: Request,
+        responseType: KSerializer<Response>,
+    ): StoreResult<Response> {
+        calls.increment()
+        val body = Buffer.buffer(EtcdJson.json.encodeToString(requestType, request))
+        return try {
+            val response =
+                client
+                    .post(address.port, address.ip, path)
+                    .timeout(CALL_TIMEOUT.inWholeMilliseconds)
+                    .putHeader("content-type", "application/json")
+                    .sendBuffer(body)
+                    .coAwait()
+            decoded(response, responseType)
+        } catch (_: ConnectException) {
+            StoreResult.Failure(StoreFailure.UNREACHABLE)
+        } catch (_: TimeoutException) {
+            StoreResult.Failure(StoreFailure.TIMED_OUT)
+        } catch (_: VertxException) {
+            StoreResult.Failure(StoreFailure.ANSWER_LOST)
+        } catch (_: IOException) {
+            StoreResult.Failure(StoreFailure.ANSWER_LOST)
+        }
+    }
+
+    private fun <Response> decoded(
+        response: HttpResponse<Buffer>,
+        responseType: KSerializer<Response>,
+    ): StoreResult<Response> {
+        if (response.statusCode() == UNAVAILABLE) return StoreResult.Failure(StoreFailure.REJECTED)
+        if (response.statusCode() != SUCCESS) return StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
+        return try {
+            StoreResult.Success(EtcdJson.json.decodeFromString(responseType, response.bodyAsString()))
+        } catch (_: SerializationException) {
+            StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
+        }
+    }
+
+    private fun swapOutcome(response: TransactionResponse): SwapOutcome {
+        if (response.succeeded) return SwapOutcome.Swapped(response.header.revision.toLong())
+        val current =
+            response.responses
+                .firstNotNullOfOrNull { it.range }
+                ?.kvs
+                ?.firstOrNull()
+        return SwapOutcome.Conflict(current?.let(EtcdJson::decodeValue))
+    }
+
+    private fun eventsOf(line: Buffer): List<StoredValue> =
+        try {
+            EtcdJson.json
+                .decodeFromString(WatchResponse.serializer(), line.toString())
+                .result.events
+                .map { EtcdJson.decodeValue(it.kv) }
+        } catch (_: SerializationException) {
+            emptyList()
+        }
+
+    private fun <Value, Mapped> StoreResult<Value>.mapped(transform: (Value) -> Mapped): StoreResult<Mapped> =
+        when (this) {
+            is StoreResult.Failure -> this
+            is StoreResult.Success -> transformed(value, transform)
+        }
+
+    /** Numbers and base64 in an answer can be malformed though its JSON is not. */
+    private fun <Value, Mapped> transformed(
+        value: Value,
+        transform: (Value) -> Mapped,
+    ): StoreResult<Mapped> =
+        try {
+            StoreResult.Success(transform(value))
+        } catch (_: IllegalArgumentException) {
+            StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
+        }
+
+    private companion object {
+        val CALL_TIMEOUT: Duration = 2.seconds
+        const val SUCCESS = 200
+        const val UNAVAILABLE = 503
+    }
+}
