Tell a new gateway the sidecar's load once its link is known

A gateway that linked up while the first probe ran kept the phase of the welcome frame for good: the change was told to all links, but its link was not among them yet.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/backend/VertxBackendCaller.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/backend/VertxBackendCaller.kt
@@ -92,8 +92,7 @@
         try {
             val options = optionsFor(HttpMethod.GET, probePath)
             val request = client.request(options).coAwait()
-            val response = request.send().coAwait()
-            response.body().coAwait()
+            val response = request.send().compose { answer -> answer.body().map { answer } }.coAwait()
             if (response.statusCode() == SUCCESS) aliveAs(response) else null
         } catch (_: IOException) {
             null
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
@@ -20,6 +20,7 @@
 import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.state.work.HeaderField
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 
 /** The HTTP front end for callers: any method, path, header and body. */
@@ -51,8 +52,10 @@
         val closed = CompletableDeferred<Unit>()
         val channel = BodyChannel(request.pause())
         open.incrementAndGet()
-        request.response().endHandler { open.decrementAndGet() }
+        val ended = AtomicBoolean()
+        request.response().endHandler { if (ended.compareAndSet(false, true)) open.decrementAndGet() }
         request.response().closeHandler {
+            if (ended.compareAndSet(false, true)) open.decrementAndGet()
             channel.broke()
             closed.complete(Unit)
         }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/link/LinkServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/link/LinkServer.kt
@@ -83,6 +83,7 @@
         connection: FrameConnection,
     ) {
         links.update { it.add(link) }
+        tellLoad(link)
         observations.event(Event.GatewayJoined(link.gateway))
         val watch = scope.launch { SilenceWatch(connection, context).run() }
         try {
