--- /dev/null
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/FakeCallerExchange.kt
@@ -0,0 +1,62 @@
+package org.acaciaflow.protocol.execution
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.io.bytestring.ByteString
+import kotlinx.io.bytestring.decodeToString
+import org.acaciaflow.coordination.port.BodyPart
+import org.acaciaflow.coordination.port.CallBody
+import org.acaciaflow.coordination.port.CallerExchange
+import org.acaciaflow.coordination.port.CallerWrite
+import org.acaciaflow.state.refusal.Refusal
+import org.acaciaflow.state.work.AnswerHead
+import org.acaciaflow.state.work.CallHead
+import org.acaciaflow.state.work.HeaderField
+
+/** A call that notes what its caller is told. */
+internal class FakeCallerExchange(
+    val claim: String,
+) : CallerExchange {
+    override val call =
+        CallHead("POST", "/claims", persistentListOf(HeaderField(FakeSidecars.CLAIM_HEADER, claim)))
+
+    override val body: CallBody = EmptyBody
+
+    override val gone: Boolean = false
+
+    var refusal: Refusal? = null
+        private set
+    var received = ""
+        private set
+    var whole = false
+        private set
+
+    override fun onGone(action: () -> Unit) = Unit
+
+    override suspend fun begin(head: AnswerHead): CallerWrite = CallerWrite.WRITTEN
+
+    override suspend fun send(bytes: ByteString): CallerWrite {
+        received += bytes.decodeToString()
+        return CallerWrite.WRITTEN
+    }
+
+    override suspend fun end(): CallerWrite {
+        check(!whole && refusal == null) { "answered twice" }
+        whole = true
+        return CallerWrite.WRITTEN
+    }
+
+    override suspend fun refuse(refusal: Refusal): CallerWrite {
+        check(!whole && this.refusal == null) { "answered twice" }
+        this.refusal = refusal
+        return CallerWrite.WRITTEN
+    }
+
+    override fun abort() = Unit
+
+    private object EmptyBody : CallBody {
+        override val buffered: ByteString = ByteString()
+        override val whole: Boolean = true
+
+        override suspend fun next(): BodyPart = BodyPart.End
+    }
+}
--- /dev/null
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/SilentObservations.kt
@@ -0,0 +1,28 @@
+package org.acaciaflow.protocol.execution
+
+import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.coordination.port.StoreFailure
+import org.acaciaflow.coordination.retry.RetryReason
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.refusal.Refusal
+import org.acaciaflow.state.work.Rank
+
+/** Counts nothing. */
+internal object SilentObservations : Observations {
+    override fun event(event: Event) = Unit
+
+    override fun accepted(rank: Rank) = Unit
+
+    override fun delivered(rank: Rank) = Unit
+
+    override fun refused(refusal: Refusal) = Unit
+
+    override fun attemptRefused(reason: AttemptRefusal) = Unit
+
+    override fun retried(reason: RetryReason) = Unit
+
+    override fun storeFailed(reason: StoreFailure) = Unit
+
+    override fun strayFrameDropped() = Unit
+}
