Answer a refused upload though its body is still coming

The caller of a body above the limit was left writing for ever, since nobody read on after the refusal; the test that sends one hung until it was killed. What is still to come is now read and dropped. HEAD carries the length that the service declares.

--- a/standin/src/main/kotlin/org/acaciaflow/standin/service/ServiceStandin.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/service/ServiceStandin.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.standin.service
 
 import io.vertx.core.Vertx
+import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.ext.web.Router
@@ -83,8 +84,10 @@
     ) {
         val response = context.response().putHeader(EngineStandin.NAME_HEADER, name)
         response.putHeader("Content-Type", "application/json").putHeader("x-odd-CASE", "Kept As Sent")
+        response.putHeader("Content-Length", text.encodeToByteArray().size.toString())
+        if (context.request().method() == HttpMethod.HEAD) return response.end().let { }
         if (faults.takeCutAnswer()) {
-            response.putHeader("Content-Length", text.length.toString()).write(text.take(text.length / 2))
+            response.write(text.take(text.length / 2))
             vertx.setTimer(CUT_DELAY_MILLISECONDS) { context.request().connection().close() }
         } else {
             response.end(text)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/BodyChannel.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/BodyChannel.kt
@@ -12,8 +12,11 @@
 ) {
     private val arrived = Channel<BodyPart>(Channel.UNLIMITED)
 
+    @Volatile
+    private var discarding = false
+
     init {
-        stream.handler { arrived.trySend(BodyPart.Data(it.toByteString())) }
+        stream.handler { if (!discarding) arrived.trySend(BodyPart.Data(it.toByteString())) }
         stream.endHandler { arrived.trySend(BodyPart.End) }
         stream.exceptionHandler { arrived.trySend(BodyPart.Broken) }
     }
@@ -25,6 +28,12 @@
         return arrived.receive()
     }
 
+    /** Reads and drops what is still to come, so that a sender that nobody listens to is not left waiting. */
+    fun discard() {
+        discarding = true
+        stream.resume()
+    }
+
     /** Makes a reader that waits see a break. */
     fun broke() {
         arrived.trySend(BodyPart.Broken)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/VertxCallBody.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/VertxCallBody.kt
@@ -17,6 +17,11 @@
     override val whole: Boolean = start.whole
     private var readBytes: Long = start.bytes.size.toLong()
 
+    /** Drops what has not been read, once the call is answered. */
+    fun discardRest() {
+        if (!whole) channel.discard()
+    }
+
     override suspend fun next(): BodyPart {
         val part = channel.next()
         if (part is BodyPart.Data) readBytes += part.bytes.size
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/VertxCallerExchange.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/VertxCallerExchange.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.selects.select
 import kotlinx.io.bytestring.ByteString
-import org.acaciaflow.coordination.port.CallBody
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.port.CallerWrite
 import org.acaciaflow.protocol.http.HopByHopHeaders
@@ -20,7 +19,7 @@
 internal class VertxCallerExchange(
     private val request: HttpServerRequest,
     override val call: CallHead,
-    override val body: CallBody,
+    override val body: VertxCallBody,
     private val closed: CompletableDeferred<Unit>,
 ) : CallerExchange {
     private val response: HttpServerResponse = request.response()
@@ -51,11 +50,13 @@
 
     override suspend fun end(): CallerWrite {
         if (gone) return CallerWrite.CALLER_GONE
+        body.discardRest()
         return awaitWritten(response.end())
     }
 
     override suspend fun refuse(refusal: Refusal): CallerWrite {
         if (gone) return CallerWrite.CALLER_GONE
+        body.discardRest()
         val answer = RefusalAnswer.of(refusal)
         response.statusCode = answer.status
         answer.headers.forEach { response.headers().add(it.name, it.value) }
