Complete the stand-ins and prove what happens to callers that hang up

A weight store with its port and client, cache events that come late and with gaps, export and import of cache pieces.

--- a/standin/src/main/kotlin/org/acaciaflow/standin/StandinsCommand.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/StandinsCommand.kt
@@ -17,6 +17,7 @@
 import org.acaciaflow.standin.hosts.HostListStandin
 import org.acaciaflow.standin.service.ServiceStandin
 import org.acaciaflow.standin.store.StoreStandin
+import org.acaciaflow.standin.weights.WeightStoreStandin
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.identity.parseHostAddress
 import java.util.concurrent.CountDownLatch
@@ -26,6 +27,7 @@
 /** `standins`: runs any number of stand-ins in one process until SIGTERM. */
 internal class StandinsCommand : CliktCommand(name = "standins") {
     private val store by option("--store", help = "ip:port of the key-value service").convert { address(it) }
+    private val weights by option("--weights", help = "ip:port of the weight store").convert { address(it) }
     private val hostList by option("--host-list", help = "ip:port of the list of hosts").convert { address(it) }
     private val hosts by option("--host", help = "ip:port=data-centre of a listed sidecar").multiple()
     private val hostLag by option("--host-lag-ms").long().default(0)
@@ -44,6 +46,7 @@
     private suspend fun startAll(vertx: Vertx) {
         store?.let { StoreStandin(vertx, Clock.System).start(it) }
         hostList?.let { HostListStandin(vertx, hostDocument(), hostLag).start(it) }
+        weights?.let { WeightStoreStandin(vertx, Clock.System, MODELS, SECONDS_BETWEEN_LOADS).start(it) }
         val profile = EngineProfile(speed = speed, roleChange = roleChangeMilliseconds.milliseconds)
         engines.forEach { EngineStandin(vertx, nameOf(it), profile, !unfenced).start(address(valueOf(it))) }
         services.forEach { ServiceStandin(vertx, nameOf(it)).start(address(valueOf(it))) }
@@ -60,5 +63,7 @@
 
     private companion object {
         const val DEFAULT_ROLE_CHANGE = 3000L
+        const val SECONDS_BETWEEN_LOADS = 5L
+        val MODELS = setOf("base", "loom", "pond")
     }
 }
--- a/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineProfile.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineProfile.kt
@@ -16,6 +16,8 @@
     val tokensPerPiece: Int = 64,
     val roleChange: Duration = 3.seconds,
     val restart: Duration = 2.seconds,
+    val cacheEventDelay: Duration = 300.milliseconds,
+    val cacheEventDropEvery: Int = 7,
     val loadLag: Duration = 100.milliseconds,
     val speed: Double = 1.0,
 )
--- a/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineStandin.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineStandin.kt
@@ -9,6 +9,7 @@
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.serialization.json.Json
 import org.acaciaflow.protocol.http.EngineHeaders
 import org.acaciaflow.standin.fault.FaultSwitch
 import org.acaciaflow.standin.fault.addFaultRoutes
@@ -24,6 +25,8 @@
 ) {
     val faults = FaultSwitch()
     private val orders = EngineOrders(vertx, profile, checksFencing)
+    private val cacheEvents =
+        CacheEvents(vertx, profile.cacheEventDelay.inWholeMilliseconds, profile.cacheEventDropEvery)
     private var batch = EngineBatch.empty(profile)
     private var answers: PersistentMap<Long, EngineAnswer> = persistentMapOf()
     private var lastNumber = 0L
@@ -33,14 +36,21 @@
     private var reportedWaitingTokens = 0
     private var crashes = 0
 
+    /** Calls in progress. */
+    val running: Int
+        get() = answers.size
+
     suspend fun start(address: HostAddress): HttpServer {
         val router = Router.router(vertx)
         router.addFaultRoutes(faults)
         router.route().handler { if (down) it.request().connection().close() else it.next() }
         router.get("/health").handler(::health)
         router.get("/standin/crashes").handler { it.end(crashes.toString()) }
+        router.get("/engine/cache-events").handler(cacheEvents::serve)
+        router.get("/engine/cache").handler(::exportCache)
         router.get("/engine/state").handler { it.end(orders.describe()) }
         router.route().handler(BodyHandler.create(false))
+        router.put("/engine/cache").handler(::importCache)
         router.post("/engine/order").handler(orders::take)
         router.post("/v1/completions").handler { complete(it, chat = false) }
         router.post("/v1/chat/completions").handler { complete(it, chat = true) }
@@ -105,10 +115,27 @@
         val response = context.response().putHeader(NAME_HEADER, name)
         answers = answers.put(number, EngineAnswer(call, response, faults.takeCutAnswer()))
         response.closeHandler { forget(number) }
+        val before = batch.cache
         batch = batch.added(number, call, profile)
+        cacheEvents.note(before, batch.cache)
         if (!stepping) step()
     }
 
+    /** Exports the pieces of the KV cache; `limit` bounds their number. */
+    private fun exportCache(context: RoutingContext) {
+        val limit = context.queryParam("limit").firstOrNull()?.toIntOrNull() ?: profile.cachePieces
+        context.end(Json.encodeToString(batch.cache.exported(limit)))
+    }
+
+    /** Imports pieces that another engine exported. */
+    private fun importCache(context: RoutingContext) {
+        val pieces = Json.decodeFromString<List<String>>(context.body().asString())
+        val before = batch.cache
+        batch = batch.copy(cache = before.used(pieces))
+        cacheEvents.note(before, batch.cache)
+        context.end("imported ${pieces.size}\n")
+    }
+
     private fun step() {
         stepping = !batch.idle && !down
         if (!stepping) return
--- a/standin/src/main/kotlin/org/acaciaflow/standin/engine/PrefixCache.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/engine/PrefixCache.kt
@@ -19,4 +19,7 @@
         val others = pieces.filterNot { it in read.toHashSet() }
         return copy(pieces = (others + read).takeLast(capacity).toPersistentList())
     }
+
+    /** The most recently used pieces, for another engine to import. */
+    fun exported(limit: Int): List<String> = pieces.takeLast(limit)
 }
--- a/standin/src/test/kotlin/org/acaciaflow/standin/CallerSideTest.kt
+++ b/standin/src/test/kotlin/org/acaciaflow/standin/CallerSideTest.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.standin
 
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
@@ -11,6 +12,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import org.acaciaflow.standin.fault.Faults
@@ -19,6 +21,7 @@
 import org.acaciaflow.standin.trial.TrialCall
 import org.acaciaflow.standin.trial.TrialCalls
 import org.acaciaflow.standin.trial.TrialClient
+import kotlin.time.Duration.Companion.seconds
 
 /** What callers send and get, through the real daemons and stand-ins. */
 class CallerSideTest : AnnotationSpec() {
@@ -150,6 +153,38 @@
         faults.shouldBeEmpty()
     }
 
+    @Test
+    suspend fun `work of a caller that hangs up is cancelled on the engine`() {
+        val body = """{"model":"loom-sett","prompt":"long","max_tokens":100000,"stream":true}"""
+
+        withContext(Dispatchers.IO) {
+            RawHttp.open(site.gateways[0]).use { socket ->
+                socket.getOutputStream().write(post("/v1/completions", body).encodeToByteArray())
+                RawHttp.readHead(socket.getInputStream())
+            }
+        }
+
+        eventually(5.seconds) { site.engines.values.sumOf { it.running } shouldBe 0 }
+    }
+
+    @Test
+    suspend fun `a filing whose caller hangs up runs to its end and its resend gets the answer`() {
+        val client = TrialClient(site.vertx)
+        site.service.faults.set(Faults(delayMilliseconds = 400))
+
+        withContext(Dispatchers.IO) {
+            RawHttp.open(site.gateways[0]).use { socket ->
+                val head = "POST /register/claims HTTP/1.1\r\nHost: a\r\nX-Claim: left\r\nContent-Length: 15\r\n\r\n"
+                socket.getOutputStream().write((head + "pattern of left").encodeToByteArray())
+                delay(200)
+            }
+        }
+        val resend = client.make(site.gateways[1], TrialCalls.filing("left"))
+        site.service.faults.set(Faults())
+
+        resend.fault shouldBe null
+    }
+
     @Test
     suspend fun `a filing whose answer is lost is told as unknown and never runs again`() {
         val client = TrialClient(site.vertx)
@@ -180,6 +215,11 @@
         executions shouldNotContain "dark-claim"
     }
 
+    private fun post(
+        target: String,
+        body: String,
+    ): String = "POST $target HTTP/1.1\r\nHost: a\r\nContent-Length: ${body.length}\r\n\r\n$body"
+
     private suspend fun concurrently(
         client: TrialClient,
         rounds: Int,
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/weights/HttpWeightStore.kt
@@ -0,0 +1,58 @@
+package org.acaciaflow.transport.weights
+
+import io.vertx.core.Vertx
+import io.vertx.core.VertxException
+import io.vertx.core.buffer.Buffer
+import io.vertx.ext.web.client.HttpResponse
+import io.vertx.ext.web.client.WebClient
+import io.vertx.kotlin.coroutines.coAwait
+import org.acaciaflow.coordination.port.WeightLoad
+import org.acaciaflow.coordination.port.WeightStore
+import org.acaciaflow.state.identity.HostAddress
+import java.io.IOException
+import java.util.concurrent.TimeoutException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** The platform's weight store over HTTP: `HEAD /weights/MODEL/VERSION`, 429 with Retry-After above its rate. */
+class HttpWeightStore(
+    vertx: Vertx,
+    private val address: HostAddress,
+) : WeightStore {
+    private val client = WebClient.create(vertx)
+
+    override suspend fun requestLoad(
+        model: String,
+        version: String,
+    ): WeightLoad =
+        try {
+            val response =
+                client
+                    .head(address.port, address.ip, "/weights/$model/$version")
+                    .timeout(CALL_TIMEOUT.inWholeMilliseconds)
+                    .send()
+                    .coAwait()
+            loadOf(response)
+        } catch (_: IOException) {
+            WeightLoad.Unreachable
+        } catch (_: VertxException) {
+            WeightLoad.Unreachable
+        } catch (_: TimeoutException) {
+            WeightLoad.Unreachable
+        }
+
+    private fun loadOf(response: HttpResponse<Buffer>): WeightLoad =
+        when (response.statusCode()) {
+            SUCCESS -> WeightLoad.Granted(response.getHeader("Content-Length")?.toLongOrNull() ?: 0)
+            NOT_FOUND -> WeightLoad.UnknownModel
+            LIMITED -> WeightLoad.Limited((response.getHeader("Retry-After")?.toLongOrNull() ?: 1).seconds)
+            else -> WeightLoad.Unreachable
+        }
+
+    private companion object {
+        val CALL_TIMEOUT: Duration = 2.seconds
+        const val SUCCESS = 200
+        const val NOT_FOUND = 404
+        const val LIMITED = 429
+    }
+}
