Keep a request that crashes engines from taking down more than two

A broken connection counts as a crash once the engine is found gone or in another life; its digest goes to the store before anybody is told, so that a resend through another gateway is known there. A suspect runs again only alone, on the two servers that its digest names; the sidecar holds new work back until its engine is idle. After the second crash it is refused with its own reason for ten minutes. Bystanders are resumed or retried and cleared.

Not bounded: the same request sent at once through several gateways, before the first crash is known.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/dispatch/Dispatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/dispatch/Dispatcher.kt
@@ -4,12 +4,15 @@
 import org.acaciaflow.coordination.queue.candidates
 import org.acaciaflow.coordination.queue.charged
 import org.acaciaflow.coordination.selection.select
+import org.acaciaflow.coordination.suspect.SuspectPolicy
+import org.acaciaflow.coordination.suspect.SuspectVerdict
 import org.acaciaflow.state.backend.Availability
 import org.acaciaflow.state.backend.BackendServer
 import org.acaciaflow.state.backend.BackendServers
 import org.acaciaflow.state.identity.AttemptIdentityFactory
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.suspect.CrashSuspects
 import org.acaciaflow.state.table.SharedTable
 import org.acaciaflow.state.table.Transition
 import org.acaciaflow.state.waiting.WaitingRequest
@@ -21,6 +24,7 @@
 class Dispatcher(
     private val waiting: SharedTable<WaitingRequests>,
     private val servers: SharedTable<BackendServers>,
+    private val suspects: SharedTable<CrashSuspects>,
     private val attempts: AttemptIdentityFactory,
     private val ownDataCentre: DataCentre,
     private val policy: DispatchPolicy,
@@ -49,7 +53,7 @@
         known: BackendServers,
         choice: Choice,
     ): Transition<BackendServers, Transition<WaitingRequests, Assignment?>> {
-        val assignment = Assignment(choice.request, attempts.next(), choice.server.process)
+        val assignment = Assignment(choice.request, attempts.next(), choice.server.process, choice.alone)
         val profile = choice.request.profile
         val assigned = known.assigned(assignment.server, assignment.attempt, profile.estimate)
         val chargedPool = charged(policy.queue, queue.pool(profile.pool), choice.request)
@@ -64,39 +68,59 @@
     ): Choice? {
         for ((pool, pending) in queue.pools) {
             if (pending.length == 0) continue
-            val open = withRoom(known, pool)
-            if (open.isEmpty()) continue
+            val serving = serving(known, pool)
+            if (serving.isEmpty()) continue
             val inTime = candidates(policy.queue, pending).filter { it.profile.deadline > now }
             for (request in inTime) {
-                val server = serverFor(request, open) ?: continue
-                return Choice(request, server)
+                return choiceFor(request, serving, now) ?: continue
             }
         }
         return null
     }
 
+    private fun choiceFor(
+        request: WaitingRequest,
+        serving: List<BackendServer>,
+        now: Instant,
+    ): Choice? {
+        val suspect = suspects.snapshot().suspects[request.profile.digest]
+        val alone = SuspectPolicy.verdict(suspect, now) != SuspectVerdict.CLEAR
+        val server = if (alone) quietServer(request, serving) else serverFor(request, serving.filter(::hasRoom))
+        return server?.let { Choice(request, it, alone) }
+    }
+
+    /** A designated server that is idle, or that has not been asked yet to become idle for this request. */
+    private fun quietServer(
+        request: WaitingRequest,
+        serving: List<BackendServer>,
+    ): BackendServer? {
+        val designated = SuspectPolicy.designated(request.profile.digest, serving.map { it.address })
+        return serving
+            .filter { it.address in designated }
+            .firstOrNull { it.predictedRunning == 0 || it.address !in request.excluded }
+    }
+
     private fun serverFor(
         request: WaitingRequest,
         open: List<BackendServer>,
     ): BackendServer? {
+        if (open.isEmpty()) return null
         val untried = open.filter { it.address !in request.excluded }
         val usable = untried.ifEmpty { open }
         val local = usable.filter { it.dataCentre == ownDataCentre }
         return select(policy.selection, local.ifEmpty { usable }, request.profile, random)
     }
 
-    private fun withRoom(
+    private fun serving(
         known: BackendServers,
         pool: PoolName,
-    ): List<BackendServer> =
-        known.servers.values.filter {
-            it.pool == pool &&
-                it.availability == Availability.Serving &&
-                it.predictedRunning < it.load.capacity
-        }
+    ): List<BackendServer> = known.servers.values.filter { it.pool == pool && it.availability == Availability.Serving }
+
+    private fun hasRoom(server: BackendServer): Boolean = server.predictedRunning < server.load.capacity
 
     private data class Choice(
         val request: WaitingRequest,
         val server: BackendServer,
+        val alone: Boolean,
     )
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/ArrivalService.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/ArrivalService.kt
@@ -12,7 +12,10 @@
 import org.acaciaflow.coordination.queue.QueueLimits
 import org.acaciaflow.coordination.queue.WaitingQueue
 import org.acaciaflow.coordination.retry.RetryBudgetPolicy
+import org.acaciaflow.coordination.suspect.SuspectKeeper
+import org.acaciaflow.coordination.suspect.SuspectVerdict
 import org.acaciaflow.state.identity.Ticket
+import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.refusal.Refusal
 import org.acaciaflow.state.waiting.WaitingRequest
 import org.acaciaflow.state.work.RequestProfile
@@ -25,6 +28,7 @@
     private val tables: GatewayTables,
     private val classifier: CallClassifier,
     private val resolver: RecordResolver,
+    private val suspects: SuspectKeeper,
     private val limits: QueueLimits,
     private val wakeUp: WakeUp,
     private val observations: Observations,
@@ -48,6 +52,9 @@
         now: Instant,
     ) {
         observations.accepted(profile.rank)
+        if (suspects.verdict(profile.digest, now) == SuspectVerdict.QUARANTINED) {
+            return refuse(exchange, NotRun.CRASH_SUSPECT)
+        }
         val identity = profile.atMostOnce ?: return enqueue(exchange, profile, FRESH, now)
         when (val resolution = resolver.resolve(identity, profile.deadline)) {
             is RecordResolution.Proceed -> enqueue(exchange, profile, resolution, now)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/AttemptOrders.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/AttemptOrders.kt
@@ -17,7 +17,7 @@
         call = pending.exchange.call,
         rank = profile.rank,
         atMostOnce = profile.atMostOnce != null,
-        alone = false,
+        alone = assignment.alone,
         digest = profile.digest,
         resumeFromToken = pending.progress.events,
         timeLeft = profile.deadline - now,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/GatewayCore.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/GatewayCore.kt
@@ -8,7 +8,9 @@
 import org.acaciaflow.coordination.port.ExecutionRecords
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.SidecarConnections
+import org.acaciaflow.coordination.port.SuspectRecords
 import org.acaciaflow.coordination.queue.QueueLimits
+import org.acaciaflow.coordination.suspect.SuspectKeeper
 import org.acaciaflow.state.identity.AttemptIdentityFactory
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.ProcessIdentity
@@ -19,11 +21,13 @@
 class GatewayCore internal constructor(
     val arrivals: ArrivalService,
     val worker: ExchangeWorker,
+    val suspects: SuspectKeeper,
 )
 
 /** What a gateway's decisions need from the layers around them. */
 data class GatewayPorts(
     val records: ExecutionRecords,
+    val suspects: SuspectRecords,
     val connections: SidecarConnections,
     val bodyReader: BodyReader,
     val framing: StreamFraming,
@@ -48,10 +52,12 @@
     random: Random,
 ): GatewayCore {
     val resolver = RecordResolver(ports.records, ports.connections, ports.observations, ports.clock)
+    val suspects = SuspectKeeper(ports.suspects, tables.suspects, ports.observations)
     val dispatcher =
         Dispatcher(
             waiting = tables.waiting,
             servers = tables.servers,
+            suspects = tables.suspects,
             attempts = AttemptIdentityFactory(rules.process),
             ownDataCentre = rules.dataCentre,
             policy = rules.dispatch,
@@ -62,12 +68,13 @@
             tables = tables,
             classifier = CallClassifier(ports.bodyReader),
             resolver = resolver,
+            suspects = suspects,
             limits = rules.limits,
             wakeUp = wakeUp,
             observations = ports.observations,
             clock = ports.clock,
         )
-    return GatewayCore(arrivals, createWorker(tables, ports, dispatcher, resolver, wakeUp))
+    return GatewayCore(arrivals, createWorker(tables, ports, dispatcher, resolver, suspects, wakeUp), suspects)
 }
 
 private fun createWorker(
@@ -75,6 +82,7 @@
     ports: GatewayPorts,
     dispatcher: Dispatcher,
     resolver: RecordResolver,
+    suspects: SuspectKeeper,
     wakeUp: WakeUp,
 ): ExchangeWorker {
     val guarded =
@@ -90,7 +98,7 @@
         tables = tables,
         dispatcher = dispatcher,
         wakeUp = wakeUp,
-        repeatable = RepeatableAttempt(ports.connections, ports.framing),
+        repeatable = RepeatableAttempt(ports.connections, ports.framing, suspects),
         guarded = guarded,
         records = ports.records,
         observations = ports.observations,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/RepeatableAttempt.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/RepeatableAttempt.kt
@@ -6,6 +6,8 @@
 import org.acaciaflow.coordination.port.CallerWrite
 import org.acaciaflow.coordination.port.SidecarConnections
 import org.acaciaflow.coordination.retry.RetryReason
+import org.acaciaflow.coordination.suspect.SuspectKeeper
+import org.acaciaflow.coordination.suspect.SuspectVerdict
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
 import kotlin.time.Duration
@@ -16,6 +18,7 @@
 internal class RepeatableAttempt(
     private val connections: SidecarConnections,
     private val framing: StreamFraming,
+    private val suspects: SuspectKeeper,
 ) {
     suspend fun run(
         pending: PendingExchange,
@@ -26,7 +29,7 @@
             AnswerDelivery(pending.exchange, framing, holdWhole = false, HOLD_LIMIT_BYTES, pending.progress)
         val stream = connections.open(orderFor(pending, assignment, now), pending.exchange.body)
         pending.exchange.onGone { stream.abandon() }
-        return follow(stream, delivery, pending, assignment)
+        return follow(stream, delivery, pending, assignment, now)
     }
 
     private suspend fun follow(
@@ -34,15 +37,22 @@
         delivery: AnswerDelivery,
         pending: PendingExchange,
         assignment: Assignment,
+        now: Instant,
     ): AttemptConclusion {
         while (true) {
             val written =
                 when (val event = stream.next()) {
                     is AttemptEvent.Head -> delivery.head(event.head)
                     is AttemptEvent.Data -> delivery.data(event.bytes)
-                    AttemptEvent.End -> return ended(delivery.end())
+                    AttemptEvent.End -> return ended(pending, delivery.end())
                     is AttemptEvent.Refused -> return refused(pending, assignment, event.reason)
-                    is AttemptEvent.Broken -> return broken(pending, assignment, delivery.progress, event.reason)
+                    is AttemptEvent.Broken -> return brokenOff(
+                        pending,
+                        assignment,
+                        delivery.progress,
+                        event.reason,
+                        now,
+                    )
                 }
             if (written == CallerWrite.CALLER_GONE) {
                 stream.abandon()
@@ -51,11 +61,33 @@
         }
     }
 
-    private fun ended(written: CallerWrite): AttemptConclusion =
-        when (written) {
+    private suspend fun ended(
+        pending: PendingExchange,
+        written: CallerWrite,
+    ): AttemptConclusion {
+        suspects.completed(pending.request.profile.digest)
+        return when (written) {
             CallerWrite.WRITTEN -> AttemptConclusion.Delivered
             CallerWrite.CALLER_GONE -> AttemptConclusion.CallerGone
         }
+    }
+
+    /** Notes a crash before anybody is told of it, so that a resend through another gateway is known there. */
+    private suspend fun brokenOff(
+        pending: PendingExchange,
+        assignment: Assignment,
+        progress: DeliveryProgress,
+        reason: MayHaveRun,
+        now: Instant,
+    ): AttemptConclusion {
+        if (reason != MayHaveRun.BACKEND_CRASHED) return broken(pending, assignment, progress, reason)
+        val verdict = suspects.crashed(pending.request.profile.digest, assignment.attempt, now)
+        return when {
+            verdict != SuspectVerdict.QUARANTINED -> broken(pending, assignment, progress, reason)
+            progress.begun -> AttemptConclusion.Cut(MayHaveRun.CRASH_SUSPECT)
+            else -> AttemptConclusion.Refused(MayHaveRun.CRASH_SUSPECT)
+        }
+    }
 
     private fun refused(
         pending: PendingExchange,
@@ -64,9 +96,7 @@
     ): AttemptConclusion {
         val excluding = excluding(pending, assignment)
         return when (reason) {
-            AttemptRefusal.AT_CAPACITY,
-            AttemptRefusal.SUSPECT_NOT_ALONE,
-            -> AttemptConclusion.Retry(pending, RetryReason.ATTEMPT_REFUSED, charged = false)
+            AttemptRefusal.AT_CAPACITY -> AttemptConclusion.Retry(pending, RetryReason.ATTEMPT_REFUSED, charged = false)
 
             else -> AttemptConclusion.Retry(excluding, RetryReason.ATTEMPT_REFUSED, charged = false)
         }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/AdmissionDecision.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/AdmissionDecision.kt
@@ -48,6 +48,7 @@
         order.attempt in load.running -> AttemptRefusal.REPEATED_ATTEMPT
         load.running.size >= load.capacity -> AttemptRefusal.AT_CAPACITY
         order.alone && load.running.isNotEmpty() -> AttemptRefusal.SUSPECT_NOT_ALONE
-        load.running.values.any { it.alone } -> AttemptRefusal.SUSPECT_NOT_ALONE
+        load.running.values.any { it.alone } -> AttemptRefusal.AT_CAPACITY
+        load.reserved && !order.alone -> AttemptRefusal.AT_CAPACITY
         else -> null
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/AttemptIntake.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/AttemptIntake.kt
@@ -24,7 +24,7 @@
                 if (refusal == null) {
                     Transition(started(journal, order), Transition(running(load, order), null))
                 } else {
-                    Transition(journal, Transition(load, refusal))
+                    Transition(journal, Transition(reservedFor(load, refusal), refusal))
                 }
             }
         }
@@ -35,7 +35,10 @@
         progress: AttemptProgress,
     ) {
         if (order.atMostOnce) tables.journal.update { it.noted(order.attempt, progress) }
-        tables.load.update { it.copy(running = it.running.remove(order.attempt)) }
+        tables.load.update { load ->
+            val left = load.running.remove(order.attempt)
+            load.copy(running = left, reservedProbes = if (order.alone) 0 else load.reservedProbes)
+        }
     }
 
     /** Tells what became of an attempt; one that never started is kept from starting for good. */
@@ -48,6 +51,16 @@
             else -> SettleAnswer.Forgotten
         }
 
+    /** Holds new work back once a crash suspect was refused because the engine was busy. */
+    private fun reservedFor(
+        load: SidecarLoad,
+        refusal: AttemptRefusal,
+    ): SidecarLoad =
+        when (refusal) {
+            AttemptRefusal.SUSPECT_NOT_ALONE -> load.copy(reservedProbes = RESERVED_PROBES)
+            else -> load
+        }
+
     private fun started(
         journal: AttemptJournal,
         order: AttemptOrder,
@@ -81,4 +94,8 @@
                 Transition(journal.noted(attempt, AttemptProgress.Tombstoned), SettleAnswer.NeverStarted)
             }
         }
+
+    private companion object {
+        const val RESERVED_PROBES = 6
+    }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/BackendSupervisor.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/BackendSupervisor.kt
@@ -17,6 +17,20 @@
     /** Probes once and notes what was found; true when the phase changed. */
     suspend fun probe(): Boolean = note(caller.probe())
 
+    /** The life of the backend that calls started now would reach. */
+    val backendLife: String
+        get() = tables.load.snapshot().backendLife
+
+    /** Tells whether the backend that was alive as [life] has crashed since. */
+    suspend fun crashedSince(life: String): Boolean {
+        val health = caller.probe()
+        note(health)
+        return when (health) {
+            is BackendHealth.Alive -> health.life != life
+            BackendHealth.Unreachable -> true
+        }
+    }
+
     /** Notes that a call could not reach the backend. */
     fun unreachable(): Boolean = note(BackendHealth.Unreachable)
 
@@ -53,7 +67,12 @@
     when (health) {
         is BackendHealth.Alive -> {
             val phase = if (load.phase == SidecarPhase.BackendDown) SidecarPhase.Serving else load.phase
-            load.copy(phase = phase, role = health.role)
+            load.copy(
+                phase = phase,
+                role = health.role,
+                backendLife = health.life,
+                reservedProbes = reservationLeft(load),
+            )
         }
 
         BackendHealth.Unreachable -> {
@@ -61,3 +80,10 @@
             load.copy(phase = phase)
         }
     }
+
+/** A reservation runs out probe by probe while the engine is idle and no suspect comes. */
+private fun reservationLeft(load: SidecarLoad): Int =
+    when {
+        load.running.isNotEmpty() -> load.reservedProbes
+        else -> maxOf(0, load.reservedProbes - 1)
+    }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/SidecarExchange.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/SidecarExchange.kt
@@ -29,7 +29,8 @@
         val keeping = KeepingSink(sink, if (order.atMostOnce) KEPT_ANSWER_BYTES else 0)
         var progress: AttemptProgress = AttemptProgress.Broken(MayHaveRun.CALLER_GONE)
         try {
-            val result = caller.call(order, body, keeping)
+            val life = supervisor.backendLife
+            val result = attributed(caller.call(order, body, keeping), life)
             if (result is BackendResult.NotStarted) supervisor.unreachable()
             progress = progressOf(result, keeping.answer)
             return result
@@ -38,6 +39,15 @@
         }
     }
 
+    /** A connection that broke is a crash only when its backend is gone or has been started anew. */
+    private suspend fun attributed(
+        result: BackendResult,
+        life: String,
+    ): BackendResult {
+        if (result != CRASHED || supervisor.crashedSince(life)) return result
+        return BackendResult.Broken(MayHaveRun.ANSWER_INCOMPLETE)
+    }
+
     private fun progressOf(
         result: BackendResult,
         answer: StoredAnswer?,
@@ -77,6 +87,7 @@
     }
 
     private companion object {
+        val CRASHED = BackendResult.Broken(MayHaveRun.BACKEND_CRASHED)
         const val KEPT_ANSWER_BYTES = 64 * 1024
     }
 }
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/suspect/SuspectKeeper.kt
@@ -0,0 +1,94 @@
+package org.acaciaflow.coordination.suspect
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.coordination.port.StoreResult
+import org.acaciaflow.coordination.port.SuspectChange
+import org.acaciaflow.coordination.port.SuspectRecords
+import org.acaciaflow.state.identity.AttemptIdentity
+import org.acaciaflow.state.suspect.CrashSuspects
+import org.acaciaflow.state.table.SharedTable
+import org.acaciaflow.state.work.RequestDigest
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Keeps a gateway's table of crash suspects in step with the store, and adds what this gateway sees. */
+class SuspectKeeper(
+    private val records: SuspectRecords,
+    private val table: SharedTable<CrashSuspects>,
+    private val observations: Observations,
+) {
+    /** Starts following the store in [scope]. */
+    fun start(scope: CoroutineScope) {
+        scope.launch { follow() }
+    }
+
+    /** How a request with this digest may run as of [now]. */
+    fun verdict(
+        digest: RequestDigest,
+        now: Instant,
+    ): SuspectVerdict = SuspectPolicy.verdict(table.snapshot().suspects[digest], now)
+
+    /** Notes that an engine crashed during [attempt]; returns once all gateways can learn of it. */
+    suspend fun crashed(
+        digest: RequestDigest,
+        attempt: AttemptIdentity,
+        now: Instant,
+    ): SuspectVerdict {
+        observations.event(Event.CrashSuspected(digest))
+        val local =
+            table.update { known ->
+                val noted = SuspectPolicy.noted(known.suspects[digest], attempt, now)
+                CrashSuspects(known.suspects.put(digest, noted))
+            }
+        val stored = records.change(digest) { SuspectPolicy.noted(it, attempt, now) }
+        when (stored) {
+            is StoreResult.Success -> apply(SuspectChange(digest, stored.value))
+            is StoreResult.Failure -> observations.storeFailed(stored.reason)
+        }
+        val verdict = SuspectPolicy.verdict(table.snapshot().suspects[digest] ?: local.suspects[digest], now)
+        if (verdict == SuspectVerdict.QUARANTINED) observations.event(Event.CrashQuarantined(digest))
+        return verdict
+    }
+
+    /** Frees a request that ran to its end from suspicion. */
+    suspend fun completed(digest: RequestDigest) {
+        if (digest !in table.snapshot().suspects) return
+        table.update { CrashSuspects(it.suspects.remove(digest)) }
+        val cleared = records.change(digest) { null }
+        if (cleared is StoreResult.Failure) observations.storeFailed(cleared.reason)
+    }
+
+    private suspend fun follow() {
+        while (true) {
+            reload()
+            records.changes().collect(::apply)
+            delay(WATCH_RETRY)
+        }
+    }
+
+    private suspend fun reload() {
+        when (val listed = records.list()) {
+            is StoreResult.Success -> table.update { CrashSuspects(it.suspects.putAll(listed.value)) }
+            is StoreResult.Failure -> observations.storeFailed(listed.reason)
+        }
+    }
+
+    private fun apply(change: SuspectChange) {
+        val suspect = change.suspect
+        table.update { known ->
+            when (suspect) {
+                null -> CrashSuspects(known.suspects.remove(change.digest))
+                else -> CrashSuspects(known.suspects.put(change.digest, suspect))
+            }
+        }
+    }
+
+    private companion object {
+        val WATCH_RETRY: Duration = 1.seconds
+    }
+}
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/dispatch/DispatcherTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/dispatch/DispatcherTest.kt
@@ -137,6 +137,7 @@
         Dispatcher(
             waiting = tables.waiting,
             servers = tables.servers,
+            suspects = tables.suspects,
             attempts = AttemptIdentityFactory(ProcessIdentity(HostAddress("127.0.0.1", 8000), startNumber = 2)),
             ownDataCentre = DataCentre("suba"),
             policy = DispatchPolicy(QueuePolicy.RankedWithFloors(limits), SelectionPolicy.LeastPredicted(2)),
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/frame/FrameMapping.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/frame/FrameMapping.kt
@@ -67,7 +67,7 @@
         role = role,
         running = running.size,
         runningForReader = runningForReader,
-        capacity = capacity,
+        capacity = if (reserved) 0 else capacity,
         waitingPromptTokens = 0,
     )
 
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/store/StoreLayout.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/store/StoreLayout.kt
@@ -2,6 +2,7 @@
 
 import org.acaciaflow.coordination.port.StoreKey
 import org.acaciaflow.state.identity.RequestIdentity
+import org.acaciaflow.state.work.RequestDigest
 import org.acaciaflow.state.work.digestOf
 
 /** Where things lie in the platform's store. */
@@ -11,6 +12,10 @@
     val CONFIGURATION = ROOT / "configuration"
     val CONFIGURATION_HEAD = CONFIGURATION / "head"
     val EXECUTIONS = ROOT / "executions"
+    val SUSPECTS = ROOT / "suspects"
+
+    /** The crash suspect with this digest. */
+    fun suspect(digest: RequestDigest): StoreKey = SUSPECTS / digest.hexadecimal
 
     /** The content of one accepted or proposed configuration. */
     fun configurationContent(name: String): StoreKey = CONFIGURATION / "content" / name
--- /dev/null
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/suspect/EncodedSuspectRecords.kt
@@ -0,0 +1,99 @@
+package org.acaciaflow.protocol.suspect
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.mapNotNull
+import kotlinx.io.bytestring.ByteString
+import kotlinx.io.bytestring.decodeToString
+import kotlinx.io.bytestring.encodeToByteString
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.acaciaflow.coordination.port.KeyValueStore
+import org.acaciaflow.coordination.port.StoreFailure
+import org.acaciaflow.coordination.port.StoreResult
+import org.acaciaflow.coordination.port.StoredValue
+import org.acaciaflow.coordination.port.SuspectChange
+import org.acaciaflow.coordination.port.SuspectRecords
+import org.acaciaflow.coordination.port.SwapOutcome
+import org.acaciaflow.protocol.frame.WireAttempt
+import org.acaciaflow.protocol.frame.toIdentity
+import org.acaciaflow.protocol.frame.toWire
+import org.acaciaflow.protocol.store.StoreLayout
+import org.acaciaflow.state.suspect.CrashSuspect
+import org.acaciaflow.state.work.RequestDigest
+import kotlin.time.Instant
+
+/** Crash suspects as JSON documents in the platform's key-value service. */
+class EncodedSuspectRecords(
+    private val store: KeyValueStore,
+) : SuspectRecords {
+    override suspend fun change(
+        digest: RequestDigest,
+        change: (CrashSuspect?) -> CrashSuspect?,
+    ): StoreResult<CrashSuspect?> {
+        var failure: StoreFailure = StoreFailure.TIMED_OUT
+        repeat(MAXIMUM_TRIES) {
+            val current =
+                when (val read = store.read(StoreLayout.suspect(digest))) {
+                    is StoreResult.Failure -> return read
+                    is StoreResult.Success -> read.value
+                }
+            val next = change(current?.let { decode(it.value) })
+            val expected = current?.revision ?: KeyValueStore.ABSENT
+            when (val swapped = store.swap(StoreLayout.suspect(digest), expected, encode(next))) {
+                is StoreResult.Success -> if (swapped.value is SwapOutcome.Swapped) return StoreResult.Success(next)
+                is StoreResult.Failure -> failure = swapped.reason
+            }
+        }
+        return StoreResult.Failure(failure)
+    }
+
+    override suspend fun list(): StoreResult<PersistentMap<RequestDigest, CrashSuspect>> =
+        when (val listed = store.list(StoreLayout.SUSPECTS, MAXIMUM_LISTED)) {
+            is StoreResult.Failure -> listed
+            is StoreResult.Success -> StoreResult.Success(known(listed.value))
+        }
+
+    override fun changes(): Flow<SuspectChange> =
+        store.watch(StoreLayout.SUSPECTS).mapNotNull { SuspectChange(digestOf(it), decode(it.value)) }
+
+    private fun known(values: List<StoredValue>): PersistentMap<RequestDigest, CrashSuspect> =
+        values
+            .mapNotNull { value -> decode(value.value)?.let { digestOf(value) to it } }
+            .toMap()
+            .toPersistentMap()
+
+    private fun digestOf(value: StoredValue): RequestDigest = RequestDigest(value.key.path.substringAfterLast('/'))
+
+    private fun encode(suspect: CrashSuspect?): ByteString {
+        val attempts = suspect?.crashes?.map { it.toWire() }.orEmpty()
+        val document = SuspectDocument(attempts, suspect?.lastCrashAt?.toEpochMilliseconds() ?: 0)
+        return Json.encodeToString(SuspectDocument.serializer(), document).encodeToByteString()
+    }
+
+    /** The suspect; null when it was cleared or the document is malformed. */
+    private fun decode(value: ByteString): CrashSuspect? =
+        try {
+            val document = Json.decodeFromString(SuspectDocument.serializer(), value.decodeToString())
+            val crashes = document.crashes.mapNotNull { it.toIdentity() }.toPersistentSet()
+            val at = Instant.fromEpochMilliseconds(document.lastCrashAt)
+            if (crashes.isEmpty()) null else CrashSuspect(crashes, at)
+        } catch (_: SerializationException) {
+            null
+        }
+
+    private companion object {
+        const val MAXIMUM_TRIES = 5
+        const val MAXIMUM_LISTED = 10_000
+    }
+}
+
+/** A suspect in JSON; no crash at all means that it was cleared. */
+@Serializable
+internal data class SuspectDocument(
+    val crashes: List<WireAttempt>,
+    val lastCrashAt: Long,
+)
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/FakeGateway.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/FakeGateway.kt
@@ -20,6 +20,7 @@
 import org.acaciaflow.protocol.http.JsonBodyReader
 import org.acaciaflow.protocol.http.ServerSentEvents
 import org.acaciaflow.protocol.record.EncodedExecutionRecords
+import org.acaciaflow.protocol.suspect.EncodedSuspectRecords
 import org.acaciaflow.state.configuration.CallCondition
 import org.acaciaflow.state.configuration.CallMatch
 import org.acaciaflow.state.configuration.Configuration
@@ -57,6 +58,7 @@
             tables,
             GatewayPorts(
                 records = EncodedExecutionRecords(store),
+                suspects = EncodedSuspectRecords(store),
                 connections = sidecars,
                 bodyReader = JsonBodyReader(),
                 framing = ServerSentEvents,
--- a/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineStandin.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineStandin.kt
@@ -34,7 +34,10 @@
     private var life = newLife()
     private var down = false
     private var reportedWaitingTokens = 0
-    private var crashes = 0
+
+    /** How often a request took this engine down. */
+    var crashes = 0
+        private set
 
     /** Calls in progress. */
     val running: Int
--- a/standin/src/main/kotlin/org/acaciaflow/standin/trial/TrialCalls.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/trial/TrialCalls.kt
@@ -24,6 +24,11 @@
             lookup("pond-status", "/works/ponds/$salt"),
         )
 
+    fun threadQuery(
+        prompt: String,
+        tokens: Int = 12,
+    ): TrialCall = completion("thread-query", "urgent", "loom-thread", prompt, tokens, streamed = true)
+
     fun filing(claim: String): TrialCall =
         TrialCall(
             kind = "claim-filing",
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
@@ -6,6 +6,7 @@
 ) : Refusal {
     LINK_LOST("link-lost"),
     BACKEND_CRASHED("backend-crashed"),
+    CRASH_SUSPECT("crash-suspect-ran"),
     ANSWER_INCOMPLETE("answer-incomplete"),
     BACKEND_TIMEOUT("backend-timeout"),
     CALLER_GONE("caller-gone-running"),
--- a/state/src/main/kotlin/org/acaciaflow/state/sidecar/SidecarLoad.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/sidecar/SidecarLoad.kt
@@ -6,16 +6,33 @@
 import org.acaciaflow.state.identity.AttemptIdentity
 import org.acaciaflow.state.work.RequestDigest
 
-/** What a sidecar runs at the moment, and whether it takes more. */
+/**
+ * What a sidecar runs at the moment, and whether it takes more.
+ *
+ * [reservedProbes] is for how many more health probes an idle engine is kept free for a crash suspect.
+ */
 data class SidecarLoad(
     val phase: SidecarPhase,
     val role: EngineRole,
     val capacity: Int,
     val running: PersistentMap<AttemptIdentity, RunningExchange>,
+    val backendLife: String,
+    val reservedProbes: Int,
 ) {
+    /** True while new work is held back so that a crash suspect can run alone. */
+    val reserved: Boolean
+        get() = reservedProbes > 0
+
     companion object {
         fun idle(capacity: Int): SidecarLoad =
-            SidecarLoad(SidecarPhase.BackendDown, EngineRole.MIXED, capacity, persistentMapOf())
+            SidecarLoad(
+                phase = SidecarPhase.BackendDown,
+                role = EngineRole.MIXED,
+                capacity = capacity,
+                running = persistentMapOf(),
+                backendLife = "",
+                reservedProbes = 0,
+            )
     }
 }
 
--- a/state/src/main/kotlin/org/acaciaflow/state/suspect/CrashSuspect.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/suspect/CrashSuspect.kt
@@ -7,6 +7,5 @@
 /** [crashes] are the attempts during which an engine crashed; [lastCrashAt] starts the quarantine. */
 data class CrashSuspect(
     val crashes: PersistentSet<AttemptIdentity>,
-    val aloneCrashes: Int,
     val lastCrashAt: Instant,
 )
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemon.kt
@@ -5,7 +5,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.configuration.ConfigurationKeeper
 import org.acaciaflow.coordination.event.Event
-import org.acaciaflow.coordination.gateway.ExchangeWorker
+import org.acaciaflow.coordination.gateway.GatewayCore
 import org.acaciaflow.coordination.gateway.GatewayTables
 import org.acaciaflow.protocol.settings.GatewaySettings
 import org.acaciaflow.state.configuration.Configuration
@@ -27,7 +27,7 @@
     private val tables: GatewayTables,
     private val configuration: ConfigurationKeeper,
     private val hosts: HostFollower,
-    private val worker: ExchangeWorker,
+    private val core: GatewayCore,
     private val callers: CallerServer,
     private val clock: Clock,
 ) : Daemon,
@@ -40,8 +40,9 @@
 
     override suspend fun start() {
         configuration.start(runtime.workers.scope)
+        core.suspects.start(runtime.workers.scope)
         hosts.start()
-        runtime.workers.startWorkers(settings.exchangeWorkers) { worker.serveNext() }
+        runtime.workers.startWorkers(settings.exchangeWorkers) { core.worker.serveNext() }
         runtime.workers.scope.launch { refuseExpired() }
         OperatorsServer(runtime.vertx, runtime.registry, this).start(settings.operators)
         callers.start(settings.callers)
@@ -66,7 +67,7 @@
     private suspend fun refuseExpired() {
         while (true) {
             delay(EXPIRY_INTERVAL)
-            worker.refuseExpired(clock.now())
+            core.worker.refuseExpired(clock.now())
         }
     }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
@@ -17,6 +17,7 @@
 import org.acaciaflow.protocol.http.ServerSentEvents
 import org.acaciaflow.protocol.record.EncodedExecutionRecords
 import org.acaciaflow.protocol.settings.GatewaySettings
+import org.acaciaflow.protocol.suspect.EncodedSuspectRecords
 import org.acaciaflow.state.identity.ProcessIdentity
 import org.acaciaflow.transport.hosts.HttpHostList
 import org.acaciaflow.transport.http.CallerServer
@@ -44,6 +45,7 @@
     val ports =
         GatewayPorts(
             records = EncodedExecutionRecords(store),
+            suspects = EncodedSuspectRecords(store),
             connections = directory,
             bodyReader = JsonBodyReader(),
             framing = ServerSentEvents,
@@ -60,7 +62,7 @@
         tables = tables,
         configuration = keeper,
         hosts = HostFollower(hosts, runner, runtime.observations, runtime.workers.scope, random),
-        worker = core.worker,
+        core = core,
         callers = createCallers(settings, runtime, core),
         clock = clock,
     )
