Bring engines to a planned state with one writer and compare-and-swap

The plan of a pool in a data centre is one value in the store; its revision is the fencing number. The sidecar alone orders its engine, one step at a time: it stops taking work, waits until nothing runs, reads the plan once more and orders. An answer that was lost is settled by asking the engine.

Seen, with engines that check no fencing numbers: a role change under load cut none of 60 streams and gave one order; a lost answer led to no second order; an engine that crashed half way was brought there by a second order; no order was given while the store was down; racing planners lost nothing.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -5,6 +5,7 @@
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.identity.ProcessIdentity
 import org.acaciaflow.state.identity.RequestIdentity
+import org.acaciaflow.state.plan.EngineState
 import org.acaciaflow.state.refusal.Refusal
 import org.acaciaflow.state.work.RequestDigest
 
@@ -73,6 +74,19 @@
         val running: Int,
     ) : Event(EventKind.BACKEND_CRASHED)
 
+    data class EngineOrdered(
+        val desired: EngineState,
+        val fencing: Long,
+    ) : Event(EventKind.ENGINE_ORDERED)
+
+    data class EngineFenced(
+        val fencing: Long,
+    ) : Event(EventKind.ENGINE_FENCED)
+
+    data class EngineOrderInDoubt(
+        val fencing: Long,
+    ) : Event(EventKind.ENGINE_ORDER_IN_DOUBT)
+
     data class ExecutionUnknown(
         val identity: RequestIdentity,
         val reason: Refusal,
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/settings/DaemonSettings.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/settings/DaemonSettings.kt
@@ -15,7 +15,12 @@
     val bodyLimitBytes: Long,
 )
 
-/** Settings of a sidecar process; [probePath] is asked of the backend to see whether it is alive. */
+/**
+ * Settings of a sidecar process.
+ *
+ * [probePath] is asked of the backend to see whether it is alive. [ordersEngine] when the backend is a model engine
+ * that takes orders from the plan.
+ */
 data class SidecarSettings(
     val links: HostAddress,
     val operators: HostAddress,
@@ -25,4 +30,5 @@
     val backend: HostAddress,
     val probePath: String,
     val capacity: Int,
+    val ordersEngine: Boolean,
 )
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/settings/IniSettings.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/settings/IniSettings.kt
@@ -26,6 +26,13 @@
         key: String,
     ): String = required(section, key, "a text") { it.ifBlank { null } } ?: ""
 
+    /** One of [allowed]; the empty text when the key is missing or holds anything else. */
+    fun choice(
+        section: String,
+        key: String,
+        allowed: List<String>,
+    ): String = required(section, key, allowed.joinToString(" or ")) { text -> text.takeIf { it in allowed } } ?: ""
+
     fun address(
         section: String,
         key: String,
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/settings/SettingsReader.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/settings/SettingsReader.kt
@@ -16,6 +16,8 @@
     private const val DEFAULT_EXCHANGE_WORKERS = 512
     private const val DEFAULT_BODY_LIMIT_MEBIBYTES = 64
     private const val DEFAULT_CAPACITY = 32
+    private const val MODEL_ENGINE = "model-engine"
+    private const val PLAIN_SERVICE = "plain-service"
 
     fun readGateway(file: Path): SettingsResult<GatewaySettings> = read(file, ::gateway)
 
@@ -44,6 +46,7 @@
             backend = ini.address("backend", "address"),
             probePath = ini.text("backend", "probe-path"),
             capacity = ini.integer("backend", "capacity", 1..MAXIMUM_WORKERS, DEFAULT_CAPACITY),
+            ordersEngine = ini.choice("backend", "kind", listOf(MODEL_ENGINE, PLAIN_SERVICE)) == MODEL_ENGINE,
         )
 
     private fun <Settings> read(
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/store/StoreLayout.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/store/StoreLayout.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.protocol.store
 
+import org.acaciaflow.coordination.port.PlanKey
 import org.acaciaflow.coordination.port.StoreKey
 import org.acaciaflow.state.identity.RequestIdentity
 import org.acaciaflow.state.work.RequestDigest
@@ -12,6 +13,7 @@
     val CONFIGURATION = ROOT / "configuration"
     val CONFIGURATION_HEAD = CONFIGURATION / "head"
     val EXECUTIONS = ROOT / "executions"
+    val PLANS = ROOT / "plans"
     val SUSPECTS = ROOT / "suspects"
 
     /** The crash suspect with this digest. */
@@ -20,6 +22,9 @@
     /** The content of one accepted or proposed configuration. */
     fun configurationContent(name: String): StoreKey = CONFIGURATION / "content" / name
 
+    /** The plan of a pool in a data centre. */
+    fun plan(key: PlanKey): StoreKey = PLANS / key.pool.name / key.dataCentre.name
+
     /** The execution record of a request; the identity is digested, since callers choose it. */
     fun execution(identity: RequestIdentity): StoreKey {
         val digest = digestOf(identity.deployment.name, identity.key, ByteArray(0))
--- a/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineOrders.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineOrders.kt
@@ -3,60 +3,72 @@
 import io.vertx.core.Vertx
 import io.vertx.ext.web.RoutingContext
 import kotlinx.serialization.json.Json
+import org.acaciaflow.protocol.engine.EngineOrderDocument
+import org.acaciaflow.protocol.engine.EngineReportDocument
+import org.acaciaflow.protocol.plan.EngineStateDocument
+import org.acaciaflow.standin.fault.FaultSwitch
+import org.acaciaflow.state.backend.EngineRole
 
 /** Takes orders to change role, model, adapters or version; each change takes some seconds. */
 internal class EngineOrders(
     private val vertx: Vertx,
     private val profile: EngineProfile,
     private val checksFencing: Boolean,
+    private val faults: FaultSwitch,
 ) {
-    private var state =
-        EngineStateDocument(
-            role = "mixed",
-            model = "base",
-            version = "1",
-            adapters = emptyList(),
-            fencing = 0,
-            changing = false,
-            ordersTaken = 0,
-            conflictingOrders = 0,
-        )
+    private var report = EngineReportDocument(INITIAL, changing = false, fencing = 0)
 
     val role: String
-        get() = state.role
+        get() =
+            report.state.role.name
+                .lowercase()
 
     val changing: Boolean
-        get() = state.changing
+        get() = report.changing
 
-    fun describe(): String = Json.encodeToString(EngineStateDocument.serializer(), state)
+    fun describe(): String = Json.encodeToString(EngineReportDocument.serializer(), report)
+
+    /** Forgets a change that was under way, as an engine does that is started anew. */
+    fun restart() {
+        report = report.copy(state = INITIAL, changing = false)
+    }
 
     fun take(context: RoutingContext) {
         val order = Json.decodeFromString(EngineOrderDocument.serializer(), context.body().asString())
-        if (checksFencing && order.fencing < state.fencing) {
+        if (checksFencing && order.fencing < report.fencing) {
             return context
                 .response()
                 .setStatusCode(CONFLICT)
                 .end(describe())
                 .let { }
         }
-        val conflicting = state.changing || order.fencing < state.fencing
-        state =
-            state.copy(
-                role = order.role,
-                model = order.model,
-                version = order.version,
-                adapters = order.adapters,
-                fencing = order.fencing,
-                changing = true,
-                ordersTaken = state.ordersTaken + 1,
-                conflictingOrders = state.conflictingOrders + if (conflicting) 1 else 0,
-            )
-        vertx.setTimer(profile.roleChange.inWholeMilliseconds) { state = state.copy(changing = false) }
+        val conflicting = report.changing || order.fencing < report.fencing
+        val conflicts = report.conflictingOrders + if (conflicting) 1 else 0
+        report = EngineReportDocument(report.state, changing = true, order.fencing, report.ordersTaken + 1, conflicts)
+        val number = report.ordersTaken
+        vertx.setTimer(profile.roleChange.inWholeMilliseconds) { complete(order, number) }
+        if (faults.takeLostAnswer()) {
+            return context
+                .request()
+                .connection()
+                .close()
+                .let { }
+        }
         context.response().setStatusCode(ACCEPTED).end(describe())
     }
 
+    private fun complete(
+        order: EngineOrderDocument,
+        number: Int,
+    ) {
+        if (report.changing && report.ordersTaken == number) {
+            report = report.copy(state = order.desired, changing = false)
+        }
+    }
+
     private companion object {
         const val ACCEPTED = 202
         const val CONFLICT = 409
+        val INITIAL = EngineStateDocument(EngineRole.MIXED, model = "base", version = "1")
     }
 }
--- a/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineStandin.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineStandin.kt
@@ -10,6 +10,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.serialization.json.Json
+import org.acaciaflow.protocol.engine.EngineReportDocument
 import org.acaciaflow.protocol.http.EngineHeaders
 import org.acaciaflow.standin.fault.FaultSwitch
 import org.acaciaflow.standin.fault.addFaultRoutes
@@ -21,10 +22,10 @@
     private val vertx: Vertx,
     private val name: String,
     private val profile: EngineProfile,
-    private val checksFencing: Boolean,
+    checksFencing: Boolean,
 ) {
     val faults = FaultSwitch()
-    private val orders = EngineOrders(vertx, profile, checksFencing)
+    private val orders = EngineOrders(vertx, profile, checksFencing, faults)
     private val cacheEvents =
         CacheEvents(vertx, profile.cacheEventDelay.inWholeMilliseconds, profile.cacheEventDropEvery)
     private var batch = EngineBatch.empty(profile)
@@ -43,6 +44,9 @@
     val running: Int
         get() = answers.size
 
+    /** What the engine is set to, and how many orders it has taken. */
+    fun report(): EngineReportDocument = Json.decodeFromString(EngineReportDocument.serializer(), orders.describe())
+
     suspend fun start(address: HostAddress): HttpServer {
         val router = Router.router(vertx)
         router.addFaultRoutes(faults)
@@ -171,13 +175,14 @@
     }
 
     /** Loses everything in progress and comes back as a new life after the restart time. */
-    private fun crash() {
+    fun crash() {
         crashes += 1
         down = true
         val broken = answers.values.map { it.response }
         answers = persistentMapOf()
         batch = EngineBatch.empty(profile)
         life = newLife()
+        orders.restart()
         stepping = false
         broken.forEach { it.close() }
         vertx.setTimer(profile.restart.inWholeMilliseconds) { down = false }
--- /dev/null
+++ b/standin/src/test/kotlin/org/acaciaflow/standin/EngineOrdersTest.kt
@@ -0,0 +1,141 @@
+package org.acaciaflow.standin
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.acaciaflow.coordination.plan.PlanEdit
+import org.acaciaflow.coordination.port.PlanKey
+import org.acaciaflow.standin.engine.EngineStandin
+import org.acaciaflow.standin.fault.Faults
+import org.acaciaflow.standin.trial.TrialAnswer
+import org.acaciaflow.standin.trial.TrialCalls
+import org.acaciaflow.standin.trial.TrialClient
+import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.identity.DataCentre
+import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.plan.EngineState
+import org.acaciaflow.transport.process.assignEngine
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Orders to engines that do not check fencing numbers, while callers are served. */
+class EngineOrdersTest : AnnotationSpec() {
+    private lateinit var site: TestSite
+
+    @BeforeAll
+    fun start() {
+        site = TestSite(TestSite.FAST.copy(roleChange = 800.milliseconds), checksFencing = false)
+        runBlocking { site.start() }
+    }
+
+    @AfterAll
+    fun stop() = runBlocking { site.stop() }
+
+    @Test
+    suspend fun `a role change under load cuts no request and gives one order`() {
+        val ordersBefore = engine().report().ordersTaken
+
+        val answers = underLoad { changeTo(EngineRole.DECODE) }
+
+        answers.mapNotNull { it.fault }.shouldBeEmpty()
+        (engine().report().ordersTaken - ordersBefore) shouldBe 1
+        engine().report().conflictingOrders shouldBe 0
+    }
+
+    @Test
+    suspend fun `an order whose answer is lost is not given again`() {
+        val ordersBefore = engine().report().ordersTaken
+        engine().faults.set(Faults(answersToLose = 1))
+
+        changeTo(EngineRole.PREFILL)
+
+        (engine().report().ordersTaken - ordersBefore) shouldBe 1
+        engine().report().conflictingOrders shouldBe 0
+    }
+
+    @Test
+    suspend fun `an engine that crashes half way through a change is brought there all the same`() {
+        assign(EngineRole.DECODE, version = "crashing")
+        eventually(5.seconds) { engine().report().changing shouldBe true }
+
+        engine().crash()
+
+        eventually(15.seconds) { engine().report().state.version shouldBe "crashing" }
+        engine().report().conflictingOrders shouldBe 0
+    }
+
+    @Test
+    suspend fun `no order is given while the store is down`() {
+        assign(EngineRole.MIXED, version = "unseen")
+        site.store.faults.set(Faults(down = true))
+        val ordersBefore = engine().report().ordersTaken
+
+        delay(2.seconds)
+        val ordersMeanwhile = engine().report().ordersTaken - ordersBefore
+        site.store.faults.set(Faults())
+
+        (ordersMeanwhile <= 1) shouldBe true
+        eventually(15.seconds) { engine().report().state.version shouldBe "unseen" }
+    }
+
+    @Test
+    suspend fun `planners that race lose none of each other's changes`() {
+        val outcomes =
+            coroutineScope {
+                site.links.values
+                    .map { sidecar ->
+                        async { assignEngine(site.storeAddress, OTHER_KEY, sidecar, stateOf(EngineRole.MIXED, "1")) }
+                    }.awaitAll()
+            }
+
+        outcomes.all { it is PlanEdit.Accepted } shouldBe true
+    }
+
+    private suspend fun changeTo(role: EngineRole) {
+        assign(role, version = role.name)
+        eventually(15.seconds) { engine().report().state.version shouldBe role.name }
+        delay(1.seconds)
+    }
+
+    private suspend fun assign(
+        role: EngineRole,
+        version: String,
+    ) {
+        assignEngine(site.storeAddress, KEY, site.links.getValue(ENGINE), stateOf(role, version))
+    }
+
+    private suspend fun underLoad(change: suspend () -> Unit): List<TrialAnswer> =
+        coroutineScope {
+            val client = TrialClient(site.vertx)
+            val calls =
+                (1..60).map { number ->
+                    async {
+                        delay(number * CALL_SPACING)
+                        client.make(site.gateways[number % 2], TrialCalls.threadQuery("under load $number", 40))
+                    }
+                }
+            change()
+            calls.awaitAll()
+        }
+
+    private fun engine(): EngineStandin = site.engines.getValue(ENGINE)
+
+    private fun stateOf(
+        role: EngineRole,
+        version: String,
+    ): EngineState = EngineState(role, model = "loom", version, persistentListOf())
+
+    private companion object {
+        const val ENGINE = "loom-1"
+        const val CALL_SPACING = 50L
+        val KEY = PlanKey(PoolName("loom-models"), DataCentre("suba"))
+        val OTHER_KEY = PlanKey(PoolName("pond-assistant"), DataCentre("suba"))
+    }
+}
--- a/standin/src/test/kotlin/org/acaciaflow/standin/TestSite.kt
+++ b/standin/src/test/kotlin/org/acaciaflow/standin/TestSite.kt
@@ -30,21 +30,26 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Both sites in one process: stand-ins, a sidecar before each back end and two gateways. */
-internal class TestSite {
+internal class TestSite(
+    engineProfile: EngineProfile = FAST,
+    checksFencing: Boolean = true,
+) {
     val vertx: Vertx = Vertx.vertx()
     val store = StoreStandin(vertx, Clock.System)
     val storeAddress = freeAddress()
     val gateways = listOf(freeAddress(), freeAddress())
-    val engines = listOf("loom-1", "loom-2").associateWith { EngineStandin(vertx, it, FAST, checksFencing = true) }
+    val engines = listOf("loom-1", "loom-2").associateWith { EngineStandin(vertx, it, engineProfile, checksFencing) }
     val service = ServiceStandin(vertx, "register-1")
     val serviceAddress = freeAddress()
     private val hostList = freeAddress()
+    var links: Map<String, HostAddress> = emptyMap()
+        private set
     private var sidecars: Map<String, Daemon> = emptyMap()
     private var gatewayDaemons: List<Daemon> = emptyList()
 
     suspend fun start() {
         store.start(storeAddress)
-        val links = (engines.keys + "register-1").associateWith { freeAddress() }
+        links = (engines.keys + "register-1").associateWith { freeAddress() }
         val listed = links.values.map { HostDocument(it.toString(), CENTRE.name) }
         HostListStandin(vertx, HostListDocument(listed), lagMilliseconds = 0).start(hostList)
         engines.forEach { (name, engine) ->
@@ -87,6 +92,7 @@
                 backend = backend,
                 probePath = "/health",
                 capacity = 16,
+                ordersEngine = pool == "loom-models",
             )
         val sidecar = createSidecarDaemon(settings, Clock.System)
         sidecar.start()
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemon.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.configuration.ConfigurationKeeper
 import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.plan.EngineReconciler
 import org.acaciaflow.coordination.sidecar.BackendSupervisor
 import org.acaciaflow.coordination.sidecar.SidecarTables
 import org.acaciaflow.protocol.settings.SidecarSettings
@@ -27,6 +28,7 @@
     private val tables: SidecarTables,
     private val configuration: ConfigurationKeeper,
     private val supervisor: BackendSupervisor,
+    private val reconciler: EngineReconciler?,
     private val exchanges: ExchangeQueue,
     private val links: LinkServer,
     private val clock: Clock,
@@ -41,6 +43,7 @@
         runtime.workers.startWorkers(settings.capacity) { exchanges.serveNext() }
         links.start(settings.links)
         runtime.workers.scope.launch { superviseBackend() }
+        reconciler?.let { runtime.workers.scope.launch { reconcileEngine(it) } }
         OperatorsServer(runtime.vertx, runtime.registry, this).start(settings.operators)
         runtime.observations.event(Event.ProcessStarted(self))
     }
@@ -75,7 +78,15 @@
         }
     }
 
+    private suspend fun reconcileEngine(reconciler: EngineReconciler) {
+        while (true) {
+            delay(RECONCILE_INTERVAL)
+            if (reconciler.step()) links.tellAll()
+        }
+    }
+
     private companion object {
+        val RECONCILE_INTERVAL: Duration = 500.milliseconds
         val PROBE_INTERVAL: Duration = 500.milliseconds
         val LEAVING_NOTICE: Duration = 500.milliseconds
         val LAST_FRAMES: Duration = 200.milliseconds
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemonFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemonFactory.kt
@@ -1,15 +1,20 @@
 package org.acaciaflow.transport.process
 
 import org.acaciaflow.coordination.configuration.ConfigurationKeeper
+import org.acaciaflow.coordination.plan.EngineReconciler
+import org.acaciaflow.coordination.port.KeyValueStore
+import org.acaciaflow.coordination.port.PlanKey
 import org.acaciaflow.coordination.sidecar.AttemptIntake
 import org.acaciaflow.coordination.sidecar.BackendSupervisor
 import org.acaciaflow.coordination.sidecar.SidecarExchange
 import org.acaciaflow.coordination.sidecar.SidecarTables
 import org.acaciaflow.coordination.sidecar.createSidecarTables
 import org.acaciaflow.protocol.configuration.StoredConfigurationSource
+import org.acaciaflow.protocol.plan.EncodedPlanRecords
 import org.acaciaflow.protocol.settings.SidecarSettings
 import org.acaciaflow.state.identity.ProcessIdentity
 import org.acaciaflow.transport.backend.VertxBackendCaller
+import org.acaciaflow.transport.engine.HttpEngineControl
 import org.acaciaflow.transport.link.ExchangeQueue
 import org.acaciaflow.transport.link.LinkContext
 import org.acaciaflow.transport.link.LinkServer
@@ -31,9 +36,36 @@
     val intake = AttemptIntake(self, tables)
     val exchanges = ExchangeQueue(SidecarExchange(intake, caller, supervisor), runtime.observations)
     val links = createLinks(settings, self, runtime, tables, keeper, intake, exchanges)
-    return SidecarDaemon(settings, self, runtime, tables, keeper, supervisor, exchanges, links, clock)
+    val reconciler = if (settings.ordersEngine) createReconciler(settings, runtime, store, tables) else null
+    return SidecarDaemon(
+        settings = settings,
+        self = self,
+        runtime = runtime,
+        tables = tables,
+        configuration = keeper,
+        supervisor = supervisor,
+        reconciler = reconciler,
+        exchanges = exchanges,
+        links = links,
+        clock = clock,
+    )
 }
 
+private fun createReconciler(
+    settings: SidecarSettings,
+    runtime: Runtime,
+    store: KeyValueStore,
+    tables: SidecarTables,
+): EngineReconciler =
+    EngineReconciler(
+        self = settings.links,
+        key = PlanKey(settings.pool, settings.dataCentre),
+        plans = EncodedPlanRecords(store),
+        engine = HttpEngineControl(runtime.vertx, settings.backend),
+        load = tables.load,
+        observations = runtime.observations,
+    )
+
 private fun createLinks(
     settings: SidecarSettings,
     self: ProcessIdentity,
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/StoreSession.kt
@@ -0,0 +1,18 @@
+package org.acaciaflow.transport.process
+
+import org.acaciaflow.coordination.port.KeyValueStore
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.transport.store.EtcdKeyValueStore
+
+/** Runs [work] with a client of the store at [address], for commands that end after one piece of work. */
+internal suspend fun <Result> withStore(
+    address: HostAddress,
+    work: suspend (KeyValueStore) -> Result,
+): Result {
+    val runtime = createRuntime()
+    try {
+        return work(EtcdKeyValueStore(runtime.vertx, address, runtime.registry))
+    } finally {
+        runtime.close()
+    }
+}
--- a/try.sh
+++ b/try.sh
@@ -66,6 +66,7 @@
 [backend]
 address = 127.0.0.1:$((base + 100 + index))
 probe-path = /health
+kind = $([ "$kind" = engine ] && echo model-engine || echo plain-service)
 capacity = 16
 
 [platform]
