--- a/standin/src/main/kotlin/org/acaciaflow/standin/Main.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/Main.kt
@@ -3,13 +3,14 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
+import org.acaciaflow.standin.exercise.ExerciseCommand
 import org.acaciaflow.standin.load.LoadCommand
 import org.acaciaflow.standin.trial.TrialCommand
 
 /** Entry point of the stand-ins and of the tools that drive them. */
 fun main(arguments: Array<String>) {
     StandinRoot()
-        .subcommands(StandinsCommand(), TrialCommand(), LoadCommand())
+        .subcommands(StandinsCommand(), TrialCommand(), LoadCommand(), ExerciseCommand())
         .main(arguments)
 }
 
--- a/standin/src/main/kotlin/org/acaciaflow/standin/trial/TrialCall.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/trial/TrialCall.kt
@@ -1,6 +1,6 @@
 package org.acaciaflow.standin.trial
 
-/** One call of the trial and what its answer must be. */
+/** One call of the trial and what its answer must be; [identity] is set when the call must not repeat. */
 internal data class TrialCall(
     val kind: String,
     val rank: String,
@@ -9,6 +9,7 @@
     val headers: Map<String, String>,
     val body: String?,
     val expectation: Expectation,
+    val identity: String? = null,
 )
 
 /** What makes an answer right. */
--- a/standin/src/main/kotlin/org/acaciaflow/standin/trial/TrialCalls.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/trial/TrialCalls.kt
@@ -38,6 +38,7 @@
             headers = mapOf("X-Claim" to claim, "Content-Type" to "text/plain"),
             body = "pattern of $claim",
             expectation = Expectation.Echo(executions = 1),
+            identity = claim,
         )
 
     fun release(release: String): TrialCall =
@@ -49,6 +50,7 @@
             headers = mapOf("Content-Type" to "application/json"),
             body = buildJsonObject { put("release", release) }.toString(),
             expectation = Expectation.Echo(executions = 1),
+            identity = release,
         )
 
     private fun lookup(
--- a/try.sh
+++ b/try.sh
@@ -33,6 +33,7 @@
     shift
     "$@" >"$run/$name.log" 2>&1 &
     pids+=($!)
+    echo "$name $!" >>"$run/pids"
 }
 
 standin() { java -Xmx256m -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -jar standin/target/acaciaflow-standin-all.jar "$@"; }
