List and settle requests of unknown outcome; plan engines from the command line

acaciaflow unresolved lists what a store record calls unknown or has called running for five minutes, and notes an operator's finding under compare-and-swap; engine assign edits a plan. The store's and engines' events are now emitted.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/execution/RecordStep.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/execution/RecordStep.kt
@@ -37,6 +37,7 @@
     return when (val record = found.record) {
         is ExecutionRecord.NotExecuted -> proceed(found.revision, recordOpen = false)
         is ExecutionRecord.Answered -> RecordStep.Resolved(replayOf(record.answer))
+        is ExecutionRecord.SettledByHand -> stepAfterHand(record, found.revision)
         is ExecutionRecord.Unknown -> refused(ThisCallNotRun.EARLIER_OUTCOME_UNKNOWN)
         is ExecutionRecord.MaybeRunning -> RecordStep.AskSidecar(record, found.revision)
     }
@@ -56,6 +57,15 @@
         SettleAnswer.Forgotten -> writeUnknown(asked, MayHaveRun.LINK_LOST, now)
     }
 
+private fun stepAfterHand(
+    record: ExecutionRecord.SettledByHand,
+    revision: Long,
+): RecordStep =
+    when (record.executed) {
+        true -> refused(ThisCallNotRun.EARLIER_ANSWER_NOT_KEPT)
+        false -> proceed(revision, recordOpen = false)
+    }
+
 private fun proceed(
     revision: Long,
     recordOpen: Boolean,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/ExecutionRecords.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/ExecutionRecords.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.port
 
+import kotlinx.collections.immutable.PersistentList
 import org.acaciaflow.state.identity.RequestIdentity
 import org.acaciaflow.state.record.ExecutionRecord
 
@@ -14,8 +15,17 @@
         expected: Long,
         record: ExecutionRecord,
     ): StoreResult<RecordSwap>
+
+    /** The records of all requests, up to a stated limit. */
+    suspend fun list(): StoreResult<PersistentList<ListedExecution>>
 }
 
+/** A record and the request that it is about. */
+data class ListedExecution(
+    val identity: RequestIdentity,
+    val record: ExecutionRecord,
+)
+
 /** A record with the store revision that a compare-and-swap must name. */
 data class VersionedRecord(
     val record: ExecutionRecord,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/BackendSupervisor.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/BackendSupervisor.kt
@@ -24,11 +24,14 @@
     /** Tells whether the backend that was alive as [life] has crashed since. */
     suspend fun crashedSince(life: String): Boolean {
         val health = caller.probe()
+        val running =
+            tables.load
+                .snapshot()
+                .running.size
         note(health)
-        return when (health) {
-            is BackendHealth.Alive -> health.life != life
-            BackendHealth.Unreachable -> true
-        }
+        val crashed = health !is BackendHealth.Alive || health.life != life
+        if (crashed) observations.event(Event.BackendCrashed(running))
+        return crashed
     }
 
     /** Notes that a call could not reach the backend. */
--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/DaemonRunner.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/DaemonRunner.kt
@@ -20,6 +20,15 @@
         }
     }
 
+/** Prints [message] to the error output and exits with [status]. */
+internal fun CliktCommand.exitWith(
+    message: String,
+    status: Int,
+): Nothing {
+    echo(message, err = true)
+    throw ProgramResult(status)
+}
+
 /** Runs the daemon until the process is told to terminate, then stops it gracefully. */
 internal fun runUntilTerminated(daemon: Daemon) {
     val stopped = CountDownLatch(1)
--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/DeploymentApplyCommand.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/DeploymentApplyCommand.kt
@@ -4,7 +4,6 @@
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.parameters.arguments.argument
-import com.github.ajalt.clikt.parameters.options.convert
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
@@ -12,17 +11,13 @@
 import com.github.ajalt.clikt.parameters.types.path
 import kotlinx.coroutines.runBlocking
 import org.acaciaflow.protocol.configuration.PublishOutcome
-import org.acaciaflow.state.identity.parseHostAddress
 import org.acaciaflow.transport.process.publishConfiguration
 import kotlin.io.path.readText
 
 /** `acaciaflow deployment apply`: stores a configuration as the next revision. */
 internal class DeploymentApplyCommand : CliktCommand(name = "apply") {
     private val file by argument(help = "The configuration in JSON.").path(mustExist = true, canBeDir = false)
-    private val store by
-        option("--store", help = "ip:port of the key-value service.")
-            .convert { parseHostAddress(it) ?: fail("not ip:port") }
-            .required()
+    private val store by option("--store", help = "ip:port of the key-value service.").address().required()
     private val base by option("--base", help = "The revision that this edit starts from.").long().default(0)
 
     override fun help(context: Context): String =
--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/Main.kt
@@ -9,6 +9,8 @@
         .subcommands(
             GatewayCommand(),
             SidecarCommand(),
+            UnresolvedCommand(),
+            EngineCommand().subcommands(EngineAssignCommand()),
             DeploymentCommand().subcommands(DeploymentApplyCommand()),
         ).main(arguments)
 }
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/record/EncodedExecutionRecords.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/record/EncodedExecutionRecords.kt
@@ -1,5 +1,7 @@
 package org.acaciaflow.protocol.record
 
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.decodeToString
 import kotlinx.io.bytestring.encodeToByteString
@@ -7,6 +9,7 @@
 import kotlinx.serialization.json.Json
 import org.acaciaflow.coordination.port.ExecutionRecords
 import org.acaciaflow.coordination.port.KeyValueStore
+import org.acaciaflow.coordination.port.ListedExecution
 import org.acaciaflow.coordination.port.RecordSwap
 import org.acaciaflow.coordination.port.StoreFailure
 import org.acaciaflow.coordination.port.StoreKey
@@ -15,6 +18,7 @@
 import org.acaciaflow.coordination.port.SwapOutcome
 import org.acaciaflow.coordination.port.VersionedRecord
 import org.acaciaflow.protocol.store.StoreLayout
+import org.acaciaflow.state.identity.DeploymentName
 import org.acaciaflow.state.identity.RequestIdentity
 import org.acaciaflow.state.record.ExecutionRecord
 
@@ -43,6 +47,18 @@
         }
     }
 
+    override suspend fun list(): StoreResult<PersistentList<ListedExecution>> =
+        when (val listed = store.list(StoreLayout.EXECUTIONS, MAXIMUM_LISTED)) {
+            is StoreResult.Failure -> listed
+            is StoreResult.Success -> StoreResult.Success(listed.value.mapNotNull(::listed).toPersistentList())
+        }
+
+    private fun listed(value: StoredValue): ListedExecution? {
+        val document = parsed(value.value) ?: return null
+        val record = document.state.toRecord() ?: return null
+        return ListedExecution(RequestIdentity(DeploymentName(document.deployment), document.identityKey), record)
+    }
+
     /** A write whose answer was lost has taken effect exactly when the value read back is the one written. */
     private suspend fun settled(
         key: StoreKey,
@@ -99,12 +115,18 @@
         return StoreResult.Success(VersionedRecord(record, found.revision))
     }
 
-    private fun decode(value: ByteString): ExecutionRecord? =
+    private fun decode(value: ByteString): ExecutionRecord? = parsed(value)?.state?.toRecord()
+
+    private fun parsed(value: ByteString): ExecutionRecordDocument? =
         try {
-            json.decodeFromString(ExecutionRecordDocument.serializer(), value.decodeToString()).state.toRecord()
+            json.decodeFromString(ExecutionRecordDocument.serializer(), value.decodeToString())
         } catch (_: SerializationException) {
             null
         } catch (_: IllegalArgumentException) {
             null
         }
+
+    private companion object {
+        const val MAXIMUM_LISTED = 100_000
+    }
 }
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/record/ExecutionRecordDocument.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/record/ExecutionRecordDocument.kt
@@ -53,6 +53,14 @@
         val at: Long,
     ) : ExecutionStateDocument
 
+    @Serializable
+    @SerialName("settled-by-hand")
+    data class SettledByHand(
+        val executed: Boolean,
+        val reason: String,
+        val at: Long,
+    ) : ExecutionStateDocument
+
     @Serializable
     @SerialName("unknown")
     data class Unknown(
@@ -89,6 +97,10 @@
             ExecutionStateDocument.NotExecuted(reason.code, at.toEpochMilliseconds())
         }
 
+        is ExecutionRecord.SettledByHand -> {
+            ExecutionStateDocument.SettledByHand(executed, reason, at.toEpochMilliseconds())
+        }
+
         is ExecutionRecord.Unknown -> {
             ExecutionStateDocument.Unknown(
                 attempt.toWire(),
@@ -120,6 +132,10 @@
             refusalOf(reason)?.let { ExecutionRecord.NotExecuted(it, instant(at)) }
         }
 
+        is ExecutionStateDocument.SettledByHand -> {
+            ExecutionRecord.SettledByHand(executed, reason, instant(at))
+        }
+
         is ExecutionStateDocument.Unknown -> {
             val identity = attempt.toIdentity()
             val life = parseProcessIdentity(sidecar)
--- a/state/src/main/kotlin/org/acaciaflow/state/record/ExecutionRecord.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/record/ExecutionRecord.kt
@@ -39,4 +39,11 @@
         val reason: Refusal,
         val since: Instant,
     ) : ExecutionRecord
+
+    /** An operator found out whether the request was executed; [reason] is the operator's own text. */
+    data class SettledByHand(
+        val executed: Boolean,
+        val reason: String,
+        val at: Instant,
+    ) : ExecutionRecord
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
@@ -38,7 +38,7 @@
     val runtime = createRuntime()
     val self = newProcessIdentity(settings.callers)
     val tables = createGatewayTables()
-    val store = EtcdKeyValueStore(runtime.vertx, settings.store, runtime.registry)
+    val store = EtcdKeyValueStore(runtime.vertx, settings.store, runtime.registry, runtime.observations)
     val keeper = ConfigurationKeeper(StoredConfigurationSource(store), tables.configuration, runtime.observations)
     val directory = SidecarDirectory(runtime.workers.scope)
     val wakeUp = WakeUp()
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemonFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemonFactory.kt
@@ -29,7 +29,7 @@
     val runtime = createRuntime()
     val self = newProcessIdentity(settings.links)
     val tables = createSidecarTables(settings.capacity, JOURNAL_ENTRIES)
-    val store = EtcdKeyValueStore(runtime.vertx, settings.store, runtime.registry)
+    val store = EtcdKeyValueStore(runtime.vertx, settings.store, runtime.registry, runtime.observations)
     val keeper = ConfigurationKeeper(StoredConfigurationSource(store), tables.configuration, runtime.observations)
     val caller = VertxBackendCaller(runtime.vertx, settings.backend, settings.probePath, settings.capacity)
     val supervisor = BackendSupervisor(tables, caller, runtime.observations)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/StoreSession.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/StoreSession.kt
@@ -11,7 +11,7 @@
 ): Result {
     val runtime = createRuntime()
     try {
-        return work(EtcdKeyValueStore(runtime.vertx, address, runtime.registry))
+        return work(EtcdKeyValueStore(runtime.vertx, address, runtime.registry, runtime.observations))
     } finally {
         runtime.close()
     }
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/UnresolvedSession.kt
@@ -0,0 +1,28 @@
+package org.acaciaflow.transport.process
+
+import kotlinx.collections.immutable.PersistentList
+import org.acaciaflow.coordination.execution.SettleOutcome
+import org.acaciaflow.coordination.execution.UnresolvedExecutions
+import org.acaciaflow.coordination.port.ListedExecution
+import org.acaciaflow.coordination.port.StoreResult
+import org.acaciaflow.protocol.record.EncodedExecutionRecords
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.identity.RequestIdentity
+import kotlin.time.Instant
+
+/** Lists the requests of unknown outcome in the store as of [now]. */
+suspend fun listUnresolved(
+    store: HostAddress,
+    now: Instant,
+): StoreResult<PersistentList<ListedExecution>> =
+    withStore(store) { UnresolvedExecutions(EncodedExecutionRecords(it)).list(now) }
+
+/** Notes in the store what an operator found out about a request. */
+suspend fun settleUnresolved(
+    store: HostAddress,
+    identity: RequestIdentity,
+    executed: Boolean,
+    reason: String,
+    now: Instant,
+): SettleOutcome =
+    withStore(store) { UnresolvedExecutions(EncodedExecutionRecords(it)).settle(identity, executed, reason, now) }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
@@ -20,8 +20,10 @@
 import kotlinx.io.bytestring.ByteString
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
+import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.KeyValueStore
 import org.acaciaflow.coordination.port.LeaseIdentity
+import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreFailure
 import org.acaciaflow.coordination.port.StoreKey
 import org.acaciaflow.coordination.port.StoreResult
@@ -43,6 +45,7 @@
 import java.io.IOException
 import java.net.ConnectException
 import java.util.concurrent.TimeoutException
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -51,7 +54,9 @@
     vertx: Vertx,
     private val address: HostAddress,
     registry: MeterRegistry,
+    private val observations: Observations,
 ) : KeyValueStore {
+    private val available = AtomicBoolean(true)
     private val client =
         WebClient.create(vertx, WebClientOptions().setConnectTimeout(CALL_TIMEOUT.inWholeMilliseconds.toInt()))
     private val watches = vertx.createHttpClient(HttpClientOptions())
@@ -141,6 +146,27 @@
         responseType: KSerializer<Response>,
     ): StoreResult<Response> {
         calls.increment()
+        val result = attempt(path, requestType, request, responseType)
+        noteAvailability(result)
+        return result
+    }
+
+    private fun noteAvailability(result: StoreResult<*>) {
+        when (result) {
+            is StoreResult.Success -> if (!available.getAndSet(true)) observations.event(Event.StoreAvailable)
+
+            is StoreResult.Failure -> {
+                if (available.getAndSet(false)) observations.event(Event.StoreUnavailable(result.reason))
+            }
+        }
+    }
+
+    private suspend fun <Request, Response> attempt(
+        path: String,
+        requestType: KSerializer<Request>,
+        request: Request,
+        responseType: KSerializer<Response>,
+    ): StoreResult<Response> {
         val body = Buffer.buffer(EtcdJson.json.encodeToString(requestType, request))
         return try {
             val response =
