--- a/standin/src/test/kotlin/org/acaciaflow/standin/TestSite.kt
+++ b/standin/src/test/kotlin/org/acaciaflow/standin/TestSite.kt
@@ -68,10 +68,21 @@
     suspend fun publish(base: Long): PublishOutcome =
         publishConfiguration(storeAddress, Files.readString(Path.of("..", "examples", "two-sites.json")), base)
 
+    /** Starts a further gateway, which may find the store down. */
+    suspend fun startGateway(): HostAddress {
+        val address = freeAddress()
+        val daemon = createGatewayDaemon(gatewaySettings(address), Clock.System, Random(SEED))
+        daemon.start()
+        gatewayDaemons = gatewayDaemons + daemon
+        return address
+    }
+
+    suspend fun stopGateway(index: Int) = gatewayDaemons[index].stop()
+
     suspend fun stopSidecar(name: String) = sidecars.getValue(name).stop()
 
     suspend fun stop() {
-        gatewayDaemons.forEach { it.stop() }
+        gatewayDaemons.forEach { runCatching { it.stop() } }
         sidecars.values.forEach { runCatching { it.stop() } }
         vertx.close().coAwait()
     }
