--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/AtMostOnceTest.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/AtMostOnceTest.kt
@@ -68,7 +68,9 @@
         store.down = schedule.alwaysDown
         val sidecars = FakeSidecars(this, random, schedule.faultShare)
         var lives = 0L
-        val create = { index: Int -> FakeGateway(index, ++lives, this, store, sidecars, clock, random) }
+        val create = { index: Int ->
+            FakeGateway(index, ++lives, this, store, sidecars, sidecars::showTo, clock, random)
+        }
         val gateways = MutableList(GATEWAYS) { create(it) }
         var calls = listOf<FakeCallerExchange>()
         repeat(STEPS) {
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/FakeCallerExchange.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/FakeCallerExchange.kt
@@ -15,9 +15,10 @@
 /** A call that notes what its caller is told. */
 internal class FakeCallerExchange(
     val claim: String,
+    target: String = "/claims",
 ) : CallerExchange {
     override val call =
-        CallHead("POST", "/claims", persistentListOf(HeaderField(FakeSidecars.CLAIM_HEADER, claim)))
+        CallHead("POST", target, persistentListOf(HeaderField(FakeSidecars.CLAIM_HEADER, claim)))
 
     override val body: CallBody = EmptyBody
 
@@ -51,7 +52,13 @@
         return CallerWrite.WRITTEN
     }
 
-    override fun abort() = Unit
+    /** True once the answer was cut. */
+    var aborted = false
+        private set
+
+    override fun abort() {
+        aborted = true
+    }
 
     private object EmptyBody : CallBody {
         override val buffered: ByteString = ByteString()
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/FakeGateway.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/FakeGateway.kt
@@ -10,10 +10,12 @@
 import org.acaciaflow.coordination.dispatch.DispatchPolicy
 import org.acaciaflow.coordination.gateway.GatewayPorts
 import org.acaciaflow.coordination.gateway.GatewayRules
+import org.acaciaflow.coordination.gateway.GatewayTables
 import org.acaciaflow.coordination.gateway.WakeUp
 import org.acaciaflow.coordination.gateway.createGatewayCore
 import org.acaciaflow.coordination.gateway.createGatewayTables
 import org.acaciaflow.coordination.port.KeyValueStore
+import org.acaciaflow.coordination.port.SidecarConnections
 import org.acaciaflow.coordination.queue.QueueLimits
 import org.acaciaflow.coordination.queue.QueuePolicy
 import org.acaciaflow.coordination.selection.SelectionPolicy
@@ -46,7 +48,8 @@
     life: Long,
     parent: CoroutineScope,
     store: KeyValueStore,
-    private val sidecars: FakeSidecars,
+    connections: SidecarConnections,
+    private val show: (GatewayTables) -> Unit,
     private val clock: Clock,
     random: Random,
 ) {
@@ -59,7 +62,7 @@
             GatewayPorts(
                 records = EncodedExecutionRecords(store),
                 suspects = EncodedSuspectRecords(store),
-                connections = sidecars,
+                connections = connections,
                 bodyReader = JsonBodyReader(),
                 framing = ServerSentEvents,
                 observations = SilentObservations,
@@ -93,7 +96,7 @@
 
     private suspend fun keepUp() {
         while (true) {
-            sidecars.showTo(tables)
+            show(tables)
             wakeUp.signal()
             core.worker.refuseExpired(clock.now())
             delay(TICK)
@@ -116,12 +119,18 @@
                 worth = 1.0,
                 expected = WorkEstimate.PLAIN_CALL,
             )
+        val STREAMED =
+            KIND.copy(
+                name = WorkKindName("thread-query"),
+                match = CallMatch(persistentListOf(CallCondition.PathPrefix("/v1/"))),
+                repeatability = Repeatability.Repeatable,
+            )
         val DEPLOYMENT =
             Deployment(
                 DeploymentName("register"),
                 TeamName("registro"),
                 FakeSidecars.POOL,
-                persistentListOf(KIND),
+                persistentListOf(KIND, STREAMED),
             )
         val CONFIGURATION =
             Configuration(
