Follow plans and configurations by watch, with slow polls behind

Each sidecar of an engine read its plan twice a second: 600 of them would have taken 1,200 of the store's 2,000 reads a second. The content of a configuration is read only when its head is newer.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/configuration/ConfigurationKeeper.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/configuration/ConfigurationKeeper.kt
@@ -74,7 +74,7 @@
     }
 
     private suspend fun refresh() {
-        when (val result = source.read()) {
+        when (val result = source.read(table.snapshot().revision)) {
             is StoreResult.Failure -> observations.storeFailed(result.reason)
             is StoreResult.Success -> apply(result.value)
         }
@@ -88,12 +88,12 @@
                 observations.event(Event.ConfigurationRejected(read.revision, read.fault))
             }
 
-            ConfigurationRead.NoneAccepted -> Unit
+            ConfigurationRead.NoneAccepted, ConfigurationRead.NotNewer -> Unit
         }
     }
 
     private companion object {
-        val POLL_INTERVAL: Duration = 5.seconds
+        val POLL_INTERVAL: Duration = 10.seconds
         val WATCH_RETRY: Duration = 1.seconds
     }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/configuration/ConfigurationSource.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/configuration/ConfigurationSource.kt
@@ -6,8 +6,8 @@
 
 /** Accepted configurations in the platform's store. */
 interface ConfigurationSource {
-    /** The configuration that the head names; null when none was ever accepted. */
-    suspend fun read(): StoreResult<ConfigurationRead>
+    /** The configuration that the head names, read in full only when it is newer than revision [known]. */
+    suspend fun read(known: Long): StoreResult<ConfigurationRead>
 
     /** Emits whenever the head may have moved. The flow completes when the watch breaks. */
     fun changes(): Flow<Unit>
@@ -21,6 +21,9 @@
 
     data object NoneAccepted : ConfigurationRead
 
+    /** The head names no revision above the one known. */
+    data object NotNewer : ConfigurationRead
+
     data class Faulty(
         val revision: Long,
         val fault: ConfigurationFault,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/plan/EngineReconciler.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/plan/EngineReconciler.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.plan
 
+import kotlinx.coroutines.flow.Flow
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.EngineControl
 import org.acaciaflow.coordination.port.Observations
@@ -28,19 +29,23 @@
     private val load: SharedTable<SidecarLoad>,
     private val observations: Observations,
 ) {
-    /** Takes one step; true when the phase that gateways must know has changed. */
-    suspend fun step(): Boolean {
-        val plan = readPlan() ?: return false
+    /** Takes one step towards the plan. */
+    suspend fun step(): ReconcileProgress {
         val before = load.snapshot().phase
-        when (val step = reconcileStep(plan.engines[self], engine.read(), load.snapshot())) {
+        val plan = readPlan() ?: return ReconcileProgress(settled = false, phaseChanged = false)
+        val step = reconcileStep(plan.engines[self], engine.read(), load.snapshot())
+        when (step) {
             ReconcileStep.Settled -> settle()
             ReconcileStep.Drain -> holdBack()
             ReconcileStep.Await -> Unit
             is ReconcileStep.Order -> order(step.desired)
         }
-        return load.snapshot().phase != before
+        return ReconcileProgress(step == ReconcileStep.Settled, load.snapshot().phase != before)
     }
 
+    /** Emits whenever the plan may have changed. */
+    fun planChanges(): Flow<Unit> = plans.changes(key)
+
     private suspend fun readPlan(): PoolPlan? =
         when (val read = plans.read(key)) {
             is StoreResult.Success -> {
@@ -72,3 +77,9 @@
         load.update { if (it.phase == SidecarPhase.Changing) it.copy(phase = SidecarPhase.Serving) else it }
     }
 }
+
+/** Whether the engine is as planned, and whether the phase that gateways must know has changed. */
+data class ReconcileProgress(
+    val settled: Boolean,
+    val phaseChanged: Boolean,
+)
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/configuration/StoredConfigurationSource.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/configuration/StoredConfigurationSource.kt
@@ -15,19 +15,23 @@
 class StoredConfigurationSource(
     private val store: KeyValueStore,
 ) : ConfigurationSource {
-    override suspend fun read(): StoreResult<ConfigurationRead> =
+    override suspend fun read(known: Long): StoreResult<ConfigurationRead> =
         when (val read = store.read(StoreLayout.CONFIGURATION_HEAD)) {
             is StoreResult.Failure -> read
-            is StoreResult.Success -> readContent(read.value)
+            is StoreResult.Success -> readContent(read.value, known)
         }
 
     override fun changes(): Flow<Unit> = store.watch(StoreLayout.CONFIGURATION_HEAD).map { }
 
-    private suspend fun readContent(headValue: StoredValue?): StoreResult<ConfigurationRead> {
+    private suspend fun readContent(
+        headValue: StoredValue?,
+        known: Long,
+    ): StoreResult<ConfigurationRead> {
         if (headValue == null) return StoreResult.Success(ConfigurationRead.NoneAccepted)
         val head =
             ConfigurationCodec.decodeHead(headValue.value.decodeToString())
                 ?: return faulty(headValue.revision, ConfigurationFault.Undecodable("head"))
+        if (head.revision <= known) return StoreResult.Success(ConfigurationRead.NotNewer)
         return when (val read = store.read(StoreLayout.configurationContent(head.content))) {
             is StoreResult.Failure -> read
             is StoreResult.Success -> decoded(head, read.value)
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/configuration/ConfigurationPublisherTest.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/configuration/ConfigurationPublisherTest.kt
@@ -54,7 +54,7 @@
 
     private suspend fun headOf(store: FakeKeyValueStore): Long {
         while (true) {
-            val read = StoredConfigurationSource(store).read()
+            val read = StoredConfigurationSource(store).read(known = 0)
             if (read is StoreResult.Success) {
                 return when (val found = read.value) {
                     is ConfigurationRead.Found -> found.configuration.revision
--- a/transport/src/main/kotlin/org/acaciaflow/transport/link/LinkServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/link/LinkServer.kt
@@ -141,6 +141,6 @@
 
     private companion object {
         val NO_LINKS: PersistentSet<GatewayLink> = persistentSetOf()
-        val LOAD_INTERVAL: Duration = 100.milliseconds
+        val LOAD_INTERVAL: Duration = 200.milliseconds
     }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemon.kt
@@ -72,7 +72,7 @@
     }
 
     private companion object {
-        val EXPIRY_INTERVAL: Duration = 50.milliseconds
+        val EXPIRY_INTERVAL: Duration = 200.milliseconds
         val BALANCER_NOTICE: Duration = 2.seconds
         val DRAIN_CHECK: Duration = 50.milliseconds
         val DRAIN_LIMIT: Duration = 120.seconds
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemon.kt
@@ -43,7 +43,7 @@
         runtime.workers.startWorkers(settings.capacity) { exchanges.serveNext() }
         links.start(settings.links)
         runtime.workers.scope.launch { superviseBackend() }
-        reconciler?.let { runtime.workers.scope.launch { reconcileEngine(it) } }
+        reconciler?.let { EngineKeeping(it, links).start(runtime.workers.scope) }
         OperatorsServer(runtime.vertx, runtime.registry, this).start(settings.operators)
         runtime.observations.event(Event.ProcessStarted(self))
     }
@@ -78,16 +78,8 @@
         }
     }
 
-    private suspend fun reconcileEngine(reconciler: EngineReconciler) {
-        while (true) {
-            delay(RECONCILE_INTERVAL)
-            if (reconciler.step()) links.tellAll()
-        }
-    }
-
     private companion object {
-        val RECONCILE_INTERVAL: Duration = 500.milliseconds
-        val PROBE_INTERVAL: Duration = 500.milliseconds
+        val PROBE_INTERVAL: Duration = 1000.milliseconds
         val LEAVING_NOTICE: Duration = 500.milliseconds
         val LAST_FRAMES: Duration = 200.milliseconds
         val DRAIN_CHECK: Duration = 50.milliseconds
