--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/StoreFailure.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/StoreFailure.kt
@@ -6,7 +6,6 @@
     val mayHaveTakenEffect: Boolean,
 ) {
     UNREACHABLE("unreachable", mayHaveTakenEffect = false),
-    OVER_BUDGET("over-budget", mayHaveTakenEffect = false),
     REJECTED("rejected", mayHaveTakenEffect = false),
     TIMED_OUT("timed-out", mayHaveTakenEffect = true),
     ANSWER_LOST("answer-lost", mayHaveTakenEffect = true),
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/BackendSupervisor.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/sidecar/BackendSupervisor.kt
@@ -75,6 +75,7 @@
                 role = health.role,
                 backendLife = health.life,
                 reservedProbes = reservationLeft(load),
+                waitingPromptTokens = health.waitingPromptTokens,
             )
         }
 
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/frame/FrameMapping.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/frame/FrameMapping.kt
@@ -68,7 +68,7 @@
         running = running.size,
         runningForReader = runningForReader,
         capacity = if (reserved) 0 else capacity,
-        waitingPromptTokens = 0,
+        waitingPromptTokens = waitingPromptTokens,
     )
 
 /** The load report in a frame. */
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
@@ -59,7 +59,7 @@
             when (refusal) {
                 NotRun.UNKNOWN_CALL -> NOT_FOUND
 
-                NotRun.MALFORMED_CALL, NotRun.IDENTITY_MISSING -> BAD_REQUEST
+                NotRun.IDENTITY_MISSING -> BAD_REQUEST
 
                 NotRun.BODY_TOO_LARGE -> CONTENT_TOO_LARGE
 
@@ -67,10 +67,8 @@
 
                 NotRun.NO_CONFIGURATION,
                 NotRun.QUEUE_FULL,
-                NotRun.PREDICTED_LATE,
                 NotRun.DEADLINE_PASSED,
                 NotRun.CALLER_GONE,
-                NotRun.SHUTTING_DOWN,
                 -> UNAVAILABLE
             }
 
--- a/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineStandin.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineStandin.kt
@@ -40,6 +40,10 @@
     var crashes = 0
         private set
 
+    /** How many calls were broken off by whoever made them. */
+    var abandoned = 0
+        private set
+
     /** Calls in progress. */
     val running: Int
         get() = answers.size
@@ -121,7 +125,7 @@
         val number = lastNumber
         val response = context.response().putHeader(NAME_HEADER, name)
         answers = answers.put(number, EngineAnswer(call, response, faults.takeCutAnswer()))
-        response.closeHandler { forget(number) }
+        response.closeHandler { abandon(number) }
         val before = batch.cache
         batch = batch.added(number, call, profile)
         cacheEvents.note(before, batch.cache)
@@ -169,6 +173,11 @@
         if (sequence.done) forget(sequence.number)
     }
 
+    private fun abandon(number: Long) {
+        if (number in answers) abandoned += 1
+        forget(number)
+    }
+
     private fun forget(number: Long) {
         answers = answers.remove(number)
         batch = batch.removed(number)
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
@@ -5,14 +5,11 @@
     override val code: String,
 ) : Refusal {
     UNKNOWN_CALL("unknown-call"),
-    MALFORMED_CALL("malformed-call"),
     BODY_TOO_LARGE("body-too-large"),
     IDENTITY_MISSING("identity-missing"),
     NO_CONFIGURATION("no-configuration"),
     QUEUE_FULL("queue-full"),
-    PREDICTED_LATE("predicted-late"),
     DEADLINE_PASSED("deadline-passed"),
     CALLER_GONE("caller-gone"),
     CRASH_SUSPECT("crash-suspect"),
-    SHUTTING_DOWN("shutting-down"),
 }
--- a/state/src/main/kotlin/org/acaciaflow/state/sidecar/SidecarLoad.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/sidecar/SidecarLoad.kt
@@ -9,6 +9,7 @@
 /**
  * What a sidecar runs at the moment, and whether it takes more.
  *
+ * [waitingPromptTokens] is what the engine last reported as not yet read; it lags.
  * [reservedProbes] is for how many more health probes an idle engine is kept free for a crash suspect.
  */
 data class SidecarLoad(
@@ -18,6 +19,7 @@
     val running: PersistentMap<AttemptIdentity, RunningExchange>,
     val backendLife: String,
     val reservedProbes: Int,
+    val waitingPromptTokens: Int,
 ) {
     /** True while new work is held back so that a crash suspect can run alone. */
     val reserved: Boolean
@@ -32,6 +34,7 @@
                 running = persistentMapOf(),
                 backendLife = "",
                 reservedProbes = 0,
+                waitingPromptTokens = 0,
             )
     }
 }
