--- a/standin/src/main/kotlin/org/acaciaflow/standin/fault/Faults.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/fault/Faults.kt
@@ -2,10 +2,15 @@
 
 import java.util.concurrent.atomic.AtomicReference
 
-/** How a stand-in is told to misbehave; each count is used up one call at a time. */
+/**
+ * How a stand-in is told to misbehave; each count is used up one call at a time.
+ *
+ * [delaySpreadMilliseconds] adds a random delay to each answer, so that answers cross.
+ */
 data class Faults(
     val down: Boolean = false,
     val delayMilliseconds: Long = 0,
+    val delaySpreadMilliseconds: Long = 0,
     val answersToLose: Int = 0,
     val answersToCut: Int = 0,
 )
--- a/standin/src/main/kotlin/org/acaciaflow/standin/service/ServiceStandin.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/service/ServiceStandin.kt
@@ -19,11 +19,13 @@
 import org.acaciaflow.standin.fault.addFaultRoutes
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.work.digestOf
+import kotlin.random.Random
 
 /** Stands in for a plain service that counts how often it executed each claim or release. */
 class ServiceStandin(
     private val vertx: Vertx,
     private val name: String,
+    private val random: Random = Random(DELAY_SEED),
 ) {
     val faults = FaultSwitch()
     private var executions: PersistentMap<String, Int> = persistentMapOf()
@@ -52,9 +54,10 @@
                 .close()
                 .let { }
         }
-        when (inForce.delayMilliseconds) {
+        val delay = inForce.delayMilliseconds + random.nextLong(inForce.delaySpreadMilliseconds + 1)
+        when (delay) {
             0L -> answer(context)
-            else -> vertx.setTimer(inForce.delayMilliseconds) { answer(context) }
+            else -> vertx.setTimer(delay) { answer(context) }
         }
     }
 
@@ -122,6 +125,7 @@
 
     private companion object {
         const val CUT_DELAY_MILLISECONDS = 20L
+        const val DELAY_SEED = 4209
     }
 }
 
--- a/standin/src/main/kotlin/org/acaciaflow/standin/trial/TrialCalls.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/trial/TrialCalls.kt
@@ -53,6 +53,8 @@
             identity = release,
         )
 
+    fun lookup(name: String): TrialCall = lookup("lookup", "/register/$name")
+
     private fun lookup(
         kind: String,
         target: String,
--- a/standin/src/test/kotlin/org/acaciaflow/standin/CallerSideTest.kt
+++ b/standin/src/test/kotlin/org/acaciaflow/standin/CallerSideTest.kt
@@ -130,6 +130,28 @@
         faults.shouldBeEmpty()
     }
 
+    @Test
+    suspend fun `answers that come late and crossed reach the callers that they are for`() {
+        val client = TrialClient(site.vertx)
+        site.service.faults.set(Faults(delaySpreadMilliseconds = 300))
+
+        val answers =
+            coroutineScope {
+                (1..60)
+                    .map {
+                        async {
+                            client.make(
+                                site.gateways[it % 2],
+                                TrialCalls.lookup("crossed-$it"),
+                            )
+                        }
+                    }.awaitAll()
+            }
+        site.service.faults.set(Faults())
+
+        answers.mapNotNull { it.fault }.shouldBeEmpty()
+    }
+
     @Test
     suspend fun `streams that an engine cuts half way are resumed without loss or repetition`() {
         val client = TrialClient(site.vertx)
