--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EngineView.kt
@@ -0,0 +1,22 @@
+package org.acaciaflow.coordination.engine
+
+import kotlinx.collections.immutable.PersistentMap
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.state.identity.DataCentre
+import org.acaciaflow.state.load.EngineRates
+import org.acaciaflow.state.load.FleetLoad
+import org.acaciaflow.state.prompt.PromptCache
+import org.acaciaflow.state.reliability.ReliabilityRecord
+import org.acaciaflow.state.route.EngineProperties
+
+/** What is known of the engines of a pool when a path is chosen; [engines] are those that may get work. */
+data class EngineView(
+    val engines: List<BackendEntry>,
+    val load: FleetLoad,
+    val caches: PersistentMap<BackendLife, PromptCache>,
+    val records: PersistentMap<BackendLife, ReliabilityRecord>,
+    val rates: EngineRates,
+    val properties: EngineProperties,
+    val ownDataCentre: DataCentre,
+)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -1,7 +1,11 @@
 package org.acaciaflow.coordination.event
 
 import org.acaciaflow.coordination.configuration.ConfigurationFault
+import org.acaciaflow.coordination.port.DocumentFault
 import org.acaciaflow.coordination.port.StoreFailure
+import org.acaciaflow.coordination.routing.ConfigurationOrigin
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.identity.ProcessIdentity
 import org.acaciaflow.state.identity.RequestIdentity
@@ -102,6 +106,40 @@
 
     data object StoreAvailable : Event(EventKind.STORE_AVAILABLE)
 
+    data class StoreHistoryLost(
+        val revision: Long,
+    ) : Event(EventKind.STORE_HISTORY_LOST)
+
+    data class RoutingAdopted(
+        val version: Long,
+        val former: Long,
+        val origin: ConfigurationOrigin,
+    ) : Event(EventKind.ROUTING_ADOPTED)
+
+    data class RoutingUnreadable(
+        val origin: ConfigurationOrigin,
+        val fault: DocumentFault,
+    ) : Event(EventKind.ROUTING_UNREADABLE)
+
+    data class BackendRegistered(
+        val entry: BackendEntry,
+        val revision: Long,
+    ) : Event(EventKind.BACKEND_REGISTERED)
+
+    /** [doubtful] when the store was away, so that the entry may come back. */
+    data class BackendMissing(
+        val life: BackendLife,
+        val doubtful: Boolean,
+    ) : Event(EventKind.BACKEND_MISSING)
+
+    data class BackendEntryUnreadable(
+        val instance: String,
+        val revision: Long,
+        val fault: DocumentFault,
+    ) : Event(EventKind.BACKEND_ENTRY_UNREADABLE)
+
+    data object SettingsReloaded : Event(EventKind.SETTINGS_RELOADED)
+
     data object HostListUnavailable : Event(EventKind.HOST_LIST_UNAVAILABLE)
 
     data class CrashSuspected(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/ArrivalService.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/ArrivalService.kt
@@ -5,6 +5,7 @@
 import org.acaciaflow.coordination.classification.Classification
 import org.acaciaflow.coordination.execution.RecordResolution
 import org.acaciaflow.coordination.execution.RecordResolver
+import org.acaciaflow.coordination.port.CallAcceptor
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.port.KeyValueStore
 import org.acaciaflow.coordination.port.Observations
@@ -33,11 +34,11 @@
     private val wakeUp: WakeUp,
     private val observations: Observations,
     private val clock: Clock,
-) {
+) : CallAcceptor {
     private val lastTicket = AtomicLong()
 
     /** Queues the call or answers it at once. */
-    suspend fun accept(exchange: CallerExchange) {
+    override suspend fun accept(exchange: CallerExchange) {
         val now = clock.now()
         val configuration = tables.configuration.snapshot()
         when (val classified = classifier.classify(configuration, exchange.call, exchange.body, now)) {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/StreamFraming.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/StreamFraming.kt
@@ -19,8 +19,9 @@
     val rest: ByteString,
 )
 
-/** One event; [isEndMark] when it tells that the stream is whole. */
+/** One event; [identity] is its number if it has one, [isEndMark] tells that the stream is whole. */
 data class StreamEvent(
     val bytes: ByteString,
+    val identity: String?,
     val isEndMark: Boolean,
 )
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/plain/PlainSelection.kt
@@ -0,0 +1,34 @@
+package org.acaciaflow.coordination.plain
+
+import kotlinx.collections.immutable.PersistentMap
+import org.acaciaflow.coordination.reliability.ReliabilityPolicy
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.state.identity.DataCentre
+import org.acaciaflow.state.load.FleetLoad
+import org.acaciaflow.state.reliability.ReliabilityRecord
+
+/** Chooses the backend server of a plain service for one call. */
+object PlainSelection {
+    /**
+     * The server of [candidates] with the least work for its slots, unreliable ones and other data centres counting as
+     * busier; null when there is none.
+     */
+    fun choose(
+        candidates: List<BackendEntry>,
+        load: FleetLoad,
+        records: PersistentMap<BackendLife, ReliabilityRecord>,
+        ownDataCentre: DataCentre,
+    ): BackendEntry? {
+        val mean = ReliabilityPolicy.mean(records, candidates.map { it.life })
+        return candidates.minByOrNull { candidate ->
+            val busy = load.runningAt(candidate.life).toDouble() / candidate.slots.coerceAtLeast(1)
+            val excess = ReliabilityPolicy.excess(records[candidate.life], mean)
+            val remote = if (candidate.dataCentre == ownDataCentre) 0.0 else REMOTE_COST
+            busy + excess * UNRELIABLE_COST + remote
+        }
+    }
+
+    private const val REMOTE_COST = 0.2 // in shares of all slots
+    private const val UNRELIABLE_COST = 3.0
+}
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/CallerExchange.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/CallerExchange.kt
@@ -4,6 +4,7 @@
 import org.acaciaflow.state.refusal.Refusal
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.CallHead
+import kotlin.time.Duration
 
 /** One call of one caller, whatever the front end that took it. */
 interface CallerExchange {
@@ -25,8 +26,11 @@
     /** Ends a whole answer. */
     suspend fun end(): CallerWrite
 
-    /** Answers with a refusal; nothing was sent before. */
-    suspend fun refuse(refusal: Refusal): CallerWrite
+    /** Answers with a refusal, saying when to come back if [retryAfter] is given; nothing was sent before. */
+    suspend fun refuse(
+        refusal: Refusal,
+        retryAfter: Duration? = null,
+    ): CallerWrite
 
     /** Cuts an answer that cannot be completed, so that the caller can tell that it is not whole. */
     fun abort()
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
@@ -1,10 +1,12 @@
 package org.acaciaflow.coordination.port
 
 import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.coordination.retry.RetryReason
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.Refusal
 import org.acaciaflow.state.work.Rank
+import kotlin.time.Duration
 
 /** Where decisions are counted and logged. */
 interface Observations {
@@ -20,6 +22,18 @@
 
     fun retried(reason: RetryReason)
 
+    /** A retry was not made, since the bound on retries was reached. */
+    fun retryDenied(reason: RetryReason)
+
+    /** A caller got its whole answer after [elapsed]. */
+    fun answered(
+        urgency: Int,
+        elapsed: Duration,
+    )
+
+    /** A decision about one request was made. */
+    fun decided(decision: Decision)
+
     fun storeFailed(reason: StoreFailure)
 
     /** An answer part that belongs to no attempt in progress was dropped. */
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -0,0 +1,202 @@
+package org.acaciaflow.coordination.relay
+
+import kotlinx.coroutines.withTimeoutOrNull
+import org.acaciaflow.coordination.crash.CrashReporting
+import org.acaciaflow.coordination.fleet.FleetChanges
+import org.acaciaflow.coordination.gateway.StreamFraming
+import org.acaciaflow.coordination.load.LoadLedger
+import org.acaciaflow.coordination.port.AttemptEvent
+import org.acaciaflow.coordination.port.AttemptStream
+import org.acaciaflow.coordination.port.BackendConnections
+import org.acaciaflow.coordination.port.CallerWrite
+import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.coordination.reliability.ReliabilityPolicy
+import org.acaciaflow.coordination.reliability.RunVerdict
+import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.state.load.JobIdentity
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.work.AnswerHead
+import kotlin.time.Clock
+import kotlin.time.Duration
+
+/** Sends a request to one backend server and passes its answer on to the caller. */
+internal class BackendRun(
+    private val tables: RelayTables,
+    private val connections: BackendConnections,
+    private val framing: StreamFraming,
+    private val jobs: JobNumbers,
+    private val clock: Clock,
+) {
+    /** Runs [order], whose first result is predicted to take [work]; what it told about its server is noted. */
+    suspend fun run(
+        request: RelayedRequest,
+        order: RunOrder,
+        work: Duration,
+        patience: Patience,
+        journal: RelayJournal,
+    ): RunOutcome {
+        val life = order.backend.life
+        val job = jobs.next()
+        tables.load.update { LoadLedger.sent(it, life, job, work, clock.now()) }
+        journal.note { it.copy(sending = true) }
+        try {
+            val stream = connections.open(order, request.exchange.body)
+            val outcome =
+                try {
+                    follow(stream, request, life, job, patience, journal)
+                } finally {
+                    stream.abandon()
+                }
+            journal.note { it.copy(sending = false) }
+            judge(request, life, outcome)
+            return outcome
+        } finally {
+            tables.load.update { LoadLedger.ended(it, life, job, clock.now()) }
+        }
+    }
+
+    private suspend fun follow(
+        stream: AttemptStream,
+        request: RelayedRequest,
+        life: BackendLife,
+        job: JobIdentity,
+        patience: Patience,
+        journal: RelayJournal,
+    ): RunOutcome =
+        when (val first = nextWithin(stream, patience.first)) {
+            is AttemptEvent.Refused -> {
+                RunOutcome.NotExecuted(first.reason)
+            }
+
+            is AttemptEvent.Head -> {
+                journal.note { it.copy(mayHaveRun = MayHaveRun.ANSWER_INCOMPLETE) }
+                if (framing.isEventStream(first.head)) {
+                    passEvents(stream, first.head, request, life, job, patience, journal)
+                } else {
+                    passWhole(stream, first.head, request, journal)
+                }
+            }
+
+            is AttemptEvent.Broken -> {
+                journal.note { it.copy(mayHaveRun = first.reason) }
+                RunOutcome.Broken(first.reason)
+            }
+
+            null -> {
+                journal.note { it.copy(mayHaveRun = MayHaveRun.STREAM_STALLED) }
+                RunOutcome.Broken(MayHaveRun.STREAM_STALLED)
+            }
+
+            is AttemptEvent.Data, AttemptEvent.End -> {
+                error("an answer without a head")
+            }
+        }
+
+    private suspend fun passEvents(
+        stream: AttemptStream,
+        head: AnswerHead,
+        request: RelayedRequest,
+        life: BackendLife,
+        job: JobIdentity,
+        patience: Patience,
+        journal: RelayJournal,
+    ): RunOutcome {
+        val delivery = EventDelivery(request.exchange, framing, journal, head)
+        var heard = false
+        while (true) {
+            val limit = if (heard) patience.between else patience.first
+            when (val event = nextWithin(stream, limit)) {
+                is AttemptEvent.Data -> {
+                    heard = true
+                    tables.load.update { LoadLedger.producing(it, life, job, clock.now()) }
+                    if (delivery.data(event.bytes) == CallerWrite.CALLER_GONE) return RunOutcome.CallerGone
+                }
+
+                AttemptEvent.End -> {
+                    if (!delivery.whole) return RunOutcome.Broken(MayHaveRun.ANSWER_INCOMPLETE)
+                    return ended(delivery.end(), head.status)
+                }
+
+                is AttemptEvent.Broken -> {
+                    return RunOutcome.Broken(event.reason)
+                }
+
+                null -> {
+                    return RunOutcome.Broken(MayHaveRun.STREAM_STALLED)
+                }
+
+                is AttemptEvent.Head, is AttemptEvent.Refused -> {
+                    error("a second head in one answer")
+                }
+            }
+        }
+    }
+
+    private suspend fun passWhole(
+        stream: AttemptStream,
+        head: AnswerHead,
+        request: RelayedRequest,
+        journal: RelayJournal,
+    ): RunOutcome {
+        val held = HeldAnswer(head)
+        while (true) {
+            when (val event = stream.next()) {
+                is AttemptEvent.Data -> held.data(event.bytes)
+                AttemptEvent.End -> break
+                is AttemptEvent.Broken -> return RunOutcome.Broken(event.reason)
+                is AttemptEvent.Head, is AttemptEvent.Refused -> error("a second head in one answer")
+            }
+        }
+        val answer = held.answer()
+        if (head.status >= FIRST_FAILURE_STATUS || journal.progress.begun) return RunOutcome.Failed(answer)
+        journal.note { it.copy(begun = true) }
+        return ended(request.exchange.sendWhole(answer), head.status)
+    }
+
+    private fun ended(
+        written: CallerWrite,
+        status: Int,
+    ): RunOutcome =
+        when (written) {
+            CallerWrite.WRITTEN -> RunOutcome.Delivered(status)
+            CallerWrite.CALLER_GONE -> RunOutcome.CallerGone
+        }
+
+    private suspend fun nextWithin(
+        stream: AttemptStream,
+        limit: Duration?,
+    ): AttemptEvent? = if (limit == null) stream.next() else withTimeoutOrNull(limit) { stream.next() }
+
+    private fun judge(
+        request: RelayedRequest,
+        life: BackendLife,
+        outcome: RunOutcome,
+    ) {
+        val now = clock.now()
+        val verdict =
+            when (outcome) {
+                is RunOutcome.Delivered -> RunVerdict.SUCCEEDED
+                RunOutcome.CallerGone -> return
+                is RunOutcome.NotExecuted -> verdictOf(life, outcome.reason)
+                is RunOutcome.Broken -> RunVerdict.FAILED
+                is RunOutcome.Failed -> RunVerdict.FAILED
+            }
+        tables.reliability.update { ReliabilityPolicy.judged(it, life, verdict, now) }
+        if (outcome is RunOutcome.Broken && outcome.reason == MayHaveRun.BACKEND_CRASHED) {
+            tables.crashes.update { CrashReporting.reported(it, request.digest, life, now) }
+        }
+    }
+
+    private fun verdictOf(
+        life: BackendLife,
+        reason: AttemptRefusal,
+    ): RunVerdict {
+        if (reason == AttemptRefusal.OTHER_LIFE) tables.fleet.update { FleetChanges.rejected(it, life) }
+        return if (reason == AttemptRefusal.CONNECTION_REFUSED) RunVerdict.UNREACHABLE else RunVerdict.REFUSED
+    }
+
+    private companion object {
+        const val FIRST_FAILURE_STATUS = 400
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -0,0 +1,253 @@
+package org.acaciaflow.coordination.relay
+
+import org.acaciaflow.coordination.engine.EnginePath
+import org.acaciaflow.coordination.engine.EnginePlanner
+import org.acaciaflow.coordination.port.CacheSource
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.coordination.port.PrefillOutcome
+import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.coordination.retry.RetryReason
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.prompt.Prompt
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.route.EngineProperties
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Serves generations: chooses the way to the first event, hands KV cache over and joins streams that break. */
+internal class EngineRelay(
+    private val tables: RelayTables,
+    private val candidates: Candidates,
+    private val permits: SendPermits,
+    private val prefillRun: PrefillRun,
+    private val backendRun: BackendRun,
+    private val observations: Observations,
+    private val clock: Clock,
+) {
+    /** Serves [request] until its stream is complete, or until it must not be sent again. */
+    suspend fun relay(
+        request: RelayedRequest,
+        prompt: Prompt,
+        properties: EngineProperties,
+        journal: RelayJournal,
+    ): Conclusion {
+        var reason = RetryReason.ATTEMPT_REFUSED
+        while (true) {
+            val now = clock.now()
+            val view = candidates.view(candidates.of(request, journal.progress, now), properties, request.pool)
+            val path =
+                EnginePlanner.choose(view, prompt, request.route.target, now) ?: return unserved(journal.progress)
+            if (!permits.maySend(request, journal.progress, reason, now)) return unserved(journal.progress)
+            val step =
+                when (path) {
+                    is EnginePath.Straight -> run(request, prompt, properties, path.decoder, null, path, journal)
+                    is EnginePath.Handover -> handover(request, prompt, properties, path, journal)
+                }
+            when (step) {
+                is EngineStep.Done -> return step.conclusion
+                is EngineStep.Again -> reason = step.reason
+            }
+        }
+    }
+
+    private suspend fun handover(
+        request: RelayedRequest,
+        prompt: Prompt,
+        properties: EngineProperties,
+        path: EnginePath.Handover,
+        journal: RelayJournal,
+    ): EngineStep {
+        val sentAt = clock.now()
+        observations.decided(Decision.Sent(request, path.reader, path.predicted, tables.load.snapshot(), sentAt))
+        val order = orderFor(request, path.reader, null, journal)
+        return when (val outcome = prefillRun.run(request, order, path, prompt, properties)) {
+            is PrefillOutcome.Ready -> {
+                journal.note { it.copy(prefillCalls = it.prefillCalls + 1) }
+                decode(request, prompt, properties, path, outcome.source, journal)
+            }
+
+            is PrefillOutcome.Refused -> {
+                notePrefill(journal, path.reader, counted = outcome.reason != AttemptRefusal.CONNECTION_REFUSED)
+                observations.decided(Decision.Ran(request, path.reader, outcome.toString(), clock.now()))
+                EngineStep.Again(RetryReason.ATTEMPT_REFUSED)
+            }
+
+            is PrefillOutcome.Broken -> {
+                notePrefill(journal, path.reader, counted = true)
+                observations.decided(Decision.Ran(request, path.reader, outcome.toString(), clock.now()))
+                EngineStep.Again(RetryReason.ANSWER_INCOMPLETE)
+            }
+        }
+    }
+
+    private suspend fun decode(
+        request: RelayedRequest,
+        prompt: Prompt,
+        properties: EngineProperties,
+        path: EnginePath.Handover,
+        source: CacheSource,
+        journal: RelayJournal,
+    ): EngineStep {
+        val now = clock.now()
+        val view = candidates.view(candidates.of(request, journal.progress, now), properties, request.pool)
+        val decoder = EnginePlanner.chooseDecoder(view, now)
+        if (decoder == null || !permits.maySend(request, journal.progress, RetryReason.ATTEMPT_REFUSED, now)) {
+            prefillRun.release(source)
+            return EngineStep.Done(unserved(journal.progress))
+        }
+        val step = run(request, prompt, properties, decoder, source, path, journal)
+        if (step is EngineStep.Again && step.reason == RetryReason.CACHE_UNAVAILABLE) {
+            if (!permits.maySend(request, journal.progress, step.reason, clock.now())) {
+                return EngineStep.Done(unserved(journal.progress))
+            }
+            return run(request, prompt, properties, decoder, null, path, journal)
+        }
+        return step
+    }
+
+    private suspend fun run(
+        request: RelayedRequest,
+        prompt: Prompt,
+        properties: EngineProperties,
+        decoder: BackendEntry,
+        source: CacheSource?,
+        path: EnginePath,
+        journal: RelayJournal,
+    ): EngineStep {
+        val order = orderFor(request, decoder, source, journal)
+        val work = if (source == null) workAt(request, properties, decoder, prompt) else FETCH_WORK
+        val now = clock.now()
+        observations.decided(Decision.Sent(request, decoder, path.predicted, tables.load.snapshot(), now))
+        prefillRun.noteRead(decoder.life, prompt, properties, now)
+        val patience = patienceOf(request, journal, work + tables.load.snapshot().backlogAt(decoder.life, now))
+        val outcome = backendRun.run(request, order, work, patience, journal)
+        observations.decided(Decision.Ran(request, decoder, outcome.toString(), clock.now()))
+        if (source != null && outcome is RunOutcome.NotExecuted && isRefusedCache(outcome.reason)) {
+            prefillRun.release(source)
+            journal.note { it.copy(reached = it.reached.add(decoder.life), countedSends = it.countedSends + 1) }
+            return EngineStep.Again(RetryReason.CACHE_UNAVAILABLE)
+        }
+        noteSend(journal, decoder, outcome)
+        return concluded(request, outcome, journal)
+    }
+
+    private suspend fun concluded(
+        request: RelayedRequest,
+        outcome: RunOutcome,
+        journal: RelayJournal,
+    ): EngineStep {
+        val repeatable = request.route.kind.repeatable
+        return when (outcome) {
+            is RunOutcome.Delivered -> {
+                EngineStep.Done(Conclusion.Delivered(outcome.status))
+            }
+
+            RunOutcome.CallerGone -> {
+                EngineStep.Done(Conclusion.CallerGone)
+            }
+
+            is RunOutcome.NotExecuted -> {
+                EngineStep.Again(RetryReason.ATTEMPT_REFUSED)
+            }
+
+            is RunOutcome.Broken -> {
+                when {
+                    !repeatable -> EngineStep.Done(uncertain(journal.progress, outcome.reason))
+                    journal.progress.begun -> EngineStep.Again(RetryReason.STREAM_RESUMED)
+                    else -> EngineStep.Again(RetryReason.ANSWER_INCOMPLETE)
+                }
+            }
+
+            is RunOutcome.Failed -> {
+                when {
+                    journal.progress.begun -> EngineStep.Done(Conclusion.Cut(MayHaveRun.ANSWER_INCOMPLETE))
+                    repeatable && outcome.answer.status >= FIRST_SERVER_ERROR && anotherIsOpen(request, journal) ->
+                        EngineStep.Again(RetryReason.BACKEND_FAILED)
+                    else -> EngineStep.Done(passOn(request, outcome))
+                }
+            }
+        }
+    }
+
+    private fun anotherIsOpen(
+        request: RelayedRequest,
+        journal: RelayJournal,
+    ): Boolean = candidates.of(request, journal.progress, clock.now()).isNotEmpty()
+
+    private fun isRefusedCache(reason: AttemptRefusal): Boolean =
+        reason == AttemptRefusal.CACHE_UNAVAILABLE || reason == AttemptRefusal.AT_CAPACITY
+
+    private fun workAt(
+        request: RelayedRequest,
+        properties: EngineProperties,
+        decoder: BackendEntry,
+        prompt: Prompt,
+    ): Duration = EnginePlanner.workOf(candidates.view(listOf(decoder), properties, request.pool), decoder, prompt)
+
+    private fun orderFor(
+        request: RelayedRequest,
+        backend: BackendEntry,
+        source: CacheSource?,
+        journal: RelayJournal,
+    ): RunOrder =
+        RunOrder(
+            backend = backend,
+            call = request.facts.forwarded,
+            requestId = request.facts.requestId,
+            timeLeft = request.deadline - clock.now(),
+            urgency = request.route.urgency,
+            resumeAfter = journal.progress.lastEvent ?: request.facts.resumeAfter,
+            source = source,
+        )
+
+    /** A stream that can be resumed elsewhere is not waited for when its engine has gone silent. */
+    private fun patienceOf(
+        request: RelayedRequest,
+        journal: RelayJournal,
+        predicted: Duration,
+    ): Patience {
+        val another = journal.progress.reached.size + 1 < request.route.maximumAttempts
+        if (!request.route.kind.repeatable || !another) return Patience.UNBOUNDED
+        val pause = request.route.longestPause ?: DEFAULT_PAUSE
+        return Patience(
+            first = predicted * PREDICTION_FACTOR + SILENCE,
+            between = maxOf(pause * PAUSE_FACTOR, SILENCE),
+        )
+    }
+
+    private fun notePrefill(
+        journal: RelayJournal,
+        reader: BackendEntry,
+        counted: Boolean,
+    ) {
+        journal.note { progress ->
+            progress.copy(
+                excluded = progress.excluded.add(reader.life),
+                prefillCalls = progress.prefillCalls + 1,
+                countedSends = if (counted) progress.countedSends + 1 else progress.countedSends,
+            )
+        }
+    }
+
+    /** What follows from one try. */
+    private sealed interface EngineStep {
+        data class Done(
+            val conclusion: Conclusion,
+        ) : EngineStep
+
+        data class Again(
+            val reason: RetryReason,
+        ) : EngineStep
+    }
+
+    private companion object {
+        const val FIRST_SERVER_ERROR = 500
+        const val PREDICTION_FACTOR = 3
+        const val PAUSE_FACTOR = 4
+        val SILENCE: Duration = 800.milliseconds // callers give a stream up after two seconds
+        val DEFAULT_PAUSE: Duration = 200.milliseconds
+        val FETCH_WORK: Duration = 5.milliseconds
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
@@ -0,0 +1,100 @@
+package org.acaciaflow.coordination.relay
+
+import org.acaciaflow.coordination.engine.EnginePath
+import org.acaciaflow.coordination.engine.PromptCaches
+import org.acaciaflow.coordination.engine.RateLearning
+import org.acaciaflow.coordination.fleet.FleetChanges
+import org.acaciaflow.coordination.load.LoadLedger
+import org.acaciaflow.coordination.port.BackendConnections
+import org.acaciaflow.coordination.port.CacheSource
+import org.acaciaflow.coordination.port.PrefillOutcome
+import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.coordination.reliability.ReliabilityPolicy
+import org.acaciaflow.coordination.reliability.RunVerdict
+import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.state.prompt.Prompt
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.route.EngineProperties
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/** Has prompts read by engines that only do that, and remembers what engines have read. */
+internal class PrefillRun(
+    private val tables: RelayTables,
+    private val connections: BackendConnections,
+    private val jobs: JobNumbers,
+    private val clock: Clock,
+) {
+    /** Has the prompt of [request] read along [path]; what it told about the engine is noted. */
+    suspend fun run(
+        request: RelayedRequest,
+        order: RunOrder,
+        path: EnginePath.Handover,
+        prompt: Prompt,
+        properties: EngineProperties,
+    ): PrefillOutcome {
+        val life = order.backend.life
+        val job = jobs.next()
+        val sentAt = clock.now()
+        val alone = tables.load.snapshot().backlogAt(life, sentAt) == Duration.ZERO
+        tables.load.update { LoadLedger.sent(it, life, job, path.work, sentAt) }
+        noteRead(life, prompt, properties, sentAt)
+        try {
+            val outcome = connections.prefill(order, request.exchange.body)
+            val now = clock.now()
+            tables.reliability.update { ReliabilityPolicy.judged(it, life, verdictOf(life, outcome), now) }
+            if (outcome is PrefillOutcome.Ready && alone) learn(request, order, path.work, now - sentAt)
+            return outcome
+        } finally {
+            tables.load.update { LoadLedger.ended(it, life, job, clock.now()) }
+        }
+    }
+
+    /** Notes that the engine [life] reads the parts of [prompt]. */
+    fun noteRead(
+        life: BackendLife,
+        prompt: Prompt,
+        properties: EngineProperties,
+        now: Instant,
+    ) {
+        tables.caches.update { PromptCaches.read(it, life, prompt.parts, properties.cacheTokens, now) }
+    }
+
+    /** Frees KV cache that nobody will fetch. */
+    fun release(source: CacheSource) = connections.release(source)
+
+    private fun learn(
+        request: RelayedRequest,
+        order: RunOrder,
+        predicted: Duration,
+        measured: Duration,
+    ) {
+        val reading = (measured - NETWORK).coerceAtLeast(NETWORK)
+        tables.rates.update { RateLearning.measured(it, request.pool, order.backend.role, predicted, reading) }
+    }
+
+    private fun verdictOf(
+        life: BackendLife,
+        outcome: PrefillOutcome,
+    ): RunVerdict =
+        when (outcome) {
+            is PrefillOutcome.Ready -> {
+                RunVerdict.SUCCEEDED
+            }
+
+            is PrefillOutcome.Broken -> {
+                RunVerdict.FAILED
+            }
+
+            is PrefillOutcome.Refused -> {
+                if (outcome.reason == AttemptRefusal.OTHER_LIFE) tables.fleet.update { FleetChanges.rejected(it, life) }
+                if (outcome.reason == AttemptRefusal.CONNECTION_REFUSED) RunVerdict.UNREACHABLE else RunVerdict.REFUSED
+            }
+        }
+
+    private companion object {
+        val NETWORK: Duration = 3.milliseconds
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
@@ -0,0 +1,74 @@
+package org.acaciaflow.coordination.relay
+
+import org.acaciaflow.coordination.crash.CrashReporting
+import org.acaciaflow.coordination.port.CallFacts
+import org.acaciaflow.coordination.port.CallerExchange
+import org.acaciaflow.coordination.routing.RouteLookup
+import org.acaciaflow.state.refusal.NotRun
+import org.acaciaflow.state.route.Route
+import org.acaciaflow.state.route.RoutingConfiguration
+import org.acaciaflow.state.work.digestOf
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Decides whether a call is served at all, and by which route. */
+internal class RelayAdmission(
+    private val tables: RelayTables,
+) {
+    /** Admits the call of [exchange] as of [now], or says why not. */
+    fun admit(
+        exchange: CallerExchange,
+        facts: CallFacts,
+        now: Instant,
+    ): Admission {
+        val configuration = tables.routing.snapshot().configuration
+        if (!configuration.known) return Admission.Refused(NotRun.NO_CONFIGURATION, NO_CONFIGURATION_PAUSE)
+        val route =
+            RouteLookup.routeOf(configuration, facts.host, facts.path)
+                ?: return Admission.Refused(NotRun.UNKNOWN_CALL, retryAfter = null)
+        val request = requestOf(exchange, facts, route, configuration, now)
+        if (CrashReporting.quarantined(tables.crashes.snapshot(), request.digest, now)) {
+            return Admission.Refused(NotRun.CRASH_SUSPECT, retryAfter = null)
+        }
+        return Admission.Admitted(request)
+    }
+
+    private fun requestOf(
+        exchange: CallerExchange,
+        facts: CallFacts,
+        route: Route,
+        configuration: RoutingConfiguration,
+        now: Instant,
+    ): RelayedRequest {
+        val pool = RouteLookup.poolOf(route, facts.requestId)
+        val digest = digestOf(exchange.call.method, exchange.call.target, exchange.body.buffered.toByteArray())
+        return RelayedRequest(
+            exchange = exchange,
+            facts = facts,
+            route = route,
+            pool = pool,
+            service = configuration.services[pool],
+            version = configuration.version,
+            digest = digest.hexadecimal.hashCode().toLong(),
+            arrivedAt = now,
+            deadline = now + minOf(route.timeout, facts.timeLimit ?: route.timeout),
+        )
+    }
+
+    private companion object {
+        val NO_CONFIGURATION_PAUSE: Duration = 1.seconds
+    }
+}
+
+/** Whether a call is served. */
+internal sealed interface Admission {
+    data class Admitted(
+        val request: RelayedRequest,
+    ) : Admission
+
+    data class Refused(
+        val reason: NotRun,
+        val retryAfter: Duration?,
+    ) : Admission
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
@@ -0,0 +1,45 @@
+package org.acaciaflow.coordination.relay
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.acaciaflow.coordination.routing.KnownRouting
+import org.acaciaflow.state.crash.CrashReports
+import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.state.fleet.Fleet
+import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.load.EngineRates
+import org.acaciaflow.state.load.FleetLoad
+import org.acaciaflow.state.lock.LockOrder
+import org.acaciaflow.state.peer.Peers
+import org.acaciaflow.state.prompt.PromptCache
+import org.acaciaflow.state.reliability.ReliabilityRecord
+import org.acaciaflow.state.retry.RetryWindow
+import org.acaciaflow.state.table.SharedTable
+import org.acaciaflow.state.table.createSharedTable
+
+/** The shared tables of a gateway that calls backend servers directly, in lock order. */
+data class RelayTables(
+    val routing: SharedTable<KnownRouting>,
+    val fleet: SharedTable<Fleet>,
+    val reliability: SharedTable<PersistentMap<BackendLife, ReliabilityRecord>>,
+    val caches: SharedTable<PersistentMap<BackendLife, PromptCache>>,
+    val load: SharedTable<FleetLoad>,
+    val rates: SharedTable<PersistentMap<PoolName, EngineRates>>,
+    val crashes: SharedTable<CrashReports>,
+    val peers: SharedTable<Peers>,
+    val retryWindows: SharedTable<PersistentMap<PoolName, RetryWindow>>,
+)
+
+/** Creates the empty tables of a gateway that has just started. */
+fun createRelayTables(): RelayTables =
+    RelayTables(
+        routing = createSharedTable(LockOrder.ROUTING, KnownRouting.NONE),
+        fleet = createSharedTable(LockOrder.FLEET, Fleet.NONE),
+        reliability = createSharedTable(LockOrder.RELIABILITY, persistentMapOf()),
+        caches = createSharedTable(LockOrder.PROMPT_CACHES, persistentMapOf()),
+        load = createSharedTable(LockOrder.FLEET_LOAD, FleetLoad.NONE),
+        rates = createSharedTable(LockOrder.ENGINE_RATES, persistentMapOf()),
+        crashes = createSharedTable(LockOrder.CRASH_REPORTS, CrashReports.NONE),
+        peers = createSharedTable(LockOrder.PEERS, Peers.NONE),
+        retryWindows = createSharedTable(LockOrder.RETRY_WINDOWS, persistentMapOf()),
+    )
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RequestRelay.kt
@@ -0,0 +1,118 @@
+package org.acaciaflow.coordination.relay
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.job
+import kotlinx.coroutines.withTimeoutOrNull
+import org.acaciaflow.coordination.port.CallAcceptor
+import org.acaciaflow.coordination.port.CallerDialect
+import org.acaciaflow.coordination.port.CallerExchange
+import org.acaciaflow.coordination.port.Decoded
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.refusal.NotRun
+import kotlin.time.Clock
+
+/** Serves callers' requests by calling backend servers directly. */
+class RequestRelay internal constructor(
+    private val dialect: CallerDialect,
+    private val admission: RelayAdmission,
+    private val permits: SendPermits,
+    private val plain: PlainRelay,
+    private val engine: EngineRelay,
+    private val observations: Observations,
+    private val clock: Clock,
+) : CallAcceptor {
+    override suspend fun accept(exchange: CallerExchange) {
+        when (val read = dialect.read(exchange.call)) {
+            is Decoded.Invalid -> {
+                observations.refused(NotRun.IDENTITY_UNREADABLE)
+                exchange.refuse(NotRun.IDENTITY_UNREADABLE)
+            }
+
+            is Decoded.Valid -> {
+                val facts = read.value
+                val now = clock.now()
+                when (val admitted = admission.admit(exchange, facts, now)) {
+                    is Admission.Admitted -> {
+                        serve(admitted.request)
+                    }
+
+                    is Admission.Refused -> {
+                        observations.refused(admitted.reason)
+                        observations.decided(
+                            Decision.Refused(facts.requestId, facts.host, facts.path, NO_VERSION, admitted.reason, now),
+                        )
+                        exchange.refuse(admitted.reason, admitted.retryAfter)
+                    }
+                }
+            }
+        }
+    }
+
+    private suspend fun serve(request: RelayedRequest) {
+        val journal = RelayJournal()
+        permits.requested(request, request.arrivedAt)
+        // A request that must not repeat runs to its end, so that what it does is not left half done.
+        if (request.route.kind.repeatable || request.facts.prompt != null) cancelWhenGone(request)
+        try {
+            val left = request.deadline - clock.now()
+            val conclusion = withTimeoutOrNull(left) { relay(request, journal) } ?: timedOut(journal.progress)
+            conclude(request, journal, conclusion)
+        } catch (cancellation: CancellationException) {
+            note(request, journal, Conclusion.CallerGone)
+            throw cancellation
+        }
+    }
+
+    private suspend fun relay(
+        request: RelayedRequest,
+        journal: RelayJournal,
+    ): Conclusion {
+        val prompt = request.facts.prompt
+        val properties = request.service?.engine
+        return when {
+            prompt != null && properties != null -> engine.relay(request, prompt, properties, journal)
+            else -> plain.relay(request, journal)
+        }
+    }
+
+    private suspend fun cancelWhenGone(request: RelayedRequest) {
+        val serving: Job = currentCoroutineContext().job
+        request.exchange.onGone { serving.cancel() }
+    }
+
+    private suspend fun conclude(
+        request: RelayedRequest,
+        journal: RelayJournal,
+        conclusion: Conclusion,
+    ) {
+        note(request, journal, conclusion)
+        when (conclusion) {
+            is Conclusion.Delivered, Conclusion.CallerGone -> Unit
+            is Conclusion.NotExecuted -> request.exchange.refuse(conclusion.reason, conclusion.retryAfter)
+            is Conclusion.Uncertain -> request.exchange.refuse(conclusion.reason)
+            is Conclusion.Cut -> request.exchange.abort()
+        }
+    }
+
+    private fun note(
+        request: RelayedRequest,
+        journal: RelayJournal,
+        conclusion: Conclusion,
+    ) {
+        when (conclusion) {
+            is Conclusion.Delivered -> observations.answered(request.route.urgency, clock.now() - request.arrivedAt)
+            Conclusion.CallerGone -> observations.refused(MayHaveRun.CALLER_GONE)
+            is Conclusion.NotExecuted -> observations.refused(conclusion.reason)
+            is Conclusion.Uncertain -> observations.refused(conclusion.reason)
+            is Conclusion.Cut -> observations.refused(conclusion.reason)
+        }
+        observations.decided(Decision.Concluded(request, conclusion, journal.progress, clock.now()))
+    }
+
+    private companion object {
+        const val NO_VERSION = -1L
+    }
+}
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/retry/RetryReason.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/retry/RetryReason.kt
@@ -10,4 +10,6 @@
     ANSWER_INCOMPLETE("answer-incomplete"),
     STREAM_RESUMED("stream-resumed"),
     NEVER_STARTED("never-started"),
+    BACKEND_FAILED("backend-failed"),
+    CACHE_UNAVAILABLE("cache-unavailable"),
 }
--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/DaemonRunner.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/DaemonRunner.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.runBlocking
 import org.acaciaflow.protocol.settings.SettingsResult
 import org.acaciaflow.transport.process.Daemon
+import sun.misc.Signal
 import java.util.concurrent.CountDownLatch
 
 /** The settings, or an exit with status 2 after every fault was printed. */
@@ -39,7 +40,9 @@
             stopped.countDown()
         }
     Runtime.getRuntime().addShutdownHook(hook)
+    // Without a handler the virtual machine would end on this signal.
+    Signal.handle(Signal("HUP")) { daemon.reload() }
     stopped.await()
 }
 
-private const val EXIT_FAULTY_SETTINGS = 2
+internal const val EXIT_FAULTY_SETTINGS = 2
--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/GatewayCommand.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/GatewayCommand.kt
@@ -3,22 +3,39 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.parameters.options.option
-import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.path
+import org.acaciaflow.platform.PlatformSettings
 import org.acaciaflow.protocol.settings.SettingsReader
+import org.acaciaflow.transport.process.Daemon
+import org.acaciaflow.transport.process.createEntryGatewayDaemon
 import org.acaciaflow.transport.process.createGatewayDaemon
+import java.nio.file.Path
 import kotlin.random.Random
 import kotlin.time.Clock
 
-/** `acaciaflow gateway --settings FILE`. */
+/** `acaciaflow gateway [--settings FILE]`. */
 internal class GatewayCommand : CliktCommand(name = "gateway") {
-    private val settings by option("--settings", help = "The INI file of this gateway.").path().required()
+    private val settings by option("--settings", help = "The INI file of this gateway.").path()
 
     override fun help(context: Context): String =
-        "Runs a gateway on an entry host until SIGTERM. Example: acaciaflow gateway --settings gateway.ini"
+        "Runs a gateway on an entry host until SIGTERM. Without --settings it runs on the platform whose settings " +
+            "file ${PlatformSettings.FILE_VARIABLE} names. Example: acaciaflow gateway --settings gateway.ini"
 
     override fun run() {
-        val checked = validOrExit(SettingsReader.readGateway(settings))
-        runUntilTerminated(createGatewayDaemon(checked, Clock.System, Random.Default))
+        val file = settings
+        runUntilTerminated(if (file == null) onPlatform() else onOwnSettings(file))
+    }
+
+    private fun onOwnSettings(file: Path): Daemon {
+        val checked = validOrExit(SettingsReader.readGateway(file))
+        return createGatewayDaemon(checked, Clock.System, Random.Default)
+    }
+
+    private fun onPlatform(): Daemon {
+        val file =
+            System.getenv(PlatformSettings.FILE_VARIABLE)
+                ?: exitWith("neither --settings nor ${PlatformSettings.FILE_VARIABLE} is set", EXIT_FAULTY_SETTINGS)
+        val checked = validOrExit(PlatformSettings.read(Path.of(file)))
+        return createEntryGatewayDaemon(checked, platformAdapters(checked), Clock.System, Random.Default)
     }
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/PlatformAdapters.kt
@@ -0,0 +1,23 @@
+package org.acaciaflow.daemon
+
+import org.acaciaflow.platform.PlatformBackends
+import org.acaciaflow.platform.PlatformCallers
+import org.acaciaflow.platform.PlatformDocuments
+import org.acaciaflow.platform.PlatformStore
+import org.acaciaflow.protocol.settings.EntryHostSettings
+import org.acaciaflow.transport.process.EntryGatewayAdapters
+import org.acaciaflow.transport.process.PlatformStorePorts
+
+/** The platform's manner of speaking, for a gateway with these settings. */
+internal fun platformAdapters(settings: EntryHostSettings): EntryGatewayAdapters =
+    EntryGatewayAdapters(
+        callers = PlatformCallers,
+        refusals = PlatformCallers,
+        backends = PlatformBackends,
+        documents = PlatformDocuments,
+        registrationKey = PlatformDocuments.gatewayKey(settings.peers.toString()),
+        openStore = { calls ->
+            val store = PlatformStore(settings.store, calls)
+            PlatformStorePorts(changes = store, writes = store)
+        },
+    )
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
@@ -12,6 +12,7 @@
 import org.acaciaflow.state.refusal.Refusal
 import org.acaciaflow.state.refusal.ThisCallNotRun
 import org.acaciaflow.state.work.HeaderField
+import kotlin.time.Duration
 
 /** The HTTP answer that tells a caller about a refusal. */
 data class RefusalAnswer(
@@ -23,7 +24,11 @@
         const val EXECUTION_HEADER = "Acaciaflow-Execution"
         const val REASON_HEADER = "Acaciaflow-Reason"
 
-        fun of(refusal: Refusal): RefusalAnswer {
+        /** The answer of the product's own front end. */
+        fun of(
+            refusal: Refusal,
+            retryAfter: Duration?,
+        ): RefusalAnswer {
             val execution = executionOf(refusal)
             val document = RefusalDocument(RefusalDetail(refusal.code, execution.code))
             val body = Json.encodeToString(RefusalDocument.serializer(), document).encodeToByteString()
@@ -36,11 +41,17 @@
                 )
             val status = statusOf(refusal)
             return when (status) {
-                UNAVAILABLE -> RefusalAnswer(status, headers.add(HeaderField("Retry-After", "1")), body)
+                UNAVAILABLE -> RefusalAnswer(status, headers.add(retryField(retryAfter)), body)
                 else -> RefusalAnswer(status, headers, body)
             }
         }
 
+        /** Old devices know whole seconds only. */
+        private fun retryField(retryAfter: Duration?): HeaderField {
+            val seconds = retryAfter?.inWholeSeconds?.coerceAtLeast(1) ?: 1
+            return HeaderField("Retry-After", seconds.toString())
+        }
+
         private fun executionOf(refusal: Refusal): ExecutionAssurance =
             when (refusal) {
                 is NotRun -> ExecutionAssurance.NOT_RUN
@@ -59,7 +70,7 @@
             when (refusal) {
                 NotRun.UNKNOWN_CALL -> NOT_FOUND
 
-                NotRun.IDENTITY_MISSING -> BAD_REQUEST
+                NotRun.IDENTITY_MISSING, NotRun.IDENTITY_UNREADABLE -> BAD_REQUEST
 
                 NotRun.BODY_TOO_LARGE -> CONTENT_TOO_LARGE
 
@@ -69,6 +80,9 @@
                 NotRun.QUEUE_FULL,
                 NotRun.DEADLINE_PASSED,
                 NotRun.CALLER_GONE,
+                NotRun.NO_BACKEND,
+                NotRun.BACKENDS_REFUSED,
+                NotRun.LATE_ALREADY,
                 -> UNAVAILABLE
             }
 
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/ServerSentEvents.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/ServerSentEvents.kt
@@ -12,6 +12,7 @@
 /** Server-sent events as completion streams use them: events end with an empty line, the last one is `[DONE]`. */
 object ServerSentEvents : StreamFraming {
     private const val EVENT_STREAM_TYPE = "text/event-stream"
+    private const val IDENTITY_FIELD = "id:"
     private const val END_MARK = "data: [DONE]"
     private const val SUCCESS = 200
     private const val LINE_FEED = '\n'.code.toByte()
@@ -46,6 +47,13 @@
         return bytes[index - 1] == CARRIAGE_RETURN && index > 1 && bytes[index - 2] == LINE_FEED
     }
 
-    private fun event(bytes: ByteString): StreamEvent =
-        StreamEvent(bytes, isEndMark = bytes.decodeToString().trim() == END_MARK)
+    private fun event(bytes: ByteString): StreamEvent {
+        val text = bytes.decodeToString()
+        val identity = text.lineSequence().firstOrNull { it.startsWith(IDENTITY_FIELD) }
+        return StreamEvent(
+            bytes = bytes,
+            identity = identity?.removePrefix(IDENTITY_FIELD)?.trim(),
+            isEndMark = text.trim() == END_MARK,
+        )
+    }
 }
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/FakeCallerExchange.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/FakeCallerExchange.kt
@@ -11,6 +11,7 @@
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.state.work.HeaderField
+import kotlin.time.Duration
 
 /** A call that notes what its caller is told. */
 internal class FakeCallerExchange(
@@ -46,7 +47,10 @@
         return CallerWrite.WRITTEN
     }
 
-    override suspend fun refuse(refusal: Refusal): CallerWrite {
+    override suspend fun refuse(
+        refusal: Refusal,
+        retryAfter: Duration?,
+    ): CallerWrite {
         check(!whole && this.refusal == null) { "answered twice" }
         this.refusal = refusal
         return CallerWrite.WRITTEN
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/SilentObservations.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/SilentObservations.kt
@@ -3,10 +3,12 @@
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreFailure
+import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.coordination.retry.RetryReason
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.Refusal
 import org.acaciaflow.state.work.Rank
+import kotlin.time.Duration
 
 /** Counts nothing. */
 internal object SilentObservations : Observations {
@@ -22,6 +24,15 @@
 
     override fun retried(reason: RetryReason) = Unit
 
+    override fun retryDenied(reason: RetryReason) = Unit
+
+    override fun answered(
+        urgency: Int,
+        elapsed: Duration,
+    ) = Unit
+
+    override fun decided(decision: Decision) = Unit
+
     override fun storeFailed(reason: StoreFailure) = Unit
 
     override fun strayFrameDropped() = Unit
--- a/state/src/main/kotlin/org/acaciaflow/state/identity/Names.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/identity/Names.kt
@@ -35,3 +35,9 @@
 value class Ticket(
     val number: Long,
 )
+
+/** A route of the operators' configuration. */
+@JvmInline
+value class RouteName(
+    val name: String,
+)
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/AttemptRefusal.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/AttemptRefusal.kt
@@ -14,5 +14,6 @@
     CHANGING("changing"),
     SUSPECT_NOT_ALONE("suspect-not-alone"),
     CONNECTION_REFUSED("connection-refused"),
+    CACHE_UNAVAILABLE("cache-unavailable"),
     LINK_UNAVAILABLE("link-unavailable"),
 }
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
@@ -12,4 +12,7 @@
     CALLER_GONE("caller-gone-running"),
     RETRY_BUDGET_SPENT("retry-budget-spent"),
     DEADLINE_PASSED("deadline-passed-running"),
+    ANSWER_OF_OTHER_REQUEST("answer-of-other-request"),
+    ANSWER_UNSIGNED("answer-unsigned"),
+    STREAM_STALLED("stream-stalled"),
 }
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
@@ -12,4 +12,8 @@
     DEADLINE_PASSED("deadline-passed"),
     CALLER_GONE("caller-gone"),
     CRASH_SUSPECT("crash-suspect"),
+    IDENTITY_UNREADABLE("identity-unreadable"),
+    NO_BACKEND("no-backend"),
+    BACKENDS_REFUSED("backends-refused"),
+    LATE_ALREADY("late-already"),
 }
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -0,0 +1,164 @@
+package org.acaciaflow.transport.direct
+
+import io.vertx.core.Vertx
+import io.vertx.core.VertxException
+import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.PoolOptions
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.coordination.port.AttemptEvent
+import org.acaciaflow.coordination.port.AttemptStream
+import org.acaciaflow.coordination.port.BackendConnections
+import org.acaciaflow.coordination.port.CacheSource
+import org.acaciaflow.coordination.port.CallBody
+import org.acaciaflow.coordination.port.PrefillOutcome
+import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.protocol.dialect.AnswerVerdict
+import org.acaciaflow.protocol.dialect.BackendDialect
+import org.acaciaflow.protocol.dialect.CallPurpose
+import org.acaciaflow.protocol.dialect.HttpCalls
+import org.acaciaflow.state.bytes.joined
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.work.AnswerHead
+import org.acaciaflow.state.work.CallHead
+import org.acaciaflow.transport.http.toBuffer
+import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Calls backend servers over HTTP, one request at a time on each kept connection. */
+internal class DirectConnections(
+    vertx: Vertx,
+    private val dialect: BackendDialect,
+    private val calls: HttpCalls,
+    private val scope: CoroutineScope,
+) : BackendConnections {
+    private val client: HttpClient =
+        vertx.createHttpClient(
+            HttpClientOptions()
+                .setConnectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
+                .setMaxHeaderSize(HEADER_BYTES)
+                .setKeepAliveTimeout(KEPT_IDLE.inWholeSeconds.toInt()),
+            PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_BACKEND),
+        )
+
+    override suspend fun open(
+        order: RunOrder,
+        body: CallBody,
+    ): AttemptStream {
+        val head = dialect.runHead(order)
+        val request =
+            connect(order.backend.address, head) ?: return FinishedStream(
+                AttemptEvent.Refused(AttemptRefusal.CONNECTION_REFUSED),
+            )
+        return DirectStream(order, CallPurpose.RUN, dialect, send(request, head, body))
+    }
+
+    override suspend fun prefill(
+        order: RunOrder,
+        body: CallBody,
+    ): PrefillOutcome {
+        val head = dialect.prefillHead(order)
+        val request =
+            connect(order.backend.address, head) ?: return PrefillOutcome.Refused(AttemptRefusal.CONNECTION_REFUSED)
+        val stream = DirectStream(order, CallPurpose.PREFILL, dialect, send(request, head, body))
+        try {
+            return when (val first = stream.next()) {
+                is AttemptEvent.Head -> wholeOf(order, first.head, stream)
+                is AttemptEvent.Refused -> PrefillOutcome.Refused(first.reason)
+                is AttemptEvent.Broken -> PrefillOutcome.Broken(first.reason)
+                is AttemptEvent.Data, AttemptEvent.End -> error("an answer without a head")
+            }
+        } finally {
+            stream.abandon()
+        }
+    }
+
+    override fun release(cache: CacheSource) {
+        scope.launch { calls.call(cache.engine, dialect.releaseHead(cache), ByteString(), RELEASE_TIMEOUT) }
+    }
+
+    private suspend fun wholeOf(
+        order: RunOrder,
+        head: AnswerHead,
+        stream: AttemptStream,
+    ): PrefillOutcome {
+        var body = ByteString()
+        while (true) {
+            when (val event = stream.next()) {
+                is AttemptEvent.Data -> body = joined(listOf(body, event.bytes))
+                AttemptEvent.End -> return dialect.prefilled(order, head, body)
+                is AttemptEvent.Broken -> return PrefillOutcome.Broken(event.reason)
+                is AttemptEvent.Head, is AttemptEvent.Refused -> error("a second head in one answer")
+            }
+        }
+    }
+
+    /** A connection to the backend server; null when none could be made, so that nothing was sent. */
+    private suspend fun connect(
+        address: HostAddress,
+        head: CallHead,
+    ): HttpClientRequest? {
+        val options =
+            RequestOptions()
+                .setMethod(HttpMethod.valueOf(head.method))
+                .setHost(address.ip)
+                .setPort(address.port)
+                .setURI(head.target)
+        return try {
+            client.request(options).coAwait()
+        } catch (_: IOException) {
+            null
+        } catch (_: VertxException) {
+            null
+        }
+    }
+
+    /** Sends the whole request; bodies were read in full before a backend server was chosen. */
+    private fun send(
+        request: HttpClientRequest,
+        head: CallHead,
+        body: CallBody,
+    ): HttpClientRequest {
+        head.headers.filterNot { it.name.equals("content-length", ignoreCase = true) }.forEach {
+            request.headers().add(it.name, it.value)
+        }
+        if (body.buffered.size > 0) request.end(body.buffered.toBuffer()) else request.end()
+        return request
+    }
+
+    private companion object {
+        const val HEADER_BYTES = 64 * 1024
+        const val CONNECTIONS_PER_BACKEND = 512 // admission keeps to the bound that the configuration states
+        val CONNECT_TIMEOUT: Duration = 250.milliseconds // some ten round trips inside a region
+        val KEPT_IDLE: Duration = 4.seconds // where a backend server states no time of its own
+        val RELEASE_TIMEOUT: Duration = 1.seconds
+    }
+}
+
+/** A stream that has ended before it began. */
+private class FinishedStream(
+    private val event: AttemptEvent,
+) : AttemptStream {
+    override suspend fun next(): AttemptEvent = event
+
+    override fun abandon() = Unit
+}
+
+/** What an answer's head tells about the attempt; null when the answer is to be passed on. */
+internal fun eventFor(verdict: AnswerVerdict): AttemptEvent? =
+    when (verdict) {
+        AnswerVerdict.Genuine -> null
+        is AnswerVerdict.NotExecuted -> AttemptEvent.Refused(verdict.reason)
+        AnswerVerdict.OfOtherRequest -> AttemptEvent.Broken(MayHaveRun.ANSWER_OF_OTHER_REQUEST)
+        AnswerVerdict.Unsigned -> AttemptEvent.Broken(MayHaveRun.ANSWER_UNSIGNED)
+    }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
@@ -13,7 +13,7 @@
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import org.acaciaflow.coordination.event.Event
-import org.acaciaflow.coordination.gateway.ArrivalService
+import org.acaciaflow.coordination.port.CallAcceptor
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.protocol.http.HopByHopHeaders
 import org.acaciaflow.state.identity.HostAddress
@@ -26,10 +26,10 @@
 /** The HTTP front end for callers: any method, path, header and body. */
 internal class CallerServer(
     private val vertx: Vertx,
-    private val arrivals: ArrivalService,
+    private val arrivals: CallAcceptor,
     private val observations: Observations,
     private val scope: CoroutineScope,
-    private val bodyLimitBytes: Long,
+    private val frontEnd: FrontEnd,
 ) {
     private val open = AtomicInteger()
 
@@ -40,7 +40,12 @@
     suspend fun start(address: HostAddress): HttpServer {
         val router = Router.router(vertx)
         router.route().handler { context -> take(context.request()) }
-        val options = HttpServerOptions().setHandle100ContinueAutomatically(true).setMaxInitialLineLength(LINE_BYTES)
+        val options =
+            HttpServerOptions()
+                .setHandle100ContinueAutomatically(true)
+                .setMaxInitialLineLength(LINE_BYTES)
+                .setMaxHeaderSize(HEADER_BYTES)
+                .setAcceptBacklog(ACCEPT_BACKLOG)
         return vertx
             .createHttpServer(options)
             .requestHandler(router)
@@ -81,13 +86,14 @@
         channel: BodyChannel,
         closed: CompletableDeferred<Unit>,
     ) {
-        val start = readStart(channel)
-        val body = VertxCallBody(channel, start, bodyLimitBytes)
-        val exchange = VertxCallerExchange(request, headOf(request), body, closed)
+        val start = readStart(channel, frontEnd.bufferedBytes)
+        val limit = frontEnd.bodyLimitBytes
+        val body = VertxCallBody(channel, start, limit)
+        val exchange = VertxCallerExchange(request, headOf(request), body, closed, frontEnd)
         val declared = request.getHeader("content-length")?.toLongOrNull() ?: 0
         when {
             start.broken -> observations.refused(NotRun.CALLER_GONE)
-            declared > bodyLimitBytes -> refuse(exchange)
+            declared > limit -> refuse(exchange)
             else -> arrivals.accept(exchange)
         }
     }
@@ -108,5 +114,7 @@
 
     private companion object {
         const val LINE_BYTES = 16 * 1024
+        const val HEADER_BYTES = 64 * 1024
+        const val ACCEPT_BACKLOG = 1024 // a burst of new connections must not wait for a repeated handshake
     }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/OperatorsServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/OperatorsServer.kt
@@ -22,11 +22,12 @@
     private val vertx: Vertx,
     private val registry: PrometheusMeterRegistry,
     private val view: OperatorsView,
+    private val readinessPath: String = "/ready",
 ) {
     suspend fun start(address: HostAddress): HttpServer {
         val router = Router.router(vertx)
         router.get("/live").handler { it.end("live\n") }
-        router.get("/ready").handler { answerReady(it) }
+        router.get(readinessPath).handler { answerReady(it) }
         router.get("/metrics").handler { it.end(registry.scrape()) }
         router.get("/status").handler { it.response().putHeader("content-type", "application/json").end(view.status()) }
         return vertx
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/VertxCallBody.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/VertxCallBody.kt
@@ -29,11 +29,14 @@
     }
 }
 
-/** Reads the start of a body, up to [BUFFERED_BYTES]. */
-internal suspend fun readStart(channel: BodyChannel): BodyStart {
+/** Reads the start of a body, up to a part that goes beyond [bufferedBytes]. */
+internal suspend fun readStart(
+    channel: BodyChannel,
+    bufferedBytes: Int,
+): BodyStart {
     var parts: PersistentList<ByteString> = persistentListOf()
     var size = 0
-    while (size <= BUFFERED_BYTES) {
+    while (size <= bufferedBytes) {
         when (val part = channel.next()) {
             is BodyPart.Data -> {
                 parts = parts.add(part.bytes)
@@ -51,5 +54,3 @@
     }
     return BodyStart(joined(parts), whole = false, broken = false)
 }
-
-private const val BUFFERED_BYTES = 1024 * 1024
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/VertxCallerExchange.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/VertxCallerExchange.kt
@@ -10,10 +10,10 @@
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.port.CallerWrite
 import org.acaciaflow.protocol.http.HopByHopHeaders
-import org.acaciaflow.protocol.http.RefusalAnswer
 import org.acaciaflow.state.refusal.Refusal
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.CallHead
+import kotlin.time.Duration
 
 /** A caller's HTTP call; its answer is written as fast as the caller reads. */
 internal class VertxCallerExchange(
@@ -21,6 +21,7 @@
     override val call: CallHead,
     override val body: VertxCallBody,
     private val closed: CompletableDeferred<Unit>,
+    private val frontEnd: FrontEnd,
 ) : CallerExchange {
     private val response: HttpServerResponse = request.response()
 
@@ -36,6 +37,7 @@
         response.statusCode = head.status
         val fields = HopByHopHeaders.removedFrom(head.headers)
         fields.forEach { response.headers().add(it.name, it.value) }
+        announceClose()
         val sized = fields.any { it.name.equals("content-length", ignoreCase = true) }
         if (!sized && request.version() != HttpVersion.HTTP_1_0 && mayHaveBody(head)) response.isChunked = true
         return CallerWrite.WRITTEN
@@ -54,10 +56,14 @@
         return awaitWritten(response.end())
     }
 
-    override suspend fun refuse(refusal: Refusal): CallerWrite {
+    override suspend fun refuse(
+        refusal: Refusal,
+        retryAfter: Duration?,
+    ): CallerWrite {
         if (gone) return CallerWrite.CALLER_GONE
         body.discardRest()
-        val answer = RefusalAnswer.of(refusal)
+        announceClose()
+        val answer = frontEnd.refusals.encode(refusal, retryAfter)
         response.statusCode = answer.status
         answer.headers.forEach { response.headers().add(it.name, it.value) }
         return awaitWritten(response.end(answer.body.toBuffer()))
@@ -67,6 +73,11 @@
         request.connection().close()
     }
 
+    /** Asks the caller not to use this connection again once the process stops. */
+    private fun announceClose() {
+        if (frontEnd.stopping) response.headers().set("Connection", "close")
+    }
+
     private fun mayHaveBody(head: AnswerHead): Boolean =
         request.method().name() != "HEAD" && head.status != NO_CONTENT && head.status != NOT_MODIFIED
 
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionLines.kt
@@ -0,0 +1,71 @@
+package org.acaciaflow.transport.log
+
+import org.acaciaflow.coordination.relay.Conclusion
+import org.acaciaflow.coordination.relay.Decision
+import org.acaciaflow.coordination.relay.RelayedRequest
+import kotlin.time.DurationUnit
+import kotlin.time.Instant
+
+/** Puts decisions into log lines of `key=value` pairs. */
+object DecisionLines {
+    /** The line for [decision]. */
+    fun lineOf(decision: Decision): String =
+        when (decision) {
+            is Decision.Sent -> sent(decision)
+            is Decision.Ran -> ran(decision)
+            is Decision.Refused -> refused(decision)
+            is Decision.Concluded -> concluded(decision)
+        }
+
+    private fun start(
+        name: String,
+        decision: Decision,
+    ): String = "at=${decision.at} decision=$name request=${decision.requestId}"
+
+    private fun sent(decision: Decision.Sent): String {
+        val life = decision.backend.life
+        val own = decision.load.ownAt(life)
+        val backlog = decision.load.backlogAt(life, decision.at).toDouble(DurationUnit.MILLISECONDS)
+        val remoteAges =
+            decision.load.remote.values
+                .mapNotNull { it[life]?.heardAt }
+                .map { age(it, decision.at) }
+        return start("sent", decision) + about(decision.request) +
+            " backend=${life.instance} role=${decision.backend.role.name.lowercase()}" +
+            " predicted-ms=${decision.predicted.inWholeMilliseconds} backlog-ms=${backlog.toLong()}" +
+            " own-jobs=${own.jobs.size} oldest-peer-load-ms=${remoteAges.maxOrNull() ?: 0}" +
+            " left-ms=${(decision.request.deadline - decision.at).inWholeMilliseconds}"
+    }
+
+    private fun ran(decision: Decision.Ran): String =
+        start("ran", decision) + " backend=${decision.backend.life.instance} outcome=\"${decision.outcome}\""
+
+    private fun refused(decision: Decision.Refused): String =
+        start("refused", decision) + " host=${decision.host} path=${decision.path}" +
+            " configuration=${decision.version} reason=${decision.reason.code}"
+
+    private fun concluded(decision: Decision.Concluded): String {
+        val elapsed = decision.at - decision.request.arrivedAt
+        return start("concluded", decision) + about(decision.request) +
+            " outcome=${outcomeOf(decision.conclusion)} elapsed-ms=${elapsed.inWholeMilliseconds}" +
+            " sends=${decision.progress.countedSends} prefills=${decision.progress.prefillCalls}" +
+            " last-event=${decision.progress.lastEvent ?: "none"}"
+    }
+
+    private fun outcomeOf(conclusion: Conclusion): String =
+        when (conclusion) {
+            is Conclusion.Delivered -> "delivered status=${conclusion.status}"
+            Conclusion.CallerGone -> "caller-gone"
+            is Conclusion.NotExecuted -> "not-run reason=${conclusion.reason.code}"
+            is Conclusion.Uncertain -> "may-have-run reason=${conclusion.reason.code}"
+            is Conclusion.Cut -> "cut reason=${conclusion.reason.code}"
+        }
+
+    private fun about(request: RelayedRequest): String =
+        " route=${request.route.name.name} configuration=${request.version} pool=${request.pool.name}"
+
+    private fun age(
+        then: Instant,
+        now: Instant,
+    ): Long = (now - then).inWholeMilliseconds
+}
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
@@ -1,19 +1,27 @@
 package org.acaciaflow.transport.observation
 
 import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.Timer
+import kotlinx.coroutines.CoroutineScope
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.event.EventLevel
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreFailure
+import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.coordination.retry.RetryReason
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.Refusal
 import org.acaciaflow.state.work.Rank
+import org.acaciaflow.transport.log.DecisionLines
+import org.acaciaflow.transport.log.DecisionLog
 import org.tinylog.kotlin.Logger
+import kotlin.time.Duration
+import kotlin.time.toJavaDuration
 
 /** Counts with Micrometer and logs with tinylog. */
 class MeteredObservations(
     private val registry: MeterRegistry,
+    private val decisions: DecisionLog = DecisionLog(),
 ) : Observations {
     private val strayFrames = registry.counter(Meters.STRAY_FRAMES)
 
@@ -37,6 +45,23 @@
 
     override fun retried(reason: RetryReason) = count(Meters.RETRIED, "reason", reason.code)
 
+    override fun retryDenied(reason: RetryReason) = count(Meters.RETRIES_DENIED, "reason", reason.code)
+
+    override fun answered(
+        urgency: Int,
+        elapsed: Duration,
+    ) = Timer
+        .builder(Meters.ANSWER_TIME)
+        .tag("urgency", urgency.toString())
+        .serviceLevelObjectives(*ANSWER_TIME_BOUNDS)
+        .register(registry)
+        .record(elapsed.toJavaDuration())
+
+    override fun decided(decision: Decision) = decisions.write(DecisionLines.lineOf(decision))
+
+    /** Writes the queued lines about decisions until [scope] ends. */
+    fun start(scope: CoroutineScope) = decisions.start(scope)
+
     override fun storeFailed(reason: StoreFailure) = count(Meters.STORE_FAILURES, "reason", reason.code)
 
     override fun strayFrameDropped() = strayFrames.increment()
@@ -58,4 +83,21 @@
     ) {
         registry.counter(meter, tag, value).increment()
     }
+
+    private companion object {
+        /** Upper bounds of the latency histogram, around the targets that routes state. */
+        val ANSWER_TIME_BOUNDS: Array<java.time.Duration> =
+            longArrayOf(
+                10,
+                25,
+                50,
+                100,
+                200,
+                400,
+                800,
+                1600,
+                3200,
+                6400,
+            ).map(java.time.Duration::ofMillis).toTypedArray()
+    }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
@@ -8,6 +8,8 @@
     const val REFUSED = "acaciaflow.requests.refused"
     const val ATTEMPTS_REFUSED = "acaciaflow.attempts.refused"
     const val RETRIED = "acaciaflow.requests.retried"
+    const val RETRIES_DENIED = "acaciaflow.retries.denied"
+    const val ANSWER_TIME = "acaciaflow.answer.time"
     const val STORE_FAILURES = "acaciaflow.store.failures"
     const val STORE_CALLS = "acaciaflow.store.calls"
     const val STRAY_FRAMES = "acaciaflow.frames.stray"
@@ -20,6 +22,8 @@
             REFUSED,
             ATTEMPTS_REFUSED,
             RETRIED,
+            RETRIES_DENIED,
+            ANSWER_TIME,
             STORE_FAILURES,
             STORE_CALLS,
             STRAY_FRAMES,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/Daemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/Daemon.kt
@@ -7,4 +7,7 @@
 
     /** Takes no new work after a while, finishes what runs, then ends. */
     suspend fun stop()
+
+    /** Takes note that the settings file has changed. */
+    fun reload() = Unit
 }
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayAdapters.kt
@@ -0,0 +1,26 @@
+package org.acaciaflow.transport.process
+
+import org.acaciaflow.coordination.port.CallerDialect
+import org.acaciaflow.coordination.port.ChangeFeed
+import org.acaciaflow.coordination.port.LeasedWrites
+import org.acaciaflow.coordination.port.StoreKey
+import org.acaciaflow.coordination.port.StoredDocuments
+import org.acaciaflow.protocol.dialect.BackendDialect
+import org.acaciaflow.protocol.dialect.HttpCalls
+import org.acaciaflow.protocol.http.RefusalEncoder
+
+/** How a platform speaks to its gateways, and they to it. */
+data class EntryGatewayAdapters(
+    val callers: CallerDialect,
+    val refusals: RefusalEncoder,
+    val backends: BackendDialect,
+    val documents: StoredDocuments,
+    val registrationKey: StoreKey,
+    val openStore: (HttpCalls) -> PlatformStorePorts,
+)
+
+/** The two ways in which a gateway uses the platform's store. */
+data class PlatformStorePorts(
+    val changes: ChangeFeed,
+    val writes: LeasedWrites,
+)
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
@@ -0,0 +1,106 @@
+package org.acaciaflow.transport.process
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.acaciaflow.coordination.crash.CrashReporting
+import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.load.LoadLedger
+import org.acaciaflow.coordination.peer.PeerRegistration
+import org.acaciaflow.coordination.relay.RelayTables
+import org.acaciaflow.coordination.store.StoreFollower
+import org.acaciaflow.protocol.settings.EntryHostSettings
+import org.acaciaflow.state.identity.ProcessIdentity
+import org.acaciaflow.transport.http.CallerServer
+import org.acaciaflow.transport.http.OperatorsServer
+import org.acaciaflow.transport.http.OperatorsView
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A gateway on a platform's entry host: callers in front, backend servers called directly. */
+internal class EntryGatewayDaemon(
+    private val settings: EntryHostSettings,
+    private val self: ProcessIdentity,
+    private val runtime: Runtime,
+    private val tables: RelayTables,
+    private val follower: StoreFollower,
+    private val registration: PeerRegistration,
+    private val callers: CallerServer,
+    private val stop: StopFlag,
+    private val clock: Clock,
+) : Daemon,
+    OperatorsView {
+    override val ready: Boolean
+        get() =
+            !stop.requested &&
+                follower.synchronized &&
+                tables.routing
+                    .snapshot()
+                    .configuration.known
+
+    override suspend fun start() {
+        val scope = runtime.workers.scope
+        runtime.observations.start(scope)
+        scope.launch { follower.run() }
+        scope.launch { registration.run() }
+        scope.launch { tidy() }
+        OperatorsServer(runtime.vertx, runtime.registry, this, settings.readinessPath).start(settings.readiness)
+        OperatorsServer(runtime.vertx, runtime.registry, this).start(settings.metrics)
+        callers.start(settings.callers)
+        runtime.observations.event(Event.ProcessStarted(self))
+    }
+
+    /** Fails its readiness at once, serves what still comes, and ends before the platform kills the process. */
+    override suspend fun stop() {
+        runtime.observations.event(Event.ProcessStopping(self))
+        stop.requested = true
+        withTimeoutOrNull(settings.gracePeriod - KILL_MARGIN) {
+            delay(BALANCER_NOTICE)
+            awaitIdle()
+        }
+        runtime.observations.event(Event.ProcessStopped(self))
+    }
+
+    override fun reload() = runtime.observations.event(Event.SettingsReloaded)
+
+    override fun status(): String = EntryGatewayStatus.describe(self, tables, clock.now())
+
+    /** Waits until no call has been open for a while, since callers go on using their connections. */
+    private suspend fun awaitIdle() {
+        var idle = Duration.ZERO
+        while (idle < IDLE_BEFORE_END) {
+            delay(IDLE_CHECK)
+            idle = if (callers.openCalls == 0) idle + IDLE_CHECK else Duration.ZERO
+        }
+    }
+
+    /** Forgets what no longer counts. */
+    private suspend fun tidy() {
+        while (true) {
+            delay(TIDY_INTERVAL)
+            val now = clock.now()
+            follower.settleLapses(now)
+            val lives =
+                tables.fleet
+                    .snapshot()
+                    .entries.values
+                    .map { it.life }
+                    .toSet()
+            tables.load.update { load -> LoadLedger.pruned(load) { it in lives } }
+            tables.caches.update { caches ->
+                caches.keys.filterNot { it in lives }.fold(caches) { rest, old -> rest.remove(old) }
+            }
+            tables.crashes.update { CrashReporting.pruned(it, now) }
+        }
+    }
+
+    private companion object {
+        val BALANCER_NOTICE: Duration = 3.seconds // two failed readiness checks, a second apart
+        val KILL_MARGIN: Duration = 500.milliseconds
+        val IDLE_BEFORE_END: Duration = 600.milliseconds
+        val IDLE_CHECK: Duration = 50.milliseconds
+        val TIDY_INTERVAL: Duration = 250.milliseconds
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -0,0 +1,101 @@
+package org.acaciaflow.transport.process
+
+import kotlinx.io.bytestring.encodeToByteString
+import org.acaciaflow.coordination.peer.PeerRegistration
+import org.acaciaflow.coordination.relay.RelayPorts
+import org.acaciaflow.coordination.relay.RelayTables
+import org.acaciaflow.coordination.relay.createRelayTables
+import org.acaciaflow.coordination.relay.createRequestRelay
+import org.acaciaflow.coordination.routing.RoutingKeeper
+import org.acaciaflow.coordination.store.StoreFollower
+import org.acaciaflow.protocol.http.RefusalEncoder
+import org.acaciaflow.protocol.http.ServerSentEvents
+import org.acaciaflow.protocol.settings.EntryHostSettings
+import org.acaciaflow.transport.direct.DirectConnections
+import org.acaciaflow.transport.direct.VertxHttpCalls
+import org.acaciaflow.transport.http.CallerServer
+import org.acaciaflow.transport.http.FrontEnd
+import kotlin.random.Random
+import kotlin.time.Clock
+
+/** Builds a gateway for a platform's entry host. */
+fun createEntryGatewayDaemon(
+    settings: EntryHostSettings,
+    adapters: EntryGatewayAdapters,
+    clock: Clock,
+    random: Random,
+): Daemon {
+    val runtime = createSingleLoopRuntime()
+    val tables = createRelayTables()
+    val calls = VertxHttpCalls(runtime.vertx)
+    val store = adapters.openStore(calls)
+    val stop = StopFlag()
+    val ports =
+        RelayPorts(
+            connections = DirectConnections(runtime.vertx, adapters.backends, calls, runtime.workers.scope),
+            dialect = adapters.callers,
+            framing = ServerSentEvents,
+            observations = runtime.observations,
+            clock = clock,
+        )
+    val relay = createRequestRelay(tables, ports, settings.dataCentre, settings.retryBounds)
+    val frontEnd = ConfiguredFrontEnd(adapters.refusals, tables, stop)
+    return EntryGatewayDaemon(
+        settings = settings,
+        self = newProcessIdentity(settings.peers),
+        runtime = runtime,
+        tables = tables,
+        follower = createFollower(settings, adapters, store, runtime, tables, clock, random),
+        registration =
+            PeerRegistration(
+                store = store.writes,
+                key = adapters.registrationKey,
+                value = settings.name.encodeToByteString(),
+                observations = runtime.observations,
+            ),
+        callers = CallerServer(runtime.vertx, relay, runtime.observations, runtime.workers.scope, frontEnd),
+        stop = stop,
+        clock = clock,
+    )
+}
+
+private fun createFollower(
+    settings: EntryHostSettings,
+    adapters: EntryGatewayAdapters,
+    store: PlatformStorePorts,
+    runtime: Runtime,
+    tables: RelayTables,
+    clock: Clock,
+    random: Random,
+): StoreFollower =
+    StoreFollower(
+        self = settings.peers,
+        feed = store.changes,
+        documents = adapters.documents,
+        routing = RoutingKeeper(adapters.documents, tables.routing, runtime.observations),
+        fleet = tables.fleet,
+        peers = tables.peers,
+        observations = runtime.observations,
+        clock = clock,
+        random = random,
+    )
+
+/** A front end whose limits come from the configuration in force. */
+private class ConfiguredFrontEnd(
+    override val refusals: RefusalEncoder,
+    private val tables: RelayTables,
+    private val stop: StopFlag,
+) : FrontEnd {
+    override val bodyLimitBytes: Long
+        get() =
+            tables.routing
+                .snapshot()
+                .configuration.limits.bodyBytes
+
+    /** The whole body, since its request may have to be sent again. */
+    override val bufferedBytes: Int
+        get() = bodyLimitBytes.toInt()
+
+    override val stopping: Boolean
+        get() = stop.requested
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayStatus.kt
@@ -0,0 +1,67 @@
+package org.acaciaflow.transport.process
+
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import org.acaciaflow.coordination.relay.RelayTables
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.fleet.Fleet
+import org.acaciaflow.state.identity.ProcessIdentity
+import kotlin.time.Instant
+
+/** Describes a gateway's view of the fleet as JSON. */
+internal object EntryGatewayStatus {
+    fun describe(
+        self: ProcessIdentity,
+        tables: RelayTables,
+        now: Instant,
+    ): String {
+        val fleet = tables.fleet.snapshot()
+        val load = tables.load.snapshot()
+        val records = tables.reliability.snapshot()
+        val peers = tables.peers.snapshot()
+        return buildJsonObject {
+            put("process", self.toString())
+            put(
+                "configuration",
+                tables.routing
+                    .snapshot()
+                    .configuration.version,
+            )
+            putJsonArray("backends") {
+                for (entry in fleet.entries.values) {
+                    addJsonObject {
+                        put("instance", entry.life.instance)
+                        put("pool", entry.pool.name)
+                        put("role", entry.role.name)
+                        put("availability", availabilityOf(fleet, entry))
+                        put("failure-share", records[entry.life]?.failureShare ?: 0.0)
+                        put("own-jobs", load.ownAt(entry.life).jobs.size)
+                        put("backlog-ms", load.backlogAt(entry.life, now).inWholeMilliseconds)
+                    }
+                }
+            }
+            putJsonArray("peers") {
+                for (peer in peers.heard.values) {
+                    addJsonObject {
+                        put("address", peer.address.toString())
+                        put("heard-ms-ago", (now - peer.heardAt).inWholeMilliseconds)
+                        put("configuration", peer.configurationVersion)
+                    }
+                }
+            }
+        }.toString()
+    }
+
+    private fun availabilityOf(
+        fleet: Fleet,
+        entry: BackendEntry,
+    ): String =
+        when {
+            entry.draining || entry.life in fleet.leaving -> "leaving"
+            entry.life in fleet.rejected -> "replaced"
+            entry.life in fleet.lapsed -> "entry-missing"
+            else -> "serving"
+        }
+}
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
@@ -14,6 +14,7 @@
 import org.acaciaflow.coordination.selection.SelectionPolicy
 import org.acaciaflow.protocol.configuration.StoredConfigurationSource
 import org.acaciaflow.protocol.http.JsonBodyReader
+import org.acaciaflow.protocol.http.RefusalAnswer
 import org.acaciaflow.protocol.http.ServerSentEvents
 import org.acaciaflow.protocol.record.EncodedExecutionRecords
 import org.acaciaflow.protocol.settings.GatewaySettings
@@ -21,6 +22,7 @@
 import org.acaciaflow.state.identity.ProcessIdentity
 import org.acaciaflow.transport.hosts.HttpHostList
 import org.acaciaflow.transport.http.CallerServer
+import org.acaciaflow.transport.http.FixedFrontEnd
 import org.acaciaflow.transport.link.HostFollower
 import org.acaciaflow.transport.link.LinkContext
 import org.acaciaflow.transport.link.SidecarDirectory
@@ -122,7 +124,8 @@
         arrivals = core.arrivals,
         observations = runtime.observations,
         scope = runtime.workers.scope,
-        bodyLimitBytes = settings.bodyLimitBytes,
+        frontEnd = FixedFrontEnd(RefusalAnswer::of, settings.bodyLimitBytes, BUFFERED_BYTES),
     )
 
 private const val SAMPLED_SERVERS = 3
+private const val BUFFERED_BYTES = 1024 * 1024
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/Runtime.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/Runtime.kt
@@ -7,6 +7,7 @@
 import io.vertx.core.VertxOptions
 import io.vertx.core.file.FileSystemOptions
 import io.vertx.kotlin.coroutines.coAwait
+import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.Dispatchers
 import org.acaciaflow.transport.observation.MeteredObservations
 import org.acaciaflow.transport.worker.WorkerPool
@@ -33,7 +34,7 @@
     val observations = MeteredObservations(registry)
     val workers = createWorkerPool(WORKER_THREADS, observations)
     return Runtime(
-        vertx = Vertx.vertx(vertxOptions()),
+        vertx = Vertx.vertx(vertxOptions(EVENT_LOOP_THREADS)),
         selector = SelectorManager(Dispatchers.IO.limitedParallelism(SELECTOR_THREADS)),
         registry = registry,
         observations = observations,
@@ -41,9 +42,23 @@
     )
 }
 
-private fun vertxOptions(): VertxOptions =
+/** Starts the one event loop of a daemon whose hosts give it a part of one processor; its workers run there too. */
+internal fun createSingleLoopRuntime(): Runtime {
+    val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    val observations = MeteredObservations(registry)
+    val vertx = Vertx.vertx(vertxOptions(threads = 1))
+    return Runtime(
+        vertx = vertx,
+        selector = SelectorManager(Dispatchers.IO.limitedParallelism(SELECTOR_THREADS)),
+        registry = registry,
+        observations = observations,
+        workers = createWorkerPool(vertx.orCreateContext.dispatcher(), observations),
+    )
+}
+
+private fun vertxOptions(threads: Int): VertxOptions =
     VertxOptions()
-        .setEventLoopPoolSize(EVENT_LOOP_THREADS)
+        .setEventLoopPoolSize(threads)
         .setWorkerPoolSize(1)
         .setInternalBlockingPoolSize(1)
         .setFileSystemOptions(FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false))
--- a/transport/src/main/kotlin/org/acaciaflow/transport/worker/WorkerPool.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/worker/WorkerPool.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.transport.worker
 
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -18,11 +19,9 @@
  * Workers are coroutines, each serving one piece of work at a time; while a worker waits it holds no thread.
  */
 class WorkerPool internal constructor(
-    threads: Int,
+    private val dispatcher: CoroutineDispatcher,
     private val observations: Observations,
 ) : AutoCloseable {
-    private val dispatcher = Executors.newFixedThreadPool(threads, NamedThreadFactory("worker")).asCoroutineDispatcher()
-
     private val failures =
         CoroutineExceptionHandler { _, failure -> observations.event(Event.WorkerFailed(failure)) }
 
@@ -51,7 +50,7 @@
 
     override fun close() {
         scope.cancel()
-        dispatcher.close()
+        if (dispatcher is AutoCloseable) dispatcher.close()
     }
 }
 
@@ -59,4 +58,13 @@
 fun createWorkerPool(
     threads: Int,
     observations: Observations,
-): WorkerPool = WorkerPool(threads, observations)
+): WorkerPool {
+    val executor = Executors.newFixedThreadPool(threads, NamedThreadFactory("worker"))
+    return WorkerPool(executor.asCoroutineDispatcher(), observations)
+}
+
+/** Creates a pool whose workers run on the threads of [dispatcher], which also serve its sockets. */
+fun createWorkerPool(
+    dispatcher: CoroutineDispatcher,
+    observations: Observations,
+): WorkerPool = WorkerPool(dispatcher, observations)
--- a/try.sh
+++ b/try.sh
@@ -23,7 +23,7 @@
 trap stop_all EXIT
 trap 'stop_all; exit 0' TERM INT
 
-if [ ! -f daemon/target/acaciaflow-all.jar ] || [ ! -f standin/target/acaciaflow-standin-all.jar ]; then
+if [ ! -f target/acaciaflow.jar ] || [ ! -f standin/target/acaciaflow-standin-all.jar ]; then
     mvn -q -B package -DskipTests
 fi
 mkdir -p "$run"
