Keep long reads off the decoders and log the time to the first event

Cause: straight reads of long prompts delayed every stream and short read of their decoder; predicted 33 ms, measured 111 ms at the median of thread-query. Change: a straight read is rated by the work it puts between other tokens; a handover costs little. The log's last line of a request has the first event.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
@@ -97,10 +97,14 @@
     ): RatedPath {
         val relative = path.predicted / target
         val lateRisk = ((relative - SAFE_SHARE) / (CERTAIN_SHARE - SAFE_SHARE)).coerceIn(0.0, 1.0)
-        val moved = if (path is EnginePath.Handover) HANDOVER_COST else 0.0
+        val side =
+            when (path) {
+                is EnginePath.Handover -> HANDOVER_COST
+                is EnginePath.Straight -> milliseconds(path.work) * INTERFERENCE_COST
+            }
         val excess = ReliabilityPolicy.excess(view.records[engine.life], mean)
         val zone = if (engine.dataCentre == view.ownDataCentre) 0.0 else REMOTE_ZONE_COST
-        return RatedPath(path, lateRisk + relative * DELAY_COST + moved + excess * UNRELIABLE_COST + zone)
+        return RatedPath(path, lateRisk + relative * DELAY_COST + side + excess * UNRELIABLE_COST + zone)
     }
 
     private fun milliseconds(duration: Duration): Double = duration.toDouble(DurationUnit.MILLISECONDS)
@@ -114,7 +118,8 @@
     private const val SAFE_SHARE = 0.4 // predictions err by less than this share of the target
     private const val CERTAIN_SHARE = 1.3
     private const val DELAY_COST = 0.1
-    private const val HANDOVER_COST = 0.04 // moving KV cache loads links and both engines
+    private const val HANDOVER_COST = 0.01 // moving KV cache loads links and both engines
+    private const val INTERFERENCE_COST = 0.002 // a millisecond of reading delays the streams of a decoder by as much
     private const val UNRELIABLE_COST = 1.0
     private const val UNRELIABLE_MILLISECONDS = 200.0
     private const val REMOTE_ZONE_COST = 0.003
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -102,7 +102,7 @@
         patience: Patience,
         journal: RelayJournal,
     ): RunOutcome {
-        val delivery = EventDelivery(request.exchange, framing, journal, head)
+        val delivery = EventDelivery(request.exchange, framing, journal, head, clock)
         var heard = false
         while (true) {
             val limit = if (heard) patience.between else patience.first
@@ -150,7 +150,7 @@
         }
         val answer = held.answer()
         if (head.status >= FIRST_FAILURE_STATUS || journal.progress.begun) return RunOutcome.Failed(answer)
-        journal.note { it.copy(begun = true) }
+        journal.note { it.copy(begunAt = clock.now()) }
         return ended(request.exchange.sendWhole(answer), head.status)
     }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
@@ -7,6 +7,7 @@
 import org.acaciaflow.coordination.port.CallerWrite
 import org.acaciaflow.state.bytes.joined
 import org.acaciaflow.state.work.AnswerHead
+import kotlin.time.Clock
 
 /** Passes the whole events of one run on to the caller; the head of the first run stands for all of them. */
 internal class EventDelivery(
@@ -14,6 +15,7 @@
     private val framing: StreamFraming,
     private val journal: RelayJournal,
     private val head: AnswerHead,
+    private val clock: Clock,
 ) {
     private var rest = ByteString()
 
@@ -28,14 +30,14 @@
         if (framed.events.isEmpty()) return CallerWrite.WRITTEN
         if (!journal.progress.begun && exchange.begin(head) == CallerWrite.CALLER_GONE) return CallerWrite.CALLER_GONE
         val last = framed.events.lastOrNull { it.identity != null }?.identity
-        journal.note { it.copy(begun = true, lastEvent = last ?: it.lastEvent) }
+        journal.note { it.copy(begunAt = it.begunAt ?: clock.now(), lastEvent = last ?: it.lastEvent) }
         return exchange.send(joined(framed.events.map { it.bytes }))
     }
 
     /** Ends the caller's stream, also one without any event. */
     suspend fun end(): CallerWrite {
         if (!journal.progress.begun && exchange.begin(head) == CallerWrite.CALLER_GONE) return CallerWrite.CALLER_GONE
-        journal.note { it.copy(begun = true) }
+        journal.note { it.copy(begunAt = it.begunAt ?: clock.now()) }
         return exchange.end()
     }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayProgress.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayProgress.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.persistentSetOf
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.refusal.MayHaveRun
+import kotlin.time.Instant
 
 /**
  * How far a request has come.
@@ -11,8 +12,8 @@
  * [reached] are the backend servers that it was sent to, [excluded] those that it must not be sent to again.
  * [countedSends] are the sends that the retry bounds count; the first [prefillCalls] is not among them if it was taken.
  * [sending] is true while a run is in progress of which nothing is known yet. [mayHaveRun] is set once a backend server
- * may have begun to run it. [begun] is true once the caller has a part of the
- * answer, up to the event [lastEvent] of a stream.
+ * may have begun to run it. [begunAt] is when the caller got the first part of the
+ * answer; of a stream it has the events up to [lastEvent].
  */
 data class RelayProgress(
     val reached: PersistentSet<BackendLife>,
@@ -21,9 +22,12 @@
     val prefillCalls: Int,
     val sending: Boolean,
     val mayHaveRun: MayHaveRun?,
-    val begun: Boolean,
+    val begunAt: Instant?,
     val lastEvent: String?,
 ) {
+    val begun: Boolean
+        get() = begunAt != null
+
     companion object {
         val NOTHING =
             RelayProgress(
@@ -33,7 +37,7 @@
                 prefillCalls = 0,
                 sending = false,
                 mayHaveRun = null,
-                begun = false,
+                begunAt = null,
                 lastEvent = null,
             )
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionLines.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionLines.kt
@@ -46,8 +46,10 @@
 
     private fun concluded(decision: Decision.Concluded): String {
         val elapsed = decision.at - decision.request.arrivedAt
+        val first = decision.progress.begunAt?.let { it - decision.request.arrivedAt }
         return start("concluded", decision) + about(decision.request) +
             " outcome=${outcomeOf(decision.conclusion)} elapsed-ms=${elapsed.inWholeMilliseconds}" +
+            " first-ms=${first?.inWholeMilliseconds ?: -1}" +
             " sends=${decision.progress.countedSends} prefills=${decision.progress.prefillCalls}" +
             " last-event=${decision.progress.lastEvent ?: "none"}"
     }
