Gateways tell each other their work, reads, drains and crashes

Cause: each gateway predicted waits from its own work alone; four fifths of the work at an engine is that of others. Change: reports as CBOR datagrams between gateways every 120 ms or more, found through keys under a lease and the settings' seeds; older reports are dropped.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -138,6 +138,20 @@
         val fault: DocumentFault,
     ) : Event(EventKind.BACKEND_ENTRY_UNREADABLE)
 
+    data class PeerHeard(
+        val gateway: HostAddress,
+        val configurationVersion: Long,
+    ) : Event(EventKind.PEER_HEARD)
+
+    data class PeerSilent(
+        val gateway: HostAddress,
+    ) : Event(EventKind.PEER_SILENT)
+
+    data class PeerUnreachable(
+        val gateway: HostAddress,
+        val detail: String,
+    ) : Event(EventKind.PEER_UNREACHABLE)
+
     data object SettingsReloaded : Event(EventKind.SETTINGS_RELOADED)
 
     data object HostListUnavailable : Event(EventKind.HOST_LIST_UNAVAILABLE)
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/RecentReads.kt
@@ -0,0 +1,31 @@
+package org.acaciaflow.coordination.peer
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.state.peer.ReportedRead
+import org.acaciaflow.state.prompt.PromptPart
+import org.acaciaflow.state.table.SharedTable
+import org.acaciaflow.state.table.Transition
+
+/** The prompts that engines were given since peers were last told, the newest when there are too many. */
+class RecentReads(
+    private val table: SharedTable<PersistentList<ReportedRead>>,
+) {
+    fun add(
+        life: BackendLife,
+        parts: List<PromptPart>,
+    ) {
+        val read = ReportedRead(life.code, parts.take(MAXIMUM_PARTS).toPersistentList())
+        table.update { reads -> (if (reads.size >= MAXIMUM_READS) reads.removeAt(0) else reads).add(read) }
+    }
+
+    /** All that were added since the last call. */
+    fun taken(): PersistentList<ReportedRead> = table.transition { Transition(persistentListOf(), it) }
+
+    private companion object {
+        const val MAXIMUM_READS = 64 // keeps a report within one datagram
+        const val MAXIMUM_PARTS = 8
+    }
+}
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
@@ -60,6 +60,7 @@
         now: Instant,
     ) {
         tables.caches.update { PromptCaches.read(it, life, prompt.parts, properties.cacheTokens, now) }
+        tables.reads.add(life, prompt.parts)
     }
 
     /** Frees KV cache that nobody will fetch. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
@@ -1,7 +1,9 @@
 package org.acaciaflow.coordination.relay
 
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import org.acaciaflow.coordination.peer.RecentReads
 import org.acaciaflow.coordination.routing.KnownRouting
 import org.acaciaflow.state.crash.CrashReports
 import org.acaciaflow.state.fleet.BackendLife
@@ -23,6 +25,7 @@
     val fleet: SharedTable<Fleet>,
     val reliability: SharedTable<PersistentMap<BackendLife, ReliabilityRecord>>,
     val caches: SharedTable<PersistentMap<BackendLife, PromptCache>>,
+    val reads: RecentReads,
     val load: SharedTable<FleetLoad>,
     val rates: SharedTable<PersistentMap<PoolName, EngineRates>>,
     val crashes: SharedTable<CrashReports>,
@@ -37,6 +40,7 @@
         fleet = createSharedTable(LockOrder.FLEET, Fleet.NONE),
         reliability = createSharedTable(LockOrder.RELIABILITY, persistentMapOf()),
         caches = createSharedTable(LockOrder.PROMPT_CACHES, persistentMapOf()),
+        reads = RecentReads(createSharedTable(LockOrder.RECENT_READS, persistentListOf())),
         load = createSharedTable(LockOrder.FLEET_LOAD, FleetLoad.NONE),
         rates = createSharedTable(LockOrder.ENGINE_RATES, persistentMapOf()),
         crashes = createSharedTable(LockOrder.CRASH_REPORTS, CrashReports.NONE),
--- /dev/null
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
@@ -0,0 +1,27 @@
+package org.acaciaflow.protocol.peer
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
+
+/** A report between gateways; fields are labelled by number to keep it short. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+internal data class PeerMessage(
+    @CborLabel(0) val form: Int,
+    @CborLabel(1) val address: String,
+    @CborLabel(2) val startedAtMilliseconds: Long,
+    @CborLabel(3) val sequence: Long,
+    @CborLabel(4) val configurationVersion: Long,
+    @CborLabel(5) val stopping: Boolean = false,
+    @CborLabel(6) val loadLives: List<Int> = emptyList(),
+    @CborLabel(7) val loadBacklogMilliseconds: List<Int> = emptyList(),
+    @CborLabel(8) val loadRunning: List<Int> = emptyList(),
+    @CborLabel(9) val readLives: List<Int> = emptyList(),
+    @CborLabel(10) val readPartCounts: List<Int> = emptyList(),
+    @CborLabel(11) val partKeys: List<Long> = emptyList(),
+    @CborLabel(12) val partTokens: List<Int> = emptyList(),
+    @CborLabel(13) val leaving: List<Int> = emptyList(),
+    @CborLabel(14) val crashDigests: List<Long> = emptyList(),
+    @CborLabel(15) val crashLives: List<Int> = emptyList(),
+)
--- a/state/src/main/kotlin/org/acaciaflow/state/fleet/BackendLife.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/fleet/BackendLife.kt
@@ -9,4 +9,12 @@
 data class BackendLife(
     val instance: String,
     val startedAtMilliseconds: Long,
-)
+) {
+    /** A short form for messages between gateways; equal in every process. */
+    val code: Int
+        get() = instance.hashCode() * MULTIPLIER + startedAtMilliseconds.hashCode()
+
+    private companion object {
+        const val MULTIPLIER = 31
+    }
+}
--- a/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
@@ -16,6 +16,7 @@
     FLEET(42),
     RELIABILITY(44),
     PROMPT_CACHES(46),
+    RECENT_READS(47),
     FLEET_LOAD(48),
     ENGINE_RATES(49),
     CRASH_SUSPECTS(50),
--- a/state/src/main/kotlin/org/acaciaflow/state/prompt/PromptCache.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/prompt/PromptCache.kt
@@ -12,7 +12,7 @@
 
 /** The prompt parts that one engine is believed to hold, and their [tokens] in all. */
 data class PromptCache(
-    val parts: PersistentMap<String, CachedPart>,
+    val parts: PersistentMap<Long, CachedPart>,
     val tokens: Long,
 ) {
     companion object {
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/peer/PeerExchange.kt
@@ -0,0 +1,89 @@
+package org.acaciaflow.transport.peer
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.BoundDatagramSocket
+import io.ktor.network.sockets.Datagram
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.io.Buffer
+import kotlinx.io.IOException
+import kotlinx.io.readByteArray
+import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.peer.PeerNews
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.protocol.peer.DecodedReport
+import org.acaciaflow.protocol.peer.PeerCodec
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.peer.Peers
+import org.acaciaflow.state.table.SharedTable
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Sends this gateway's reports to all others as datagrams and takes theirs in.
+ *
+ * A lost report is made good by the next one, so nothing is repeated and a silent peer costs nothing.
+ */
+internal class PeerExchange(
+    private val self: HostAddress,
+    private val seeds: List<HostAddress>,
+    private val selector: SelectorManager,
+    private val news: PeerNews,
+    private val peers: SharedTable<Peers>,
+    private val observations: Observations,
+    private val scope: CoroutineScope,
+    private val clock: Clock,
+) {
+    @Volatile
+    var stopping = false
+
+    /** Binds the port and starts to send and receive. */
+    suspend fun start() {
+        val socket = aSocket(selector).udp().bind(InetSocketAddress(self.ip, self.port))
+        scope.launch { receive(socket) }
+        scope.launch { send(socket) }
+    }
+
+    private suspend fun send(socket: BoundDatagramSocket) {
+        while (true) {
+            val known = peers.snapshot()
+            val others = known.registered + known.heard.keys + seeds
+            delay(maxOf(SHORTEST_INTERVAL, INTERVAL_PER_PEER * others.size))
+            news.forgetSilent(clock.now())
+            val bytes = PeerCodec.encode(news.report(stopping, clock.now()))
+            others.forEach { sendTo(socket, it, bytes) }
+        }
+    }
+
+    private suspend fun sendTo(
+        socket: BoundDatagramSocket,
+        peer: HostAddress,
+        bytes: ByteArray,
+    ) {
+        try {
+            val packet = Buffer().apply { write(bytes) }
+            socket.send(Datagram(packet, InetSocketAddress(peer.ip, peer.port)))
+        } catch (failure: IOException) {
+            observations.event(Event.PeerUnreachable(peer, failure.message.orEmpty()))
+        }
+    }
+
+    private suspend fun receive(socket: BoundDatagramSocket) {
+        while (true) {
+            val datagram = socket.receive()
+            when (val decoded = PeerCodec.decode(datagram.packet.readByteArray())) {
+                is DecodedReport.Report -> news.heard(decoded.report, clock.now())
+                is DecodedReport.Faulty -> observations.event(Event.FrameRejected(self, decoded.fault))
+            }
+        }
+    }
+
+    private companion object {
+        val SHORTEST_INTERVAL: Duration = 120.milliseconds
+        val INTERVAL_PER_PEER: Duration = 30.milliseconds // bounds the bytes a second, however many peers there are
+    }
+}
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
@@ -14,6 +14,7 @@
 import org.acaciaflow.transport.http.CallerServer
 import org.acaciaflow.transport.http.OperatorsServer
 import org.acaciaflow.transport.http.OperatorsView
+import org.acaciaflow.transport.peer.PeerExchange
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -27,6 +28,7 @@
     private val tables: RelayTables,
     private val follower: StoreFollower,
     private val registration: PeerRegistration,
+    private val peers: PeerExchange,
     private val callers: CallerServer,
     private val stop: StopFlag,
     private val clock: Clock,
@@ -46,6 +48,7 @@
         scope.launch { follower.run() }
         scope.launch { registration.run() }
         scope.launch { tidy() }
+        peers.start()
         OperatorsServer(runtime.vertx, runtime.registry, this, settings.readinessPath).start(settings.readiness)
         OperatorsServer(runtime.vertx, runtime.registry, this).start(settings.metrics)
         callers.start(settings.callers)
@@ -56,6 +59,7 @@
     override suspend fun stop() {
         runtime.observations.event(Event.ProcessStopping(self))
         stop.requested = true
+        peers.stopping = true
         withTimeoutOrNull(settings.gracePeriod - KILL_MARGIN) {
             delay(BALANCER_NOTICE)
             awaitIdle()
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.transport.process
 
 import kotlinx.io.bytestring.encodeToByteString
+import org.acaciaflow.coordination.peer.PeerNews
 import org.acaciaflow.coordination.peer.PeerRegistration
 import org.acaciaflow.coordination.relay.RelayPorts
 import org.acaciaflow.coordination.relay.RelayTables
@@ -15,6 +16,7 @@
 import org.acaciaflow.transport.direct.VertxHttpCalls
 import org.acaciaflow.transport.http.CallerServer
 import org.acaciaflow.transport.http.FrontEnd
+import org.acaciaflow.transport.peer.PeerExchange
 import kotlin.random.Random
 import kotlin.time.Clock
 
@@ -53,6 +55,7 @@
                 value = settings.name.encodeToByteString(),
                 observations = runtime.observations,
             ),
+        peers = createPeerExchange(settings, runtime, tables, clock),
         callers = CallerServer(runtime.vertx, relay, runtime.observations, runtime.workers.scope, frontEnd),
         stop = stop,
         clock = clock,
@@ -80,6 +83,23 @@
         random = random,
     )
 
+private fun createPeerExchange(
+    settings: EntryHostSettings,
+    runtime: Runtime,
+    tables: RelayTables,
+    clock: Clock,
+): PeerExchange =
+    PeerExchange(
+        self = settings.peers,
+        seeds = settings.seeds,
+        selector = runtime.selector,
+        news = PeerNews(settings.peers, clock.now().toEpochMilliseconds(), tables, runtime.observations),
+        peers = tables.peers,
+        observations = runtime.observations,
+        scope = runtime.workers.scope,
+        clock = clock,
+    )
+
 /** A front end whose limits come from the configuration in force. */
 private class ConfiguredFrontEnd(
     override val refusals: RefusalEncoder,
