Stop waiting for silent servers; never take the fleet's lock under reliability's

A dark engine held reads and streams until the callers left. Change: the verdict is made before the table is changed; prompts are read with a time limit; a server that produces streams and is silent gets no new work, and gateways tell each other so.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/load/LoadLedger.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/load/LoadLedger.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.load
 
+import kotlinx.collections.immutable.toPersistentMap
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.load.BackendLoad
 import org.acaciaflow.state.load.FleetLoad
@@ -57,13 +58,18 @@
         return load.copy(own = load.own.put(life, rest))
     }
 
-    /** Forgets backend servers without work that [isKnown] does not know any more. */
+    /** Forgets, as of [now], servers without work that [isKnown] does not know any more, and outdated suspicions. */
     fun pruned(
         load: FleetLoad,
+        now: Instant,
         isKnown: (BackendLife) -> Boolean,
     ): FleetLoad {
+        val suspected = load.suspected.filterValues { it > now }
         val gone = load.own.filter { (life, backend) -> backend.jobs.isEmpty() && !isKnown(life) }.keys
-        return load.copy(own = gone.fold(load.own) { rest, life -> rest.remove(life) })
+        return load.copy(
+            own = gone.fold(load.own) { rest, life -> rest.remove(life) },
+            suspected = if (suspected.size == load.suspected.size) load.suspected else suspected.toPersistentMap(),
+        )
     }
 
     private fun changed(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerNews.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerNews.kt
@@ -9,6 +9,7 @@
 import org.acaciaflow.coordination.fleet.FleetChanges
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.relay.RelayTables
+import org.acaciaflow.coordination.reliability.ReliabilityPolicy
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.load.RemoteLoad
@@ -18,6 +19,7 @@
 import org.acaciaflow.state.peer.ReportedLoad
 import org.acaciaflow.state.table.Transition
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -53,6 +55,7 @@
                     .toPersistentList(),
             reads = tables.reads.taken(),
             leaving = fleet.leaving.filter { it in known }.map { it.code }.toPersistentList(),
+            unheard = unheard(now).map { it.code }.toPersistentList(),
             crashes =
                 crashes
                     .flatMap { (digest, lives) -> fresh(lives, now).map { ReportedCrash(digest, it.code) } }
@@ -71,6 +74,11 @@
         leavings(report, lives)
         cacheContents(report, lives, now)
         loads(report, lives, now)
+        val suspected = report.unheard.mapNotNull { lives[it] }
+        if (suspected.isNotEmpty()) {
+            val until = now + SUSPECTED_FOR
+            tables.load.update { it.copy(suspected = it.suspected.putAll(suspected.associateWith { until })) }
+        }
         for (crash in report.crashes) {
             val life = lives[crash.lifeCode] ?: continue
             tables.crashes.update { CrashReporting.reported(it, crash.digest, life, now) }
@@ -156,6 +164,13 @@
         tables.load.update { it.copy(remote = it.remote.put(report.sender, loads)) }
     }
 
+    /** Servers that this gateway itself cannot reach or hear as of [now]. */
+    private fun unheard(now: Instant): Set<BackendLife> {
+        val silent = tables.load.snapshot().own.filterValues { it.silence(now) > ReliabilityPolicy.SILENT_AFTER }.keys
+        val avoided = tables.reliability.snapshot().filterValues { it.avoidedUntil > now }.keys
+        return silent + avoided
+    }
+
     private fun fresh(
         lives: Map<BackendLife, Instant>,
         now: Instant,
@@ -170,6 +185,7 @@
     private companion object {
         const val MAXIMUM_CRASHES = 32 // keeps a report within one datagram
         val TOLD_FOR: Duration = 5.seconds
+        val SUSPECTED_FOR: Duration = 600.milliseconds // the next reports renew it while it holds
         val FORGOTTEN_AFTER: Duration = 3.seconds
     }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -19,6 +19,7 @@
 import org.acaciaflow.state.work.AnswerHead
 import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Sends a request to one backend server and passes its answer on to the caller. */
 internal class BackendRun(
@@ -64,7 +65,7 @@
         patience: Patience,
         journal: RelayJournal,
     ): RunOutcome =
-        when (val first = nextWithin(stream, patience.first)) {
+        when (val first = nextWithin(stream, patience.first, life, patience)) {
             is AttemptEvent.Refused -> {
                 RunOutcome.NotExecuted(first.reason)
             }
@@ -106,7 +107,7 @@
         var heard = false
         while (true) {
             val limit = if (heard) patience.between else patience.first
-            when (val event = nextWithin(stream, limit)) {
+            when (val event = nextWithin(stream, limit, life, patience)) {
                 is AttemptEvent.Data -> {
                     heard = true
                     tables.load.update { LoadLedger.producing(it, life, job, clock.now()) }
@@ -163,10 +164,24 @@
             CallerWrite.CALLER_GONE -> RunOutcome.CallerGone
         }
 
+    /** The next part of an answer; null when [limit] passes or the server has fallen silent. */
     private suspend fun nextWithin(
         stream: AttemptStream,
         limit: Duration?,
-    ): AttemptEvent? = if (limit == null) stream.next() else withTimeoutOrNull(limit) { stream.next() }
+        life: BackendLife,
+        patience: Patience,
+    ): AttemptEvent? {
+        if (limit == null) return stream.next()
+        val until = clock.now() + limit
+        while (true) {
+            val left = until - clock.now()
+            if (left <= Duration.ZERO) return null
+            val event = withTimeoutOrNull(minOf(left, SILENCE_CHECK)) { stream.next() }
+            if (event != null) return event
+            val silence = tables.load.snapshot().ownAt(life).silence(clock.now())
+            if (patience.serverSilence != null && silence > patience.serverSilence) return null
+        }
+    }
 
     private fun judge(
         request: RelayedRequest,
@@ -198,5 +213,6 @@
 
     private companion object {
         const val FIRST_FAILURE_STATUS = 400
+        val SILENCE_CHECK: Duration = 250.milliseconds
     }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Candidates.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Candidates.kt
@@ -2,7 +2,9 @@
 
 import org.acaciaflow.coordination.engine.EngineView
 import org.acaciaflow.coordination.engine.RateLearning
+import org.acaciaflow.coordination.reliability.ReliabilityPolicy
 import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.route.EngineProperties
@@ -24,9 +26,19 @@
                 .snapshot()
                 .usableIn(request.pool)
                 .filter { mayReach(request, progress, it) }
-        val records = tables.reliability.snapshot()
-        val trusted = usable.filter { now >= (records[it.life]?.avoidedUntil ?: Instant.DISTANT_PAST) }
-        return withRoom(request, trusted.ifEmpty { usable })
+        return withRoom(request, usable.filter { isHeard(it.life, now) }.ifEmpty { usable })
+    }
+
+    /** False while [life] cannot be reached or heard, here or at another gateway. */
+    private fun isHeard(
+        life: BackendLife,
+        now: Instant,
+    ): Boolean {
+        val load = tables.load.snapshot()
+        val avoidedUntil = tables.reliability.snapshot()[life]?.avoidedUntil
+        return (avoidedUntil == null || avoidedUntil <= now) &&
+            (load.suspected[life] ?: now) <= now &&
+            load.ownAt(life).silence(now) <= ReliabilityPolicy.SILENT_AFTER
     }
 
     /** What is known of the engines among [engines]. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -210,11 +210,7 @@
     ): Patience {
         val another = journal.progress.reached.size + 1 < request.route.maximumAttempts
         if (!request.route.kind.repeatable || !another) return Patience.UNBOUNDED
-        val pause = request.route.longestPause ?: DEFAULT_PAUSE
-        return Patience(
-            first = predicted * PREDICTION_FACTOR + SILENCE,
-            between = maxOf(pause * PAUSE_FACTOR, SILENCE),
-        )
+        return Patience.forStream(request.route, predicted, request.deadline - clock.now())
     }
 
     private fun notePrefill(
@@ -244,10 +240,6 @@
 
     private companion object {
         const val FIRST_SERVER_ERROR = 500
-        const val PREDICTION_FACTOR = 3
-        const val PAUSE_FACTOR = 4
-        val SILENCE: Duration = 800.milliseconds // callers give a stream up after two seconds
-        val DEFAULT_PAUSE: Duration = 200.milliseconds
         val FETCH_WORK: Duration = 5.milliseconds
     }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -90,7 +90,7 @@
     ): Patience {
         val another = journal.progress.reached.size + 1 < request.route.maximumAttempts
         if (!request.route.kind.repeatable || !another) return Patience.UNBOUNDED
-        return Patience(first = maxOf(request.route.target * SLOW_TARGETS, SHORTEST_PATIENCE), between = null)
+        return Patience.forPlainCall(request.route)
     }
 
     private fun mayRepeat(
@@ -106,8 +106,6 @@
 
     private companion object {
         const val FIRST_SERVER_ERROR = 500
-        const val SLOW_TARGETS = 2
-        val SHORTEST_PATIENCE: Duration = 300.milliseconds
         val TYPICAL_WORK: Duration = 40.milliseconds
         val NO_PREDICTION: Duration = Duration.ZERO
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.relay
 
+import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.engine.EnginePath
 import org.acaciaflow.coordination.engine.PromptCaches
 import org.acaciaflow.coordination.engine.RateLearning
@@ -14,6 +15,7 @@
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.prompt.Prompt
 import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.route.EngineProperties
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -42,9 +44,13 @@
         tables.load.update { LoadLedger.sent(it, life, job, path.work, sentAt) }
         noteRead(life, prompt, properties, sentAt)
         try {
-            val outcome = connections.prefill(order, request.exchange.body)
+            val patience = Patience.forPrefill(path.predicted)
+            val outcome =
+                withTimeoutOrNull(patience) { connections.prefill(order, request.exchange.body) }
+                    ?: PrefillOutcome.Broken(MayHaveRun.STREAM_STALLED)
             val now = clock.now()
-            tables.reliability.update { ReliabilityPolicy.judged(it, life, verdictOf(life, outcome), now) }
+            val verdict = verdictOf(life, outcome)
+            tables.reliability.update { ReliabilityPolicy.judged(it, life, verdict, now) }
             if (outcome is PrefillOutcome.Ready && alone) learn(request, order, path.work, now - sentAt)
             return outcome
         } finally {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/reliability/ReliabilityPolicy.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/reliability/ReliabilityPolicy.kt
@@ -56,6 +56,9 @@
     ): ReliabilityRecord =
         record.copy(failureShare = record.failureShare * (1 - NEWEST_WEIGHT) + failure * NEWEST_WEIGHT)
 
+    /** A server that produces streams and has said nothing for so long is not sent new work. */
+    val SILENT_AFTER: Duration = 400.milliseconds // several steps of a full batch
+
     private const val NEWEST_WEIGHT = 0.15 // some ten runs make a verdict
     private const val MAXIMUM_DOUBLINGS = 3
     private val FIRST_AVOIDANCE: Duration = 250.milliseconds // a crashed server is back after seconds
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
@@ -58,6 +58,7 @@
             partKeys = report.reads.flatMap { read -> read.parts.map { it.key } },
             partTokens = report.reads.flatMap { read -> read.parts.map { it.tokens } },
             leaving = report.leaving,
+            unheard = report.unheard,
             crashDigests = report.crashes.map { it.digest },
             crashLives = report.crashes.map { it.lifeCode },
         )
@@ -75,6 +76,7 @@
                 loads = loadsOf(message),
                 reads = readsOf(message),
                 leaving = message.leaving.toPersistentList(),
+                unheard = message.unheard.toPersistentList(),
                 crashes = message.crashDigests.zip(message.crashLives, ::ReportedCrash).toPersistentList(),
             ),
         )
--- a/state/src/main/kotlin/org/acaciaflow/state/load/BackendLoad.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/load/BackendLoad.kt
@@ -28,6 +28,14 @@
         return waitingJobs.fold(Duration.ZERO) { sum, job -> sum + job.work } - progress
     }
 
+    /** How long as of [now] the server has said nothing although a stream that it produces should be heard. */
+    fun silence(now: Instant): Duration {
+        val streams = jobs.values.filter { it.producing }
+        if (streams.isEmpty()) return Duration.ZERO
+        val latest = maxOf(lastHeardAt, streams.maxOf { it.sentAt })
+        return (now - latest).coerceAtLeast(Duration.ZERO)
+    }
+
     companion object {
         val IDLE = BackendLoad(persistentMapOf(), Instant.DISTANT_PAST, Instant.DISTANT_PAST)
     }
--- a/state/src/main/kotlin/org/acaciaflow/state/load/FleetLoad.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/load/FleetLoad.kt
@@ -7,10 +7,15 @@
 import kotlin.time.Duration
 import kotlin.time.Instant
 
-/** Work at the backend servers: [own] as of now, and that of other gateways as they last told it. */
+/**
+ * Work at the backend servers: [own] as of now, and that of other gateways as they last told it.
+ *
+ * [suspected] are the servers that another gateway cannot reach or hear, and until when that counts here.
+ */
 data class FleetLoad(
     val own: PersistentMap<BackendLife, BackendLoad>,
     val remote: PersistentMap<HostAddress, PersistentMap<BackendLife, RemoteLoad>>,
+    val suspected: PersistentMap<BackendLife, Instant>,
 ) {
     /** Own work at [life]. */
     fun ownAt(life: BackendLife): BackendLoad = own[life] ?: BackendLoad.IDLE
@@ -29,6 +34,6 @@
         remote.values.fold(ownAt(life).jobs.size) { sum, loads -> sum + (loads[life]?.running ?: 0) }
 
     companion object {
-        val NONE = FleetLoad(persistentMapOf(), persistentMapOf())
+        val NONE = FleetLoad(persistentMapOf(), persistentMapOf(), persistentMapOf())
     }
 }
--- a/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
@@ -9,7 +9,8 @@
  * What one gateway tells the others at short intervals. Backend servers are named by the codes of their lifetimes.
  *
  * [sequence] grows with every report of one process life. [reads] are the prompts sent to engines since the last report,
- * [leaving] the lifetimes seen draining, [crashes] those that broke off, by the digest of the request they ran.
+ * [leaving] the lifetimes seen draining, [unheard] those
+ * that cannot be reached or have fallen silent, [crashes] those that broke off, by the digest of the request they ran.
  */
 data class PeerReport(
     val sender: HostAddress,
@@ -20,6 +21,7 @@
     val loads: PersistentList<ReportedLoad>,
     val reads: PersistentList<ReportedRead>,
     val leaving: PersistentList<Int>,
+    val unheard: PersistentList<Int>,
     val crashes: PersistentList<ReportedCrash>,
 )
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
@@ -92,7 +92,7 @@
                     .entries.values
                     .map { it.life }
                     .toSet()
-            tables.load.update { load -> LoadLedger.pruned(load) { it in lives } }
+            tables.load.update { load -> LoadLedger.pruned(load, now) { it in lives } }
             tables.caches.update { caches ->
                 caches.keys.filterNot { it in lives }.fold(caches) { rest, old -> rest.remove(old) }
             }
