Refuse generations that would come far too late; count the wait for slots

Change: at arrival a generation is refused, with when to come back, if its predicted first event lies beyond its target by a margin that grows with urgency; predictions include the wait for a decoder's slot.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
@@ -7,6 +7,7 @@
 import org.acaciaflow.state.prompt.PromptCache
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 import kotlin.time.Instant
 
@@ -70,11 +71,20 @@
         now: Instant,
     ): EnginePath.Straight {
         val work = workOf(view, decoder, prompt)
-        val running = view.load.runningAt(decoder.life)
-        val predicted = view.load.backlogAt(decoder.life, now) + work + STEP + STEP_PER_RUNNING * running
+        val predicted = view.load.backlogAt(decoder.life, now) + work + decodingDelay(view, decoder)
         return EnginePath.Straight(decoder, work, predicted)
     }
 
+    /** Time until [decoder] makes the first token of a prompt that it knows: a step, after waiting for a free slot. */
+    private fun decodingDelay(
+        view: EngineView,
+        decoder: BackendEntry,
+    ): Duration {
+        val running = view.load.runningAt(decoder.life)
+        val waiting = (running - view.properties.slots + 1).coerceAtLeast(0)
+        return STEP + STEP_PER_RUNNING * running + STREAM_DURATION * waiting / view.properties.slots
+    }
+
     private fun handover(
         view: EngineView,
         reader: BackendEntry,
@@ -84,7 +94,8 @@
         val work = workOf(view, reader, prompt)
         val bits = prompt.promptTokens * view.properties.tokenBytes * BITS_PER_BYTE
         val transfer = (bits / view.properties.linkBitsPerMillisecond).milliseconds + TRANSFER_SETUP
-        val predicted = view.load.backlogAt(reader.life, now) + work + transfer + STEP
+        val decoding = view.engines.filter { it.role != EngineRole.PREFILL }.minOf { decodingDelay(view, it) }
+        val predicted = view.load.backlogAt(reader.life, now) + work + transfer + decoding
         return EnginePath.Handover(reader, work, predicted)
     }
 
@@ -128,5 +139,6 @@
     private const val ATTENTION_MILLISECONDS_PER_PAIR = 0.275e-6 // share of attention in reading long prompts
     private val STEP: Duration = 5.milliseconds // one step of a batch and both ways on the network
     private val STEP_PER_RUNNING: Duration = 0.015.milliseconds
+    private val STREAM_DURATION: Duration = 2.seconds // a few hundred tokens at some milliseconds each
     private val TRANSFER_SETUP: Duration = 1.2.milliseconds
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -2,6 +2,7 @@
 
 import org.acaciaflow.coordination.engine.EnginePath
 import org.acaciaflow.coordination.engine.EnginePlanner
+import org.acaciaflow.coordination.engine.LateArrival
 import org.acaciaflow.coordination.port.CacheSource
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.PrefillOutcome
@@ -11,6 +12,7 @@
 import org.acaciaflow.state.prompt.Prompt
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.route.EngineProperties
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -39,6 +41,10 @@
             val view = candidates.view(candidates.of(request, journal.progress, now), properties, request.pool)
             val path =
                 EnginePlanner.choose(view, prompt, request.route.target, now) ?: return unserved(journal.progress)
+            if (journal.progress == RelayProgress.NOTHING && LateArrival.isTooLate(request.route, path.predicted)) {
+                val retryAfter = LateArrival.retryAfter(request.route, path.predicted)
+                return Conclusion.NotExecuted(NotRun.LATE_ALREADY, retryAfter)
+            }
             if (!permits.maySend(request, journal.progress, reason, now)) return unserved(journal.progress)
             val step =
                 when (path) {
