Archive the gateway's classes at build time

Change: the build runs 'acaciaflow warm-up' with -XX:ArchiveClassesAtExit, so that classes are mapped and not read.

--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/Main.kt
@@ -11,6 +11,7 @@
             SidecarCommand(),
             UnresolvedCommand(),
             EngineCommand().subcommands(EngineAssignCommand()),
+            WarmUpCommand(),
             DeploymentCommand().subcommands(DeploymentApplyCommand()),
         ).main(arguments)
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/WarmUpCommand.kt
@@ -0,0 +1,73 @@
+package org.acaciaflow.daemon
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.acaciaflow.coordination.retry.RetryBounds
+import org.acaciaflow.protocol.settings.EntryHostSettings
+import org.acaciaflow.state.identity.DataCentre
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.transport.process.createEntryGatewayDaemon
+import java.net.HttpURLConnection
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.URI
+import kotlin.random.Random
+import kotlin.system.exitProcess
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** `acaciaflow warm-up`: loads what a gateway needs and ends, so that a build can archive the classes. */
+internal class WarmUpCommand : CliktCommand(name = "warm-up") {
+    override fun help(context: Context): String =
+        "Starts a gateway on loopback that reaches nothing, calls it a few times and ends. A build runs it with " +
+            "-XX:ArchiveClassesAtExit. Example: java -XX:ArchiveClassesAtExit=FILE -jar acaciaflow.jar warm-up"
+
+    override fun run() {
+        val settings = loopbackSettings()
+        val daemon = createEntryGatewayDaemon(settings, platformAdapters(settings), Clock.System, Random.Default)
+        runBlocking {
+            daemon.start()
+            repeat(CALLS) { callOnce(settings) }
+            delay(SETTLING)
+        }
+        exitProcess(0)
+    }
+
+    private fun callOnce(settings: EntryHostSettings) {
+        val paths = listOf(settings.readiness to settings.readinessPath, settings.metrics to "/metrics")
+        for ((address, path) in paths + (settings.callers to "/")) {
+            val connection = URI("http://$address$path").toURL().openConnection() as HttpURLConnection
+            connection.setRequestProperty("Request-Id", "warm-up")
+            connection.responseCode
+            connection.disconnect()
+        }
+    }
+
+    private fun loopbackSettings(): EntryHostSettings =
+        EntryHostSettings(
+            name = "warm-up",
+            callers = freeAddress(),
+            readiness = freeAddress(),
+            readinessPath = "/ready",
+            peers = freeAddress(),
+            metrics = freeAddress(),
+            seeds = persistentListOf(freeAddress()),
+            dataCentre = DataCentre("warm-up"),
+            store = freeAddress(),
+            retryBounds = RetryBounds(ratio = 0.2, slack = 1.0, window = 10.seconds),
+            gracePeriod = 1.seconds,
+        )
+
+    private fun freeAddress(): HostAddress =
+        ServerSocket(0, 1, InetAddress.getByName(LOOPBACK)).use { HostAddress(LOOPBACK, it.localPort) }
+
+    private companion object {
+        const val LOOPBACK = "127.0.0.1"
+        const val CALLS = 3
+        val SETTLING = 500.milliseconds
+    }
+}
