Keep some of the decoders' slots for more urgent generations

Change: a generation is taken on while a decoder has a slot that is not kept for ranks above its own.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
@@ -34,6 +34,16 @@
         return (straight + handovers).minBy { it.rating }.path
     }
 
+    /** True when some decoder has a slot that is not kept for requests more urgent than [urgency]. */
+    fun hasRoom(
+        view: EngineView,
+        urgency: Int,
+    ): Boolean {
+        val share = (1.0 - RESERVED_SHARE * urgency).coerceAtLeast(LEAST_SHARE)
+        val open = (view.properties.slots * share).toInt()
+        return view.engines.any { it.role != EngineRole.PREFILL && view.load.runningAt(it.life) < open }
+    }
+
     /** The engine to go on with KV cache that was read elsewhere; null when there is none. */
     fun chooseDecoder(
         view: EngineView,
@@ -126,6 +136,8 @@
     )
 
     private const val BITS_PER_BYTE = 8.0
+    private const val RESERVED_SHARE = 0.12 // of the slots, for each rank of urgency above
+    private const val LEAST_SHARE = 0.6
     private const val SAFE_SHARE = 0.4 // predictions err by less than this share of the target
     private const val CERTAIN_SHARE = 1.3
     private const val DELAY_COST = 0.1
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -2,6 +2,7 @@
 
 import org.acaciaflow.coordination.engine.EnginePath
 import org.acaciaflow.coordination.engine.EnginePlanner
+import org.acaciaflow.coordination.engine.EngineView
 import org.acaciaflow.coordination.engine.LateArrival
 import org.acaciaflow.coordination.port.CacheSource
 import org.acaciaflow.coordination.port.Observations
@@ -41,9 +42,9 @@
             val view = candidates.view(candidates.of(request, journal.progress, now), properties, request.pool)
             val path =
                 EnginePlanner.choose(view, prompt, request.route.target, now) ?: return unserved(journal.progress)
-            if (journal.progress == RelayProgress.NOTHING && LateArrival.isTooLate(request.route, path.predicted)) {
-                val retryAfter = LateArrival.retryAfter(request.route, path.predicted)
-                return Conclusion.NotExecuted(NotRun.LATE_ALREADY, retryAfter)
+            if (journal.progress == RelayProgress.NOTHING) {
+                val refusal = refusalAtArrival(request, view, path)
+                if (refusal != null) return refusal
             }
             if (!permits.maySend(request, journal.progress, reason, now)) return unserved(journal.progress)
             val step =
@@ -58,6 +59,21 @@
         }
     }
 
+    private fun refusalAtArrival(
+        request: RelayedRequest,
+        view: EngineView,
+        path: EnginePath,
+    ): Conclusion? {
+        val retryAfter = LateArrival.retryAfter(request.route, path.predicted)
+        return when {
+            LateArrival.isTooLate(request.route, path.predicted) ->
+                Conclusion.NotExecuted(NotRun.LATE_ALREADY, retryAfter)
+            request.route.urgency > 0 && !EnginePlanner.hasRoom(view, request.route.urgency) ->
+                Conclusion.NotExecuted(NotRun.ROOM_RESERVED, retryAfter)
+            else -> null
+        }
+    }
+
     private suspend fun handover(
         request: RelayedRequest,
         prompt: Prompt,
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
@@ -83,6 +83,7 @@
                 NotRun.NO_BACKEND,
                 NotRun.BACKENDS_REFUSED,
                 NotRun.LATE_ALREADY,
+                NotRun.ROOM_RESERVED,
                 -> UNAVAILABLE
             }
 
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
@@ -16,4 +16,5 @@
     NO_BACKEND("no-backend"),
     BACKENDS_REFUSED("backends-refused"),
     LATE_ALREADY("late-already"),
+    ROOM_RESERVED("room-reserved"),
 }
