Rehearse the path before readiness

Change: before a gateway is ready it plays callers and engines to itself through the whole path, until callers come; the build's archive covers that path too.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -12,6 +12,7 @@
 import org.acaciaflow.state.plan.EngineState
 import org.acaciaflow.state.refusal.Refusal
 import org.acaciaflow.state.work.RequestDigest
+import kotlin.time.Duration
 
 /** A numbered log event with its details. */
 sealed class Event(
@@ -152,6 +153,11 @@
         val detail: String,
     ) : Event(EventKind.PEER_UNREACHABLE)
 
+    data class Rehearsed(
+        val answered: Int,
+        val took: Duration,
+    ) : Event(EventKind.REHEARSED)
+
     data object SettingsReloaded : Event(EventKind.SETTINGS_RELOADED)
 
     data object HostListUnavailable : Event(EventKind.HOST_LIST_UNAVAILABLE)
--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/PlatformAdapters.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/PlatformAdapters.kt
@@ -3,6 +3,7 @@
 import org.acaciaflow.platform.PlatformBackends
 import org.acaciaflow.platform.PlatformCallers
 import org.acaciaflow.platform.PlatformDocuments
+import org.acaciaflow.platform.PlatformRehearsal
 import org.acaciaflow.platform.PlatformStore
 import org.acaciaflow.protocol.settings.EntryHostSettings
 import org.acaciaflow.transport.process.EntryGatewayAdapters
@@ -15,6 +16,7 @@
         refusals = PlatformCallers,
         backends = PlatformBackends,
         documents = PlatformDocuments,
+        rehearsal = PlatformRehearsal,
         registrationKey = PlatformDocuments.gatewayKey(settings.peers.toString()),
         openStore = { calls ->
             val store = PlatformStore(settings.store, calls)
--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/WarmUpCommand.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/WarmUpCommand.kt
@@ -17,7 +17,6 @@
 import kotlin.random.Random
 import kotlin.system.exitProcess
 import kotlin.time.Clock
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** `acaciaflow warm-up`: loads what a gateway needs and ends, so that a build can archive the classes. */
@@ -68,6 +67,6 @@
     private companion object {
         const val LOOPBACK = "127.0.0.1"
         const val CALLS = 3
-        val SETTLING = 500.milliseconds
+        val SETTLING = 3.seconds // the rehearsal loads the rest of the path
     }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayAdapters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayAdapters.kt
@@ -7,6 +7,7 @@
 import org.acaciaflow.coordination.port.StoredDocuments
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.protocol.dialect.HttpCalls
+import org.acaciaflow.protocol.dialect.RehearsalScript
 import org.acaciaflow.protocol.http.RefusalEncoder
 
 /** How a platform speaks to its gateways, and they to it. */
@@ -15,6 +16,7 @@
     val refusals: RefusalEncoder,
     val backends: BackendDialect,
     val documents: StoredDocuments,
+    val rehearsal: RehearsalScript,
     val registrationKey: StoreKey,
     val openStore: (HttpCalls) -> PlatformStorePorts,
 )
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
@@ -15,6 +15,7 @@
 import org.acaciaflow.transport.http.OperatorsServer
 import org.acaciaflow.transport.http.OperatorsView
 import org.acaciaflow.transport.peer.PeerExchange
+import org.acaciaflow.transport.rehearsal.Rehearsal
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -30,13 +31,16 @@
     private val registration: PeerRegistration,
     private val peers: PeerExchange,
     private val callers: CallerServer,
+    private val rehearsal: Rehearsal,
     private val stop: StopFlag,
     private val clock: Clock,
 ) : Daemon,
     OperatorsView {
+    @Volatile
+    private var rehearsed = false
+
     override val ready: Boolean
-        get() =
-            !stop.requested &&
+        get() = !stop.requested && rehearsed &&
                 follower.synchronized &&
                 tables.routing
                     .snapshot()
@@ -48,6 +52,7 @@
         scope.launch { follower.run() }
         scope.launch { registration.run() }
         scope.launch { tidy() }
+        scope.launch { rehearse() }
         peers.start()
         OperatorsServer(runtime.vertx, runtime.registry, this, settings.readinessPath).start(settings.readiness)
         OperatorsServer(runtime.vertx, runtime.registry, this).start(settings.metrics)
@@ -71,6 +76,13 @@
 
     override fun status(): String = EntryGatewayStatus.describe(self, tables, clock.now())
 
+    /** Callers that come all the same end the rehearsal, since they need the processor. */
+    private suspend fun rehearse() {
+        val result = rehearsal.run { callers.openCalls == 0 && !stop.requested }
+        runtime.observations.event(Event.Rehearsed(result.answered, result.took))
+        rehearsed = true
+    }
+
     /** Waits until no call has been open for a while, since callers go on using their connections. */
     private suspend fun awaitIdle() {
         var idle = Duration.ZERO
@@ -102,7 +114,7 @@
 
     private companion object {
         val BALANCER_NOTICE: Duration = 3.seconds // two failed readiness checks, a second apart
-        val KILL_MARGIN: Duration = 500.milliseconds
+        val KILL_MARGIN: Duration = 1.seconds // the virtual machine needs a part of it to end
         val IDLE_BEFORE_END: Duration = 600.milliseconds
         val IDLE_CHECK: Duration = 50.milliseconds
         val TIDY_INTERVAL: Duration = 250.milliseconds
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -17,6 +17,8 @@
 import org.acaciaflow.transport.http.CallerServer
 import org.acaciaflow.transport.http.FrontEnd
 import org.acaciaflow.transport.peer.PeerExchange
+import org.acaciaflow.transport.rehearsal.Rehearsal
+import org.acaciaflow.transport.rehearsal.RehearsalParts
 import kotlin.random.Random
 import kotlin.time.Clock
 
@@ -32,9 +34,10 @@
     val calls = VertxHttpCalls(runtime.vertx)
     val store = adapters.openStore(calls)
     val stop = StopFlag()
+    val connections = DirectConnections(runtime.vertx, adapters.backends, calls, runtime.workers.scope)
     val ports =
         RelayPorts(
-            connections = DirectConnections(runtime.vertx, adapters.backends, calls, runtime.workers.scope),
+            connections = connections,
             dialect = adapters.callers,
             framing = ServerSentEvents,
             observations = runtime.observations,
@@ -57,6 +60,7 @@
             ),
         peers = createPeerExchange(settings, runtime, tables, clock),
         callers = CallerServer(runtime.vertx, relay, runtime.observations, runtime.workers.scope, frontEnd),
+        rehearsal = createRehearsal(adapters, runtime, connections, calls, clock),
         stop = stop,
         clock = clock,
     )
@@ -83,6 +87,26 @@
         random = random,
     )
 
+private fun createRehearsal(
+    adapters: EntryGatewayAdapters,
+    runtime: Runtime,
+    connections: DirectConnections,
+    calls: VertxHttpCalls,
+    clock: Clock,
+): Rehearsal =
+    Rehearsal(
+        RehearsalParts(
+            vertx = runtime.vertx,
+            scope = runtime.workers.scope,
+            script = adapters.rehearsal,
+            callers = adapters.callers,
+            refusals = adapters.refusals,
+            connections = connections,
+            calls = calls,
+            clock = clock,
+        ),
+    )
+
 private fun createPeerExchange(
     settings: EntryHostSettings,
     runtime: Runtime,
