Watch streams for stalls with one timer a run instead of one an event

Cause: each streamed event set and cancelled a timer, changed the load table and copied its bytes twice; under restarts the gateways' processors were short. Change: one watch a run; load is noted every 50 ms; event numbers are read without decoding the event.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -1,6 +1,5 @@
 package org.acaciaflow.coordination.relay
 
-import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.crash.CrashReporting
 import org.acaciaflow.coordination.fleet.FleetChanges
 import org.acaciaflow.coordination.gateway.StreamFraming
@@ -20,6 +19,7 @@
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 
 /** Sends a request to one backend server and passes its answer on to the caller. */
 internal class BackendRun(
@@ -43,12 +43,15 @@
         journal.note { it.copy(sending = true) }
         try {
             val stream = connections.open(order, request.exchange.body)
-            val outcome =
+            val watch = StallWatch(tables, life, patience, clock)
+            val followed =
                 try {
-                    follow(stream, request, life, job, patience, journal)
+                    watch.during(stream) { follow(stream, request, life, job, watch, journal) }
                 } finally {
                     stream.abandon()
                 }
+            val stalled = watch.stalled && followed is RunOutcome.Broken
+            val outcome = if (stalled) RunOutcome.Broken(MayHaveRun.STREAM_STALLED) else followed
             journal.note { it.copy(sending = false) }
             judge(request, life, outcome)
             return outcome
@@ -65,10 +68,10 @@
         request: RelayedRequest,
         life: BackendLife,
         job: JobIdentity,
-        patience: Patience,
+        watch: StallWatch,
         journal: RelayJournal,
     ): RunOutcome =
-        when (val first = nextWithin(stream, patience.first, life, patience)) {
+        when (val first = stream.next()) {
             is AttemptEvent.Refused -> {
                 RunOutcome.NotExecuted(first.reason)
             }
@@ -76,7 +79,7 @@
             is AttemptEvent.Head -> {
                 journal.note { it.copy(mayHaveRun = MayHaveRun.ANSWER_INCOMPLETE) }
                 if (framing.isEventStream(first.head)) {
-                    passEvents(stream, first.head, request, life, job, patience, journal)
+                    passEvents(stream, first.head, request, life, job, watch, journal)
                 } else {
                     passWhole(stream, first.head, request, journal)
                 }
@@ -87,11 +90,6 @@
                 RunOutcome.Broken(first.reason)
             }
 
-            null -> {
-                journal.note { it.copy(mayHaveRun = MayHaveRun.STREAM_STALLED) }
-                RunOutcome.Broken(MayHaveRun.STREAM_STALLED)
-            }
-
             is AttemptEvent.Data, AttemptEvent.End -> {
                 error("an answer without a head")
             }
@@ -103,17 +101,20 @@
         request: RelayedRequest,
         life: BackendLife,
         job: JobIdentity,
-        patience: Patience,
+        watch: StallWatch,
         journal: RelayJournal,
     ): RunOutcome {
         val delivery = EventDelivery(request.exchange, framing, journal, head, clock)
-        var heard = false
+        var notedAt = Instant.DISTANT_PAST
         while (true) {
-            val limit = if (heard) patience.between else patience.first
-            when (val event = nextWithin(stream, limit, life, patience)) {
+            when (val event = stream.next()) {
                 is AttemptEvent.Data -> {
-                    heard = true
-                    tables.load.update { LoadLedger.producing(it, life, job, clock.now()) }
+                    val now = clock.now()
+                    watch.heard(now)
+                    if (now - notedAt > NOTE_INTERVAL) {
+                        tables.load.update { LoadLedger.producing(it, life, job, now) }
+                        notedAt = now
+                    }
                     if (delivery.data(event.bytes) == CallerWrite.CALLER_GONE) return RunOutcome.CallerGone
                 }
 
@@ -126,10 +127,6 @@
                     return RunOutcome.Broken(event.reason)
                 }
 
-                null -> {
-                    return RunOutcome.Broken(MayHaveRun.STREAM_STALLED)
-                }
-
                 is AttemptEvent.Head, is AttemptEvent.Refused -> {
                     error("a second head in one answer")
                 }
@@ -167,25 +164,6 @@
             CallerWrite.CALLER_GONE -> RunOutcome.CallerGone
         }
 
-    /** The next part of an answer; null when [limit] passes or the server has fallen silent. */
-    private suspend fun nextWithin(
-        stream: AttemptStream,
-        limit: Duration?,
-        life: BackendLife,
-        patience: Patience,
-    ): AttemptEvent? {
-        if (limit == null) return stream.next()
-        val until = clock.now() + limit
-        while (true) {
-            val left = until - clock.now()
-            if (left <= Duration.ZERO) return null
-            val event = withTimeoutOrNull(minOf(left, SILENCE_CHECK)) { stream.next() }
-            if (event != null) return event
-            val silence = tables.load.snapshot().ownAt(life).silence(clock.now())
-            if (patience.serverSilence != null && silence > patience.serverSilence) return null
-        }
-    }
-
     private fun judge(
         request: RelayedRequest,
         life: BackendLife,
@@ -216,6 +194,6 @@
 
     private companion object {
         const val FIRST_FAILURE_STATUS = 400
-        val SILENCE_CHECK: Duration = 250.milliseconds
+        val NOTE_INTERVAL: Duration = 50.milliseconds // what is told of a server's load need not be finer
     }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
@@ -25,7 +25,7 @@
 
     /** Passes on the events that [bytes] complete. */
     suspend fun data(bytes: ByteString): CallerWrite {
-        val framed = framing.split(joined(listOf(rest, bytes)))
+        val framed = framing.split(if (rest.isEmpty()) bytes else joined(listOf(rest, bytes)))
         rest = framed.rest
         if (framed.events.isEmpty()) return CallerWrite.WRITTEN
         if (!journal.progress.begun && exchange.begin(head) == CallerWrite.CALLER_GONE) return CallerWrite.CALLER_GONE
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/ServerSentEvents.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/ServerSentEvents.kt
@@ -13,6 +13,7 @@
 object ServerSentEvents : StreamFraming {
     private const val EVENT_STREAM_TYPE = "text/event-stream"
     private const val IDENTITY_FIELD = "id:"
+    private const val LONGEST_END_MARK = 20
     private const val END_MARK = "data: [DONE]"
     private const val SUCCESS = 200
     private const val LINE_FEED = '\n'.code.toByte()
@@ -47,13 +48,39 @@
         return bytes[index - 1] == CARRIAGE_RETURN && index > 1 && bytes[index - 2] == LINE_FEED
     }
 
-    private fun event(bytes: ByteString): StreamEvent {
-        val text = bytes.decodeToString()
-        val identity = text.lineSequence().firstOrNull { it.startsWith(IDENTITY_FIELD) }
-        return StreamEvent(
+    private fun event(bytes: ByteString): StreamEvent =
+        StreamEvent(
             bytes = bytes,
-            identity = identity?.removePrefix(IDENTITY_FIELD)?.trim(),
-            isEndMark = text.trim() == END_MARK,
+            identity = identityOf(bytes),
+            isEndMark = bytes.size <= LONGEST_END_MARK && bytes.decodeToString().trim() == END_MARK,
         )
+
+    /** The value of the field that numbers an event; only the lines before it are looked at. */
+    private fun identityOf(bytes: ByteString): String? {
+        var start = 0
+        while (start < bytes.size) {
+            val end = lineEnd(bytes, start)
+            if (startsWithIdentity(bytes, start)) {
+                return bytes.substring(start, end).decodeToString().removePrefix(IDENTITY_FIELD).trim()
+            }
+            start = end + 1
+        }
+        return null
     }
+
+    private fun lineEnd(
+        bytes: ByteString,
+        start: Int,
+    ): Int {
+        var end = start
+        while (end < bytes.size && bytes[end] != LINE_FEED) end += 1
+        return end
+    }
+
+    private fun startsWithIdentity(
+        bytes: ByteString,
+        start: Int,
+    ): Boolean =
+        start + IDENTITY_FIELD.length <= bytes.size &&
+            IDENTITY_FIELD.indices.all { bytes[start + it] == IDENTITY_FIELD[it].code.toByte() }
 }
