Take a newer configuration from a peer when the store does not tell it

Cause: a gateway that the store turns away learned nothing until its return, while the bound for a configuration goes on for machines that reach each other. Change: reports carry the version; one that is behind asks the peer ahead for the document over TCP.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
@@ -14,6 +14,7 @@
 import org.acaciaflow.transport.http.CallerServer
 import org.acaciaflow.transport.http.OperatorsServer
 import org.acaciaflow.transport.http.OperatorsView
+import org.acaciaflow.transport.peer.ConfigurationExchange
 import org.acaciaflow.transport.peer.PeerExchange
 import org.acaciaflow.transport.rehearsal.Rehearsal
 import kotlin.time.Clock
@@ -30,6 +31,7 @@
     private val follower: StoreFollower,
     private val registration: PeerRegistration,
     private val peers: PeerExchange,
+    private val configurations: ConfigurationExchange,
     private val callers: CallerServer,
     private val rehearsal: Rehearsal,
     private val stop: StopFlag,
@@ -54,6 +56,7 @@
         scope.launch { tidy() }
         scope.launch { rehearse() }
         peers.start()
+        configurations.start()
         OperatorsServer(runtime.vertx, runtime.registry, this, settings.readinessPath).start(settings.readiness)
         OperatorsServer(runtime.vertx, runtime.registry, this).start(settings.metrics)
         callers.start(settings.callers)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -16,6 +16,7 @@
 import org.acaciaflow.transport.direct.VertxHttpCalls
 import org.acaciaflow.transport.http.CallerServer
 import org.acaciaflow.transport.http.FrontEnd
+import org.acaciaflow.transport.peer.ConfigurationExchange
 import org.acaciaflow.transport.peer.PeerExchange
 import org.acaciaflow.transport.rehearsal.Rehearsal
 import org.acaciaflow.transport.rehearsal.RehearsalParts
@@ -44,13 +45,14 @@
             clock = clock,
         )
     val relay = createRequestRelay(tables, ports, settings.dataCentre, settings.retryBounds)
+    val keeper = RoutingKeeper(adapters.documents, tables.routing, runtime.observations)
     val frontEnd = ConfiguredFrontEnd(adapters.refusals, tables, stop)
     return EntryGatewayDaemon(
         settings = settings,
         self = newProcessIdentity(settings.peers),
         runtime = runtime,
         tables = tables,
-        follower = createFollower(settings, adapters, store, runtime, tables, clock, random),
+        follower = createFollower(settings, adapters, store, runtime, tables, keeper, clock, random),
         registration =
             PeerRegistration(
                 store = store.writes,
@@ -59,6 +61,16 @@
                 observations = runtime.observations,
             ),
         peers = createPeerExchange(settings, runtime, tables, clock),
+        configurations =
+            ConfigurationExchange(
+                self = settings.peers,
+                selector = runtime.selector,
+                routing = tables.routing,
+                keeper = keeper,
+                peers = tables.peers,
+                observations = runtime.observations,
+                scope = runtime.workers.scope,
+            ),
         callers = CallerServer(runtime.vertx, relay, runtime.observations, runtime.workers.scope, frontEnd),
         rehearsal = createRehearsal(adapters, runtime, connections, calls, clock),
         stop = stop,
@@ -72,6 +84,7 @@
     store: PlatformStorePorts,
     runtime: Runtime,
     tables: RelayTables,
+    keeper: RoutingKeeper,
     clock: Clock,
     random: Random,
 ): StoreFollower =
@@ -79,7 +92,7 @@
         self = settings.peers,
         feed = store.changes,
         documents = adapters.documents,
-        routing = RoutingKeeper(adapters.documents, tables.routing, runtime.observations),
+        routing = keeper,
         fleet = tables.fleet,
         peers = tables.peers,
         observations = runtime.observations,
