--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerNews.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerNews.kt
@@ -39,14 +39,20 @@
     ): PeerReport {
         sequence += 1
         val fleet = tables.fleet.snapshot()
-        val known = fleet.entries.values.map { it.life }.toSet()
+        val known =
+            fleet.entries.values
+                .map { it.life }
+                .toSet()
         val own = tables.load.snapshot().own
         val crashes = tables.crashes.snapshot().byDigest
         return PeerReport(
             sender = self,
             startedAtMilliseconds = startedAtMilliseconds,
             sequence = sequence,
-            configurationVersion = tables.routing.snapshot().configuration.version,
+            configurationVersion =
+                tables.routing
+                    .snapshot()
+                    .configuration.version,
             stopping = stopping,
             loads =
                 own
@@ -54,7 +60,11 @@
                     .map { (life, load) -> ReportedLoad(life.code, load.backlog(now), load.jobs.size, load.tokens) }
                     .toPersistentList(),
             reads = tables.reads.taken(),
-            leaving = fleet.leaving.filter { it in known }.map { it.code }.toPersistentList(),
+            leaving =
+                fleet.leaving
+                    .filter { it in known }
+                    .map { it.code }
+                    .toPersistentList(),
             unheard = unheard(now).map { it.code }.toPersistentList(),
             crashes =
                 crashes
@@ -70,7 +80,11 @@
         now: Instant,
     ) {
         if (report.sender == self || !isNewer(report, now)) return
-        val lives = tables.fleet.snapshot().entries.values.associate { it.life.code to it.life }
+        val lives =
+            tables.fleet
+                .snapshot()
+                .entries.values
+                .associate { it.life.code to it.life }
         leavings(report, lives)
         cacheContents(report, lives, now)
         loads(report, lives, now)
@@ -87,7 +101,12 @@
 
     /** Forgets peers that have been silent for too long as of [now]. */
     fun forgetSilent(now: Instant) {
-        val silent = tables.peers.snapshot().heard.filterValues { now - it.heardAt > FORGOTTEN_AFTER }.keys
+        val silent =
+            tables.peers
+                .snapshot()
+                .heard
+                .filterValues { now - it.heardAt > FORGOTTEN_AFTER }
+                .keys
         for (address in silent) {
             tables.load.update { it.copy(remote = it.remote.remove(address)) }
             tables.peers.update { it.copy(heard = it.heard.remove(address)) }
@@ -111,7 +130,14 @@
                         heardAt = now,
                         configurationVersion = report.configurationVersion,
                     )
-                val heard = if (report.stopping) peers.heard.remove(report.sender) else peers.heard.put(report.sender, peer)
+                val heard =
+                    if (report.stopping) {
+                        peers.heard.remove(
+                            report.sender,
+                        )
+                    } else {
+                        peers.heard.put(report.sender, peer)
+                    }
                 Transition(peers.copy(heard = heard), if (known == null) Heard.FIRST else Heard.AGAIN)
             }
         if (former == Heard.FIRST) observations.event(Event.PeerHeard(report.sender, report.configurationVersion))
@@ -141,7 +167,10 @@
     ) {
         if (report.reads.isEmpty()) return
         val entries = tables.fleet.snapshot().entries
-        val services = tables.routing.snapshot().configuration.services
+        val services =
+            tables.routing
+                .snapshot()
+                .configuration.services
         tables.caches.update { caches ->
             report.reads.fold(caches) { known, read ->
                 val life = lives[read.lifeCode] ?: return@fold known
@@ -158,16 +187,29 @@
     ) {
         val loads: PersistentMap<BackendLife, RemoteLoad> =
             report.loads
-                .mapNotNull { load -> lives[load.lifeCode]?.let { it to RemoteLoad(load.backlog, load.running, load.tokens, now) } }
-                .toMap()
+                .mapNotNull { load ->
+                    lives[load.lifeCode]?.let {
+                        it to
+                            RemoteLoad(load.backlog, load.running, load.tokens, now)
+                    }
+                }.toMap()
                 .toPersistentMap()
         tables.load.update { it.copy(remote = it.remote.put(report.sender, loads)) }
     }
 
     /** Servers that this gateway itself cannot reach or hear as of [now]. */
     private fun unheard(now: Instant): Set<BackendLife> {
-        val silent = tables.load.snapshot().own.filterValues { it.silence(now) > ReliabilityPolicy.SILENT_AFTER }.keys
-        val avoided = tables.reliability.snapshot().filterValues { it.avoidedUntil > now }.keys
+        val silent =
+            tables.load
+                .snapshot()
+                .own
+                .filterValues { it.silence(now) > ReliabilityPolicy.SILENT_AFTER }
+                .keys
+        val avoided =
+            tables.reliability
+                .snapshot()
+                .filterValues { it.avoidedUntil > now }
+                .keys
         return silent + avoided
     }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StallWatch.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StallWatch.kt
@@ -59,7 +59,10 @@
         val limit = if (last == null) patience.first else patience.between
         if (limit != null && now - (last ?: startedAt) > limit) return true
         val serverLimit = patience.serverSilence ?: return false
-        return tables.load.snapshot().ownAt(life).silence(now) > serverLimit
+        return tables.load
+            .snapshot()
+            .ownAt(life)
+            .silence(now) > serverLimit
     }
 
     private companion object {
--- /dev/null
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/FleetChangesTest.kt
@@ -0,0 +1,75 @@
+package org.acaciaflow.coordination.fleet
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.boolean
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.arbitrary.pair
+import io.kotest.property.checkAll
+import org.acaciaflow.coordination.relay.SERVICE_POOL
+import org.acaciaflow.coordination.relay.backend
+import org.acaciaflow.state.fleet.Fleet
+
+class FleetChangesTest : AnnotationSpec() {
+    @Test
+    fun `a lifetime seen draining gets no work whatever entries say later`() {
+        val seen = FleetChanges.registered(Fleet.NONE, backend("one", draining = true))
+
+        val later = FleetChanges.registered(seen, backend("one", draining = false))
+
+        later.usableIn(SERVICE_POOL).shouldBeEmpty()
+    }
+
+    @Test
+    fun `a new lifetime under a known name gets work again`() {
+        val drained = FleetChanges.registered(Fleet.NONE, backend("one", startedAt = 1, draining = true))
+
+        val restarted = FleetChanges.registered(drained, backend("one", startedAt = 2))
+
+        restarted.usableIn(SERVICE_POOL) shouldHaveSize 1
+    }
+
+    @Test
+    fun `entries that arrive in any order never bring an older lifetime back`() =
+        kotlinx.coroutines.test.runTest {
+            checkAll(200, Arb.list(Arb.pair(Arb.int(1..5), Arb.boolean()), 1..12)) { arrivals ->
+                val entries =
+                    arrivals.map { (startedAt, draining) ->
+                        backend("one", SERVICE_POOL, startedAt = startedAt.toLong(), draining = draining)
+                    }
+
+                val fleet = entries.fold(Fleet.NONE, FleetChanges::registered)
+
+                val latest = arrivals.maxOf { it.first }.toLong()
+                fleet.entries
+                    .getValue("one")
+                    .life.startedAtMilliseconds shouldBe latest
+                val drained = arrivals.any { (startedAt, draining) -> startedAt.toLong() == latest && draining }
+                fleet.usableIn(SERVICE_POOL).isEmpty() shouldBe drained
+            }
+        }
+
+    @Test
+    fun `a lapsed entry is used until it is settled and then forgotten`() {
+        val known = FleetChanges.registered(Fleet.NONE, backend("one"))
+
+        val lapsed = FleetChanges.lapsed(known, "one")
+        val settled = FleetChanges.lapsesSettled(lapsed)
+
+        lapsed.usableIn(SERVICE_POOL) shouldHaveSize 1
+        settled.entries.values.shouldBeEmpty()
+    }
+
+    @Test
+    fun `an entry that comes back in time outlives the settling`() {
+        val lapsed = FleetChanges.lapsed(FleetChanges.registered(Fleet.NONE, backend("one")), "one")
+
+        val settled = FleetChanges.lapsesSettled(FleetChanges.registered(lapsed, backend("one")))
+
+        settled.usableIn(SERVICE_POOL) shouldHaveSize 1
+    }
+}
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestRelayTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestRelayTest.kt
@@ -196,7 +196,10 @@
 
             repeat(6) { relay.accept(FakeCaller()) }
 
-            connections.orders.map { it.backend.life }.distinct().size shouldBeIn listOf(1, 2)
+            connections.orders
+                .map { it.backend.life }
+                .distinct()
+                .size shouldBeIn listOf(1, 2)
         }
 
     private fun TestScope.relay(
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.relay
 
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.io.bytestring.encodeToByteString
@@ -10,7 +11,6 @@
 import org.acaciaflow.coordination.port.CallBody
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RunOrder
-import kotlinx.collections.immutable.persistentListOf
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
--- /dev/null
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreFollowerTest.kt
@@ -0,0 +1,214 @@
+package org.acaciaflow.coordination.store
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import kotlinx.io.bytestring.ByteString
+import kotlinx.io.bytestring.decodeToString
+import kotlinx.io.bytestring.encodeToByteString
+import org.acaciaflow.coordination.port.ChangeFeed
+import org.acaciaflow.coordination.port.Decoded
+import org.acaciaflow.coordination.port.DocumentFault
+import org.acaciaflow.coordination.port.StoreChange
+import org.acaciaflow.coordination.port.StoreChanges
+import org.acaciaflow.coordination.port.StoreFailure
+import org.acaciaflow.coordination.port.StoreKey
+import org.acaciaflow.coordination.port.StoreResult
+import org.acaciaflow.coordination.port.StoreSnapshot
+import org.acaciaflow.coordination.port.StoredDocuments
+import org.acaciaflow.coordination.port.StoredSubject
+import org.acaciaflow.coordination.port.StoredValue
+import org.acaciaflow.coordination.relay.NoObservations
+import org.acaciaflow.coordination.relay.RelayTables
+import org.acaciaflow.coordination.relay.SERVICE_POOL
+import org.acaciaflow.coordination.relay.backend
+import org.acaciaflow.coordination.relay.createRelayTables
+import org.acaciaflow.coordination.routing.RoutingKeeper
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.route.RoutingConfiguration
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class StoreFollowerTest : AnnotationSpec() {
+    private val entry = written("backend/one", "ready")
+    private val removal = StoreChange.Removed(StoreKey("backend/one"))
+
+    @Test
+    fun `an entry that goes missing in calm is not used any more`() =
+        runTest {
+            val tables = createRelayTables()
+
+            follow(tables, snapshot(entry), batch(removal))
+
+            usable(tables) shouldBe 0
+        }
+
+    @Test
+    fun `an entry that lapsed during an outage is used until two seconds after it`() =
+        runTest {
+            val tables = createRelayTables()
+            val outage = StoreResult.Failure(StoreFailure.TIMED_OUT)
+
+            val follower = follow(tables, snapshot(entry), outage, batch(removal))
+            follower.settleLapses(now())
+            val duringGrace = usable(tables)
+            advanceTimeBy(3.seconds)
+            follower.settleLapses(now())
+
+            duringGrace shouldBe 1
+            usable(tables) shouldBe 0
+        }
+
+    @Test
+    fun `an entry that comes back within the grace stays in use`() =
+        runTest {
+            val tables = createRelayTables()
+            val outage = StoreResult.Failure(StoreFailure.REJECTED)
+
+            val follower = follow(tables, snapshot(entry), outage, batch(removal), batch(StoreChange.Written(entry)))
+            advanceTimeBy(3.seconds)
+            follower.settleLapses(now())
+
+            usable(tables) shouldBe 1
+        }
+
+    @Test
+    fun `what changed while history was lost is found by reading anew`() =
+        runTest {
+            val tables = createRelayTables()
+            val lost = StoreResult.Success(StoreChanges.HistoryLost)
+
+            follow(
+                tables,
+                snapshot(entry, written("configuration", "3")),
+                lost,
+                snapshot(written("configuration", "7")),
+            )
+
+            usable(tables) shouldBe 0
+            tables.routing
+                .snapshot()
+                .configuration.version shouldBe 7
+        }
+
+    @Test
+    fun `a configuration never goes back`() =
+        runTest {
+            val tables = createRelayTables()
+
+            follow(
+                tables,
+                snapshot(written("configuration", "7")),
+                batch(StoreChange.Written(written("configuration", "5"))),
+                batch(StoreChange.Written(written("configuration", "garbage"))),
+            )
+
+            tables.routing
+                .snapshot()
+                .configuration.version shouldBe 7
+        }
+
+    @Test
+    fun `an entry that cannot be read names no server and leaves the others`() =
+        runTest {
+            val tables = createRelayTables()
+
+            follow(tables, snapshot(entry, written("backend/second", "ready"), written("backend/third", "?")))
+
+            usable(tables) shouldBe 2
+        }
+
+    private fun TestScope.follow(
+        tables: RelayTables,
+        vararg answers: StoreResult<Any>,
+    ): StoreFollower {
+        val observations = NoObservations()
+        val follower =
+            StoreFollower(
+                self = HostAddress("10.0.0.1", 1),
+                feed = ScriptedFeed(answers.toMutableList()),
+                documents = PlainDocuments,
+                routing = RoutingKeeper(PlainDocuments, tables.routing, observations),
+                fleet = tables.fleet,
+                peers = tables.peers,
+                observations = observations,
+                clock =
+                    object : Clock {
+                        override fun now(): Instant = this@follow.now()
+                    },
+                random = Random(1),
+            )
+        backgroundScope.launch { follower.run() }
+        advanceTimeBy(1.5.seconds)
+        return follower
+    }
+
+    private fun TestScope.now(): Instant = Instant.fromEpochMilliseconds(1_000_000 + currentTime)
+
+    private fun usable(tables: RelayTables): Int =
+        tables.fleet
+            .snapshot()
+            .usableIn(SERVICE_POOL)
+            .size
+
+    private fun written(
+        key: String,
+        text: String,
+    ) = StoredValue(StoreKey(key), text.encodeToByteString(), revision = 1)
+
+    private fun snapshot(vararg values: StoredValue) =
+        StoreResult.Success(StoreSnapshot(values.toList().toPersistentList(), revision = 1))
+
+    private fun batch(change: StoreChange) =
+        StoreResult.Success(StoreChanges.Batch(persistentListOf(change), revision = 2))
+}
+
+/** A store that gives prepared answers and then none. */
+private class ScriptedFeed(
+    private val answers: MutableList<StoreResult<Any>>,
+) : ChangeFeed {
+    @Suppress("UNCHECKED_CAST")
+    override suspend fun snapshot(): StoreResult<StoreSnapshot> = next() as StoreResult<StoreSnapshot>
+
+    @Suppress("UNCHECKED_CAST")
+    override suspend fun changes(
+        revision: Long,
+        wait: Duration,
+    ): StoreResult<StoreChanges> = next() as StoreResult<StoreChanges>
+
+    private suspend fun next(): StoreResult<Any> = if (answers.isEmpty()) awaitCancellation() else answers.removeAt(0)
+}
+
+/** Documents whose text is a state or a version. */
+private object PlainDocuments : StoredDocuments {
+    override fun subjectOf(key: StoreKey): StoredSubject =
+        when {
+            key.path == "configuration" -> StoredSubject.Configuration
+            else -> StoredSubject.Backend(key.path.substringAfter('/'))
+        }
+
+    override fun readEntry(
+        instance: String,
+        document: ByteString,
+    ): Decoded<BackendEntry> =
+        when (document.decodeToString()) {
+            "ready" -> Decoded.Valid(backend(instance))
+            else -> Decoded.Invalid(DocumentFault("state"))
+        }
+
+    override fun readConfiguration(document: ByteString): Decoded<RoutingConfiguration> {
+        val version = document.decodeToString().toLongOrNull() ?: return Decoded.Invalid(DocumentFault("version"))
+        return Decoded.Valid(RoutingConfiguration.NONE.copy(version = version))
+    }
+}
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/ServerSentEvents.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/ServerSentEvents.kt
@@ -61,7 +61,11 @@
         while (start < bytes.size) {
             val end = lineEnd(bytes, start)
             if (startsWithIdentity(bytes, start)) {
-                return bytes.substring(start, end).decodeToString().removePrefix(IDENTITY_FIELD).trim()
+                return bytes
+                    .substring(start, end)
+                    .decodeToString()
+                    .removePrefix(IDENTITY_FIELD)
+                    .trim()
             }
             start = end + 1
         }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
@@ -42,7 +42,9 @@
     private var rehearsed = false
 
     override val ready: Boolean
-        get() = !stop.requested && rehearsed &&
+        get() =
+            !stop.requested &&
+                rehearsed &&
                 follower.synchronized &&
                 tables.routing
                     .snapshot()
--- a/transport/src/main/kotlin/org/acaciaflow/transport/rehearsal/RehearsalStage.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/rehearsal/RehearsalStage.kt
@@ -41,7 +41,9 @@
             )
         tables.routing.update { KnownRouting(configuration, ByteString()) }
         val entries = listOf(EngineRole.PREFILL, EngineRole.DECODE).map { entryOf(it, engine) }
-        tables.fleet.update { fleet -> fleet.copy(entries = fleet.entries.putAll(entries.associateBy { it.life.instance })) }
+        tables.fleet.update { fleet ->
+            fleet.copy(entries = fleet.entries.putAll(entries.associateBy { it.life.instance }))
+        }
     }
 
     private fun entryOf(
--- /dev/null
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
@@ -0,0 +1,107 @@
+package org.acaciaflow.transport.peer
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import io.ktor.network.selector.SelectorManager
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import kotlinx.io.bytestring.ByteString
+import kotlinx.io.bytestring.decodeToString
+import kotlinx.io.bytestring.encodeToByteString
+import org.acaciaflow.coordination.port.Decoded
+import org.acaciaflow.coordination.port.DocumentFault
+import org.acaciaflow.coordination.port.StoreKey
+import org.acaciaflow.coordination.port.StoredDocuments
+import org.acaciaflow.coordination.port.StoredSubject
+import org.acaciaflow.coordination.relay.RelayTables
+import org.acaciaflow.coordination.relay.createRelayTables
+import org.acaciaflow.coordination.routing.ConfigurationOrigin
+import org.acaciaflow.coordination.routing.RoutingKeeper
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.peer.Peer
+import org.acaciaflow.state.route.RoutingConfiguration
+import org.acaciaflow.transport.observation.MeteredObservations
+import java.net.InetAddress
+import java.net.ServerSocket
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ConfigurationExchangeTest : AnnotationSpec() {
+    private val observations = MeteredObservations(PrometheusMeterRegistry(PrometheusConfig.DEFAULT))
+
+    @Test
+    fun `a gateway without the store takes the configuration of a peer that is ahead`() =
+        runBlocking {
+            val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+            val selector = SelectorManager(Dispatchers.IO)
+            val ahead = freeAddress()
+            val behind = createRelayTables()
+            val known = createRelayTables()
+            RoutingKeeper(VersionDocuments, known.routing, observations)
+                .offer("9".encodeToByteString(), ConfigurationOrigin.STORE)
+            exchange(ahead, known, selector, scope).start()
+            exchange(freeAddress(), behind, selector, scope).start()
+
+            behind.peers.update { it.copy(heard = it.heard.put(ahead, peerAt(ahead, version = 9))) }
+
+            withTimeout(10.seconds) {
+                while (!behind.routing
+                        .snapshot()
+                        .configuration.known
+                ) {
+                    delay(20.milliseconds)
+                }
+            }
+            behind.routing
+                .snapshot()
+                .configuration.version shouldBe 9
+            scope.cancel()
+            selector.close()
+        }
+
+    private fun exchange(
+        self: HostAddress,
+        tables: RelayTables,
+        selector: SelectorManager,
+        scope: CoroutineScope,
+    ): ConfigurationExchange {
+        val keeper = RoutingKeeper(VersionDocuments, tables.routing, observations)
+        return ConfigurationExchange(self, selector, tables.routing, keeper, tables.peers, observations, scope)
+    }
+
+    private fun peerAt(
+        address: HostAddress,
+        version: Long,
+    ) = Peer(
+        address,
+        startedAtMilliseconds = 1,
+        lastSequence = 1,
+        heardAt = Clock.System.now(),
+        configurationVersion = version,
+    )
+
+    private fun freeAddress(): HostAddress =
+        ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { HostAddress("127.0.0.1", it.localPort) }
+}
+
+/** Documents that are nothing but their version. */
+private object VersionDocuments : StoredDocuments {
+    override fun subjectOf(key: StoreKey): StoredSubject = StoredSubject.Other
+
+    override fun readEntry(
+        instance: String,
+        document: ByteString,
+    ): Decoded<BackendEntry> = Decoded.Invalid(DocumentFault("none"))
+
+    override fun readConfiguration(document: ByteString): Decoded<RoutingConfiguration> =
+        Decoded.Valid(RoutingConfiguration.NONE.copy(version = document.decodeToString().toLong()))
+}
