--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -66,7 +66,8 @@
         view: EngineView,
         path: EnginePath,
     ): Conclusion? {
-        val retryAfter = LateArrival.retryAfter(request.route, path.predicted)
+        val spread = (request.digest and SPREAD_MASK).toDouble() / SPREAD_MASK
+        val retryAfter = LateArrival.retryAfter(request.deadline - request.arrivedAt, spread)
         return when {
             LateArrival.isTooLate(request.route, path.predicted) ->
                 Conclusion.NotExecuted(NotRun.LATE_ALREADY, retryAfter)
@@ -268,6 +269,7 @@
 
     private companion object {
         const val FIRST_SERVER_ERROR = 500
+        const val SPREAD_MASK = 0xFFL
         val FETCH_WORK: Duration = 5.milliseconds
     }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
@@ -4,10 +4,10 @@
 import org.acaciaflow.coordination.port.CallFacts
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.routing.RouteLookup
+import org.acaciaflow.state.bytes.fingerprintOf
 import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.route.Route
 import org.acaciaflow.state.route.RoutingConfiguration
-import org.acaciaflow.state.work.digestOf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -42,7 +42,7 @@
         now: Instant,
     ): RelayedRequest {
         val pool = RouteLookup.poolOf(route, facts.requestId)
-        val digest = digestOf(exchange.call.method, exchange.call.target, exchange.body.buffered.toByteArray())
+        val digest = fingerprintOf("${exchange.call.method} ${exchange.call.target} ", exchange.body.buffered)
         return RelayedRequest(
             exchange = exchange,
             facts = facts,
@@ -50,7 +50,7 @@
             pool = pool,
             service = configuration.services[pool],
             version = configuration.version,
-            digest = digest.hexadecimal.hashCode().toLong(),
+            digest = digest,
             arrivedAt = now,
             deadline = now + minOf(route.timeout, facts.timeLimit ?: route.timeout),
         )
--- a/state/src/main/kotlin/org/acaciaflow/state/prompt/Prompt.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/prompt/Prompt.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.state.prompt
 
 import kotlinx.collections.immutable.PersistentList
+import org.acaciaflow.state.bytes.fingerprintOf
 
 /** A part of a prompt that engines cache by [key], which names the model too. */
 data class PromptPart(
@@ -15,15 +16,8 @@
     val maximumOutputTokens: Int,
 )
 
-/** The key of a part that callers name [identity], for the model [model]: a 64-bit FNV-1a hash of both. */
+/** The key of a part that callers name [identity], for the model [model]. */
 fun promptPartKey(
     model: String,
     identity: String,
-): Long {
-    var hash = FNV_OFFSET
-    for (character in "$model/$identity") hash = (hash xor character.code.toLong()) * FNV_PRIME
-    return hash
-}
-
-private const val FNV_OFFSET = -3750763034362895579L
-private const val FNV_PRIME = 1099511628211L
+): Long = fingerprintOf("$model/$identity")
