--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/LateArrival.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/LateArrival.kt
@@ -2,6 +2,8 @@
 
 import org.acaciaflow.state.route.Route
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Refuses generations at their arrival when their first event would come far too late.
@@ -16,19 +18,16 @@
         predicted: Duration,
     ): Boolean = predicted > route.target * tolerance(route.urgency)
 
-    /**
-     * When a refused caller with [timeLeft] should come back: as late as callers heed, since a burst may have passed by
-     * then. [spread] from 0 to 1 keeps callers that were refused together from coming back together.
-     */
+    /** When a refused caller should come back: about when the work before it is done. */
     fun retryAfter(
-        timeLeft: Duration,
-        spread: Double,
-    ): Duration = timeLeft * HEEDED_SHARE * (1 - SPREAD_SHARE * spread)
+        route: Route,
+        predicted: Duration,
+    ): Duration = (predicted - route.target / 2).coerceIn(SOONEST, LATEST)
 
     private fun tolerance(urgency: Int): Double = LEAST_TOLERANCE + URGENT_TOLERANCE / (1 + urgency)
 
     private const val LEAST_TOLERANCE = 0.8
     private const val URGENT_TOLERANCE = 1.6 // urgent requests are short, so that late ones cost others little
-    private const val HEEDED_SHARE = 0.33 // callers heed a third of the time that they have left
-    private const val SPREAD_SHARE = 0.4
+    private val SOONEST: Duration = 250.milliseconds
+    private val LATEST: Duration = 2.seconds // callers heed a third of the time that they have left
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
@@ -23,6 +23,19 @@
             get() = request.facts.requestId
     }
 
+    /** It is not taken on, since its first event was predicted to take [predicted] by way of [backend]. */
+    data class Declined(
+        val request: RelayedRequest,
+        val backend: BackendEntry,
+        val predicted: Duration,
+        val reason: Refusal,
+        val load: FleetLoad,
+        override val at: Instant,
+    ) : Decision {
+        override val requestId: String
+            get() = request.facts.requestId
+    }
+
     /** A send has ended. */
     data class Ran(
         val request: RelayedRequest,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -18,6 +18,7 @@
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 
 /** Serves generations: chooses the way to the first event, hands KV cache over and joins streams that break. */
 internal class EngineRelay(
@@ -44,7 +45,7 @@
             val path =
                 EnginePlanner.choose(view, prompt, request.route.target, now) ?: return unserved(journal.progress)
             if (journal.progress == RelayProgress.NOTHING) {
-                val refusal = refusalAtArrival(request, prompt, view, path)
+                val refusal = refusalAtArrival(request, prompt, view, path, now)
                 if (refusal != null) return refusal
             }
             if (!permits.maySend(request, journal.progress, reason, now)) return unserved(journal.progress)
@@ -65,14 +66,28 @@
         prompt: Prompt,
         view: EngineView,
         path: EnginePath,
+        now: Instant,
     ): Conclusion? {
-        val spread = (request.digest and SPREAD_MASK).toDouble() / SPREAD_MASK
-        val retryAfter = LateArrival.retryAfter(request.deadline - request.arrivedAt, spread)
+        val reason = reasonAgainst(request, prompt, view, path) ?: return null
+        val backend =
+            when (path) {
+                is EnginePath.Straight -> path.decoder
+                is EnginePath.Handover -> path.reader
+            }
+        observations.decided(Decision.Declined(request, backend, path.predicted, reason, view.load, now))
+        return Conclusion.NotExecuted(reason, LateArrival.retryAfter(request.route, path.predicted))
+    }
+
+    private fun reasonAgainst(
+        request: RelayedRequest,
+        prompt: Prompt,
+        view: EngineView,
+        path: EnginePath,
+    ): NotRun? {
+        val urgency = request.route.urgency
         return when {
-            LateArrival.isTooLate(request.route, path.predicted) ->
-                Conclusion.NotExecuted(NotRun.LATE_ALREADY, retryAfter)
-            request.route.urgency > 0 && !EnginePlanner.hasRoom(view, prompt, request.route.urgency) ->
-                Conclusion.NotExecuted(NotRun.ROOM_RESERVED, retryAfter)
+            LateArrival.isTooLate(request.route, path.predicted) -> NotRun.LATE_ALREADY
+            urgency > 0 && !EnginePlanner.hasRoom(view, prompt, urgency) -> NotRun.ROOM_RESERVED
             else -> null
         }
     }
@@ -269,7 +284,6 @@
 
     private companion object {
         const val FIRST_SERVER_ERROR = 500
-        const val SPREAD_MASK = 0xFFL
         val FETCH_WORK: Duration = 5.milliseconds
     }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionLines.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionLines.kt
@@ -3,7 +3,9 @@
 import org.acaciaflow.coordination.relay.Conclusion
 import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.coordination.relay.RelayedRequest
-import kotlin.time.DurationUnit
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.load.FleetLoad
+import kotlin.time.Duration
 import kotlin.time.Instant
 
 /** Puts decisions into log lines of `key=value` pairs. */
@@ -12,6 +14,7 @@
     fun lineOf(decision: Decision): String =
         when (decision) {
             is Decision.Sent -> sent(decision)
+            is Decision.Declined -> declined(decision)
             is Decision.Ran -> ran(decision)
             is Decision.Refused -> refused(decision)
             is Decision.Concluded -> concluded(decision)
@@ -22,19 +25,29 @@
         decision: Decision,
     ): String = "at=${decision.at} decision=$name request=${decision.requestId}"
 
-    private fun sent(decision: Decision.Sent): String {
-        val life = decision.backend.life
-        val own = decision.load.ownAt(life)
-        val backlog = decision.load.backlogAt(life, decision.at).toDouble(DurationUnit.MILLISECONDS)
-        val remoteAges =
-            decision.load.remote.values
-                .mapNotNull { it[life]?.heardAt }
-                .map { age(it, decision.at) }
-        return start("sent", decision) + about(decision.request) +
-            " backend=${life.instance} role=${decision.backend.role.name.lowercase()}" +
-            " predicted-ms=${decision.predicted.inWholeMilliseconds} backlog-ms=${backlog.toLong()}" +
-            " own-jobs=${own.jobs.size} oldest-peer-load-ms=${remoteAges.maxOrNull() ?: 0}" +
+    private fun sent(decision: Decision.Sent): String =
+        start("sent", decision) + about(decision.request) +
+            known(decision.backend, decision.load, decision.predicted, decision.at) +
             " left-ms=${(decision.request.deadline - decision.at).inWholeMilliseconds}"
+
+    private fun declined(decision: Decision.Declined): String =
+        start("declined", decision) + about(decision.request) + " reason=${decision.reason.code}" +
+            known(decision.backend, decision.load, decision.predicted, decision.at) +
+            " target-ms=${decision.request.route.target.inWholeMilliseconds}"
+
+    /** What was known of [backend] and how old the oldest part of it was. */
+    private fun known(
+        backend: BackendEntry,
+        load: FleetLoad,
+        predicted: Duration,
+        now: Instant,
+    ): String {
+        val life = backend.life
+        val remoteAges = load.remote.values.mapNotNull { it[life]?.heardAt }.map { age(it, now) }
+        return " backend=${life.instance} role=${backend.role.name.lowercase()}" +
+            " predicted-ms=${predicted.inWholeMilliseconds}" +
+            " backlog-ms=${load.backlogAt(life, now).inWholeMilliseconds}" +
+            " own-jobs=${load.ownAt(life).jobs.size} oldest-peer-load-ms=${remoteAges.maxOrNull() ?: 0}"
     }
 
     private fun ran(decision: Decision.Ran): String =
--- /dev/null
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionLinesTest.kt
@@ -0,0 +1,39 @@
+package org.acaciaflow.transport.log
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import org.acaciaflow.coordination.relay.Conclusion
+import org.acaciaflow.coordination.relay.Decision
+import org.acaciaflow.coordination.relay.RelayProgress
+import org.acaciaflow.state.refusal.NotRun
+import org.acaciaflow.transport.rehearsal.SampleRequest
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+class DecisionLinesTest : AnnotationSpec() {
+    private val at = Instant.fromEpochSeconds(1_780_000_000)
+    private val request = SampleRequest.at(at)
+    private val backend = SampleRequest.BACKEND
+
+    @Test
+    fun `the keys of each kind of line are those that the operators' page shows`() {
+        val page = Files.readString(Path.of("..", "docs", "OPERATIONS.md"))
+        val lines =
+            listOf(
+                Decision.Sent(request, backend, 10.milliseconds, SampleRequest.LOAD, at),
+                Decision.Ran(request, backend, "Broken(reason=BACKEND_CRASHED)", at),
+                Decision.Declined(request, backend, 10.milliseconds, NotRun.LATE_ALREADY, SampleRequest.LOAD, at),
+                Decision.Concluded(request, Conclusion.NotExecuted(NotRun.LATE_ALREADY, null), RelayProgress.NOTHING, at),
+            ).map(DecisionLines::lineOf)
+
+        for (line in lines) {
+            val name = Regex("decision=(\\S+)").find(line)!!.groupValues[1]
+            val shown = page.lines().first { it.trim().startsWith("decision=$name ") }
+            keysOf(shown) shouldContainExactly keysOf(line.substringAfter(' '))
+        }
+    }
+
+    private fun keysOf(line: String): List<String> = Regex("(?<=^| )([a-z-]+)=").findAll(line.trim()).map { it.groupValues[1] }.toList()
+}
