Let callers go before the rehearsal

Cause: after a loss of all gateways their callers are there at once, and four rehearsed calls competed with them for a cold processor. Change: the rehearsal starts a moment later and only if nobody has come.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionLines.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionLines.kt
@@ -43,7 +43,10 @@
         now: Instant,
     ): String {
         val life = backend.life
-        val remoteAges = load.remote.values.mapNotNull { it[life]?.heardAt }.map { age(it, now) }
+        val remoteAges =
+            load.remote.values
+                .mapNotNull { it[life]?.heardAt }
+                .map { age(it, now) }
         return " backend=${life.instance} role=${backend.role.name.lowercase()}" +
             " predicted-ms=${predicted.inWholeMilliseconds}" +
             " backlog-ms=${load.backlogAt(life, now).inWholeMilliseconds}" +
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
@@ -81,10 +81,13 @@
 
     override fun status(): String = EntryGatewayStatus.describe(self, tables, clock.now())
 
-    /** Callers that come all the same end the rehearsal, since they need the processor. */
+    /** Callers that come all the same go before the rehearsal, since they need the processor. */
     private suspend fun rehearse() {
-        val result = rehearsal.run { callers.openCalls == 0 && !stop.requested }
-        runtime.observations.event(Event.Rehearsed(result.answered, result.took))
+        delay(FIRST_CALLERS)
+        if (callers.openCalls == 0) {
+            val result = rehearsal.run { callers.openCalls == 0 && !stop.requested }
+            runtime.observations.event(Event.Rehearsed(result.answered, result.took))
+        }
         rehearsed = true
     }
 
@@ -118,6 +121,7 @@
     }
 
     private companion object {
+        val FIRST_CALLERS: Duration = 150.milliseconds // after a loss of all hosts callers are there at once
         val BALANCER_NOTICE: Duration = 3.seconds // two failed readiness checks, a second apart
         val KILL_MARGIN: Duration = 1.seconds // the virtual machine needs a part of it to end
         val IDLE_BEFORE_END: Duration = 600.milliseconds
--- a/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionLinesTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionLinesTest.kt
@@ -25,7 +25,12 @@
                 Decision.Sent(request, backend, 10.milliseconds, SampleRequest.LOAD, at),
                 Decision.Ran(request, backend, "Broken(reason=BACKEND_CRASHED)", at),
                 Decision.Declined(request, backend, 10.milliseconds, NotRun.LATE_ALREADY, SampleRequest.LOAD, at),
-                Decision.Concluded(request, Conclusion.NotExecuted(NotRun.LATE_ALREADY, null), RelayProgress.NOTHING, at),
+                Decision.Concluded(
+                    request,
+                    Conclusion.NotExecuted(NotRun.LATE_ALREADY, null),
+                    RelayProgress.NOTHING,
+                    at,
+                ),
             ).map(DecisionLines::lineOf)
 
         for (line in lines) {
@@ -35,5 +40,10 @@
         }
     }
 
-    private fun keysOf(line: String): List<String> = Regex("(?<=^| )([a-z-]+)=").findAll(line.trim()).map { it.groupValues[1] }.toList()
+    private fun keysOf(line: String): List<String> =
+        Regex("(?<=^| )([a-z-]+)=")
+            .findAll(line.trim())
+            .map {
+                it.groupValues[1]
+            }.toList()
 }
