--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/load/LoadLedger.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/load/LoadLedger.kt
@@ -38,13 +38,6 @@
             )
         }
 
-    /** Notes that bytes came from the backend server. */
-    fun heard(
-        load: FleetLoad,
-        life: BackendLife,
-        now: Instant,
-    ): FleetLoad = changed(load, life) { it.copy(lastHeardAt = now) }
-
     /** Forgets a job that has ended, whatever became of it. */
     fun ended(
         load: FleetLoad,
--- a/state/src/main/kotlin/org/acaciaflow/state/load/BackendLoad.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/load/BackendLoad.kt
@@ -15,10 +15,6 @@
     val lastFinishedAt: Instant,
     val lastHeardAt: Instant,
 ) {
-    /** Jobs that have not got their first result. */
-    val waiting: Int
-        get() = jobs.values.count { !it.producing }
-
     /** Engine memory that the sent work may come to hold, in tokens. */
     val tokens: Long
         get() = jobs.values.sumOf { it.tokens.toLong() }
