A stopping gateway takes only what it can finish

Change: streams are refused, as not run, once the balancer has had its notice; plain calls once they might outlast the process.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
@@ -9,12 +9,14 @@
 import org.acaciaflow.state.route.Route
 import org.acaciaflow.state.route.RoutingConfiguration
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** Decides whether a call is served at all, and by which route. */
 internal class RelayAdmission(
     private val tables: RelayTables,
+    private val stopNotice: () -> StopNotice?,
 ) {
     /** Admits the call of [exchange] as of [now], or says why not. */
     fun admit(
@@ -27,6 +29,10 @@
         val route =
             RouteLookup.routeOf(configuration, facts.host, facts.path)
                 ?: return Admission.Refused(NotRun.UNKNOWN_CALL, retryAfter = null)
+        val notice = stopNotice()
+        if (notice != null && !StopPolicy.mayTake(route, notice, now)) {
+            return Admission.Refused(NotRun.STOPPING, STOPPING_PAUSE)
+        }
         val request = requestOf(exchange, facts, route, configuration, now)
         if (CrashReporting.quarantined(tables.crashes.snapshot(), request.digest, now)) {
             return Admission.Refused(NotRun.CRASH_SUSPECT, retryAfter = null)
@@ -58,6 +64,7 @@
 
     private companion object {
         val NO_CONFIGURATION_PAUSE: Duration = 1.seconds
+        val STOPPING_PAUSE: Duration = 50.milliseconds // another gateway can take it at once
     }
 }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -8,13 +8,14 @@
 import org.acaciaflow.state.identity.DataCentre
 import kotlin.time.Clock
 
-/** What a relay needs from the layers around it. */
+/** What a relay needs from the layers around it; [stopNotice] is null until the process is asked to stop. */
 data class RelayPorts(
     val connections: BackendConnections,
     val dialect: CallerDialect,
     val framing: StreamFraming,
     val observations: Observations,
     val clock: Clock,
+    val stopNotice: () -> StopNotice? = { null },
 )
 
 /** Builds the decisions of a gateway in [dataCentre] that calls backend servers directly. */
@@ -31,7 +32,7 @@
     val prefillRun = PrefillRun(tables, ports.connections, jobs, ports.clock)
     return RequestRelay(
         dialect = ports.dialect,
-        admission = RelayAdmission(tables),
+        admission = RelayAdmission(tables, ports.stopNotice),
         permits = permits,
         plain = PlainRelay(tables, candidates, permits, backendRun, dataCentre, ports.observations, ports.clock),
         engine = EngineRelay(tables, candidates, permits, prefillRun, backendRun, ports.observations, ports.clock),
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
@@ -84,6 +84,7 @@
                 NotRun.BACKENDS_REFUSED,
                 NotRun.LATE_ALREADY,
                 NotRun.ROOM_RESERVED,
+                NotRun.STOPPING,
                 -> UNAVAILABLE
             }
 
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
@@ -17,4 +17,5 @@
     BACKENDS_REFUSED("backends-refused"),
     LATE_ALREADY("late-already"),
     ROOM_RESERVED("room-reserved"),
+    STOPPING("stopping"),
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
@@ -8,6 +8,7 @@
 import org.acaciaflow.coordination.load.LoadLedger
 import org.acaciaflow.coordination.peer.PeerRegistration
 import org.acaciaflow.coordination.relay.RelayTables
+import org.acaciaflow.coordination.relay.StopNotice
 import org.acaciaflow.coordination.store.StoreFollower
 import org.acaciaflow.protocol.settings.EntryHostSettings
 import org.acaciaflow.state.identity.ProcessIdentity
@@ -68,7 +69,8 @@
     /** Fails its readiness at once, serves what still comes, and ends before the platform kills the process. */
     override suspend fun stop() {
         runtime.observations.event(Event.ProcessStopping(self))
-        stop.requested = true
+        val now = clock.now()
+        stop.notice = StopNotice(requestedAt = now, endsAt = now + settings.gracePeriod - KILL_MARGIN)
         peers.stopping = true
         withTimeoutOrNull(settings.gracePeriod - KILL_MARGIN) {
             delay(BALANCER_NOTICE)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -43,6 +43,7 @@
             framing = ServerSentEvents,
             observations = runtime.observations,
             clock = clock,
+            stopNotice = { stop.notice },
         )
     val relay = createRequestRelay(tables, ports, settings.dataCentre, settings.retryBounds)
     val keeper = RoutingKeeper(adapters.documents, tables.routing, runtime.observations)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/StopFlag.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/StopFlag.kt
@@ -1,7 +1,12 @@
 package org.acaciaflow.transport.process
 
+import org.acaciaflow.coordination.relay.StopNotice
+
 /** Tells all parts of a daemon that it has been asked to stop. */
 internal class StopFlag {
     @Volatile
-    var requested = false
+    var notice: StopNotice? = null
+
+    val requested: Boolean
+        get() = notice != null
 }
