--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
@@ -27,31 +27,37 @@
     ): EnginePath? {
         val decoders = view.engines.filter { it.role != EngineRole.PREFILL }
         if (decoders.isEmpty()) return null
+        val roomy = decoders.filter { holds(view, it, prompt) }
         val readers = view.engines.filter { it.role == EngineRole.PREFILL }
         val mean = ReliabilityPolicy.mean(view.records, view.engines.map { it.life })
-        val straight = decoders.map { rated(straight(view, it, prompt, now), it, view, mean, target) }
+        val straight = roomy.ifEmpty { decoders }.map { rated(straight(view, it, prompt, now), it, view, mean, target) }
         val handovers = readers.map { rated(handover(view, it, prompt, now), it, view, mean, target) }
         return (straight + handovers).minBy { it.rating }.path
     }
 
-    /** True when some decoder has a slot that is not kept for requests more urgent than [urgency]. */
+    /** True when some decoder has memory for [prompt] and a slot not kept for requests more urgent than [urgency]. */
     fun hasRoom(
         view: EngineView,
+        prompt: Prompt,
         urgency: Int,
     ): Boolean {
         val share = (1.0 - RESERVED_SHARE * urgency).coerceAtLeast(LEAST_SHARE)
         val open = (view.properties.slots * share).toInt()
-        return view.engines.any { it.role != EngineRole.PREFILL && view.load.runningAt(it.life) < open }
+        return view.engines.any {
+            it.role != EngineRole.PREFILL && view.load.runningAt(it.life) < open && holds(view, it, prompt)
+        }
     }
 
     /** The engine to go on with KV cache that was read elsewhere; null when there is none. */
     fun chooseDecoder(
         view: EngineView,
+        prompt: Prompt,
         now: Instant,
     ): BackendEntry? {
         val decoders = view.engines.filter { it.role != EngineRole.PREFILL }
+        val roomy = decoders.filter { holds(view, it, prompt) }
         val mean = ReliabilityPolicy.mean(view.records, view.engines.map { it.life })
-        return decoders.minByOrNull { decoder ->
+        return roomy.ifEmpty { decoders }.minByOrNull { decoder ->
             val excess = ReliabilityPolicy.excess(view.records[decoder.life], mean)
             val zone = if (decoder.dataCentre == view.ownDataCentre) 0.0 else REMOTE_ZONE_MILLISECONDS
             milliseconds(view.load.backlogAt(decoder.life, now)) * BACKLOG_INTERFERENCE +
@@ -74,6 +80,16 @@
         return (fresh / rate + pairs * ATTENTION_MILLISECONDS_PER_PAIR * attentionScale).milliseconds
     }
 
+    /** False when the memory of [decoder] would run out, so that it had to drop a running request. */
+    private fun holds(
+        view: EngineView,
+        decoder: BackendEntry,
+        prompt: Prompt,
+    ): Boolean {
+        val needed = prompt.promptTokens + prompt.maximumOutputTokens
+        return view.load.tokensAt(decoder.life) + needed <= view.properties.cacheTokens
+    }
+
     private fun straight(
         view: EngineView,
         decoder: BackendEntry,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/load/LoadLedger.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/load/LoadLedger.kt
@@ -17,9 +17,10 @@
         life: BackendLife,
         job: JobIdentity,
         work: Duration,
+        tokens: Int,
         now: Instant,
     ): FleetLoad =
-        changed(load, life) { it.copy(jobs = it.jobs.put(job, OutstandingJob(work, now, producing = false))) }
+        changed(load, life) { it.copy(jobs = it.jobs.put(job, OutstandingJob(work, tokens, now, producing = false))) }
 
     /** Notes the first result of a job that goes on producing. */
     fun producing(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerNews.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerNews.kt
@@ -51,7 +51,7 @@
             loads =
                 own
                     .filterValues { it.jobs.isNotEmpty() }
-                    .map { (life, load) -> ReportedLoad(life.code, load.backlog(now), load.jobs.size) }
+                    .map { (life, load) -> ReportedLoad(life.code, load.backlog(now), load.jobs.size, load.tokens) }
                     .toPersistentList(),
             reads = tables.reads.taken(),
             leaving = fleet.leaving.filter { it in known }.map { it.code }.toPersistentList(),
@@ -158,7 +158,7 @@
     ) {
         val loads: PersistentMap<BackendLife, RemoteLoad> =
             report.loads
-                .mapNotNull { load -> lives[load.lifeCode]?.let { it to RemoteLoad(load.backlog, load.running, now) } }
+                .mapNotNull { load -> lives[load.lifeCode]?.let { it to RemoteLoad(load.backlog, load.running, load.tokens, now) } }
                 .toMap()
                 .toPersistentMap()
         tables.load.update { it.copy(remote = it.remote.put(report.sender, loads)) }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -39,7 +39,7 @@
     ): RunOutcome {
         val life = order.backend.life
         val job = jobs.next()
-        tables.load.update { LoadLedger.sent(it, life, job, work, clock.now()) }
+        tables.load.update { LoadLedger.sent(it, life, job, work, tokensOf(request), clock.now()) }
         journal.note { it.copy(sending = true) }
         try {
             val stream = connections.open(order, request.exchange.body)
@@ -57,6 +57,9 @@
         }
     }
 
+    private fun tokensOf(request: RelayedRequest): Int =
+        request.facts.prompt?.let { it.promptTokens + it.maximumOutputTokens } ?: 0
+
     private suspend fun follow(
         stream: AttemptStream,
         request: RelayedRequest,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -39,11 +39,12 @@
         var reason = RetryReason.ATTEMPT_REFUSED
         while (true) {
             val now = clock.now()
+            if (now >= request.deadline) return timedOut(journal.progress)
             val view = candidates.view(candidates.of(request, journal.progress, now), properties, request.pool)
             val path =
                 EnginePlanner.choose(view, prompt, request.route.target, now) ?: return unserved(journal.progress)
             if (journal.progress == RelayProgress.NOTHING) {
-                val refusal = refusalAtArrival(request, view, path)
+                val refusal = refusalAtArrival(request, prompt, view, path)
                 if (refusal != null) return refusal
             }
             if (!permits.maySend(request, journal.progress, reason, now)) return unserved(journal.progress)
@@ -61,6 +62,7 @@
 
     private fun refusalAtArrival(
         request: RelayedRequest,
+        prompt: Prompt,
         view: EngineView,
         path: EnginePath,
     ): Conclusion? {
@@ -68,7 +70,7 @@
         return when {
             LateArrival.isTooLate(request.route, path.predicted) ->
                 Conclusion.NotExecuted(NotRun.LATE_ALREADY, retryAfter)
-            request.route.urgency > 0 && !EnginePlanner.hasRoom(view, request.route.urgency) ->
+            request.route.urgency > 0 && !EnginePlanner.hasRoom(view, prompt, request.route.urgency) ->
                 Conclusion.NotExecuted(NotRun.ROOM_RESERVED, retryAfter)
             else -> null
         }
@@ -113,8 +115,12 @@
         journal: RelayJournal,
     ): EngineStep {
         val now = clock.now()
+        if (now >= request.deadline) {
+            prefillRun.release(source)
+            return EngineStep.Done(timedOut(journal.progress))
+        }
         val view = candidates.view(candidates.of(request, journal.progress, now), properties, request.pool)
-        val decoder = EnginePlanner.chooseDecoder(view, now)
+        val decoder = EnginePlanner.chooseDecoder(view, prompt, now)
         if (decoder == null || !permits.maySend(request, journal.progress, RetryReason.ATTEMPT_REFUSED, now)) {
             prefillRun.release(source)
             return EngineStep.Done(unserved(journal.progress))
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -29,6 +29,7 @@
         var reason = RetryReason.ATTEMPT_REFUSED
         while (true) {
             val now = clock.now()
+            if (now >= request.deadline) return timedOut(journal.progress)
             val open = candidates.of(request, journal.progress, now)
             val chosen =
                 PlainSelection.choose(open, tables.load.snapshot(), tables.reliability.snapshot(), ownDataCentre)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
@@ -41,7 +41,7 @@
         val job = jobs.next()
         val sentAt = clock.now()
         val alone = tables.load.snapshot().backlogAt(life, sentAt) == Duration.ZERO
-        tables.load.update { LoadLedger.sent(it, life, job, path.work, sentAt) }
+        tables.load.update { LoadLedger.sent(it, life, job, path.work, prompt.promptTokens, sentAt) }
         noteRead(life, prompt, properties, sentAt)
         try {
             val patience = Patience.forPrefill(path.predicted)
--- /dev/null
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeFrontEnd.kt
@@ -0,0 +1,103 @@
+package org.acaciaflow.coordination.relay
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.io.bytestring.ByteString
+import kotlinx.io.bytestring.decodeToString
+import org.acaciaflow.coordination.gateway.FramedEvents
+import org.acaciaflow.coordination.gateway.StreamEvent
+import org.acaciaflow.coordination.gateway.StreamFraming
+import org.acaciaflow.coordination.port.BodyPart
+import org.acaciaflow.coordination.port.CallBody
+import org.acaciaflow.coordination.port.CallFacts
+import org.acaciaflow.coordination.port.CallerDialect
+import org.acaciaflow.coordination.port.CallerExchange
+import org.acaciaflow.coordination.port.CallerWrite
+import org.acaciaflow.coordination.port.Decoded
+import org.acaciaflow.state.prompt.Prompt
+import org.acaciaflow.state.refusal.Refusal
+import org.acaciaflow.state.work.AnswerHead
+import org.acaciaflow.state.work.CallHead
+import kotlin.time.Duration
+
+/** A caller that keeps what it is told. */
+internal class FakeCaller : CallerExchange {
+    override val call = CallHead("POST", "/work/1", persistentListOf())
+    override val body =
+        object : CallBody {
+            override val buffered = BODY
+            override val whole = true
+
+            override suspend fun next(): BodyPart = BodyPart.End
+        }
+    override val gone = false
+    var status: Int? = null
+    var text = ""
+    var ended = false
+    var aborted = false
+    var refusal: Refusal? = null
+    var retryAfter: Duration? = null
+
+    override fun onGone(action: () -> Unit) = Unit
+
+    override suspend fun begin(head: AnswerHead): CallerWrite {
+        check(status == null) { "a second head" }
+        status = head.status
+        return CallerWrite.WRITTEN
+    }
+
+    override suspend fun send(bytes: ByteString): CallerWrite {
+        text += bytes.decodeToString()
+        return CallerWrite.WRITTEN
+    }
+
+    override suspend fun end(): CallerWrite {
+        ended = true
+        return CallerWrite.WRITTEN
+    }
+
+    override suspend fun refuse(
+        refusal: Refusal,
+        retryAfter: Duration?,
+    ): CallerWrite {
+        check(status == null && this.refusal == null) { "answered twice" }
+        this.refusal = refusal
+        this.retryAfter = retryAfter
+        return CallerWrite.WRITTEN
+    }
+
+    override fun abort() {
+        aborted = true
+    }
+}
+
+/** Every call is one request with the same facts. */
+internal class FakeDialect(
+    private val prompt: Prompt?,
+) : CallerDialect {
+    override fun read(call: CallHead): Decoded<CallFacts> =
+        Decoded.Valid(
+            CallFacts(
+                requestId = "request-1",
+                host = "caller.example",
+                path = call.target,
+                timeLimit = null,
+                prompt = prompt,
+                resumeAfter = null,
+                forwarded = call,
+            ),
+        )
+}
+
+/** Events of one letter each, whose place in the alphabet is their number. */
+internal object LetterFraming : StreamFraming {
+    override fun isEventStream(head: AnswerHead): Boolean = head.status == STREAM_STATUS
+
+    override fun split(bytes: ByteString): FramedEvents {
+        val events = bytes.decodeToString().map { StreamEvent(ByteString(it.code.toByte()), numberOf(it), false) }
+        return FramedEvents(persistentListOf<StreamEvent>().addAll(events), ByteString())
+    }
+
+    fun numberOf(letter: Char): String = (letter - 'a').toString()
+
+    const val STREAM_STATUS = 299
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestRelayTest.kt
@@ -0,0 +1,234 @@
+package org.acaciaflow.coordination.relay
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeIn
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.acaciaflow.coordination.port.PrefillOutcome
+import org.acaciaflow.coordination.retry.RetryBounds
+import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.prompt.Prompt
+import org.acaciaflow.state.prompt.PromptPart
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.refusal.NotRun
+import org.acaciaflow.state.route.RequestKind
+import org.acaciaflow.state.route.Route
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class RequestRelayTest : AnnotationSpec() {
+    private val services = listOf(backend("one"), backend("second"), backend("third-1"))
+    private val engines =
+        listOf(
+            backend("reader", ENGINE_POOL, EngineRole.PREFILL),
+            backend("decoder", ENGINE_POOL, EngineRole.DECODE),
+            backend("decoder-2", ENGINE_POOL, EngineRole.DECODE),
+        )
+    private val resumable = RequestKind.EventStream(resumable = true)
+
+    @Test
+    fun `a request that must not repeat is sent once whatever happens to it`() =
+        runTest {
+            for (seed in 1..300) {
+                val random = Random(seed)
+                val connections = ScriptedConnections(MutableList(4) { anyReaction(random) })
+                val caller = FakeCaller()
+
+                relay(route(RequestKind.AtMostOnce, maximumAttempts = 3), services, connections).accept(caller)
+
+                connections.mayHaveRun shouldBeLessThanOrEqual 1
+                if (connections.mayHaveRun > 0) (caller.refusal is NotRun) shouldBe false
+            }
+        }
+
+    @Test
+    fun `a caller is told that nothing ran only when nothing ran`() =
+        runTest {
+            for (seed in 1..300) {
+                val random = Random(seed)
+                val connections = ScriptedConnections(MutableList(4) { anyReaction(random) })
+                val caller = FakeCaller()
+
+                relay(route(RequestKind.Idempotent, maximumAttempts = 3), services, connections).accept(caller)
+
+                if (caller.refusal is NotRun) connections.mayHaveRun shouldBe 0
+            }
+        }
+
+    @Test
+    fun `a refused request goes to another server and never back`() =
+        runTest {
+            val connections = ScriptedConnections(mutableListOf(Reaction.Refuses(AttemptRefusal.AT_CAPACITY)))
+            val caller = FakeCaller()
+
+            relay(route(RequestKind.AtMostOnce), services, connections).accept(caller)
+
+            caller.status shouldBe ScriptedConnections.OK
+            connections.orders.map { it.backend.life }.distinct() shouldHaveSize 2
+        }
+
+    @Test
+    fun `a request is sent to no more servers than its route allows`() =
+        runTest {
+            val refusals = MutableList<Reaction>(5) { Reaction.Refuses(AttemptRefusal.AT_CAPACITY) }
+            val connections = ScriptedConnections(refusals)
+            val caller = FakeCaller()
+
+            relay(route(RequestKind.Idempotent, maximumAttempts = 2), services, connections).accept(caller)
+
+            connections.orders shouldHaveSize 2
+            caller.refusal shouldBe NotRun.BACKENDS_REFUSED
+        }
+
+    @Test
+    fun `a server's own failure is told when there is no other try`() =
+        runTest {
+            val connections = ScriptedConnections(mutableListOf(Reaction.Answers(500)))
+            val caller = FakeCaller()
+
+            relay(route(RequestKind.AtMostOnce), services, connections).accept(caller)
+
+            caller.status shouldBe 500
+            caller.ended shouldBe true
+        }
+
+    @Test
+    fun `a request without an answer is given up at its route's timeout`() =
+        runTest {
+            val connections = ScriptedConnections(mutableListOf(Reaction.IsSilent))
+            val caller = FakeCaller()
+
+            relay(route(RequestKind.AtMostOnce), services, connections).accept(caller)
+
+            caller.refusal shouldBe MayHaveRun.DEADLINE_PASSED
+            currentTime shouldBe 4_000L
+        }
+
+    @Test
+    fun `a stream that breaks anywhere reaches its caller whole and in order`() =
+        runTest {
+            for (breakAt in 'a'..'h') {
+                val connections =
+                    ScriptedConnections(mutableListOf(Reaction.Streams(breakAt), Reaction.Streams(breakAt = null)))
+                val caller = FakeCaller()
+
+                relay(route(resumable, ENGINE_POOL), engines, connections, prompt(10)).accept(caller)
+
+                caller.text shouldBe "abcdefgh"
+                caller.ended shouldBe true
+            }
+        }
+
+    @Test
+    fun `a stream that cannot be resumed is cut so that its caller sees it`() =
+        runTest {
+            val connections = ScriptedConnections(mutableListOf(Reaction.Streams(breakAt = 'c')))
+            val caller = FakeCaller()
+            val route = route(RequestKind.EventStream(resumable = false), ENGINE_POOL)
+
+            relay(route, engines, connections, prompt(10)).accept(caller)
+
+            caller.aborted shouldBe true
+            caller.ended shouldBe false
+            connections.orders shouldHaveSize 1
+        }
+
+    @Test
+    fun `a prefill that is refused for another instance does not fail the worker`() =
+        runTest {
+            val connections = ScriptedConnections(mutableListOf(Reaction.Streams(breakAt = null)))
+            connections.prefill = PrefillOutcome.Refused(AttemptRefusal.OTHER_LIFE)
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL), engines, connections, prompt(5000)).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+        }
+
+    @Test
+    fun `cache that cannot be fetched is read by the same decoder instead`() =
+        runTest {
+            val connections =
+                ScriptedConnections(
+                    mutableListOf(
+                        Reaction.Refuses(AttemptRefusal.CACHE_UNAVAILABLE),
+                        Reaction.Streams(breakAt = null),
+                    ),
+                )
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL, maximumAttempts = 1), engines, connections, prompt(5000)).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+            connections.orders.map { it.backend.life }.distinct() shouldHaveSize 1
+            connections.released shouldHaveSize 1
+        }
+
+    @Test
+    fun `an unknown path is told so only once a configuration is known`() =
+        runTest {
+            val caller = FakeCaller()
+            val tables = createRelayTables()
+
+            relayOn(tables, ScriptedConnections(mutableListOf()), null).accept(caller)
+
+            caller.refusal shouldBe NotRun.NO_CONFIGURATION
+            caller.retryAfter.shouldBeInstanceOf<kotlin.time.Duration>()
+        }
+
+    @Test
+    fun `a request whose servers broke off reaches no third one`() =
+        runTest {
+            val crash = MutableList<Reaction>(8) { Reaction.BreaksOff }
+            val connections = ScriptedConnections(crash)
+            val tables = tablesWith(route(RequestKind.Idempotent, maximumAttempts = 1), services)
+            val relay = relayOn(tables, connections, null)
+
+            repeat(6) { relay.accept(FakeCaller()) }
+
+            connections.orders.map { it.backend.life }.distinct().size shouldBeIn listOf(1, 2)
+        }
+
+    private fun TestScope.relay(
+        route: Route,
+        backends: List<BackendEntry>,
+        connections: ScriptedConnections,
+        prompt: Prompt? = null,
+    ): RequestRelay = relayOn(tablesWith(route, backends), connections, prompt)
+
+    private fun TestScope.relayOn(
+        tables: RelayTables,
+        connections: ScriptedConnections,
+        prompt: Prompt?,
+    ): RequestRelay {
+        val ports = RelayPorts(connections, FakeDialect(prompt), LetterFraming, NoObservations(), virtualClock())
+        return createRequestRelay(tables, ports, OWN_DATA_CENTRE, RetryBounds(0.2, 1000.0, 10.seconds))
+    }
+
+    private fun TestScope.virtualClock(): Clock =
+        object : Clock {
+            override fun now(): Instant = Instant.fromEpochMilliseconds(1_000_000 + currentTime)
+        }
+
+    private fun prompt(tokens: Int): Prompt = Prompt(persistentListOf(PromptPart(1, tokens)), tokens, 10)
+
+    private fun anyReaction(random: Random): Reaction =
+        when (random.nextInt(6)) {
+            0 -> Reaction.Refuses(AttemptRefusal.AT_CAPACITY)
+            1 -> Reaction.Refuses(AttemptRefusal.CONNECTION_REFUSED)
+            2 -> Reaction.Refuses(AttemptRefusal.OTHER_LIFE)
+            3 -> Reaction.BreaksOff
+            4 -> Reaction.IsSilent
+            else -> Reaction.Answers(if (random.nextBoolean()) 200 else 500)
+        }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
@@ -0,0 +1,113 @@
+package org.acaciaflow.coordination.relay
+
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.io.bytestring.encodeToByteString
+import org.acaciaflow.coordination.port.AttemptEvent
+import org.acaciaflow.coordination.port.AttemptStream
+import org.acaciaflow.coordination.port.BackendConnections
+import org.acaciaflow.coordination.port.CacheSource
+import org.acaciaflow.coordination.port.CallBody
+import org.acaciaflow.coordination.port.PrefillOutcome
+import org.acaciaflow.coordination.port.RunOrder
+import kotlinx.collections.immutable.persistentListOf
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.work.AnswerHead
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What a backend server does with a send. */
+internal sealed interface Reaction {
+    data class Refuses(
+        val reason: AttemptRefusal,
+    ) : Reaction
+
+    data class Answers(
+        val status: Int,
+    ) : Reaction
+
+    data object BreaksOff : Reaction
+
+    data object IsSilent : Reaction
+
+    /** Sends the letters from the one after the last received, and breaks off before [breakAt]. */
+    data class Streams(
+        val breakAt: Char?,
+    ) : Reaction
+}
+
+/** Backend servers whose reactions come from a script; notes every send and which of them may have run. */
+internal class ScriptedConnections(
+    private val reactions: MutableList<Reaction>,
+) : BackendConnections {
+    val orders = mutableListOf<RunOrder>()
+    val released = mutableListOf<CacheSource>()
+    var prefill: PrefillOutcome? = null
+    var mayHaveRun = 0
+        private set
+
+    override suspend fun open(
+        order: RunOrder,
+        body: CallBody,
+    ): AttemptStream {
+        orders += order
+        val reaction = if (reactions.isEmpty()) Reaction.Answers(OK) else reactions.removeAt(0)
+        if (reaction !is Reaction.Refuses) mayHaveRun += 1
+        return ScriptedStream(eventsOf(reaction, order))
+    }
+
+    override suspend fun prefill(
+        order: RunOrder,
+        body: CallBody,
+    ): PrefillOutcome = prefill ?: PrefillOutcome.Ready(CacheSource(order.backend.address, "handle"), tokens = 1)
+
+    override fun release(cache: CacheSource) {
+        released += cache
+    }
+
+    private fun eventsOf(
+        reaction: Reaction,
+        order: RunOrder,
+    ): List<AttemptEvent> =
+        when (reaction) {
+            is Reaction.Refuses -> listOf(AttemptEvent.Refused(reaction.reason))
+            is Reaction.Answers -> listOf(head(reaction.status), data("answer"), AttemptEvent.End)
+            Reaction.BreaksOff -> listOf(AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED))
+            Reaction.IsSilent -> emptyList()
+            is Reaction.Streams -> listOf(head(LetterFraming.STREAM_STATUS)) + letters(reaction, order)
+        }
+
+    private fun letters(
+        reaction: Reaction.Streams,
+        order: RunOrder,
+    ): List<AttemptEvent> {
+        val first = order.resumeAfter?.let { 'a' + it.toInt() + 1 } ?: 'a'
+        val last = reaction.breakAt ?: LAST_LETTER + 1
+        val sent = (first until last).map { data(it.toString()) }
+        val end = if (reaction.breakAt == null) AttemptEvent.End else AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED)
+        return sent + end
+    }
+
+    private fun head(status: Int) = AttemptEvent.Head(AnswerHead(status, persistentListOf()))
+
+    private fun data(text: String) = AttemptEvent.Data(text.encodeToByteString())
+
+    companion object {
+        const val OK = 200
+        const val LAST_LETTER = 'h'
+    }
+}
+
+private class ScriptedStream(
+    private val events: List<AttemptEvent>,
+) : AttemptStream {
+    private var next = 0
+
+    override suspend fun next(): AttemptEvent {
+        delay(1.milliseconds)
+        if (next >= events.size) awaitCancellation()
+        return events[next++]
+    }
+
+    override fun abandon() = Unit
+}
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
@@ -19,6 +19,8 @@
     /** The form of the messages; another number is passed over, so that versions can run side by side. */
     const val FORM = 1
 
+    private const val TOKENS_IN_KILO = 1024L
+
     private val cbor =
         Cbor {
             encodeDefaults = false
@@ -53,6 +55,7 @@
             loadLives = report.loads.map { it.lifeCode },
             loadBacklogMilliseconds = report.loads.map { it.backlog.inWholeMilliseconds.toInt() },
             loadRunning = report.loads.map { it.running },
+            loadKiloTokens = report.loads.map { (it.tokens / TOKENS_IN_KILO).toInt() },
             readLives = report.reads.map { it.lifeCode },
             readPartCounts = report.reads.map { it.parts.size },
             partKeys = report.reads.flatMap { read -> read.parts.map { it.key } },
@@ -85,7 +88,12 @@
     private fun loadsOf(message: PeerMessage) =
         message.loadLives
             .mapIndexed { index, life ->
-                ReportedLoad(life, message.loadBacklogMilliseconds[index].milliseconds, message.loadRunning[index])
+                ReportedLoad(
+                    lifeCode = life,
+                    backlog = message.loadBacklogMilliseconds[index].milliseconds,
+                    running = message.loadRunning[index],
+                    tokens = message.loadKiloTokens[index] * TOKENS_IN_KILO,
+                )
             }.toPersistentList()
 
     private fun readsOf(message: PeerMessage) =
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
@@ -24,5 +24,6 @@
     @CborLabel(13) val leaving: List<Int> = emptyList(),
     @CborLabel(14) val crashDigests: List<Long> = emptyList(),
     @CborLabel(15) val crashLives: List<Int> = emptyList(),
+    @CborLabel(17) val loadKiloTokens: List<Int> = emptyList(),
     @CborLabel(16) val unheard: List<Int> = emptyList(),
 )
--- a/state/src/main/kotlin/org/acaciaflow/state/load/BackendLoad.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/load/BackendLoad.kt
@@ -19,6 +19,10 @@
     val waiting: Int
         get() = jobs.values.count { !it.producing }
 
+    /** Engine memory that the sent work may come to hold, in tokens. */
+    val tokens: Long
+        get() = jobs.values.sumOf { it.tokens.toLong() }
+
     /** Predicted time as of [now] until all sent work has its first result, when served in the order of sending. */
     fun backlog(now: Instant): Duration {
         val waitingJobs = jobs.values.filter { !it.producing }
--- a/state/src/main/kotlin/org/acaciaflow/state/load/FleetLoad.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/load/FleetLoad.kt
@@ -33,6 +33,10 @@
     fun runningAt(life: BackendLife): Int =
         remote.values.fold(ownAt(life).jobs.size) { sum, loads -> sum + (loads[life]?.running ?: 0) }
 
+    /** Engine memory that known work at [life] may come to hold, in tokens; shared prompt parts count repeatedly. */
+    fun tokensAt(life: BackendLife): Long =
+        remote.values.fold(ownAt(life).tokens) { sum, loads -> sum + (loads[life]?.tokens ?: 0) }
+
     companion object {
         val NONE = FleetLoad(persistentMapOf(), persistentMapOf(), persistentMapOf())
     }
--- a/state/src/main/kotlin/org/acaciaflow/state/load/RemoteLoad.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/load/RemoteLoad.kt
@@ -7,6 +7,7 @@
 data class RemoteLoad(
     val backlog: Duration,
     val running: Int,
+    val tokens: Long,
     val heardAt: Instant,
 ) {
     /** The part of [backlog] that is predicted to be left as of [now]. */
--- a/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
@@ -30,6 +30,7 @@
     val lifeCode: Int,
     val backlog: Duration,
     val running: Int,
+    val tokens: Long,
 )
 
 /** A prompt that the sender had one engine read. */
