Open the callers' port early and start waiting requests by what can still be on time

Change: the port opens first; calls of the first second wait for the configuration; requests start one at a time, those first that can still be answered in time, while other work runs in between; a generation that is late already goes behind others at engines. Refusals log the configuration that was in force.

Tests that failed first: calls before the first configuration, turns, urgency of late generations.

Beside it: whole answers of the relay and replays of recorded ones are sent by one function.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/ArrivalService.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/ArrivalService.kt
@@ -59,7 +59,7 @@
         val identity = profile.atMostOnce ?: return enqueue(exchange, profile, FRESH, now)
         when (val resolution = resolver.resolve(identity, profile.deadline)) {
             is RecordResolution.Proceed -> enqueue(exchange, profile, resolution, now)
-            is RecordResolution.Replay -> replayTo(exchange, resolution.answer)
+            is RecordResolution.Replay -> exchange.sendWhole(resolution.answer)
             is RecordResolution.Refused -> refuse(exchange, resolution.refusal)
         }
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/GuardedAttempt.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/GuardedAttempt.kt
@@ -158,7 +158,7 @@
         pending: PendingExchange,
         answer: StoredAnswer,
     ): AttemptConclusion {
-        replayTo(pending.exchange, answer)
+        pending.exchange.sendWhole(answer)
         return AttemptConclusion.Delivered
     }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -3,6 +3,7 @@
 import org.acaciaflow.coordination.crash.CrashReporting
 import org.acaciaflow.coordination.fleet.FleetChanges
 import org.acaciaflow.coordination.gateway.StreamFraming
+import org.acaciaflow.coordination.gateway.sendWhole
 import org.acaciaflow.coordination.load.LoadLedger
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Endings.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Endings.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.relay
 
+import org.acaciaflow.coordination.gateway.sendWhole
 import org.acaciaflow.coordination.port.CallerWrite
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.refusal.NotRun
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/HeldAnswer.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/HeldAnswer.kt
@@ -3,9 +3,6 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.io.bytestring.ByteString
-import kotlinx.io.bytestring.isEmpty
-import org.acaciaflow.coordination.port.CallerExchange
-import org.acaciaflow.coordination.port.CallerWrite
 import org.acaciaflow.state.bytes.joined
 import org.acaciaflow.state.record.StoredAnswer
 import org.acaciaflow.state.work.AnswerHead
@@ -22,10 +19,3 @@
 
     fun answer(): StoredAnswer = StoredAnswer(head.status, head.headers, joined(parts))
 }
-
-/** Sends an answer that is whole. */
-internal suspend fun CallerExchange.sendWhole(answer: StoredAnswer): CallerWrite {
-    if (begin(AnswerHead(answer.status, answer.headers)) == CallerWrite.CALLER_GONE) return CallerWrite.CALLER_GONE
-    if (!answer.body.isEmpty() && send(answer.body) == CallerWrite.CALLER_GONE) return CallerWrite.CALLER_GONE
-    return end()
-}
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
@@ -25,21 +25,27 @@
         now: Instant,
     ): Admission {
         val configuration = tables.routing.snapshot().configuration
-        if (!configuration.known) return Admission.Refused(NotRun.NO_CONFIGURATION, NO_CONFIGURATION_PAUSE)
+        if (!configuration.known) return refused(NotRun.NO_CONFIGURATION, NO_CONFIGURATION_PAUSE, configuration)
         val route =
             RouteLookup.routeOf(configuration, facts.host, facts.path)
-                ?: return Admission.Refused(NotRun.UNKNOWN_CALL, retryAfter = null)
+                ?: return refused(NotRun.UNKNOWN_CALL, retryAfter = null, configuration)
         val notice = stopNotice()
         if (notice != null && !StopPolicy.mayTake(route, notice, now)) {
-            return Admission.Refused(NotRun.STOPPING, STOPPING_PAUSE)
+            return refused(NotRun.STOPPING, STOPPING_PAUSE, configuration)
         }
         val request = requestOf(exchange, facts, route, configuration, now)
         if (CrashReporting.quarantined(tables.crashes.snapshot(), request.digest, now)) {
-            return Admission.Refused(NotRun.CRASH_SUSPECT, retryAfter = null)
+            return refused(NotRun.CRASH_SUSPECT, retryAfter = null, configuration)
         }
         return Admission.Admitted(request)
     }
 
+    private fun refused(
+        reason: NotRun,
+        retryAfter: Duration?,
+        configuration: RoutingConfiguration,
+    ): Admission = Admission.Refused(reason, retryAfter, configuration.version)
+
     private fun requestOf(
         exchange: CallerExchange,
         facts: CallFacts,
@@ -74,8 +80,10 @@
         val request: RelayedRequest,
     ) : Admission
 
+    /** [version] is the configuration that was in force. */
     data class Refused(
         val reason: NotRun,
         val retryAfter: Duration?,
+        val version: Long,
     ) : Admission
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.relay
 
+import kotlinx.coroutines.CoroutineScope
 import org.acaciaflow.coordination.gateway.StreamFraming
 import org.acaciaflow.coordination.port.BackendConnections
 import org.acaciaflow.coordination.port.CallerDialect
@@ -15,6 +16,7 @@
     val framing: StreamFraming,
     val observations: Observations,
     val clock: Clock,
+    val scope: CoroutineScope,
     val stopNotice: () -> StopNotice? = { null },
 )
 
@@ -32,7 +34,9 @@
     val prefillRun = PrefillRun(tables, ports.connections, jobs, ports.clock)
     return RequestRelay(
         dialect = ports.dialect,
+        firstConfiguration = FirstConfiguration(tables.routing, startedAt = ports.clock.now()),
         admission = RelayAdmission(tables, ports.stopNotice),
+        turns = RequestTurns(tables.turns, TimeLimits(tables.timeLimits), ports.scope, ports.clock),
         permits = permits,
         plain = PlainRelay(tables, candidates, permits, backendRun, dataCentre, ports.observations, ports.clock),
         engine = EngineRelay(tables, candidates, permits, prefillRun, backendRun, ports.observations, ports.clock),
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.relay
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
@@ -9,6 +10,7 @@
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.fleet.Fleet
 import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.identity.RouteName
 import org.acaciaflow.state.load.EngineRates
 import org.acaciaflow.state.load.FleetLoad
 import org.acaciaflow.state.lock.LockOrder
@@ -18,10 +20,13 @@
 import org.acaciaflow.state.retry.RetryWindow
 import org.acaciaflow.state.table.SharedTable
 import org.acaciaflow.state.table.createSharedTable
+import kotlin.time.Duration
 
 /** The shared tables of a gateway that calls backend servers directly, in lock order. */
-data class RelayTables(
+data class RelayTables internal constructor(
     val routing: SharedTable<KnownRouting>,
+    internal val timeLimits: SharedTable<PersistentMap<RouteName, Duration>>,
+    internal val turns: SharedTable<PersistentList<WaitingRequest>>,
     val fleet: SharedTable<Fleet>,
     val reliability: SharedTable<PersistentMap<BackendLife, ReliabilityRecord>>,
     val caches: SharedTable<PersistentMap<BackendLife, PromptCache>>,
@@ -37,6 +42,8 @@
 fun createRelayTables(): RelayTables =
     RelayTables(
         routing = createSharedTable(LockOrder.ROUTING, KnownRouting.NONE),
+        timeLimits = createSharedTable(LockOrder.TIME_LIMITS, persistentMapOf()),
+        turns = createSharedTable(LockOrder.REQUEST_TURNS, persistentListOf()),
         fleet = createSharedTable(LockOrder.FLEET, Fleet.NONE),
         reliability = createSharedTable(LockOrder.RELIABILITY, persistentMapOf()),
         caches = createSharedTable(LockOrder.PROMPT_CACHES, persistentMapOf()),
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayedRequest.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayedRequest.kt
@@ -22,4 +22,11 @@
     val digest: Long,
     val arrivedAt: Instant,
     val deadline: Instant,
-)
+) {
+    /** Until when an answer has its full worth, as far as this gateway knows. */
+    val dueAt: Instant
+        get() = arrivedAt + route.target
+
+    /** True when an answer that begins at [now] is late. */
+    fun isLate(now: Instant): Boolean = now > dueAt
+}
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RequestRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RequestRelay.kt
@@ -17,7 +17,9 @@
 /** Serves callers' requests by calling backend servers directly. */
 class RequestRelay internal constructor(
     private val dialect: CallerDialect,
+    private val firstConfiguration: FirstConfiguration,
     private val admission: RelayAdmission,
+    private val turns: RequestTurns,
     private val permits: SendPermits,
     private val plain: PlainRelay,
     private val engine: EngineRelay,
@@ -34,6 +36,7 @@
             is Decoded.Valid -> {
                 val facts = read.value
                 val now = clock.now()
+                firstConfiguration.await(clock)
                 when (val admitted = admission.admit(exchange, facts, now)) {
                     is Admission.Admitted -> {
                         serve(admitted.request)
@@ -42,7 +45,14 @@
                     is Admission.Refused -> {
                         observations.refused(admitted.reason)
                         observations.decided(
-                            Decision.Refused(facts.requestId, facts.host, facts.path, NO_VERSION, admitted.reason, now),
+                            Decision.Refused(
+                                facts.requestId,
+                                facts.host,
+                                facts.path,
+                                admitted.version,
+                                admitted.reason,
+                                now,
+                            ),
                         )
                         exchange.refuse(admitted.reason, admitted.retryAfter)
                     }
@@ -70,6 +80,7 @@
         request: RelayedRequest,
         journal: RelayJournal,
     ): Conclusion {
+        turns.await(request)
         val prompt = request.facts.prompt
         val properties = request.service?.engine
         return when {
@@ -111,8 +122,4 @@
         }
         observations.decided(Decision.Concluded(request, conclusion, journal.progress, clock.now()))
     }
-
-    private companion object {
-        const val NO_VERSION = -1L
-    }
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RelayFixtures.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RelayFixtures.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.encodeToByteString
+import org.acaciaflow.coordination.port.CallFacts
 import org.acaciaflow.coordination.routing.KnownRouting
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.fleet.BackendEntry
@@ -20,6 +21,7 @@
 import org.acaciaflow.state.route.RoutingConfiguration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 internal val OWN_DATA_CENTRE = DataCentre("north")
 internal val SERVICE_POOL = PoolName("records")
@@ -89,4 +91,23 @@
     return tables
 }
 
+/** A request on [route] of which nothing but its name counts. */
+internal fun sampleRequest(
+    name: String,
+    route: Route,
+): RelayedRequest {
+    val caller = FakeCaller()
+    return RelayedRequest(
+        exchange = caller,
+        facts = CallFacts(name, route.host, route.prefix, null, null, null, caller.call),
+        route = route,
+        pool = SERVICE_POOL,
+        service = null,
+        version = 1,
+        digest = 1,
+        arrivedAt = Instant.DISTANT_PAST,
+        deadline = Instant.DISTANT_PAST,
+    )
+}
+
 internal val BODY: ByteString = "body".encodeToByteString()
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestRelayTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestRelayTest.kt
@@ -7,6 +7,8 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
@@ -143,6 +145,30 @@
             connections.orders shouldHaveSize 1
         }
 
+    @Test
+    fun `a generation that is late already goes behind others at the next engine`() =
+        runTest {
+            val connections = ScriptedConnections(mutableListOf(Reaction.IsSilent, Reaction.Streams(breakAt = null)))
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL), engines, connections, prompt(10)).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+            connections.orders.map { it.urgency } shouldBe listOf(0, 3)
+        }
+
+    @Test
+    fun `a stream that has begun keeps its urgency at the next engine`() =
+        runTest {
+            val connections =
+                ScriptedConnections(mutableListOf(Reaction.Streams(breakAt = 'c'), Reaction.Streams(breakAt = null)))
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL), engines, connections, prompt(10)).accept(caller)
+
+            connections.orders.map { it.urgency } shouldBe listOf(0, 0)
+        }
+
     @Test
     fun `a prefill that is refused for another instance does not fail the worker`() =
         runTest {
@@ -186,6 +212,35 @@
             caller.retryAfter.shouldBeInstanceOf<kotlin.time.Duration>()
         }
 
+    @Test
+    fun `a call that comes before the first configuration is served once it is known`() =
+        runTest {
+            val caller = FakeCaller()
+            val known = tablesWith(route(RequestKind.Idempotent), services)
+            val tables = known.copy(routing = createRelayTables().routing)
+            val relay = relayOn(tables, ScriptedConnections(mutableListOf()), null)
+
+            val call = launch { relay.accept(caller) }
+            delay(300)
+            tables.routing.update { known.routing.snapshot() }
+            call.join()
+
+            caller.status shouldBe ScriptedConnections.OK
+        }
+
+    @Test
+    fun `a call without a configuration is refused at once when none came for long`() =
+        runTest {
+            val caller = FakeCaller()
+            val relay = relayOn(createRelayTables(), ScriptedConnections(mutableListOf()), null)
+            delay(5_000)
+
+            relay.accept(caller)
+
+            caller.refusal shouldBe NotRun.NO_CONFIGURATION
+            currentTime shouldBe 5_000L
+        }
+
     @Test
     fun `a request whose servers broke off reaches no third one`() =
         runTest {
@@ -214,7 +269,7 @@
         connections: ScriptedConnections,
         prompt: Prompt?,
     ): RequestRelay {
-        val ports = RelayPorts(connections, FakeDialect(prompt), LetterFraming, NoObservations(), virtualClock())
+        val ports = RelayPorts(connections, FakeDialect(prompt), LetterFraming, NoObservations(), virtualClock(), this)
         return createRequestRelay(tables, ports, OWN_DATA_CENTRE, RetryBounds(0.2, 1000.0, 10.seconds))
     }
 
--- /dev/null
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestTurnsTest.kt
@@ -0,0 +1,98 @@
+package org.acaciaflow.coordination.relay
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.acaciaflow.state.identity.RouteName
+import org.acaciaflow.state.route.RequestKind
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class RequestTurnsTest : AnnotationSpec() {
+    private val now = Instant.fromEpochMilliseconds(1_000_000)
+    private val clock =
+        object : Clock {
+            override fun now(): Instant = this@RequestTurnsTest.now
+        }
+
+    @Test
+    fun `requests that can still be on time go first, the most urgent and the soonest due before others`() =
+        runTest {
+            val requests =
+                listOf(
+                    request("late", dueIn = (-200).milliseconds, left = 1.seconds),
+                    request("late-with-time", dueIn = (-900).milliseconds, left = 5.seconds),
+                    request("patient", dueIn = 800.milliseconds, urgency = 2),
+                    request("urgent", dueIn = 150.milliseconds),
+                    request("urgent-and-soon", dueIn = 50.milliseconds),
+                )
+
+            val started = startedOf(requests)
+
+            started shouldContainExactly listOf("urgent-and-soon", "urgent", "patient", "late-with-time", "late")
+        }
+
+    @Test
+    fun `a request that is given up while it waits takes no turn`() =
+        runTest {
+            val tables = createRelayTables()
+            val turns = RequestTurns(tables.turns, TimeLimits(tables.timeLimits), this, clock)
+            val started = mutableListOf<String>()
+
+            val calls =
+                listOf("first", "second", "third").map { name ->
+                    launch {
+                        turns.await(request(name, dueIn = 100.milliseconds))
+                        started += name
+                    }
+                }
+            calls[1].cancelAndJoin()
+            calls.forEach { it.join() }
+
+            started shouldContainExactly listOf("first", "third")
+            tables.turns.snapshot().shouldBeEmpty()
+        }
+
+    @Test
+    fun `a caller that states less time than others on its route has asked before`() {
+        val limits = TimeLimits(createRelayTables().timeLimits)
+        val route = RouteName("route")
+
+        val spent = listOf(null, 6.seconds, 4.seconds, 6.seconds, 8.seconds, 6.seconds).map { limits.spent(route, it) }
+
+        spent shouldBe listOf(Duration.ZERO, Duration.ZERO, 2.seconds, Duration.ZERO, Duration.ZERO, 2.seconds)
+    }
+
+    private suspend fun TestScope.startedOf(requests: List<RelayedRequest>): List<String> {
+        val tables = createRelayTables()
+        val turns = RequestTurns(tables.turns, TimeLimits(tables.timeLimits), this, clock)
+        val started = mutableListOf<String>()
+        val calls =
+            requests.map { request ->
+                launch {
+                    turns.await(request)
+                    started += request.facts.requestId
+                }
+            }
+        calls.forEach { it.join() }
+        return started
+    }
+
+    private fun request(
+        name: String,
+        dueIn: Duration,
+        left: Duration = 4.seconds,
+        urgency: Int = 0,
+    ): RelayedRequest =
+        sampleRequest(name, route(RequestKind.Idempotent, urgency = urgency)).let { request ->
+            request.copy(arrivedAt = now + dueIn - request.route.target, deadline = now + left)
+        }
+}
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
@@ -1,7 +1,7 @@
 package org.acaciaflow.coordination.relay
 
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.io.bytestring.encodeToByteString
 import org.acaciaflow.coordination.port.AttemptEvent
@@ -101,13 +101,16 @@
 private class ScriptedStream(
     private val events: List<AttemptEvent>,
 ) : AttemptStream {
+    private val abandoned = CompletableDeferred<AttemptEvent>()
     private var next = 0
 
     override suspend fun next(): AttemptEvent {
         delay(1.milliseconds)
-        if (next >= events.size) awaitCancellation()
-        return events[next++]
+        return if (next < events.size) events[next++] else abandoned.await()
     }
 
-    override fun abandon() = Unit
+    /** A connection that is closed ends the wait for what has not come. */
+    override fun abandon() {
+        abandoned.complete(AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED))
+    }
 }
--- a/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
@@ -10,8 +10,10 @@
 ) {
     CONFIGURATION(10),
     ROUTING(15),
+    TIME_LIMITS(16),
     ENGINE(20),
     WAITING_REQUESTS(30),
+    REQUEST_TURNS(32),
     BACKEND_SERVERS(40),
     FLEET(42),
     RELIABILITY(44),
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
@@ -51,19 +51,20 @@
                     .snapshot()
                     .configuration.known
 
+    /** The callers' port opens early: after a loss of all hosts a caller that finds it closed has lost a try. */
     override suspend fun start() {
         val scope = runtime.workers.scope
-        runtime.observations.start(scope)
         scope.launch { follower.run() }
-        scope.launch { registration.run() }
-        scope.launch { tidy() }
-        scope.launch { rehearse() }
+        callers.start(settings.callers)
+        runtime.observations.start(scope)
+        OperatorsServer(runtime.vertx, runtime.registry, this, settings.readinessPath).start(settings.readiness)
+        runtime.observations.event(Event.ProcessStarted(self))
         peers.start()
         configurations.start()
-        OperatorsServer(runtime.vertx, runtime.registry, this, settings.readinessPath).start(settings.readiness)
         OperatorsServer(runtime.vertx, runtime.registry, this).start(settings.metrics)
-        callers.start(settings.callers)
-        runtime.observations.event(Event.ProcessStarted(self))
+        scope.launch { registration.run() }
+        scope.launch { tidy() }
+        scope.launch { rehearse() }
     }
 
     /** Fails its readiness at once, serves what still comes, and ends before the platform kills the process. */
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -43,6 +43,7 @@
             framing = ServerSentEvents,
             observations = runtime.observations,
             clock = clock,
+            scope = runtime.workers.scope,
             stopNotice = { stop.notice },
         )
     val relay = createRequestRelay(tables, ports, settings.dataCentre, settings.retryBounds)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/rehearsal/Rehearsal.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/rehearsal/Rehearsal.kt
@@ -71,7 +71,15 @@
         val tables = createRelayTables()
         RehearsalStage.fill(tables, HostAddress(LOOPBACK, backend.actualPort()))
         val observations = MeteredObservations(PrometheusMeterRegistry(PrometheusConfig.DEFAULT))
-        val ports = RelayPorts(parts.connections, parts.callers, ServerSentEvents, observations, parts.clock)
+        val ports =
+            RelayPorts(
+                parts.connections,
+                parts.callers,
+                ServerSentEvents,
+                observations,
+                parts.clock,
+                parts.scope,
+            )
         val relay = createRequestRelay(tables, ports, RehearsalStage.DATA_CENTRE, RetryBounds(1.0, 1.0, LIMIT))
         val frontEnd = FixedFrontEnd(parts.refusals, BODY_LIMIT.toLong(), BODY_LIMIT)
         val server = CallerServer(parts.vertx, relay, observations, parts.scope, frontEnd)
