Give late generations their route's urgency at engines again

Generations that are late already went behind others at engines, which preempt less urgent ones and read their prompts again; a late answer is worth up to half of one in time there.

Change: taken back; the order in which a gateway starts requests stays.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -241,20 +241,11 @@
             call = request.facts.forwarded,
             requestId = request.facts.requestId,
             timeLeft = request.deadline - clock.now(),
-            urgency = urgencyOf(request, journal),
+            urgency = request.route.urgency,
             resumeAfter = journal.progress.lastEvent ?: request.facts.resumeAfter,
             source = source,
         )
 
-    /** Late requests go behind those that can still be answered in time; a stream that has begun keeps its place. */
-    private fun urgencyOf(
-        request: RelayedRequest,
-        journal: RelayJournal,
-    ): Int {
-        val late = !journal.progress.begun && request.isLate(clock.now())
-        return if (late) request.route.urgency + LATE_RANKS else request.route.urgency
-    }
-
     /** A stream that can be resumed elsewhere is not waited for when its engine has gone silent. */
     private fun patienceOf(
         request: RelayedRequest,
@@ -293,7 +284,6 @@
 
     private companion object {
         const val FIRST_SERVER_ERROR = 500
-        const val LATE_RANKS = 3 // routes have three ranks of urgency
         val FETCH_WORK: Duration = 5.milliseconds
     }
 }
