--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/DaemonRunner.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/DaemonRunner.kt
@@ -7,6 +7,7 @@
 import org.acaciaflow.transport.process.Daemon
 import sun.misc.Signal
 import java.util.concurrent.CountDownLatch
+import kotlin.system.exitProcess
 
 /** The settings, or an exit with status 2 after every fault was printed. */
 internal fun <Settings> CoreCliktCommand.validOrExit(result: SettingsResult<Settings>): Settings =
@@ -30,19 +31,17 @@
     throw ProgramResult(status)
 }
 
-/** Runs the daemon until the process is told to terminate, then stops it gracefully. */
-internal fun runUntilTerminated(daemon: Daemon) {
-    val stopped = CountDownLatch(1)
-    runBlocking { daemon.start() }
-    val hook =
-        Thread {
-            runBlocking { daemon.stop() }
-            stopped.countDown()
-        }
-    Runtime.getRuntime().addShutdownHook(hook)
+/** Runs the daemon until the process is told to terminate, stops it gracefully and ends with status 0. */
+internal fun runUntilTerminated(daemon: Daemon): Nothing {
+    val terminated = CountDownLatch(1)
+    // The log ends when the virtual machine begins to shut down, so the daemon stops before that.
+    for (name in listOf("TERM", "INT")) Signal.handle(Signal(name)) { terminated.countDown() }
     // Without a handler the virtual machine would end on this signal.
     Signal.handle(Signal("HUP")) { daemon.reload() }
-    stopped.await()
+    runBlocking { daemon.start() }
+    terminated.await()
+    runBlocking { daemon.stop() }
+    exitProcess(0)
 }
 
 internal const val EXIT_FAULTY_SETTINGS = 2
--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/GatewayCommand.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/GatewayCommand.kt
@@ -23,11 +23,8 @@
 
     override fun run() {
         val file = settings
-        if (file == null) exitWith(PlatformGateway.run()) else runUntilTerminated(onOwnSettings(file))
-    }
-
-    private fun exitWith(status: Int) {
-        if (status != 0) throw ProgramResult(status)
+        if (file == null) throw ProgramResult(PlatformGateway.run())
+        runUntilTerminated(onOwnSettings(file))
     }
 
     private fun onOwnSettings(file: Path): Daemon {
--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/PlatformGateway.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/PlatformGateway.kt
@@ -9,7 +9,7 @@
 
 /** A gateway whose settings the platform writes. */
 internal object PlatformGateway {
-    /** Runs until SIGTERM; the exit status is [EXIT_FAULTY_SETTINGS] after the faults of its settings were printed. */
+    /** Runs until SIGTERM; returns [EXIT_FAULTY_SETTINGS] after the faults of its settings were printed. */
     fun run(): Int {
         val file = System.getenv(PlatformSettings.FILE_VARIABLE)
         if (file == null) {
@@ -27,7 +27,6 @@
                 runUntilTerminated(
                     createEntryGatewayDaemon(settings, platformAdapters(settings), Clock.System, Random.Default),
                 )
-                return 0
             }
         }
     }
--- /dev/null
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/CommandLineTest.kt
@@ -0,0 +1,34 @@
+package org.acaciaflow.daemon
+
+import com.github.ajalt.clikt.core.main
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+
+class CommandLineTest : AnnotationSpec() {
+    @Test
+    fun `a settings file that is not there ends with status 2`() {
+        statusOf("gateway", "--settings", "missing.ini") shouldBe 2
+    }
+
+    @Test
+    fun `an unknown command ends with status 1`() {
+        statusOf("nonsense") shouldBe 1
+    }
+
+    @Test
+    fun `a missing option ends with status 1`() {
+        statusOf("engine", "assign", "--pool", "models") shouldBe 1
+    }
+
+    @Test
+    fun `a store that cannot be reached ends with status 4`() {
+        statusOf("unresolved", "--store", "127.0.0.1:1") shouldBe 4
+    }
+
+    private fun statusOf(vararg arguments: String): Int? {
+        var status: Int? = null
+        val commandLine = createCommandLine { if (status == null) status = it }
+        commandLine.main(arguments.toList())
+        return status
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/GracefulStopTest.kt
@@ -0,0 +1,78 @@
+package org.acaciaflow.daemon
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+import kotlin.io.path.readText
+import kotlin.io.path.writeText
+
+/** Runs a gateway as a process of its own. */
+class GracefulStopTest : AnnotationSpec() {
+    @Test
+    fun `a gateway that is told to terminate logs its stop and ends with status 0`() {
+        val folder = Files.createTempDirectory("graceful-stop")
+        val log = folder.resolve("log")
+        val process = start(settingsIn(folder), log)
+        awaitLine(log, "AF1001")
+
+        process.destroy()
+        val ended = process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)
+
+        if (!ended) process.destroyForcibly()
+        ended shouldBe true
+        process.exitValue() shouldBe 0
+        log.readText() shouldContain "AF1002"
+        log.readText() shouldContain "AF1003"
+    }
+
+    private fun start(
+        settings: Path,
+        log: Path,
+    ): Process {
+        val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+        val builder = ProcessBuilder(java, "-cp", System.getProperty("java.class.path"), MAIN_CLASS, "gateway")
+        builder.environment()["ACACIAFLOW_NODE_FILE"] = settings.toString()
+        return builder.redirectErrorStream(true).redirectOutput(log.toFile()).start()
+    }
+
+    private fun awaitLine(
+        log: Path,
+        text: String,
+    ) {
+        val deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_SECONDS)
+        while (text !in log.readText()) {
+            check(System.nanoTime() < deadline) { "no $text in ${log.readText()}" }
+            Thread.sleep(POLL_MILLISECONDS)
+        }
+    }
+
+    private fun settingsIn(folder: Path): Path {
+        val ports = freePorts()
+        val document =
+            """
+            {"node_name": "front-1", "ip": "127.0.0.1", "zone": "suba", "seeds": [],
+             "listen": {"front": "127.0.0.1:${ports[0]}", "ready": "127.0.0.1:${ports[1]}"},
+             "internal_ports": [${ports[2]}, ${ports[3]}], "platform": {"address": "127.0.0.1:${ports[4]}"},
+             "bounds": {"retry_budget_ratio": 0.2, "retry_budget_slack": 56, "retry_window_s": 10, "grace_s": 8}}
+            """
+        return folder.resolve("settings.json").apply { writeText(document) }
+    }
+
+    private fun freePorts(): List<Int> {
+        val sockets = List(PORTS) { ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")) }
+        return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
+    }
+
+    private companion object {
+        const val MAIN_CLASS = "org.acaciaflow.daemon.MainKt"
+        const val PORTS = 5
+        const val START_SECONDS = 60L
+        const val STOP_SECONDS = 30L
+        const val POLL_MILLISECONDS = 50L
+    }
+}
--- a/standin/src/main/kotlin/org/acaciaflow/standin/Main.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/Main.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.standin
 
 import com.github.ajalt.clikt.core.CoreCliktCommand
+import com.github.ajalt.clikt.core.context
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
 import org.acaciaflow.standin.exercise.ExerciseCommand
@@ -15,5 +16,9 @@
 }
 
 private class StandinRoot : CoreCliktCommand(name = "acaciaflow-standin") {
+    init {
+        context { exitProcess = { kotlin.system.exitProcess(it) } }
+    }
+
     override fun run() = Unit
 }
