Measure time with a steady clock in all daemons

Cause: deadlines, ages of reports, silence of servers and leases were computed from the system clock, so a step of the time of day moved all of them. Found by reading; ClockUseTest failed on the former sources with four readers of the system clock (GatewayCommand, PlatformGateway, SidecarCommand, WarmUpCommand). Change: createSteadyClock reads the time of day once and advances with the monotonic time source. SteadyClockTest steps the time of day forward, backward and forward again.

--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/GatewayCommand.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/GatewayCommand.kt
@@ -5,13 +5,13 @@
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.path
+import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.platform.PlatformSettings
 import org.acaciaflow.protocol.settings.SettingsReader
 import org.acaciaflow.transport.process.Daemon
 import org.acaciaflow.transport.process.createGatewayDaemon
 import java.nio.file.Path
 import kotlin.random.Random
-import kotlin.time.Clock
 
 /** `acaciaflow gateway [--settings FILE]`: runs a gateway until SIGTERM. */
 internal class GatewayCommand : CoreCliktCommand(name = "gateway") {
@@ -29,6 +29,6 @@
 
     private fun createDaemonFrom(file: Path): Daemon {
         val gatewaySettings = settingsOrExit(SettingsReader.readGateway(file))
-        return createGatewayDaemon(gatewaySettings, Clock.System, Random.Default)
+        return createGatewayDaemon(gatewaySettings, createSteadyClock(), Random.Default)
     }
 }
--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/PlatformGateway.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/PlatformGateway.kt
@@ -1,11 +1,11 @@
 package org.acaciaflow.daemon
 
+import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.platform.PlatformSettings
 import org.acaciaflow.protocol.settings.SettingsResult
 import org.acaciaflow.transport.process.createEntryGatewayDaemon
 import java.nio.file.Path
 import kotlin.random.Random
-import kotlin.time.Clock
 
 /** Runs a gateway whose settings file the platform provides. */
 internal object PlatformGateway {
@@ -25,7 +25,7 @@
             is SettingsResult.Valid -> {
                 val settings = result.settings
                 runUntilTerminated(
-                    createEntryGatewayDaemon(settings, platformAdapters(settings), Clock.System, Random.Default),
+                    createEntryGatewayDaemon(settings, platformAdapters(settings), createSteadyClock(), Random.Default),
                 )
             }
         }
--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/SidecarCommand.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/SidecarCommand.kt
@@ -5,9 +5,9 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.path
+import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.protocol.settings.SettingsReader
 import org.acaciaflow.transport.process.createSidecarDaemon
-import kotlin.time.Clock
 
 /** `acaciaflow sidecar --settings FILE`: runs a sidecar until SIGTERM. */
 internal class SidecarCommand : CoreCliktCommand(name = "sidecar") {
@@ -18,6 +18,6 @@
 
     override fun run() {
         val sidecarSettings = settingsOrExit(SettingsReader.readSidecar(settings))
-        runUntilTerminated(createSidecarDaemon(sidecarSettings, Clock.System))
+        runUntilTerminated(createSidecarDaemon(sidecarSettings, createSteadyClock()))
     }
 }
--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/WarmUpCommand.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/WarmUpCommand.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.acaciaflow.coordination.retry.RetryBounds
+import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.platform.PlatformSettings
 import org.acaciaflow.protocol.settings.EntryHostSettings
 import org.acaciaflow.state.identity.DataCentre
@@ -20,7 +21,6 @@
 import kotlin.io.path.writeText
 import kotlin.random.Random
 import kotlin.system.exitProcess
-import kotlin.time.Clock
 import kotlin.time.Duration.Companion.seconds
 
 /** `acaciaflow warm-up`: runs a gateway briefly, so that a build can archive the classes that it loads. */
@@ -32,7 +32,7 @@
     override fun run() {
         loadSettingsReader()
         val settings = loopbackSettings()
-        val daemon = createEntryGatewayDaemon(settings, platformAdapters(settings), Clock.System, Random.Default)
+        val daemon = createEntryGatewayDaemon(settings, platformAdapters(settings), createSteadyClock(), Random.Default)
         runBlocking {
             daemon.start()
             delay(REHEARSAL_WAIT)
