Sum up loads by aggregators; estimate backlogs as one queue; admit by waiting time

Each gateway credited progress to its own oldest job at an engine, as if the engine worked on all gateways' jobs at once, and all gateways took the minimum of the same old view. Change: loads are told as work and number of waiting jobs without progress; a backlog treats them as one queue. A decision adds a random share of the work that may have been sent unseen, which grows with the age of what is known. Gateways send their loads to an aggregator of their data centre every 60 ms or more; aggregators exchange sums and pass them on (LoadExchange). The sum per server is kept, so that a look-up no longer folds over all peers. A peer that stops stays known until it is silent, so late reports don't add it again and its loads go with it; a crash heard of again keeps its time. Admission judges the wait for others' work, not the request's own prefill, so large prompts are not refused first.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashQuarantine.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashQuarantine.kt
@@ -20,6 +20,19 @@
         return CrashReports(reports.byDigest.put(digest, known.put(life, at)))
     }
 
+    /**
+     * Records a crash that another gateway reported at time [at].
+     *
+     * A crash that is known already keeps its time, so that gateways do not renew it by telling each other.
+     */
+    fun reportedByPeer(
+        reports: CrashReports,
+        digest: Long,
+        life: BackendLife,
+        at: Instant,
+    ): CrashReports =
+        if (reports.byDigest[digest]?.containsKey(life) == true) reports else reported(reports, digest, life, at)
+
     /** Returns true if the request has reached the limit of recent crashes as of [now]. */
     fun isQuarantined(
         reports: CrashReports,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePath.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePath.kt
@@ -3,21 +3,26 @@
 import org.acaciaflow.state.fleet.BackendEntry
 import kotlin.time.Duration
 
-/** Where the prompt of a generation is prefilled; [predicted] is the predicted time to the first event. */
+/**
+ * Where the prompt of a generation is prefilled.
+ *
+ * [work] is the predicted duration of the prefill alone, [predicted] the predicted time to the first event.
+ */
 sealed interface EnginePath {
+    val work: Duration
     val predicted: Duration
 
-    /** The decode engine [engine] prefills the prompt itself in [work]. */
+    /** The decode engine [engine] prefills the prompt itself. */
     data class LocalPrefill(
         val engine: BackendEntry,
-        val work: Duration,
+        override val work: Duration,
         override val predicted: Duration,
     ) : EnginePath
 
-    /** [prefillEngine] prefills the prompt in [work]; a decode engine chosen afterwards fetches the KV cache. */
+    /** [prefillEngine] prefills the prompt; a decode engine chosen afterwards fetches the KV cache. */
     data class RemotePrefill(
         val prefillEngine: BackendEntry,
-        val work: Duration,
+        override val work: Duration,
         override val predicted: Duration,
     ) : EnginePath
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
@@ -5,6 +5,7 @@
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.prompt.Prompt
 import org.acaciaflow.state.prompt.PromptCache
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -18,23 +19,35 @@
  * unreliability of the engine and its distance. Costs are shares of the worth of the request; the lowest cost wins.
  */
 object EnginePlanner {
-    /** Returns the cheapest path for [prompt] with latency target [target]; null if the pool has no decode engine. */
+    /**
+     * Returns the cheapest path for [prompt] with latency target [target]; null if the pool has no decode engine.
+     *
+     * Costs include a random share of the work that other gateways may have sent since their last messages, so that
+     * gateways with the same knowledge don't all choose the same engine.
+     */
     fun choose(
         view: EngineView,
         prompt: Prompt,
         target: Duration,
         now: Instant,
+        random: Random,
     ): EnginePath? {
         val decodeEngines = view.engines.filter { it.role != EngineRole.PREFILL }
         if (decodeEngines.isEmpty()) return null
         val fitting = decodeEngines.filter { fits(view, it, prompt) }
         val prefillEngines = view.engines.filter { it.role == EngineRole.PREFILL }
         val mean = ReliabilityPolicy.meanFailureShare(view.reliability, view.engines.map { it.life })
+        val decoding = decodeEngines.minOf { firstTokenDelay(view, it) }
         val local =
-            fitting
-                .ifEmpty { decodeEngines }
-                .map { costed(localPrefill(view, it, prompt, now), it, view, mean, target) }
-        val remote = prefillEngines.map { costed(remotePrefill(view, it, prompt, now), it, view, mean, target) }
+            fitting.ifEmpty { decodeEngines }.map { engine ->
+                val unseen = UnseenWork.drawDuration(view.load, now, random)
+                costed(localPrefill(view, engine, prompt, now), engine, view, mean, target, unseen)
+            }
+        val remote =
+            prefillEngines.map { engine ->
+                val unseen = UnseenWork.drawDuration(view.load, now, random)
+                costed(remotePrefill(view, engine, prompt, decoding, now), engine, view, mean, target, unseen)
+            }
         return (local + remote).minBy { it.cost }.path
     }
 
@@ -56,6 +69,7 @@
         view: EngineView,
         prompt: Prompt,
         now: Instant,
+        random: Random,
     ): BackendEntry? {
         val decodeEngines = view.engines.filter { it.role != EngineRole.PREFILL }
         val fitting = decodeEngines.filter { fits(view, it, prompt) }
@@ -64,7 +78,8 @@
             val excess = ReliabilityPolicy.excessFailureShare(view.reliability[engine.life], mean)
             val remote = if (engine.dataCentre == view.ownDataCentre) 0.0 else REMOTE_DATA_CENTRE_MILLISECONDS
             milliseconds(view.load.backlogAt(engine.life, now)) * BACKLOG_INTERFERENCE +
-                view.load.runningAt(engine.life) + excess * UNRELIABLE_MILLISECONDS + remote
+                view.load.runningAt(engine.life) + excess * UNRELIABLE_MILLISECONDS + remote +
+                UnseenWork.drawRequests(view.load, now, random)
         }
     }
 
@@ -118,12 +133,12 @@
         view: EngineView,
         engine: BackendEntry,
         prompt: Prompt,
+        decoding: Duration,
         now: Instant,
     ): EnginePath.RemotePrefill {
         val work = prefillTime(view, engine, prompt)
         val bits = prompt.promptTokens * view.properties.tokenBytes * BITS_PER_BYTE
         val transfer = (bits / view.properties.linkBitsPerMillisecond).milliseconds + TRANSFER_SETUP_TIME
-        val decoding = view.engines.filter { it.role != EngineRole.PREFILL }.minOf { firstTokenDelay(view, it) }
         val predicted = view.load.backlogAt(engine.life, now) + work + transfer + decoding
         return EnginePath.RemotePrefill(engine, work, predicted)
     }
@@ -134,8 +149,9 @@
         view: EngineView,
         mean: Double,
         target: Duration,
+        unseen: Duration,
     ): CostedPath {
-        val targetShare = path.predicted / target
+        val targetShare = (path.predicted + unseen) / target
         val lateRisk = ((targetShare - ON_TIME_SHARE) / (LATE_SHARE - ON_TIME_SHARE)).coerceIn(0.0, 1.0)
         val engineCost =
             when (path) {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/load/LoadLedger.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/load/LoadLedger.kt
@@ -33,7 +33,7 @@
             val known = backend.jobs[job] ?: return@changed backend
             backend.copy(
                 jobs = backend.jobs.put(job, known.copy(producing = true)),
-                lastResultAt = now,
+                lastResultAt = if (known.producing) backend.lastResultAt else now,
                 lastReceivedAt = now,
             )
         }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
@@ -1,22 +1,18 @@
 package org.acaciaflow.coordination.peer
 
-import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.toPersistentList
-import kotlinx.collections.immutable.toPersistentMap
 import org.acaciaflow.coordination.crash.CrashQuarantine
 import org.acaciaflow.coordination.engine.PromptCaches
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.fleet.FleetChanges
+import org.acaciaflow.coordination.load.RemoteLoads
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.relay.RelayTables
 import org.acaciaflow.coordination.reliability.ReliabilityPolicy
 import org.acaciaflow.state.fleet.BackendLife
-import org.acaciaflow.state.identity.HostAddress
-import org.acaciaflow.state.load.RemoteLoad
 import org.acaciaflow.state.peer.Peer
 import org.acaciaflow.state.peer.PeerReport
 import org.acaciaflow.state.peer.ReportedCrash
-import org.acaciaflow.state.peer.ReportedLoad
 import org.acaciaflow.state.table.Transition
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -25,9 +21,9 @@
 
 /** Gossip between gateways: builds the reports of this gateway, and applies the reports received from peers. */
 class PeerGossip(
-    private val self: HostAddress,
-    private val startedAtMilliseconds: Long,
+    private val self: GatewayIdentity,
     private val tables: RelayTables,
+    private val loadExchange: LoadExchange,
     private val observations: Observations,
 ) {
     private var sequence = 0L
@@ -43,22 +39,19 @@
             fleet.entries.values
                 .map { it.life }
                 .toSet()
-        val own = tables.load.snapshot().own
         val crashes = tables.crashes.snapshot().byDigest
         return PeerReport(
-            sender = self,
-            startedAtMilliseconds = startedAtMilliseconds,
+            sender = self.address,
+            startedAtMilliseconds = self.startedAtMilliseconds,
             sequence = sequence,
+            dataCentre = self.dataCentre,
+            capacity = self.capacity,
             configurationVersion =
                 tables.routing
                     .snapshot()
                     .configuration.version,
             stopping = stopping,
-            loads =
-                own
-                    .filterValues { it.jobs.isNotEmpty() }
-                    .map { (life, load) -> ReportedLoad(life.code, load.backlog(now), load.jobs.size, load.tokens) }
-                    .toPersistentList(),
+            loads = LoadExchange.ownLoads(tables.load.snapshot()),
             reads = tables.reads.drain(),
             leaving =
                 fleet.leaving
@@ -79,7 +72,7 @@
         report: PeerReport,
         now: Instant,
     ) {
-        if (report.sender == self || !isNewer(report, now)) return
+        if (report.sender == self.address || !isNewer(report, now)) return
         val lives =
             tables.fleet
                 .snapshot()
@@ -87,7 +80,7 @@
                 .associate { it.life.code to it.life }
         applyLeaving(report, lives)
         applyReads(report, lives, now)
-        applyLoads(report, lives, now)
+        applyLoads(report, now)
         val suspected = report.unheard.mapNotNull { lives[it] }
         if (suspected.isNotEmpty()) {
             val until = now + SUSPICION_PERIOD
@@ -95,7 +88,7 @@
         }
         for (crash in report.crashes) {
             val life = lives[crash.lifeCode] ?: continue
-            tables.crashes.update { CrashQuarantine.reported(it, crash.digest, life, now) }
+            tables.crashes.update { CrashQuarantine.reportedByPeer(it, crash.digest, life, now) }
         }
     }
 
@@ -108,7 +101,7 @@
                 .filterValues { now - it.lastReportAt > PEER_TIMEOUT }
                 .keys
         for (address in silent) {
-            tables.load.update { it.copy(remote = it.remote.remove(address)) }
+            tables.load.update { RemoteLoads.removed(it, address) }
             tables.peers.update { it.copy(live = it.live.remove(address)) }
             observations.event(Event.PeerSilent(address))
         }
@@ -129,15 +122,11 @@
                         lastSequence = report.sequence,
                         lastReportAt = now,
                         configurationVersion = report.configurationVersion,
+                        dataCentre = report.dataCentre,
+                        capacity = report.capacity,
+                        stopping = report.stopping,
                     )
-                val live =
-                    if (report.stopping) {
-                        peers.live.remove(
-                            report.sender,
-                        )
-                    } else {
-                        peers.live.put(report.sender, peer)
-                    }
+                val live = peers.live.put(report.sender, peer)
                 Transition(peers.copy(live = live), if (known == null) Recency.FIRST else Recency.NEWER)
             }
         if (recency == Recency.FIRST) observations.event(Event.PeerHeard(report.sender, report.configurationVersion))
@@ -182,19 +171,11 @@
 
     private fun applyLoads(
         report: PeerReport,
-        lives: Map<Int, BackendLife>,
         now: Instant,
     ) {
-        val loads: PersistentMap<BackendLife, RemoteLoad> =
-            report.loads
-                .mapNotNull { load ->
-                    lives[load.lifeCode]?.let {
-                        it to
-                            RemoteLoad(load.backlog, load.running, load.tokens, now)
-                    }
-                }.toMap()
-                .toPersistentMap()
-        tables.load.update { it.copy(remote = it.remote.put(report.sender, loads)) }
+        val source =
+            loadExchange.sourceOf(report.startedAtMilliseconds, report.sequence, report.loads, measuredAt = now, now)
+        tables.load.update { RemoteLoads.reported(it, report.sender, source) }
     }
 
     /** Returns the servers that this gateway cannot connect to, or whose streams have stalled, as of [now]. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Candidates.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Candidates.kt
@@ -62,10 +62,7 @@
         )
 
     /** Returns the number of gateways that share the limits of each pool, including this one. */
-    fun gatewayCount(): Int {
-        val peers = tables.peers.snapshot()
-        return (peers.registered + peers.live.keys).size + 1
-    }
+    fun gatewayCount(): Int = tables.peers.snapshot().servingCount + 1
 
     private fun mayAttempt(
         request: RelayedRequest,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -15,6 +15,7 @@
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.route.EngineProperties
+import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -29,6 +30,7 @@
     private val backendRun: BackendRun,
     private val observations: Observations,
     private val clock: Clock,
+    private val random: Random,
 ) {
     /** Serves [request] until its answer is complete or no further attempt is allowed. */
     suspend fun relay(
@@ -43,7 +45,8 @@
             if (now >= request.deadline) return timedOut(tracker.progress)
             val view = candidates.view(candidates.of(request, tracker.progress, now), properties, request.pool)
             val path =
-                EnginePlanner.choose(view, prompt, request.route.target, now) ?: return noAttemptLeft(tracker.progress)
+                EnginePlanner.choose(view, prompt, request.route.target, now, random)
+                    ?: return noAttemptLeft(tracker.progress)
             if (tracker.progress == RelayProgress.INITIAL) {
                 val refusal = refusalAtArrival(request, prompt, view, path, now)
                 if (refusal != null) return refusal
@@ -68,14 +71,14 @@
         path: EnginePath,
         now: Instant,
     ): Conclusion? {
-        val reason = refusalReason(request, prompt, view, path) ?: return null
+        val reason = refusalReason(request, prompt, view, path, now) ?: return null
         val backend =
             when (path) {
                 is EnginePath.LocalPrefill -> path.engine
                 is EnginePath.RemotePrefill -> path.prefillEngine
             }
         observations.decided(Decision.Declined(request, backend, path.predicted, reason, view.load, now))
-        return Conclusion.NotExecuted(reason, LatencyAdmissionPolicy.retryAfter(request.route, path.predicted))
+        return Conclusion.NotExecuted(reason, LatencyAdmissionPolicy.retryAfter(request.route, path))
     }
 
     private fun refusalReason(
@@ -83,10 +86,11 @@
         prompt: Prompt,
         view: EngineView,
         path: EnginePath,
+        now: Instant,
     ): NotRun? {
         val urgency = request.route.urgency
         return when {
-            LatencyAdmissionPolicy.isTooLate(request.route, path.predicted) -> NotRun.LATE_ALREADY
+            LatencyAdmissionPolicy.isTooLate(request.route, path, request.deadline - now) -> NotRun.LATE_ALREADY
             urgency > 0 && !EnginePlanner.hasRoom(view, prompt, urgency) -> NotRun.ROOM_RESERVED
             else -> null
         }
@@ -141,7 +145,7 @@
             return EngineStep.Finished(timedOut(tracker.progress))
         }
         val view = candidates.view(candidates.of(request, tracker.progress, now), properties, request.pool)
-        val chosen = EnginePlanner.chooseDecodeEngine(view, prompt, now)
+        val chosen = EnginePlanner.chooseDecodeEngine(view, prompt, now, random)
         if (chosen == null || !retryLimiter.tryAcquire(request, tracker.progress, RetryReason.ATTEMPT_REFUSED, now)) {
             prefillRun.release(source)
             return EngineStep.Finished(noAttemptLeft(tracker.progress))
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -7,9 +7,11 @@
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.refusal.AttemptRefusal
+import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 
 /** Serves requests for plain services. */
 internal class PlainRelay(
@@ -20,6 +22,7 @@
     private val ownDataCentre: DataCentre,
     private val observations: Observations,
     private val clock: Clock,
+    private val random: Random,
 ) {
     /** Serves [request] until it is answered or no further attempt is allowed. */
     suspend fun relay(
@@ -31,9 +34,7 @@
             val now = clock.now()
             if (now >= request.deadline) return timedOut(tracker.progress)
             val usable = candidates.of(request, tracker.progress, now)
-            val chosen =
-                PlainSelection.choose(usable, tables.load.snapshot(), tables.reliability.snapshot(), ownDataCentre)
-                    ?: return noAttemptLeft(tracker.progress)
+            val chosen = choose(usable, now) ?: return noAttemptLeft(tracker.progress)
             if (!retryLimiter.tryAcquire(request, tracker.progress, reason, now)) return noAttemptLeft(tracker.progress)
             when (val outcome = send(request, chosen, tracker)) {
                 is RunOutcome.Delivered -> {
@@ -61,6 +62,14 @@
         }
     }
 
+    private fun choose(
+        usable: List<BackendEntry>,
+        now: Instant,
+    ): BackendEntry? {
+        val load = tables.load.snapshot()
+        return PlainSelection.choose(usable, load, tables.reliability.snapshot(), ownDataCentre, now, random)
+    }
+
     private suspend fun send(
         request: RelayedRequest,
         chosen: BackendEntry,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -7,6 +7,7 @@
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.state.identity.DataCentre
+import kotlin.random.Random
 import kotlin.time.Clock
 
 /** The ports that connect a relay to other layers; [stopNotice] returns null until the process is asked to stop. */
@@ -16,6 +17,7 @@
     val framing: StreamFraming,
     val observations: Observations,
     val clock: Clock,
+    val random: Random,
     val scope: CoroutineScope,
     val stopNotice: () -> StopNotice? = { null },
 )
@@ -38,9 +40,47 @@
         admission = RelayAdmission(tables, ports.stopNotice),
         turns = RequestTurns(tables.turns, ElapsedTimeEstimator(tables.timeLimits), ports.scope, ports.clock),
         retryLimiter = retryLimiter,
-        plain = PlainRelay(tables, candidates, retryLimiter, backendRun, dataCentre, ports.observations, ports.clock),
-        engine = EngineRelay(tables, candidates, retryLimiter, prefillRun, backendRun, ports.observations, ports.clock),
+        plain = createPlainRelay(tables, candidates, retryLimiter, backendRun, dataCentre, ports),
+        engine = createEngineRelay(tables, candidates, retryLimiter, prefillRun, backendRun, ports),
         observations = ports.observations,
         clock = ports.clock,
     )
 }
+
+private fun createPlainRelay(
+    tables: RelayTables,
+    candidates: Candidates,
+    retryLimiter: RetryLimiter,
+    backendRun: BackendRun,
+    dataCentre: DataCentre,
+    ports: RelayPorts,
+): PlainRelay =
+    PlainRelay(
+        tables = tables,
+        candidates = candidates,
+        retryLimiter = retryLimiter,
+        backendRun = backendRun,
+        ownDataCentre = dataCentre,
+        observations = ports.observations,
+        clock = ports.clock,
+        random = ports.random,
+    )
+
+private fun createEngineRelay(
+    tables: RelayTables,
+    candidates: Candidates,
+    retryLimiter: RetryLimiter,
+    prefillRun: PrefillRun,
+    backendRun: BackendRun,
+    ports: RelayPorts,
+): EngineRelay =
+    EngineRelay(
+        tables = tables,
+        candidates = candidates,
+        retryLimiter = retryLimiter,
+        prefillRun = prefillRun,
+        backendRun = backendRun,
+        observations = ports.observations,
+        clock = ports.clock,
+        random = ports.random,
+    )
--- /dev/null
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/load/FleetSimulation.kt
@@ -0,0 +1,211 @@
+package org.acaciaflow.coordination.load
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
+import org.acaciaflow.coordination.engine.EnginePath
+import org.acaciaflow.coordination.engine.EnginePlanner
+import org.acaciaflow.coordination.engine.EngineView
+import org.acaciaflow.coordination.engine.RateEstimator
+import org.acaciaflow.coordination.relay.ENGINE_POOL
+import org.acaciaflow.coordination.relay.OWN_DATA_CENTRE
+import org.acaciaflow.coordination.relay.backend
+import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.state.load.BackendLoad
+import org.acaciaflow.state.load.FleetLoad
+import org.acaciaflow.state.load.JobIdentity
+import org.acaciaflow.state.load.RemoteLoad
+import org.acaciaflow.state.prompt.Prompt
+import org.acaciaflow.state.prompt.PromptPart
+import org.acaciaflow.state.route.EngineProperties
+import java.util.PriorityQueue
+import kotlin.math.ln
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/** A kind of generation in a [FleetSimulation]: its uncached prompt, its target and its share of the arrivals. */
+internal data class SimulatedKind(
+    val promptTokens: Int,
+    val target: Duration,
+    val share: Double,
+)
+
+/** The size and load of a [FleetSimulation]; [perSecond] requests arrive, [reportAge] is the interval of reports. */
+internal data class SimulatedFleet(
+    val gateways: Int,
+    val prefillEngines: Int,
+    val decodeEngines: Int,
+    val perSecond: Double,
+    val reportAge: Duration,
+    val kinds: List<SimulatedKind>,
+)
+
+/** The result of a run; [peakOverMean] compares the busiest prefill engine with the mean of all. */
+internal data class SimulatedOutcome(
+    val onTime: Double,
+    val peakOverMean: Double,
+    val meanDelay: Duration,
+)
+
+/**
+ * Gateways that plan generations with the real decision code, in virtual time.
+ *
+ * An engine prefills one prompt at a time, in order of arrival. Every gateway knows its own jobs at once and those of
+ * the others as of the last reports.
+ */
+internal class FleetSimulation(
+    private val fleet: SimulatedFleet,
+    seed: Int,
+) {
+    private val random = Random(seed)
+    private val start = Instant.fromEpochSeconds(1_000)
+    private val engines =
+        engines("prefill", fleet.prefillEngines, EngineRole.PREFILL) +
+            engines("decode", fleet.decodeEngines, EngineRole.DECODE)
+    private val freeAt = HashMap<BackendLife, Instant>()
+    private val busy = HashMap<BackendLife, Duration>()
+    private val loads = MutableList(fleet.gateways) { FleetLoad.NONE }
+    private val reports = MutableList<Map<BackendLife, RemoteLoad>>(fleet.gateways) { emptyMap() }
+    private val total = HashMap<BackendLife, RemoteLoad>()
+    private val events = PriorityQueue<SimulatedEvent>(compareBy { it.at })
+    private var jobs = 0L
+    private var onTime = 0
+    private var served = 0
+    private var delays = Duration.ZERO
+
+    /** Plays [length] of traffic and returns what became of it. */
+    fun play(length: Duration): SimulatedOutcome {
+        events.add(SimulatedEvent.Arrival(start))
+        repeat(fleet.gateways) { events.add(SimulatedEvent.Report(start + fleet.reportAge * random.nextDouble(), it)) }
+        while (true) {
+            val event = events.poll() ?: break
+            if (event.at > start + length) break
+            when (event) {
+                is SimulatedEvent.Arrival -> arrive(event.at)
+                is SimulatedEvent.Finished -> loads[event.gateway] = ended(event)
+                is SimulatedEvent.Report -> report(event)
+            }
+        }
+        val work = engines.filter { it.role == EngineRole.PREFILL }.map { busy[it.life] ?: Duration.ZERO }
+        val mean = work.fold(Duration.ZERO, Duration::plus) / work.size
+        return SimulatedOutcome(onTime.toDouble() / served, work.max() / mean, delays / served)
+    }
+
+    private fun arrive(now: Instant) {
+        events.add(SimulatedEvent.Arrival(now + (-ln(1 - random.nextDouble()) * 1000 / fleet.perSecond).milliseconds))
+        val kind = drawKind()
+        val prompt = Prompt(persistentListOf(PromptPart(random.nextLong(), kind.promptTokens)), kind.promptTokens, 40)
+        val gateway = random.nextInt(fleet.gateways)
+        val path = EnginePlanner.choose(viewOf(gateway, now), prompt, kind.target, now, random) ?: return
+        val (engine, work) =
+            when (path) {
+                is EnginePath.LocalPrefill -> path.engine to path.work
+                is EnginePath.RemotePrefill -> path.prefillEngine to path.work
+            }
+        val startsAt = maxOf(now, freeAt[engine.life] ?: now)
+        val endsAt = startsAt + work
+        freeAt[engine.life] = endsAt
+        busy[engine.life] = (busy[engine.life] ?: Duration.ZERO) + work
+        val job = JobIdentity(jobs++)
+        loads[gateway] = LoadLedger.sent(loads[gateway], engine.life, job, work, kind.promptTokens, now)
+        events.add(SimulatedEvent.Finished(endsAt, gateway, engine.life, job))
+        served += 1
+        delays += endsAt - now
+        if (endsAt - now <= kind.target) onTime += 1
+    }
+
+    private fun ended(event: SimulatedEvent.Finished): FleetLoad =
+        LoadLedger.ended(loads[event.gateway], event.life, event.job, event.at)
+
+    private fun report(event: SimulatedEvent.Report) {
+        events.add(SimulatedEvent.Report(event.at + fleet.reportAge, event.gateway))
+        val next = loads[event.gateway].own.filterValues { it.jobs.isNotEmpty() }.mapValues { remoteLoadOf(it.value) }
+        reports[event.gateway].forEach { (life, load) -> total.merge(life, load, ::minus) }
+        next.forEach { (life, load) -> total.merge(life, load, RemoteLoad::plus) }
+        reports[event.gateway] = next
+    }
+
+    /** What [gateway] knows at [now]: its own jobs, and the others' as of their last reports. */
+    private fun loadOf(
+        gateway: Int,
+        now: Instant,
+    ): FleetLoad {
+        val own = reports[gateway]
+        val others = total.mapValues { (life, load) -> own[life]?.let { minus(load, it) } ?: load }
+        return loads[gateway].copy(remote = others.toPersistentMap(), remoteMeasuredAt = now - fleet.reportAge / 2)
+    }
+
+    private fun minus(
+        sum: RemoteLoad,
+        part: RemoteLoad,
+    ) = RemoteLoad(
+        sum.work - part.work,
+        sum.waiting - part.waiting,
+        sum.running - part.running,
+        sum.tokens - part.tokens,
+    )
+
+    private fun remoteLoadOf(load: BackendLoad) =
+        RemoteLoad(load.waitingWork, load.waitingJobs, load.jobs.size, load.tokens)
+
+    private fun drawKind(): SimulatedKind {
+        var rest = random.nextDouble() * fleet.kinds.sumOf { it.share }
+        return fleet.kinds.firstOrNull {
+            rest -= it.share
+            rest < 0
+        } ?: fleet.kinds.last()
+    }
+
+    private fun viewOf(
+        gateway: Int,
+        now: Instant,
+    ) = EngineView(
+        engines = engines,
+        load = loadOf(gateway, now),
+        caches = persistentMapOf(),
+        reliability = persistentMapOf(),
+        rates = RateEstimator.INITIAL,
+        properties = PROPERTIES,
+        ownDataCentre = OWN_DATA_CENTRE,
+    )
+
+    private fun engines(
+        name: String,
+        count: Int,
+        role: EngineRole,
+    ): List<BackendEntry> = (1..count).map { backend("$name-$it", ENGINE_POOL, role) }
+
+    private sealed interface SimulatedEvent {
+        val at: Instant
+
+        data class Arrival(
+            override val at: Instant,
+        ) : SimulatedEvent
+
+        data class Finished(
+            override val at: Instant,
+            val gateway: Int,
+            val life: BackendLife,
+            val job: JobIdentity,
+        ) : SimulatedEvent
+
+        data class Report(
+            override val at: Instant,
+            val gateway: Int,
+        ) : SimulatedEvent
+    }
+
+    private companion object {
+        val PROPERTIES =
+            EngineProperties(
+                slots = 64,
+                cacheTokens = 1_000_000,
+                tokenBytes = 20_000,
+                linkBitsPerMillisecond = 1.0e9,
+            )
+    }
+}
--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/WarmUpCommand.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/WarmUpCommand.kt
@@ -5,8 +5,8 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
-import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.coordination.clock.createSteadyClock
+import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.platform.PlatformSettings
 import org.acaciaflow.protocol.settings.EntryHostSettings
 import org.acaciaflow.state.identity.DataCentre
@@ -73,6 +73,7 @@
             store = freeAddress(),
             retryBounds = RetryBounds(ratio = 0.2, slack = 1.0, window = 10.seconds),
             gracePeriod = 1.seconds,
+            cores = 1.0,
         )
 
     private fun freeAddress(): HostAddress =
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
@@ -21,7 +21,7 @@
     @CborLabel(4) val configurationVersion: Long,
     @CborLabel(5) val stopping: Boolean = false,
     @CborLabel(6) val loadLives: List<Int> = emptyList(),
-    @CborLabel(7) val loadBacklogMilliseconds: List<Int> = emptyList(),
+    @CborLabel(7) val loadWorkMilliseconds: List<Int> = emptyList(),
     @CborLabel(8) val loadRunning: List<Int> = emptyList(),
     @CborLabel(9) val readLives: List<Int> = emptyList(),
     @CborLabel(10) val readPartCounts: List<Int> = emptyList(),
@@ -32,4 +32,7 @@
     @CborLabel(15) val crashLives: List<Int> = emptyList(),
     @CborLabel(17) val loadKiloTokens: List<Int> = emptyList(),
     @CborLabel(16) val unheard: List<Int> = emptyList(),
+    @CborLabel(18) val loadWaiting: List<Int> = emptyList(),
+    @CborLabel(19) val dataCentre: String = "",
+    @CborLabel(20) val capacity: Double = 0.0,
 )
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/settings/EntryHostSettings.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/settings/EntryHostSettings.kt
@@ -11,7 +11,8 @@
  *
  * [readiness] is the address of the readiness probe. [peers] is the address that receives reports from other gateways,
  * [seeds] are the corresponding addresses of some of them. [metrics] is the address that serves metrics. [gracePeriod]
- * is the time from the stop signal until the process is killed.
+ * is the time from the stop signal until the process is killed. [cores] is the number of processor cores that the
+ * process may use.
  */
 data class EntryHostSettings(
     val name: String,
@@ -25,4 +26,5 @@
     val store: HostAddress,
     val retryBounds: RetryBounds,
     val gracePeriod: Duration,
+    val cores: Double,
 )
--- a/state/src/main/kotlin/org/acaciaflow/state/load/BackendLoad.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/load/BackendLoad.kt
@@ -20,6 +20,14 @@
     val tokens: Long
         get() = jobs.values.sumOf { it.tokens.toLong() }
 
+    /** The number of jobs without a first result. */
+    val waitingJobs: Int
+        get() = jobs.values.count { !it.producing }
+
+    /** The predicted processing time of the jobs without a first result, with no progress taken off. */
+    val waitingWork: Duration
+        get() = jobs.values.fold(Duration.ZERO) { sum, job -> if (job.producing) sum else sum + job.work }
+
     /** Predicted time from [now] until all jobs have produced their first result, if served in the order sent. */
     fun backlog(now: Instant): Duration {
         val waitingJobs = jobs.values.filter { !it.producing }
--- a/state/src/main/kotlin/org/acaciaflow/state/load/FleetLoad.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/load/FleetLoad.kt
@@ -3,19 +3,21 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import org.acaciaflow.state.fleet.BackendLife
-import org.acaciaflow.state.identity.HostAddress
 import kotlin.time.Duration
 import kotlin.time.Instant
 
 /**
  * Load of the backend servers.
  *
- * [own] is this gateway's current load, [remote] the load that each other gateway last reported. [suspected] holds the
- * servers that another gateway reported as unreachable or silent, with the time at which that suspicion expires.
+ * [own] is this gateway's current load. [remote] is the sum over all other gateways, derived from [sources]; it
+ * describes the time [remoteMeasuredAt]. [suspected] holds the servers that another gateway reported as unreachable or
+ * silent, with the time at which that suspicion expires.
  */
 data class FleetLoad(
     val own: PersistentMap<BackendLife, BackendLoad>,
-    val remote: PersistentMap<HostAddress, PersistentMap<BackendLife, RemoteLoad>>,
+    val remote: PersistentMap<BackendLife, RemoteLoad>,
+    val remoteMeasuredAt: Instant,
+    val sources: LoadSources,
     val suspected: PersistentMap<BackendLife, Instant>,
 ) {
     /** This gateway's load at [life]. */
@@ -25,24 +27,44 @@
     fun backlogAt(
         life: BackendLife,
         now: Instant,
-    ): Duration =
-        remote.values.fold(ownAt(life).backlog(now)) { sum, loads ->
-            sum + (loads[life]?.remainingBacklog(now) ?: Duration.ZERO)
-        }
+    ): Duration {
+        val others = remote[life] ?: RemoteLoad.NONE
+        val own = ownAt(life)
+        if (others.waiting == 0) return own.backlog(now)
+        val work = own.waitingWork + others.work
+        // The server works on one job at a time; on average it has done half of that job.
+        val halfOfOneJob = work / (2 * (own.waitingJobs + others.waiting))
+        return (work - halfOfOneJob - remoteAge(now)).coerceAtLeast(Duration.ZERO)
+    }
 
-    /** Requests in flight at [life], including those that other gateways last reported. */
-    fun runningAt(life: BackendLife): Int =
-        remote.values.fold(ownAt(life).jobs.size) { sum, loads -> sum + (loads[life]?.running ?: 0) }
+    /** Requests in flight at [life], including those of other gateways. */
+    fun runningAt(life: BackendLife): Int = ownAt(life).jobs.size + (remote[life]?.running ?: 0)
 
     /**
      * Engine memory, in tokens, that the known jobs at [life] may occupy.
      *
      * An upper bound: prompt parts that jobs share are counted once for each job.
      */
-    fun tokensAt(life: BackendLife): Long =
-        remote.values.fold(ownAt(life).tokens) { sum, loads -> sum + (loads[life]?.tokens ?: 0) }
+    fun tokensAt(life: BackendLife): Long = ownAt(life).tokens + (remote[life]?.tokens ?: 0)
+
+    /** The age at [now] of what is known of the other gateways' loads; zero if there is no other gateway. */
+    fun remoteAge(now: Instant): Duration =
+        if (remoteMeasuredAt ==
+            Instant.DISTANT_PAST
+        ) {
+            Duration.ZERO
+        } else {
+            (now - remoteMeasuredAt).coerceAtLeast(Duration.ZERO)
+        }
 
     companion object {
-        val NONE = FleetLoad(persistentMapOf(), persistentMapOf(), persistentMapOf())
+        val NONE =
+            FleetLoad(
+                own = persistentMapOf(),
+                remote = persistentMapOf(),
+                remoteMeasuredAt = Instant.DISTANT_PAST,
+                sources = LoadSources.NONE,
+                suspected = persistentMapOf(),
+            )
     }
 }
--- a/state/src/main/kotlin/org/acaciaflow/state/load/RemoteLoad.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/load/RemoteLoad.kt
@@ -1,21 +1,24 @@
 package org.acaciaflow.state.load
 
 import kotlin.time.Duration
-import kotlin.time.Instant
+import kotlin.time.Duration.Companion.ZERO
 
 /**
- * Load of another gateway at one backend server, as that gateway last reported it.
+ * Load of one or more other gateways at one backend server.
  *
- * [backlog] is the predicted time until all of that work has produced its first result, [running] the number of
- * requests in flight, [tokens] the engine memory that they may occupy. [receivedAt] is when the report arrived, by the
- * local clock.
+ * [work] is the predicted processing time of their [waiting] jobs, those without a first result, with no progress taken
+ * off; [running] is the number of all their requests in flight, [tokens] the engine memory that they may occupy.
  */
 data class RemoteLoad(
-    val backlog: Duration,
+    val work: Duration,
+    val waiting: Int,
     val running: Int,
     val tokens: Long,
-    val receivedAt: Instant,
 ) {
-    /** The part of [backlog] predicted to remain at [now]. */
-    fun remainingBacklog(now: Instant): Duration = (backlog - (now - receivedAt)).coerceAtLeast(Duration.ZERO)
+    operator fun plus(other: RemoteLoad): RemoteLoad =
+        RemoteLoad(work + other.work, waiting + other.waiting, running + other.running, tokens + other.tokens)
+
+    companion object {
+        val NONE = RemoteLoad(work = ZERO, waiting = 0, running = 0, tokens = 0)
+    }
 }
--- a/state/src/main/kotlin/org/acaciaflow/state/peer/Peer.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/peer/Peer.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.state.peer
 
+import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
 import kotlin.time.Instant
 
@@ -7,7 +8,7 @@
  * Another gateway, as described by its latest report.
  *
  * [startedAtMilliseconds] and [lastSequence] identify that report; [lastReportAt] is when it arrived, by the local
- * clock.
+ * clock. A [stopping] gateway takes no new requests but may still run some.
  */
 data class Peer(
     val address: HostAddress,
@@ -15,4 +16,7 @@
     val lastSequence: Long,
     val lastReportAt: Instant,
     val configurationVersion: Long,
+    val dataCentre: DataCentre,
+    val capacity: Double,
+    val stopping: Boolean,
 )
--- a/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
@@ -1,21 +1,37 @@
 package org.acaciaflow.state.peer
 
 import kotlinx.collections.immutable.PersistentList
+import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.load.RemoteLoad
 import org.acaciaflow.state.prompt.PromptPart
 import kotlin.time.Duration
 
+/** A message from one gateway to another. Backend servers are identified by [BackendLife.code]. */
+sealed interface PeerDatagram {
+    val sender: HostAddress
+
+    /** When the sending process started, by its own clock. */
+    val startedAtMilliseconds: Long
+
+    /** Increases with every message of one kind in one process lifetime. */
+    val sequence: Long
+}
+
 /**
- * The periodic status report of a gateway to its peers. Backend servers are identified by [BackendLife.code].
+ * The periodic status report of a gateway to all its peers.
  *
- * [sequence] increases with every report of one process lifetime. [reads] lists the prompts sent to engines for prefill
- * since the last report, [leaving] the backend servers seen draining and [unheard] those that are unreachable or
- * silent. [crashes] lists the backend servers that broke off an answer, with the digest of the request they executed.
+ * [dataCentre] and [capacity], the number of processor cores that the sender may use, select the aggregators. [reads]
+ * lists the prompts sent to engines for prefill since the last report, [leaving] the backend servers seen draining and
+ * [unheard] those that are unreachable or silent. [crashes] lists the backend servers that broke off an answer, with the
+ * digest of the request they executed.
  */
 data class PeerReport(
-    val sender: HostAddress,
-    val startedAtMilliseconds: Long,
-    val sequence: Long,
+    override val sender: HostAddress,
+    override val startedAtMilliseconds: Long,
+    override val sequence: Long,
+    val dataCentre: DataCentre,
+    val capacity: Double,
     val configurationVersion: Long,
     val stopping: Boolean,
     val loads: PersistentList<ReportedLoad>,
@@ -23,14 +39,40 @@
     val leaving: PersistentList<Int>,
     val unheard: PersistentList<Int>,
     val crashes: PersistentList<ReportedCrash>,
-)
+) : PeerDatagram
+
+/**
+ * A frequent message that carries only loads; [scope] says whose.
+ *
+ * [age] is how old the loads were, on average, when the message was sent.
+ */
+data class LoadShare(
+    override val sender: HostAddress,
+    override val startedAtMilliseconds: Long,
+    override val sequence: Long,
+    val scope: LoadScope,
+    val age: Duration,
+    val loads: PersistentList<ReportedLoad>,
+) : PeerDatagram
+
+/** The gateways whose loads a [LoadShare] sums up. */
+sealed interface LoadScope {
+    /** The sender alone; sent to the aggregator of its data centre. */
+    data object Sender : LoadScope
+
+    /** All gateways of the sender's [dataCentre]; sent to the aggregators of other data centres. */
+    data class WholeDataCentre(
+        val dataCentre: DataCentre,
+    ) : LoadScope
+
+    /** All gateways except the receiver; sent by the aggregator of its data centre. */
+    data object AllOthers : LoadScope
+}
 
-/** Load of the sender at one backend server; see [RemoteLoad] for the units. */
+/** The load at one backend server. */
 data class ReportedLoad(
     val lifeCode: Int,
-    val backlog: Duration,
-    val running: Int,
-    val tokens: Long,
+    val load: RemoteLoad,
 )
 
 /** A prompt that the sender dispatched to one engine for prefill. */
--- a/state/src/main/kotlin/org/acaciaflow/state/peer/Peers.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/peer/Peers.kt
@@ -9,12 +9,17 @@
 /**
  * The other gateways.
  *
- * [registered] holds those with an entry in the store, [live] those that have sent a report recently.
+ * [registered] holds those with an entry in the store, [live] those that have sent a report recently, including those
+ * that are stopping.
  */
 data class Peers(
     val registered: PersistentSet<HostAddress>,
     val live: PersistentMap<HostAddress, Peer>,
 ) {
+    /** The number of other gateways that take requests, as far as known. */
+    val servingCount: Int
+        get() = (registered + live.keys).count { live[it]?.stopping != true }
+
     companion object {
         val NONE = Peers(persistentSetOf(), persistentMapOf())
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -35,7 +35,7 @@
             backendFields(decision.backend, decision.load, decision.predicted, decision.at) +
             " target-ms=${decision.request.route.target.inWholeMilliseconds}"
 
-    /** The known load of [backend] and the age of the oldest load report from a peer. */
+    /** The known load of [backend] and the age of what is known of the other gateways' loads. */
     private fun backendFields(
         backend: BackendEntry,
         load: FleetLoad,
@@ -43,14 +43,10 @@
         now: Instant,
     ): String {
         val life = backend.life
-        val remoteAges =
-            load.remote.values
-                .mapNotNull { it[life]?.receivedAt }
-                .map { ageMilliseconds(it, now) }
         return " backend=${life.instance} role=${backend.role.name.lowercase()}" +
             " predicted-ms=${predicted.inWholeMilliseconds}" +
             " backlog-ms=${load.backlogAt(life, now).inWholeMilliseconds}" +
-            " own-jobs=${load.ownAt(life).jobs.size} oldest-peer-load-ms=${remoteAges.maxOrNull() ?: 0}"
+            " own-jobs=${load.ownAt(life).jobs.size} peer-load-age-ms=${load.remoteAge(now).inWholeMilliseconds}"
     }
 
     private fun ran(decision: Decision.Ran): String =
@@ -81,9 +77,4 @@
 
     private fun requestFields(request: RelayedRequest): String =
         " route=${request.route.name.name} configuration=${request.version} pool=${request.pool.name}"
-
-    private fun ageMilliseconds(
-        since: Instant,
-        now: Instant,
-    ): Long = (now - since).inWholeMilliseconds
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/peer/PeerExchange.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/peer/PeerExchange.kt
@@ -12,11 +12,15 @@
 import kotlinx.io.IOException
 import kotlinx.io.readByteArray
 import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.peer.LoadExchange
 import org.acaciaflow.coordination.peer.PeerGossip
 import org.acaciaflow.coordination.port.Observations
-import org.acaciaflow.protocol.peer.DecodedReport
+import org.acaciaflow.protocol.peer.DecodedDatagram
 import org.acaciaflow.protocol.peer.PeerCodec
 import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.peer.LoadShare
+import org.acaciaflow.state.peer.PeerDatagram
+import org.acaciaflow.state.peer.PeerReport
 import org.acaciaflow.state.peer.Peers
 import org.acaciaflow.state.table.SharedTable
 import kotlin.time.Clock
@@ -24,15 +28,16 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Sends this gateway's reports to all other gateways as UDP datagrams and receives theirs.
+ * Exchanges UDP datagrams with other gateways: periodic reports with all of them, loads with a few.
  *
- * Each report supersedes the previous one, so lost datagrams are not retransmitted and a silent peer needs no retries.
+ * Each message supersedes the previous one, so lost datagrams are not retransmitted and a silent peer needs no retries.
  */
 internal class PeerExchange(
     private val self: HostAddress,
     private val seeds: List<HostAddress>,
     private val selector: SelectorManager,
     private val gossip: PeerGossip,
+    private val loads: LoadExchange,
     private val peers: SharedTable<Peers>,
     private val observations: Observations,
     private val scope: CoroutineScope,
@@ -46,10 +51,22 @@
     suspend fun start() {
         val socket = aSocket(selector).udp().bind(InetSocketAddress(self.ip, self.port))
         scope.launch { receive(socket) }
-        scope.launch { send(socket) }
+        scope.launch { sendReports(socket) }
+        scope.launch { sendLoads(socket) }
     }
 
-    private suspend fun send(socket: BoundDatagramSocket) {
+    private suspend fun sendLoads(socket: BoundDatagramSocket) {
+        while (true) {
+            val messages = loads.messages(stopping, clock.now())
+            val encoded = HashMap<LoadShare, ByteArray>()
+            for ((receiver, share) in messages) {
+                sendTo(socket, receiver, encoded.getOrPut(share) { PeerCodec.encode(share) })
+            }
+            delay(maxOf(MINIMUM_LOAD_INTERVAL, LOAD_INTERVAL_PER_MESSAGE * messages.size))
+        }
+    }
+
+    private suspend fun sendReports(socket: BoundDatagramSocket) {
         while (true) {
             val known = peers.snapshot()
             val others = known.registered + known.live.keys + seeds
@@ -77,13 +94,21 @@
         while (true) {
             val datagram = socket.receive()
             when (val decoded = PeerCodec.decode(datagram.packet.readByteArray())) {
-                is DecodedReport.Report -> gossip.receive(decoded.report, clock.now())
-                is DecodedReport.Faulty -> observations.event(Event.FrameRejected(self, decoded.fault))
+                is DecodedDatagram.Valid -> apply(decoded.datagram)
+                is DecodedDatagram.Faulty -> observations.event(Event.FrameRejected(self, decoded.fault))
             }
         }
     }
 
+    private fun apply(datagram: PeerDatagram) =
+        when (datagram) {
+            is PeerReport -> gossip.receive(datagram, clock.now())
+            is LoadShare -> loads.receive(datagram, clock.now())
+        }
+
     private companion object {
+        val MINIMUM_LOAD_INTERVAL: Duration = 60.milliseconds // shorter than most prefills
+        val LOAD_INTERVAL_PER_MESSAGE: Duration = 8.milliseconds // bounds the messages sent per second
         val MINIMUM_INTERVAL: Duration = 120.milliseconds
         val INTERVAL_PER_PEER: Duration = 30.milliseconds // bounds the bytes sent per second for any number of peers
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -1,6 +1,8 @@
 package org.acaciaflow.transport.process
 
 import kotlinx.io.bytestring.encodeToByteString
+import org.acaciaflow.coordination.peer.GatewayIdentity
+import org.acaciaflow.coordination.peer.LoadExchange
 import org.acaciaflow.coordination.peer.PeerGossip
 import org.acaciaflow.coordination.peer.PeerRegistration
 import org.acaciaflow.coordination.relay.RelayPorts
@@ -43,6 +45,7 @@
             framing = ServerSentEvents,
             observations = runtime.observations,
             clock = clock,
+            random = random,
             scope = runtime.workers.scope,
             stopNotice = { stop.notice },
         )
@@ -127,17 +130,22 @@
     runtime: DaemonRuntime,
     tables: RelayTables,
     clock: Clock,
-): PeerExchange =
-    PeerExchange(
+): PeerExchange {
+    val identity =
+        GatewayIdentity(settings.peers, clock.now().toEpochMilliseconds(), settings.dataCentre, settings.cores)
+    val loads = LoadExchange(identity, tables)
+    return PeerExchange(
         self = settings.peers,
         seeds = settings.seeds,
         selector = runtime.selector,
-        gossip = PeerGossip(settings.peers, clock.now().toEpochMilliseconds(), tables, runtime.observations),
+        gossip = PeerGossip(identity, tables, loads, runtime.observations),
+        loads = loads,
         peers = tables.peers,
         observations = runtime.observations,
         scope = runtime.workers.scope,
         clock = clock,
     )
+}
 
 /** A front end whose limits come from the configuration in force. */
 private class ConfiguredFrontEnd(
--- a/transport/src/main/kotlin/org/acaciaflow/transport/rehearsal/Rehearsal.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/rehearsal/Rehearsal.kt
@@ -26,6 +26,7 @@
 import org.acaciaflow.transport.http.FixedFrontEnd
 import org.acaciaflow.transport.observation.MeteredObservations
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -78,6 +79,7 @@
                 ServerSentEvents,
                 observations,
                 dependencies.clock,
+                Random.Default,
                 dependencies.scope,
             )
         val relay = createRequestRelay(tables, ports, RehearsalFleet.DATA_CENTRE, RetryBounds(1.0, 1.0, TIME_LIMIT))
--- a/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
@@ -25,6 +25,7 @@
 import org.acaciaflow.coordination.routing.ConfigurationOrigin
 import org.acaciaflow.coordination.routing.RoutingUpdater
 import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.peer.Peer
 import org.acaciaflow.state.route.RoutingConfiguration
@@ -87,6 +88,9 @@
         lastSequence = 1,
         lastReportAt = Clock.System.now(),
         configurationVersion = version,
+        dataCentre = DataCentre("north"),
+        capacity = 1.0,
+        stopping = false,
     )
 
     private fun freeAddress(): HostAddress =
