--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/StreamFraming.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/StreamFraming.kt
@@ -19,9 +19,14 @@
     val rest: ByteString,
 )
 
-/** One event of a stream; [identity] is its id if it has one, [isEndMark] marks the event that ends the stream. */
+/**
+ * One event of a stream.
+ *
+ * [identity] is its id if it has one, [isEndMark] marks the event that ends the stream, [isComment] one without data.
+ */
 data class StreamEvent(
     val bytes: ByteString,
     val identity: String?,
     val isEndMark: Boolean,
+    val isComment: Boolean = false,
 )
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -115,12 +115,15 @@
             when (val event = stream.next()) {
                 is AttemptEvent.Data -> {
                     val now = clock.now()
-                    watchdog.recordData(now)
                     if (now - recordedAt > LOAD_UPDATE_INTERVAL) {
                         tables.load.update { LoadLedger.producing(it, life, job, now) }
                         recordedAt = now
                     }
-                    if (delivery.forward(event.bytes) == CallerWrite.CALLER_GONE) return RunOutcome.CallerGone
+                    when (val forwarded = delivery.forward(event.bytes)) {
+                        is Forwarded.Written -> if (forwarded.progressed) watchdog.recordProgress(clock.now())
+                        Forwarded.CallerGone -> return RunOutcome.CallerGone
+                        Forwarded.EventTooLarge -> return RunOutcome.Broken(MayHaveRun.ANSWER_TOO_LARGE)
+                    }
                 }
 
                 AttemptEvent.End -> {
@@ -148,7 +151,8 @@
         val buffer = BufferedAnswer(head)
         while (true) {
             when (val event = stream.next()) {
-                is AttemptEvent.Data -> buffer.append(event.bytes)
+                is AttemptEvent.Data ->
+                    if (!buffer.append(event.bytes)) return RunOutcome.Broken(MayHaveRun.ANSWER_TOO_LARGE)
                 AttemptEvent.End -> break
                 is AttemptEvent.Broken -> return RunOutcome.Broken(event.reason)
                 is AttemptEvent.Head, is AttemptEvent.Refused -> error("backend server sent a second answer head")
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.isEmpty
+import org.acaciaflow.coordination.gateway.StreamEvent
 import org.acaciaflow.coordination.gateway.StreamFraming
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.port.CallerWrite
@@ -28,20 +29,48 @@
         get() = rest.isEmpty()
 
     /** Forwards the events that [bytes] complete and buffers the rest. */
-    suspend fun forward(bytes: ByteString): CallerWrite {
+    suspend fun forward(bytes: ByteString): Forwarded {
         val framed = framing.split(if (rest.isEmpty()) bytes else concatenate(listOf(rest, bytes)))
         rest = framed.rest
-        if (framed.events.isEmpty()) return CallerWrite.WRITTEN
-        if (!tracker.progress.begun && exchange.begin(head) == CallerWrite.CALLER_GONE) return CallerWrite.CALLER_GONE
+        if (rest.size > MAXIMUM_EVENT_BYTES) return Forwarded.EventTooLarge
+        if (framed.events.isEmpty()) return Forwarded.Written(progressed = false)
+        if (!tracker.progress.begun && exchange.begin(head) == CallerWrite.CALLER_GONE) return Forwarded.CallerGone
+        val former = tracker.progress.lastEvent
         val last = framed.events.lastOrNull { it.identity != null }?.identity
         tracker.update { it.copy(begunAt = it.begunAt ?: clock.now(), lastEvent = last ?: it.lastEvent) }
-        return exchange.send(concatenate(framed.events.map { it.bytes }))
+        return when (exchange.send(concatenate(framed.events.map { it.bytes }))) {
+            CallerWrite.WRITTEN -> Forwarded.Written(progressed = framed.events.any { isProgress(it, former) })
+            CallerWrite.CALLER_GONE -> Forwarded.CallerGone
+        }
     }
 
+    /** Comments, and events that repeat the identity [former], keep a stream alive without advancing it. */
+    private fun isProgress(
+        event: StreamEvent,
+        former: String?,
+    ): Boolean = !event.isComment && (event.identity == null || event.identity != former)
+
     /** Ends the caller's stream, after sending the head if no event was sent. */
     suspend fun end(): CallerWrite {
         if (!tracker.progress.begun && exchange.begin(head) == CallerWrite.CALLER_GONE) return CallerWrite.CALLER_GONE
         tracker.update { it.copy(begunAt = it.begunAt ?: clock.now()) }
         return exchange.end()
     }
+
+    private companion object {
+        const val MAXIMUM_EVENT_BYTES = 256 * 1024 // an event holds a few tokens
+    }
+}
+
+/** The result of forwarding a part of a stream. */
+internal sealed interface Forwarded {
+    /** The complete events were written; [progressed] tells whether any of them advanced the stream. */
+    data class Written(
+        val progressed: Boolean,
+    ) : Forwarded
+
+    data object CallerGone : Forwarded
+
+    /** The stream has no event boundary within a reasonable size. */
+    data object EventTooLarge : Forwarded
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StallTimeouts.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StallTimeouts.kt
@@ -5,11 +5,11 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Timeouts after which a silent run is aborted so that it can be retried on another backend server; null means none.
+ * Timeouts after which a run without progress is aborted so that it can be retried on another backend server; null means none.
  *
- * [firstData] limits the time to the first data of an event stream, or to the end of an answer that is buffered.
- * [betweenData] limits the gaps after the first data. A run is also aborted when its server has streams in progress
- * and has sent data on none of them for [serverSilence].
+ * [firstData] limits the time to the first event of an event stream, or to the end of an answer that is buffered.
+ * [betweenData] limits the gaps between events, whatever other bytes arrive meanwhile. A run is also aborted when its server has streams in progress
+ * and has sent data on none of them for [serverSilence], which allows for the prefill of the prompts queued there.
  */
 data class StallTimeouts(
     val firstData: Duration?,
@@ -32,7 +32,7 @@
             StallTimeouts(
                 firstData = minOf(maxOf(predicted, route.target) * PREDICTION_FACTOR + SILENCE_TIMEOUT, timeLeft / 2),
                 betweenData = maxOf((route.targetEventGap ?: DEFAULT_EVENT_GAP) * EVENT_GAP_FACTOR, SILENCE_TIMEOUT),
-                serverSilence = SILENCE_TIMEOUT,
+                serverSilence = predicted * PREDICTION_FACTOR + SILENCE_TIMEOUT,
             )
 
         /** Timeout for a prefill that is predicted to take [predicted]; a prefill never executes the request. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StallWatchdog.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StallWatchdog.kt
@@ -10,7 +10,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
-/** Aborts a run that is silent for longer than [stallTimeouts], so that it can be retried elsewhere. */
+/** Aborts a run that makes no progress for longer than [stallTimeouts], so that it can be retried elsewhere. */
 internal class StallWatchdog(
     private val tables: RelayTables,
     private val life: BackendLife,
@@ -20,16 +20,16 @@
     private val startedAt: Instant = clock.now()
 
     @Volatile
-    private var lastDataAt: Instant? = null
+    private var lastProgressAt: Instant? = null
 
     /** True once the run has been aborted. */
     @Volatile
     var stalled = false
         private set
 
-    /** Records that data of the answer arrived at [now]. */
-    fun recordData(now: Instant) {
-        lastDataAt = now
+    /** Records that the answer advanced at [now]. */
+    fun recordProgress(now: Instant) {
+        lastProgressAt = now
     }
 
     /** Runs [block] and aborts [stream] if it stalls meanwhile. */
@@ -55,7 +55,7 @@
     }
 
     private fun isStalled(now: Instant): Boolean {
-        val last = lastDataAt
+        val last = lastProgressAt
         val limit = if (last == null) stallTimeouts.firstData else stallTimeouts.betweenData
         if (limit != null && now - (last ?: startedAt) > limit) return true
         val serverLimit = stallTimeouts.serverSilence ?: return false
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/ServerSentEvents.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/ServerSentEvents.kt
@@ -15,6 +15,7 @@
     private const val MAXIMUM_END_MARK_BYTES = 20
     private const val END_MARK = "data: [DONE]"
     private const val SUCCESS = 200
+    private const val COMMENT_START = ':'.code.toByte()
     private const val LINE_FEED = '\n'.code.toByte()
     private const val CARRIAGE_RETURN = '\r'.code.toByte()
 
@@ -54,8 +55,15 @@
             bytes = ByteString(content, start, end),
             identity = identityOf(content, start, end),
             isEndMark = end - start <= MAXIMUM_END_MARK_BYTES && content.decodeToString(start, end).trim() == END_MARK,
+            isComment = content[start] == COMMENT_START || isBlank(content, start, end),
         )
 
+    private fun isBlank(
+        content: ByteArray,
+        start: Int,
+        end: Int,
+    ): Boolean = (start until end).all { content[it] == LINE_FEED || content[it] == CARRIAGE_RETURN }
+
     /** The value of the event's first `id` field; null when it has none. */
     private fun identityOf(
         content: ByteArray,
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
@@ -14,5 +14,6 @@
     DEADLINE_PASSED("deadline-passed-running"),
     ANSWER_OF_OTHER_REQUEST("answer-of-other-request"),
     ANSWER_UNSIGNED("answer-unsigned"),
+    ANSWER_TOO_LARGE("answer-too-large"),
     STREAM_STALLED("stream-stalled"),
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -1,14 +1,13 @@
 package org.acaciaflow.transport.direct
 
 import io.vertx.core.Vertx
-import io.vertx.core.VertxException
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
-import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.io.bytestring.ByteString
@@ -23,14 +22,14 @@
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.protocol.dialect.CallPurpose
 import org.acaciaflow.protocol.dialect.HttpCalls
-import org.acaciaflow.state.bytes.concatenate
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.CallHead
+import org.acaciaflow.transport.http.BoundedBody
+import org.acaciaflow.transport.http.awaitResult
 import org.acaciaflow.transport.http.toBuffer
-import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -73,7 +72,7 @@
         val stream = DirectStream(order, CallPurpose.PREFILL, dialect, send(request, head, body))
         try {
             return when (val first = stream.next()) {
-                is AttemptEvent.Head -> readPrefill(order, first.head, stream)
+                is AttemptEvent.Head -> prefillOutcome(order, first.head, stream.readWhole(PREFILL_ANSWER_BYTES))
                 is AttemptEvent.Refused -> PrefillOutcome.Refused(first.reason)
                 is AttemptEvent.Broken -> PrefillOutcome.Broken(first.reason)
                 is AttemptEvent.Data, AttemptEvent.End -> error("answer stream returned data before its head")
@@ -87,21 +86,16 @@
         scope.launch { calls.call(cache.engine, dialect.releaseHead(cache), ByteString(), RELEASE_TIMEOUT) }
     }
 
-    private suspend fun readPrefill(
+    private fun prefillOutcome(
         order: RunOrder,
         head: AnswerHead,
-        stream: AttemptStream,
-    ): PrefillOutcome {
-        var body = ByteString()
-        while (true) {
-            when (val event = stream.next()) {
-                is AttemptEvent.Data -> body = concatenate(listOf(body, event.bytes))
-                AttemptEvent.End -> return dialect.prefillOutcome(order, head, body)
-                is AttemptEvent.Broken -> return PrefillOutcome.Broken(event.reason)
-                is AttemptEvent.Head, is AttemptEvent.Refused -> error("answer stream returned a second head")
-            }
+        body: BoundedBody,
+    ): PrefillOutcome =
+        when (body) {
+            is BoundedBody.Whole -> dialect.prefillOutcome(order, head, body.bytes)
+            BoundedBody.TooLarge -> PrefillOutcome.Broken(MayHaveRun.ANSWER_TOO_LARGE)
+            BoundedBody.Broken -> PrefillOutcome.Broken(MayHaveRun.BACKEND_CRASHED)
         }
-    }
 
     /** Connects to the backend server; null when the connection failed and nothing was sent. */
     private suspend fun connect(
@@ -114,13 +108,15 @@
                 .setHost(address.ip)
                 .setPort(address.port)
                 .setURI(head.target)
-        return try {
-            client.request(options).coAwait()
-        } catch (_: IOException) {
-            null
-        } catch (_: VertxException) {
-            null
-        }
+        val connecting = client.request(options)
+        val connected =
+            try {
+                connecting.awaitResult()
+            } catch (cancellation: CancellationException) {
+                connecting.onSuccess { it.connection().close() } // otherwise the pool would never get it back
+                throw cancellation
+            }
+        return if (connected.succeeded()) connected.result() else null
     }
 
     /** Sends the whole request; its body was buffered in full before a backend server was chosen. */
@@ -137,6 +133,7 @@
     }
 
     private companion object {
+        const val PREFILL_ANSWER_BYTES = 64 * 1024 // a short document
         const val HEADER_BYTES = 64 * 1024
         const val CONNECTIONS_PER_BACKEND = 512 // not the concurrency limit: admission enforces the configured one
         val CONNECT_TIMEOUT: Duration = 250.milliseconds // about ten round trips within a region
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -1,9 +1,8 @@
 package org.acaciaflow.transport.direct
 
-import io.vertx.core.VertxException
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
-import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BodyPart
@@ -14,8 +13,12 @@
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.transport.http.BodyChannel
+import org.acaciaflow.transport.http.BoundedBody
+import org.acaciaflow.transport.http.awaitResult
+import org.acaciaflow.transport.http.readWhole
 import org.acaciaflow.transport.http.toFields
-import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Reads the answer to a request that was sent to a backend server. */
 internal class DirectStream(
@@ -48,20 +51,28 @@
         }
     }
 
-    /** Closes the connection unless the answer is complete, so that the pool can't reuse it with unread data. */
+    /** Reads the rest of the answer into memory unless it exceeds [limit] bytes; requires that its head was read. */
+    suspend fun readWhole(limit: Int): BoundedBody {
+        val channel = checkNotNull(body) { "the answer head must be read before its body" }
+        return channel.readWhole(limit).also { complete = it is BoundedBody.Whole }
+    }
+
+    /**
+     * Closes the connection unless the answer is complete, so that the pool can't reuse it with unread data.
+     *
+     * Resetting the request is not enough: it does nothing once Vert.x has read a whole answer, which may be that of
+     * another request.
+     */
     override fun cancel() {
-        if (!complete) request.reset()
+        if (complete) return
+        request.reset()
+        request.connection().close()
     }
 
     private suspend fun head(): AttemptEvent {
-        val answer =
-            try {
-                opened.coAwait()
-            } catch (_: IOException) {
-                return AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED)
-            } catch (_: VertxException) {
-                return AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED)
-            }
+        val opening = opened.awaitResult()
+        if (opening.failed()) return AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED)
+        val answer = opening.result()
         body = answer.body
         val fields = answer.response.headers().toFields()
         val head = AnswerHead(answer.response.statusCode(), HopByHopHeaders.strip(fields))
@@ -70,19 +81,19 @@
         return event
     }
 
-    /** Drains the short body of a refusal, so that the connection can be reused. */
+    /** Drains the body of a refusal if it is short and comes at once, so that the connection can be reused. */
     private suspend fun drain(channel: BodyChannel) {
-        while (true) {
-            when (channel.next()) {
-                is BodyPart.Data -> Unit
-                BodyPart.End -> return Unit.also { complete = true }
-                BodyPart.Broken -> return
-            }
-        }
+        val body = withTimeoutOrNull(REFUSAL_BODY_TIMEOUT) { channel.readWhole(REFUSAL_BODY_BYTES) }
+        complete = body is BoundedBody.Whole
     }
 
     private class OpenedAnswer(
         val response: HttpClientResponse,
         val body: BodyChannel,
     )
+
+    private companion object {
+        const val REFUSAL_BODY_BYTES = 16 * 1024
+        val REFUSAL_BODY_TIMEOUT: Duration = 100.milliseconds // the request waits for another backend server meanwhile
+    }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
@@ -1,14 +1,12 @@
 package org.acaciaflow.transport.direct
 
 import io.vertx.core.Vertx
-import io.vertx.core.VertxException
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
-import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.protocol.dialect.HttpCalls
@@ -16,10 +14,12 @@
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.CallHead
+import org.acaciaflow.transport.http.BodyChannel
+import org.acaciaflow.transport.http.BoundedBody
+import org.acaciaflow.transport.http.awaitResult
+import org.acaciaflow.transport.http.readWhole
 import org.acaciaflow.transport.http.toBuffer
-import org.acaciaflow.transport.http.toByteString
 import org.acaciaflow.transport.http.toFields
-import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -45,15 +45,8 @@
         head: CallHead,
         body: ByteString,
     ): HttpResult {
-        val request =
-            try {
-                client.request(optionsFor(address, head)).coAwait()
-            } catch (_: IOException) {
-                return HttpResult.Unreachable
-            } catch (_: VertxException) {
-                return HttpResult.Unreachable
-            }
-        return exchange(request, head, body)
+        val connected = client.request(optionsFor(address, head)).awaitResult()
+        return if (connected.succeeded()) exchange(connected.result(), head, body) else HttpResult.Unreachable
     }
 
     private suspend fun exchange(
@@ -64,17 +57,18 @@
         var completed = false
         try {
             head.headers.forEach { request.headers().add(it.name, it.value) }
-            val response = request.send(body.toBuffer()).coAwait()
-            val content = response.body().coAwait()
-            completed = true
+            val opened = request.response().map { it to BodyChannel(it.pause()) }
+            request.end(body.toBuffer())
+            val opening = opened.awaitResult()
+            if (opening.failed()) return HttpResult.ConnectionLost
+            val (response, channel) = opening.result()
             val answerHead = AnswerHead(response.statusCode(), response.headers().toFields())
-            return HttpResult.Answered(answerHead, content.toByteString())
-        } catch (_: IOException) {
-            return HttpResult.ConnectionLost
-        } catch (_: VertxException) {
-            return HttpResult.ConnectionLost
+            return when (val content = channel.readWhole(MAXIMUM_BYTES)) {
+                is BoundedBody.Whole -> HttpResult.Answered(answerHead, content.bytes).also { completed = true }
+                BoundedBody.TooLarge, BoundedBody.Broken -> HttpResult.ConnectionLost
+            }
         } finally {
-            if (!completed) request.reset()
+            if (!completed) request.connection().close()
         }
     }
 
@@ -90,6 +84,7 @@
 
     private companion object {
         const val CONNECTIONS = 4
+        const val MAXIMUM_BYTES = 8 * 1024 * 1024 // several times the largest page of the store
         val CONNECT_TIMEOUT: Duration = 500.milliseconds
     }
 }
--- /dev/null
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -0,0 +1,320 @@
+package org.acaciaflow.transport.direct
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.collections.shouldNotContain
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import kotlinx.io.bytestring.ByteString
+import kotlinx.io.bytestring.decodeToString
+import org.acaciaflow.coordination.port.AttemptEvent
+import org.acaciaflow.coordination.port.BodyPart
+import org.acaciaflow.coordination.port.CallBody
+import org.acaciaflow.coordination.port.PrefillOutcome
+import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.state.identity.DataCentre
+import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.work.CallHead
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTime
+
+class DirectConnectionsTest : AnnotationSpec() {
+    private val vertx = Vertx.vertx()
+    private val releases = CoroutineScope(Dispatchers.Default)
+    private val connections = DirectConnections(vertx, TestDialect, VertxHttpCalls(vertx), releases)
+
+    @AfterAll
+    fun close() =
+        runBlocking<Unit> {
+            vertx.close().coAwait()
+        }
+
+    @Test
+    fun `a second copy of an answer never reaches the next request`() {
+        val copies =
+            mapOf<String, RawBackend.(java.io.OutputStream, String) -> Unit>(
+                "at once" to { output, id -> write(output, answer(id) + answer(id)) },
+                "half a head at once" to { output, id -> write(output, answer(id) + answer(id).take(20)) },
+                "after 50 ms" to { output, id ->
+                    write(output, answer(id))
+                    Thread.sleep(50)
+                    write(output, answer(id))
+                },
+            )
+        for ((name, copy) in copies) {
+            RawBackend { output, id, _ -> copy(output, id) }.use { backend ->
+                runBlocking {
+                    withTimeout(10.seconds) {
+                        repeat(6) { number ->
+                            withClue("copy $name, request $number") { shouldBeOwnOrFailed(backend, "request-$number") }
+                            if (number % 2 == 1) delay(120.milliseconds)
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    @Test
+    fun `a copy that arrives after the next request was sent breaks that request`() {
+        val backend =
+            RawBackend { output, id, number -> write(output, if (number == 2) answer("request-1") else answer(id)) }
+
+        backend.use {
+            runBlocking {
+                read(backend, "request-1").first shouldBe "body of request-1"
+                val (body, end) = read(backend, "request-2")
+
+                body shouldBe ""
+                end shouldBe AttemptEvent.Broken(MayHaveRun.ANSWER_OF_OTHER_REQUEST)
+                read(backend, "request-3").first shouldBe "body of request-3"
+                backend.connections.get() shouldBe 2
+            }
+        }
+    }
+
+    @Test
+    fun `a copy after a cancelled request does not reach the next one`() {
+        val backend =
+            RawBackend { output, id, number ->
+                if (number == 1) Thread.sleep(100)
+                write(output, answer(id) + answer(id))
+            }
+
+        backend.use {
+            runBlocking {
+                connections.open(orderFor(backend, "request-1"), EmptyBody).cancel()
+
+                read(backend, "request-2").first shouldBe "body of request-2"
+            }
+        }
+    }
+
+    @Test
+    fun `an answer head without end is cut off`() {
+        val heads =
+            mapOf<String, RawBackend.(java.io.OutputStream) -> Unit>(
+                "status line" to { pour(it, "H".repeat(1024)) },
+                "reason phrase" to {
+                    write(it, "HTTP/1.1 200 ")
+                    pour(it, "O".repeat(1024))
+                },
+                "header value" to {
+                    write(it, "HTTP/1.1 200 OK\r\nX: ")
+                    pour(it, "x".repeat(1024))
+                },
+                "number of headers" to {
+                    write(it, "HTTP/1.1 200 OK\r\n")
+                    pour(it, "X: y\r\n".repeat(100))
+                },
+            )
+        for ((name, head) in heads) {
+            RawBackend { output, _, _ -> head(output) }.use { backend ->
+                runBlocking {
+                    withClue("endless $name") {
+                        val (_, end) = withTimeout(5.seconds) { read(backend, "request-1") }
+
+                        end.shouldBeInstanceOf<AttemptEvent.Broken>()
+                        backend.poured.get() shouldBeLessThan POURED_LIMIT
+                    }
+                }
+            }
+        }
+    }
+
+    @Test
+    fun `a chunk size and trailers without end are cut off`() {
+        val bodies =
+            mapOf<String, RawBackend.(java.io.OutputStream) -> Unit>(
+                "chunk size" to { pour(it, "0".repeat(1024)) },
+                "trailers" to {
+                    write(it, "4\r\nbody\r\n0\r\n")
+                    pour(it, "X: y\r\n".repeat(100))
+                },
+            )
+        for ((name, body) in bodies) {
+            val backend =
+                RawBackend { output, id, _ ->
+                    write(output, "HTTP/1.1 200 OK\r\nRequest-Id: $id\r\nTransfer-Encoding: chunked\r\n\r\n")
+                    body(output)
+                }
+            backend.use {
+                runBlocking {
+                    withClue("endless $name") {
+                        val (_, end) = withTimeout(5.seconds) { read(backend, "request-1") }
+
+                        end.shouldBeInstanceOf<AttemptEvent.Broken>()
+                        backend.poured.get() shouldBeLessThan POURED_LIMIT
+                    }
+                }
+            }
+        }
+    }
+
+    @Test
+    fun `a prefill answer without end is cut off`() {
+        val backend =
+            RawBackend { output, id, _ ->
+                write(output, "HTTP/1.1 200 OK\r\nRequest-Id: $id\r\n\r\n")
+                pour(output, "x".repeat(1024))
+            }
+
+        backend.use {
+            runBlocking {
+                val outcome = withTimeout(5.seconds) { connections.prefill(orderFor(backend, "request-1"), EmptyBody) }
+
+                outcome shouldBe PrefillOutcome.Broken(MayHaveRun.ANSWER_TOO_LARGE)
+                backend.poured.get() shouldBeLessThan POURED_LIMIT
+            }
+        }
+    }
+
+    @Test
+    fun `a refusal whose body drips or pours without end does not hold the request`() {
+        val bodies =
+            mapOf<String, RawBackend.(java.io.OutputStream) -> Unit>(
+                "pouring" to { pour(it, "x".repeat(1024)) },
+                "dripping" to {
+                    while (true) {
+                        write(it, "x")
+                        Thread.sleep(20)
+                    }
+                },
+            )
+        for ((name, body) in bodies) {
+            val backend =
+                RawBackend { output, id, _ ->
+                    write(output, "HTTP/1.1 503 Busy\r\nRequest-Id: $id\r\nContent-Length: 100000000\r\n\r\n")
+                    body(output)
+                }
+            backend.use {
+                runBlocking {
+                    withClue(name) {
+                        val elapsed =
+                            measureTime {
+                                read(backend, "request-1").second shouldBe
+                                    AttemptEvent.Refused(AttemptRefusal.AT_CAPACITY)
+                            }
+
+                        elapsed shouldBeLessThan 2.seconds
+                        backend.poured.get() shouldBeLessThan POURED_LIMIT
+                    }
+                }
+            }
+        }
+    }
+
+    @Test
+    fun `an answer that breaks off halfway never ends as complete`() {
+        val halves =
+            mapOf(
+                "length" to "Content-Length: 100\r\n\r\nhalf",
+                "last chunk" to "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+                "inside a chunk" to "Transfer-Encoding: chunked\r\n\r\n9\r\nhalf",
+            )
+        for ((name, half) in halves) {
+            val backend =
+                RawBackend { output, id, _ ->
+                    write(output, "HTTP/1.1 200 OK\r\nRequest-Id: $id\r\n$half")
+                    output.close()
+                }
+            backend.use {
+                runBlocking {
+                    withClue("without its $name") {
+                        val (_, end) = withTimeout(5.seconds) { read(backend, "request-1") }
+
+                        end.shouldBeInstanceOf<AttemptEvent.Broken>()
+                    }
+                }
+            }
+        }
+    }
+
+    private suspend fun shouldBeOwnOrFailed(
+        backend: RawBackend,
+        requestId: String,
+    ) {
+        val (body, end) = read(backend, requestId)
+        if (end == AttemptEvent.End) body shouldBe "body of $requestId" else listOf("") shouldContain body
+        backend.received
+            .groupingBy { it }
+            .eachCount()
+            .values
+            .shouldNotContain(2)
+    }
+
+    /** Sends one request and reads its answer; returns the body and the event that ended it. */
+    private suspend fun read(
+        backend: RawBackend,
+        requestId: String,
+    ): Pair<String, AttemptEvent> {
+        val stream = connections.open(orderFor(backend, requestId), EmptyBody)
+        val body = StringBuilder()
+        try {
+            while (true) {
+                when (val event = stream.next()) {
+                    is AttemptEvent.Data -> body.append(event.bytes.decodeToString())
+                    is AttemptEvent.Head -> Unit
+                    is AttemptEvent.Broken, AttemptEvent.End, is AttemptEvent.Refused -> return body.toString() to event
+                }
+            }
+        } finally {
+            stream.cancel()
+        }
+    }
+
+    private fun orderFor(
+        backend: RawBackend,
+        requestId: String,
+    ) = RunOrder(
+        backend =
+            BackendEntry(
+                life = BackendLife("backend", 1),
+                pool = PoolName("pool"),
+                address = backend.address,
+                dataCentre = DataCentre("north"),
+                slots = 8,
+                draining = false,
+                role = EngineRole.MIXED,
+            ),
+        call = CallHead("POST", "/", persistentListOf()),
+        requestId = requestId,
+        timeLeft = 5.seconds,
+        urgency = 0,
+        resumeAfter = null,
+        source = null,
+    )
+
+    private fun answer(requestId: String): String {
+        val body = "body of $requestId"
+        return "HTTP/1.1 200 OK\r\nRequest-Id: $requestId\r\nContent-Length: ${body.length}\r\n\r\n$body"
+    }
+
+    private object EmptyBody : CallBody {
+        override val buffered = ByteString()
+        override val whole = true
+
+        override suspend fun next(): BodyPart = BodyPart.End
+    }
+
+    private companion object {
+        const val POURED_LIMIT = 16L * 1024 * 1024 // includes what the sockets' buffers hold
+    }
+}
