Weigh shared parts read again, transfers and interference in the choice of engines

A local prefill was charged as if every decode engine ran a full batch, so 30 nearly idle decode engines of the large site took few prompts while 12 prefill engines had queues. Change: EngineCosts charges tokens that another engine has cached, prefers the same engine for the same shared parts where no copy is known (rendezvous hashing, no message), charges the transfer by its bytes and the interference by the streams that run on the engine. The rate of local prefills is learned like that of remote ones. The sidecar's caller ends an attempt on any failure (VertxBackendCallerTest failed first: a head that is no HTTP threw past it).

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePath.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePath.kt
@@ -9,6 +9,8 @@
  * [work] is the predicted duration of the prefill alone, [predicted] the predicted time to the first event.
  */
 sealed interface EnginePath {
+    /** The engine that prefills the prompt. */
+    val prefilledBy: BackendEntry
     val work: Duration
     val predicted: Duration
 
@@ -17,12 +19,18 @@
         val engine: BackendEntry,
         override val work: Duration,
         override val predicted: Duration,
-    ) : EnginePath
+    ) : EnginePath {
+        override val prefilledBy: BackendEntry
+            get() = engine
+    }
 
     /** [prefillEngine] prefills the prompt; a decode engine chosen afterwards fetches the KV cache. */
     data class RemotePrefill(
         val prefillEngine: BackendEntry,
         override val work: Duration,
         override val predicted: Duration,
-    ) : EnginePath
+    ) : EnginePath {
+        override val prefilledBy: BackendEntry
+            get() = prefillEngine
+    }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
@@ -15,8 +15,7 @@
 /**
  * Chooses the engines that prefill and decode a generation.
  *
- * The cost of a path sums the risk of a late first event, the transfer of KV cache, the work on the engine, the
- * unreliability of the engine and its distance. Costs are shares of the worth of the request; the lowest cost wins.
+ * The cost of a path is that of [EngineCosts]; the lowest cost wins.
  */
 object EnginePlanner {
     /**
@@ -36,19 +35,12 @@
         if (decodeEngines.isEmpty()) return null
         val fitting = decodeEngines.filter { fits(view, it, prompt) }
         val prefillEngines = view.engines.filter { it.role == EngineRole.PREFILL }
-        val mean = ReliabilityPolicy.meanFailureShare(view.reliability, view.engines.map { it.life })
         val decoding = decodeEngines.minOf { firstTokenDelay(view, it) }
-        val local =
-            fitting.ifEmpty { decodeEngines }.map { engine ->
-                val unseen = UnseenWork.drawDuration(view.load, now, random)
-                costed(localPrefill(view, engine, prompt, now), engine, view, mean, target, unseen)
-            }
-        val remote =
-            prefillEngines.map { engine ->
-                val unseen = UnseenWork.drawDuration(view.load, now, random)
-                costed(remotePrefill(view, engine, prompt, decoding, now), engine, view, mean, target, unseen)
-            }
-        return (local + remote).minBy { it.cost }.path
+        val costs = EngineCosts.forPrompt(view, prompt, target)
+        val paths =
+            fitting.ifEmpty { decodeEngines }.map { localPrefill(view, it, prompt, now) } +
+                prefillEngines.map { remotePrefill(view, it, prompt, decoding, now) }
+        return paths.minBy { costs.of(it, UnseenWork.drawDuration(view.load, now, random)) }
     }
 
     /** Returns true if a decode engine has memory for [prompt] and a slot not reserved for more urgent requests. */
@@ -89,8 +81,7 @@
         engine: BackendEntry,
         prompt: Prompt,
     ): Duration {
-        val cache = view.caches[engine.life] ?: PromptCache.EMPTY
-        val cached = PromptCaches.cachedTokens(cache, prompt.parts).coerceAtMost(prompt.promptTokens)
+        val cached = cachedTokens(view, engine, prompt)
         val fresh = prompt.promptTokens - cached
         val rate = if (engine.role == EngineRole.PREFILL) view.rates.prefill else view.rates.interleaved
         val pairs = fresh.toDouble() * (cached + fresh / 2.0)
@@ -98,6 +89,16 @@
         return (fresh / rate + pairs * ATTENTION_MILLISECONDS_PER_PAIR * attentionScale).milliseconds
     }
 
+    /** Returns how many tokens at the start of [prompt] [engine] is presumed to have in its KV cache. */
+    internal fun cachedTokens(
+        view: EngineView,
+        engine: BackendEntry,
+        prompt: Prompt,
+    ): Int {
+        val cache = view.caches[engine.life] ?: PromptCache.EMPTY
+        return PromptCaches.cachedTokens(cache, prompt.parts).coerceAtMost(prompt.promptTokens)
+    }
+
     /** Returns false if [engine] could run out of memory with [prompt] and then have to drop a running request. */
     private fun fits(
         view: EngineView,
@@ -143,47 +144,12 @@
         return EnginePath.RemotePrefill(engine, work, predicted)
     }
 
-    private fun costed(
-        path: EnginePath,
-        engine: BackendEntry,
-        view: EngineView,
-        mean: Double,
-        target: Duration,
-        unseen: Duration,
-    ): CostedPath {
-        val targetShare = (path.predicted + unseen) / target
-        val lateRisk = ((targetShare - ON_TIME_SHARE) / (LATE_SHARE - ON_TIME_SHARE)).coerceIn(0.0, 1.0)
-        val engineCost =
-            when (path) {
-                is EnginePath.RemotePrefill -> REMOTE_PREFILL_COST
-                is EnginePath.LocalPrefill -> milliseconds(path.work) * INTERFERENCE_COST
-            }
-        val excess = ReliabilityPolicy.excessFailureShare(view.reliability[engine.life], mean)
-        val remote = if (engine.dataCentre == view.ownDataCentre) 0.0 else REMOTE_DATA_CENTRE_COST
-        return CostedPath(
-            path,
-            lateRisk + targetShare * DELAY_COST + engineCost + excess * UNRELIABLE_COST + remote,
-        )
-    }
-
     private fun milliseconds(duration: Duration): Double = duration.toDouble(DurationUnit.MILLISECONDS)
 
-    private data class CostedPath(
-        val path: EnginePath,
-        val cost: Double,
-    )
-
     private const val BITS_PER_BYTE = 8.0
     private const val RESERVED_SLOT_SHARE = 0.12 // held free for each level of urgency above the request's own
     private const val MINIMUM_SLOT_SHARE = 0.6
-    private const val ON_TIME_SHARE = 0.4 // prediction errors stay below this share of the target
-    private const val LATE_SHARE = 1.3
-    private const val DELAY_COST = 0.1
-    private const val REMOTE_PREFILL_COST = 0.01 // the KV cache transfer loads the links and both engines
-    private const val INTERFERENCE_COST = 0.002 // per millisecond of prefill, which delays running streams by as much
-    private const val UNRELIABLE_COST = 1.0
     private const val UNRELIABLE_MILLISECONDS = 200.0
-    private const val REMOTE_DATA_CENTRE_COST = 0.003
     private const val REMOTE_DATA_CENTRE_MILLISECONDS = 1.0
     private const val BACKLOG_INTERFERENCE = 0.2 // prefill is interleaved with the decode steps of running requests
     private const val ATTENTION_MILLISECONDS_PER_PAIR = 0.275e-6 // attention, noticeable in long prompts
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -72,12 +72,7 @@
         now: Instant,
     ): Conclusion? {
         val reason = refusalReason(request, prompt, view, path, now) ?: return null
-        val backend =
-            when (path) {
-                is EnginePath.LocalPrefill -> path.engine
-                is EnginePath.RemotePrefill -> path.prefillEngine
-            }
-        observations.decided(Decision.Declined(request, backend, path.predicted, reason, view.load, now))
+        observations.decided(Decision.Declined(request, path.prefilledBy, path.predicted, reason, view.load, now))
         return Conclusion.NotExecuted(reason, LatencyAdmissionPolicy.retryAfter(request.route, path))
     }
 
@@ -174,8 +169,12 @@
         val now = clock.now()
         observations.decided(Decision.Sent(request, engine, path.predicted, tables.load.snapshot(), now))
         prefillRun.recordCachedParts(engine.life, prompt, properties, now)
-        val timeouts = stallTimeoutsFor(request, tracker, work + tables.load.snapshot().backlogAt(engine.life, now))
-        val outcome = backendRun.run(request, order, work, timeouts, tracker)
+        val backlog = tables.load.snapshot().backlogAt(engine.life, now)
+        val begunBefore = tracker.progress.begun
+        val outcome = backendRun.run(request, order, work, stallTimeoutsFor(request, tracker, work + backlog), tracker)
+        if (source == null && backlog == Duration.ZERO && !begunBefore) {
+            prefillRun.recordLocalPrefill(request, engine, work, tracker.progress, now)
+        }
         observations.decided(Decision.Ran(request, engine, outcome.toString(), clock.now()))
         if (source != null && outcome is RunOutcome.NotExecuted && isCacheRefusal(outcome.reason)) {
             prefillRun.release(source)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
@@ -12,6 +12,8 @@
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.coordination.reliability.ReliabilityPolicy
 import org.acaciaflow.coordination.reliability.RunVerdict
+import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.prompt.Prompt
 import org.acaciaflow.state.refusal.AttemptRefusal
@@ -55,7 +57,11 @@
             val now = clock.now()
             val verdict = verdictOf(life, outcome)
             tables.reliability.update { ReliabilityPolicy.recorded(it, life, verdict, now) }
-            if (outcome is PrefillOutcome.Ready && wasIdle) updateRate(request, order, path.work, now - sentAt)
+            if (outcome is PrefillOutcome.Ready &&
+                wasIdle
+            ) {
+                updateRate(request, order.backend.role, path.work, now - sentAt)
+            }
             return outcome
         } finally {
             tables.load.update { LoadLedger.ended(it, life, job, clock.now()) }
@@ -73,17 +79,29 @@
         tables.reads.add(life, prompt.parts)
     }
 
+    /** Learns from a prefill on decode engine [engine] that was idle when it got the request at [sentAt]. */
+    fun recordLocalPrefill(
+        request: RelayedRequest,
+        engine: BackendEntry,
+        predicted: Duration,
+        progress: RelayProgress,
+        sentAt: Instant,
+    ) {
+        val begunAt = progress.begunAt ?: return
+        updateRate(request, engine.role, predicted, begunAt - sentAt - DECODE_STEP)
+    }
+
     /** Releases KV cache that no engine will fetch. */
     fun release(source: CacheSource) = connections.release(source)
 
     private fun updateRate(
         request: RelayedRequest,
-        order: RunOrder,
+        role: EngineRole,
         predicted: Duration,
         measured: Duration,
     ) {
         val prefillTime = (measured - NETWORK_TIME).coerceAtLeast(NETWORK_TIME)
-        tables.rates.update { RateEstimator.withSample(it, request.pool, order.backend.role, predicted, prefillTime) }
+        tables.rates.update { RateEstimator.withSample(it, request.pool, role, predicted, prefillTime) }
     }
 
     private fun verdictOf(
@@ -107,5 +125,6 @@
 
     private companion object {
         val NETWORK_TIME: Duration = 3.milliseconds
+        val DECODE_STEP: Duration = 4.milliseconds // the first token follows the prefill by one step
     }
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/engine/EnginePlannerTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/engine/EnginePlannerTest.kt
@@ -85,6 +85,61 @@
         path.shouldBeInstanceOf<EnginePath.RemotePrefill>().prefillEngine shouldBe cachingEngine
     }
 
+    @Test
+    fun `a shared part is not read again elsewhere while its engine can still be on time`() {
+        val shared = Prompt(persistentListOf(PromptPart(7, 5_000), PromptPart(8, 1_000)), 6_000, 10)
+        val cachingEngine = backend("prefill-2", ENGINE_POOL, EngineRole.PREFILL)
+        val caches = PromptCaches.prefilled(persistentMapOf(), cachingEngine.life, shared.parts.take(1), 100_000, now)
+        val busy = loaded(cachingEngine, 300.milliseconds, tokens = 12_000)
+        val view = view(busy, prefillEngine, cachingEngine, decodeEngine).copy(caches = caches)
+
+        val path = EnginePlanner.choose(view, shared, 1.seconds, now, random)
+
+        path.shouldBeInstanceOf<EnginePath.RemotePrefill>().prefillEngine shouldBe cachingEngine
+    }
+
+    @Test
+    fun `a shared part is read again elsewhere when its engine would be late`() {
+        val shared = Prompt(persistentListOf(PromptPart(7, 5_000), PromptPart(8, 1_000)), 6_000, 10)
+        val cachingEngine = backend("prefill-2", ENGINE_POOL, EngineRole.PREFILL)
+        val caches = PromptCaches.prefilled(persistentMapOf(), cachingEngine.life, shared.parts.take(1), 100_000, now)
+        val busy = loaded(cachingEngine, 1500.milliseconds, tokens = 12_000)
+        val view = view(busy, prefillEngine, cachingEngine, decodeEngine).copy(caches = caches)
+
+        val path = EnginePlanner.choose(view, shared, 1.seconds, now, random)
+
+        path.shouldBeInstanceOf<EnginePath.RemotePrefill>().prefillEngine shouldBe prefillEngine
+    }
+
+    @Test
+    fun `gateways that know of no cached copy place prompts with the same shared part on the same engine`() {
+        val engines = (1..12).map { backend("prefill-$it", ENGINE_POOL, EngineRole.PREFILL) } + decodeEngine
+        val chosen =
+            (1..20).map { gateway ->
+                val own = Prompt(persistentListOf(PromptPart(7, 5_000), PromptPart(gateway + 100L, 1_000)), 6_000, 10)
+                val path =
+                    EnginePlanner.choose(
+                        view(FleetLoad.NONE, *engines.toTypedArray()),
+                        own,
+                        1.seconds,
+                        now,
+                        random,
+                    )
+                path.shouldBeInstanceOf<EnginePath.RemotePrefill>().prefillEngine
+            }
+
+        chosen.toSet().size shouldBe 1
+    }
+
+    @Test
+    fun `an idle decode engine prefills a long prompt while the prefill engines are busy`() {
+        val busy = loaded(prefillEngine, 900.milliseconds, tokens = 12_000)
+
+        val path = EnginePlanner.choose(view(busy, prefillEngine, decodeEngine), long, 1.seconds, now, random)
+
+        path.shouldBeInstanceOf<EnginePath.LocalPrefill>()
+    }
+
     @Test
     fun `an engine without enough memory is skipped`() {
         val full = loaded(decodeEngine, Duration.ZERO, tokens = 95_000)
--- a/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineStandin.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/engine/EngineStandin.kt
@@ -31,6 +31,10 @@
     private var batch = EngineBatch.empty(profile)
     private var answers: PersistentMap<Long, EngineAnswer> = persistentMapOf()
     private var lastNumber = 0L
+
+    /** The number of generations accepted so far. */
+    val acceptedCalls: Long
+        get() = lastNumber
     private var stepping = false
     private var life = newLife()
     private var down = false
--- a/transport/src/main/kotlin/org/acaciaflow/transport/backend/VertxBackendCaller.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/backend/VertxBackendCaller.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.transport.backend
 
+import io.vertx.core.AsyncResult
 import io.vertx.core.Vertx
 import io.vertx.core.VertxException
 import io.vertx.core.http.HttpClient
@@ -32,6 +33,7 @@
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.transport.http.BodyChannel
+import org.acaciaflow.transport.http.awaitResult
 import org.acaciaflow.transport.http.toBuffer
 import org.acaciaflow.transport.http.toFields
 import java.io.IOException
@@ -66,14 +68,9 @@
         body: CallBody,
         sink: AnswerSink,
     ): BackendResult {
-        val request =
-            try {
-                openRequest(order)
-            } catch (_: IOException) {
-                return BackendResult.NotStarted(AttemptRefusal.CONNECTION_REFUSED)
-            } catch (_: VertxException) {
-                return BackendResult.NotStarted(AttemptRefusal.CONNECTION_REFUSED)
-            }
+        val connected = connect(order)
+        if (connected.failed()) return BackendResult.NotStarted(AttemptRefusal.CONNECTION_REFUSED)
+        val request = connected.result()
         return try {
             exchange(request, order, body, sink)
         } catch (_: IOException) {
@@ -88,17 +85,16 @@
     override suspend fun probe(): BackendHealth =
         withTimeoutOrNull(PROBE_TIMEOUT) { fetchHealth() } ?: BackendHealth.Unreachable
 
-    private suspend fun fetchHealth(): BackendHealth? =
-        try {
-            val options = requestOptions(HttpMethod.GET, probePath)
-            val request = client.request(options).coAwait()
-            val response = request.send().compose { answer -> answer.body().map { answer } }.coAwait()
-            if (response.statusCode() == HTTP_OK) toHealth(response) else null
-        } catch (_: IOException) {
-            null
-        } catch (_: VertxException) {
-            null
-        }
+    private suspend fun fetchHealth(): BackendHealth? {
+        val answered =
+            client
+                .request(requestOptions(HttpMethod.GET, probePath))
+                .compose { it.send() }
+                .compose { answer -> answer.body().map { answer } }
+                .awaitResult()
+        if (answered.failed()) return null
+        return answered.result().takeIf { it.statusCode() == HTTP_OK }?.let(::toHealth)
+    }
 
     private fun toHealth(response: HttpClientResponse): BackendHealth {
         val role = response.getHeader(EngineHeaders.ROLE)?.uppercase()
@@ -109,10 +105,10 @@
         )
     }
 
-    private suspend fun openRequest(order: AttemptOrder): HttpClientRequest {
+    private suspend fun connect(order: AttemptOrder): AsyncResult<HttpClientRequest> {
         val options = requestOptions(HttpMethod.valueOf(order.call.method), order.call.target)
         val selectedClient = if (order.atMostOnce) singleUseClient else client
-        return selectedClient.request(options).coAwait()
+        return selectedClient.request(options).awaitResult()
     }
 
     private fun requestOptions(
@@ -136,8 +132,13 @@
             order.call.headers.forEach { request.headers().add(it.name, it.value) }
             EngineHeaders.fieldsFor(order).forEach { request.headers().set(it.name, it.value) }
             val sending = send(request, body)
-            val opened = withTimeoutOrNull(IDLE_TIMEOUT) { answer.coAwait() }
-            val result = if (opened == null) timedOut() else relayAnswer(opened, order, sink)
+            val opened = withTimeoutOrNull(IDLE_TIMEOUT) { answer.awaitResult() }
+            val result =
+                when {
+                    opened == null -> timedOut()
+                    opened.failed() -> BackendResult.Broken(MayHaveRun.BACKEND_CRASHED)
+                    else -> relayAnswer(opened.result(), order, sink)
+                }
             sending.cancel()
             result
         }
