Learn by urgency how much longer prefills take than their queue suggests

Change: an average of measured over predicted time per pool and urgency scales the predicted time on prefill engines, so that overtaken kinds avoid them.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePath.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePath.kt
@@ -24,9 +24,14 @@
             get() = engine
     }
 
-    /** [prefillEngine] prefills the prompt; a decode engine chosen afterwards fetches the KV cache. */
+    /**
+     * [prefillEngine] prefills the prompt; a decode engine chosen afterwards fetches the KV cache.
+     *
+     * [queued] is the time that the prefill would take by the known queue and rate of its engine, including the queue.
+     */
     data class RemotePrefill(
         val prefillEngine: BackendEntry,
+        val queued: Duration,
         override val work: Duration,
         override val predicted: Duration,
     ) : EnginePath {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
@@ -5,6 +5,7 @@
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.prompt.Prompt
 import org.acaciaflow.state.prompt.PromptCache
+import org.acaciaflow.state.route.Route
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -19,7 +20,7 @@
  */
 object EnginePlanner {
     /**
-     * Returns the cheapest path for [prompt] with latency target [target]; null if the pool has no decode engine.
+     * Returns the cheapest path for [prompt] of a request of [route]; null if the pool has no decode engine.
      *
      * Costs include a random share of the work that other gateways may have sent since their last messages, so that
      * gateways with the same knowledge don't all choose the same engine.
@@ -27,7 +28,7 @@
     fun choose(
         view: EngineView,
         prompt: Prompt,
-        target: Duration,
+        route: Route,
         now: Instant,
         random: Random,
     ): EnginePath? {
@@ -36,10 +37,10 @@
         val fitting = decodeEngines.filter { fits(view, it, prompt) }
         val prefillEngines = view.engines.filter { it.role == EngineRole.PREFILL }
         val decoding = decodeEngines.minOf { firstTokenDelay(view, it) }
-        val costs = EngineCosts.forPrompt(view, prompt, target)
+        val costs = EngineCosts.forPrompt(view, prompt, route.target)
         val paths =
             fitting.ifEmpty { decodeEngines }.map { localPrefill(view, it, prompt, now) } +
-                prefillEngines.map { remotePrefill(view, it, prompt, decoding, now) }
+                prefillEngines.map { remotePrefill(view, it, prompt, route.urgency, decoding, now) }
         return paths.minBy { costs.of(it, UnseenWork.drawDuration(view.load, now, random)) }
     }
 
@@ -134,14 +135,16 @@
         view: EngineView,
         engine: BackendEntry,
         prompt: Prompt,
+        urgency: Int,
         decoding: Duration,
         now: Instant,
     ): EnginePath.RemotePrefill {
         val work = prefillTime(view, engine, prompt)
         val bits = prompt.promptTokens * view.properties.tokenBytes * BITS_PER_BYTE
         val transfer = (bits / view.properties.linkBitsPerMillisecond).milliseconds + TRANSFER_SETUP_TIME
-        val predicted = view.load.backlogAt(engine.life, now) + work + transfer + decoding
-        return EnginePath.RemotePrefill(engine, work, predicted)
+        val queued = view.load.backlogAt(engine.life, now) + work
+        val predicted = queued * view.rates.delayFactor(urgency) + transfer + decoding
+        return EnginePath.RemotePrefill(engine, queued, work, predicted)
     }
 
     private fun milliseconds(duration: Duration): Double = duration.toDouble(DurationUnit.MILLISECONDS)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -45,7 +45,7 @@
             if (now >= request.deadline) return timedOut(tracker.progress)
             val view = candidates.view(candidates.of(request, tracker.progress, now), properties, request.pool)
             val path =
-                EnginePlanner.choose(view, prompt, request.route.target, now, random)
+                EnginePlanner.choose(view, prompt, request.route, now, random)
                     ?: return noAttemptLeft(tracker.progress)
             if (tracker.progress == RelayProgress.INITIAL) {
                 val refusal = refusalAtArrival(request, prompt, view, path, now)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
@@ -57,10 +57,9 @@
             val now = clock.now()
             val verdict = verdictOf(life, outcome)
             tables.reliability.update { ReliabilityPolicy.recorded(it, life, verdict, now) }
-            if (outcome is PrefillOutcome.Ready &&
-                wasIdle
-            ) {
-                updateRate(request, order.backend.role, path.work, now - sentAt)
+            if (outcome is PrefillOutcome.Ready) {
+                recordDelay(request, path, now - sentAt)
+                if (wasIdle) updateRate(request, order.backend.role, path.work, now - sentAt)
             }
             return outcome
         } finally {
@@ -94,6 +93,16 @@
     /** Releases KV cache that no engine will fetch. */
     fun release(source: CacheSource) = connections.release(source)
 
+    private fun recordDelay(
+        request: RelayedRequest,
+        path: EnginePath.RemotePrefill,
+        measured: Duration,
+    ) {
+        val urgency = request.route.urgency
+        val prefillTime = (measured - NETWORK_TIME).coerceAtLeast(NETWORK_TIME)
+        tables.rates.update { RateEstimator.withDelay(it, request.pool, urgency, path.queued, prefillTime) }
+    }
+
     private fun updateRate(
         request: RelayedRequest,
         role: EngineRole,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/engine/EnginePlannerTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/engine/EnginePlannerTest.kt
@@ -13,6 +13,8 @@
 import org.acaciaflow.coordination.relay.route
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.load.EngineRates
 import org.acaciaflow.state.load.FleetLoad
 import org.acaciaflow.state.load.JobIdentity
 import org.acaciaflow.state.load.RemoteLoad
@@ -36,7 +38,14 @@
 
     @Test
     fun `a long prompt is prefilled remotely`() {
-        val path = EnginePlanner.choose(view(FleetLoad.NONE, prefillEngine, decodeEngine), long, 1.seconds, now, random)
+        val path =
+            EnginePlanner.choose(
+                view(FleetLoad.NONE, prefillEngine, decodeEngine),
+                long,
+                routeFor(1.seconds),
+                now,
+                random,
+            )
 
         path.shouldBeInstanceOf<EnginePath.RemotePrefill>()
     }
@@ -45,7 +54,14 @@
     fun `a short prompt is prefilled locally while the prefill engine is busy`() {
         val busy = loaded(prefillEngine, 800.milliseconds, tokens = 12_000)
 
-        val path = EnginePlanner.choose(view(busy, prefillEngine, decodeEngine), short, 200.milliseconds, now, random)
+        val path =
+            EnginePlanner.choose(
+                view(busy, prefillEngine, decodeEngine),
+                short,
+                routeFor(200.milliseconds),
+                now,
+                random,
+            )
 
         path.shouldBeInstanceOf<EnginePath.LocalPrefill>().engine shouldBe decodeEngine
     }
@@ -80,7 +96,7 @@
         val caches = PromptCaches.prefilled(persistentMapOf(), cachingEngine.life, shared.parts.take(1), 100_000, now)
         val view = view(FleetLoad.NONE, prefillEngine, cachingEngine, decodeEngine).copy(caches = caches)
 
-        val path = EnginePlanner.choose(view, shared, 1.seconds, now, random)
+        val path = EnginePlanner.choose(view, shared, routeFor(1.seconds), now, random)
 
         path.shouldBeInstanceOf<EnginePath.RemotePrefill>().prefillEngine shouldBe cachingEngine
     }
@@ -93,7 +109,7 @@
         val busy = loaded(cachingEngine, 300.milliseconds, tokens = 12_000)
         val view = view(busy, prefillEngine, cachingEngine, decodeEngine).copy(caches = caches)
 
-        val path = EnginePlanner.choose(view, shared, 1.seconds, now, random)
+        val path = EnginePlanner.choose(view, shared, routeFor(1.seconds), now, random)
 
         path.shouldBeInstanceOf<EnginePath.RemotePrefill>().prefillEngine shouldBe cachingEngine
     }
@@ -106,7 +122,7 @@
         val busy = loaded(cachingEngine, 1500.milliseconds, tokens = 12_000)
         val view = view(busy, prefillEngine, cachingEngine, decodeEngine).copy(caches = caches)
 
-        val path = EnginePlanner.choose(view, shared, 1.seconds, now, random)
+        val path = EnginePlanner.choose(view, shared, routeFor(1.seconds), now, random)
 
         path.shouldBeInstanceOf<EnginePath.RemotePrefill>().prefillEngine shouldBe prefillEngine
     }
@@ -121,7 +137,7 @@
                     EnginePlanner.choose(
                         view(FleetLoad.NONE, *engines.toTypedArray()),
                         own,
-                        1.seconds,
+                        routeFor(1.seconds),
                         now,
                         random,
                     )
@@ -135,11 +151,27 @@
     fun `an idle decode engine prefills a long prompt while the prefill engines are busy`() {
         val busy = loaded(prefillEngine, 900.milliseconds, tokens = 12_000)
 
-        val path = EnginePlanner.choose(view(busy, prefillEngine, decodeEngine), long, 1.seconds, now, random)
+        val path = EnginePlanner.choose(view(busy, prefillEngine, decodeEngine), long, routeFor(1.seconds), now, random)
 
         path.shouldBeInstanceOf<EnginePath.LocalPrefill>()
     }
 
+    @Test
+    fun `a kind that more urgent prompts overtake avoids the prefill engines`() {
+        val rates =
+            (1..20).fold(persistentMapOf<PoolName, EngineRates>()) { known, _ ->
+                RateEstimator.withDelay(known, ENGINE_POOL, urgency = 2, predicted = 100.milliseconds, 500.milliseconds)
+            }
+        val busy = loaded(prefillEngine, 250.milliseconds, tokens = 12_000)
+        val view = view(busy, prefillEngine, decodeEngine).copy(rates = rates.getValue(ENGINE_POOL))
+
+        val urgent = EnginePlanner.choose(view, long, routeFor(1.seconds, urgency = 0), now, random)
+        val background = EnginePlanner.choose(view, long, routeFor(1.seconds, urgency = 2), now, random)
+
+        urgent.shouldBeInstanceOf<EnginePath.RemotePrefill>()
+        background.shouldBeInstanceOf<EnginePath.LocalPrefill>()
+    }
+
     @Test
     fun `an engine without enough memory is skipped`() {
         val full = loaded(decodeEngine, Duration.ZERO, tokens = 95_000)
@@ -160,7 +192,7 @@
 
     @Test
     fun `there is no path without a decode engine`() {
-        EnginePlanner.choose(view(FleetLoad.NONE, prefillEngine), long, 1.seconds, now, random) shouldBe null
+        EnginePlanner.choose(view(FleetLoad.NONE, prefillEngine), long, routeFor(1.seconds), now, random) shouldBe null
     }
 
     @Test
@@ -180,7 +212,7 @@
 
         for (tokens in listOf(200, 2_000, 12_000, 48_000)) {
             val work = EnginePlanner.prefillTime(view(FleetLoad.NONE, prefillEngine), prefillEngine, prompt(tokens))
-            val path = EnginePath.RemotePrefill(prefillEngine, work, wait + work)
+            val path = EnginePath.RemotePrefill(prefillEngine, wait + work, work, wait + work)
 
             LatencyAdmissionPolicy.isTooLate(background, path, timeLeft = 5.seconds) shouldBe false
         }
@@ -189,11 +221,16 @@
     @Test
     fun `a prompt that cannot be prefilled in the caller's time is refused`() {
         val background = route(RequestKind.EventStream(true), urgency = 2)
-        val path = EnginePath.RemotePrefill(prefillEngine, work = 950.milliseconds, predicted = 1.seconds)
+        val path = EnginePath.RemotePrefill(prefillEngine, 1.seconds, work = 950.milliseconds, predicted = 1.seconds)
 
         LatencyAdmissionPolicy.isTooLate(background, path, timeLeft = 1.seconds) shouldBe true
     }
 
+    private fun routeFor(
+        target: Duration,
+        urgency: Int = 0,
+    ) = route(RequestKind.EventStream(true), ENGINE_POOL, urgency = urgency).copy(target = target)
+
     private fun view(
         load: FleetLoad,
         vararg engines: BackendEntry,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/load/FleetSimulation.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/load/FleetSimulation.kt
@@ -10,6 +10,7 @@
 import org.acaciaflow.coordination.relay.ENGINE_POOL
 import org.acaciaflow.coordination.relay.OWN_DATA_CENTRE
 import org.acaciaflow.coordination.relay.backend
+import org.acaciaflow.coordination.relay.route
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
@@ -20,6 +21,7 @@
 import org.acaciaflow.state.prompt.Prompt
 import org.acaciaflow.state.prompt.PromptPart
 import org.acaciaflow.state.route.EngineProperties
+import org.acaciaflow.state.route.RequestKind
 import java.util.PriorityQueue
 import kotlin.math.ln
 import kotlin.random.Random
@@ -100,7 +102,7 @@
         val kind = drawKind()
         val prompt = Prompt(persistentListOf(PromptPart(random.nextLong(), kind.promptTokens)), kind.promptTokens, 40)
         val gateway = random.nextInt(fleet.gateways)
-        val path = EnginePlanner.choose(viewOf(gateway, now), prompt, kind.target, now, random) ?: return
+        val path = EnginePlanner.choose(viewOf(gateway, now), prompt, routeOf(kind), now, random) ?: return
         val (engine, work) =
             when (path) {
                 is EnginePath.LocalPrefill -> path.engine to path.work
@@ -160,6 +162,9 @@
         } ?: fleet.kinds.last()
     }
 
+    private fun routeOf(kind: SimulatedKind) =
+        route(RequestKind.EventStream(resumable = true), ENGINE_POOL).copy(target = kind.target)
+
     private fun viewOf(
         gateway: Int,
         now: Instant,
