--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePath.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePath.kt
@@ -14,6 +14,14 @@
     val work: Duration
     val predicted: Duration
 
+    /** The predicted time that the prefill is delayed by the jobs known to be at its engine. */
+    val waiting: Duration
+        get() =
+            when (this) {
+                is LocalPrefill -> predicted - work
+                is RemotePrefill -> queued - work
+            }
+
     /** The decode engine [engine] prefills the prompt itself. */
     data class LocalPrefill(
         val engine: BackendEntry,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
@@ -117,10 +117,30 @@
         now: Instant,
     ): EnginePath.LocalPrefill {
         val work = prefillTime(view, engine, prompt)
-        val predicted = view.load.backlogAt(engine.life, now) + work + firstTokenDelay(view, engine)
+        val predicted = queueingDelay(view, engine, work, now) + work + firstTokenDelay(view, engine)
         return EnginePath.LocalPrefill(engine, work, predicted)
     }
 
+    /**
+     * Predicts how long a prefill of [work] at [engine] is delayed by other jobs.
+     *
+     * An engine prefills all its prompts a piece at a time in turn, so a job waits for as much of each other job as it
+     * takes itself, and at least for one piece.
+     */
+    private fun queueingDelay(
+        view: EngineView,
+        engine: BackendEntry,
+        work: Duration,
+        now: Instant,
+    ): Duration {
+        val piece =
+            when (engine.role) {
+                EngineRole.PREFILL -> (PIECE_TOKENS / view.rates.prefill).milliseconds
+                EngineRole.DECODE, EngineRole.MIXED -> (LOCAL_PIECE_TOKENS / view.rates.interleaved).milliseconds
+            }
+        return minOf(view.load.backlogAt(engine.life, now), maxOf(work, piece) * view.load.waitingAt(engine.life))
+    }
+
     /** Predicts the time to the first token after prefill: the wait for a free slot on [engine] and one step. */
     private fun firstTokenDelay(
         view: EngineView,
@@ -142,13 +162,15 @@
         val work = prefillTime(view, engine, prompt)
         val bits = prompt.promptTokens * view.properties.tokenBytes * BITS_PER_BYTE
         val transfer = (bits / view.properties.linkBitsPerMillisecond).milliseconds + TRANSFER_SETUP_TIME
-        val queued = view.load.backlogAt(engine.life, now) + work
+        val queued = queueingDelay(view, engine, work, now) + work
         val predicted = queued * view.rates.delayFactor(urgency) + transfer + decoding
         return EnginePath.RemotePrefill(engine, queued, work, predicted)
     }
 
     private fun milliseconds(duration: Duration): Double = duration.toDouble(DurationUnit.MILLISECONDS)
 
+    private const val PIECE_TOKENS = 1024.0
+    private const val LOCAL_PIECE_TOKENS = PIECE_TOKENS / 4 // a decode engine interleaves smaller pieces
     private const val BITS_PER_BYTE = 8.0
     private const val RESERVED_SLOT_SHARE = 0.12 // held free for each level of urgency above the request's own
     private const val MINIMUM_SLOT_SHARE = 0.6
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/LatencyAdmissionPolicy.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/LatencyAdmissionPolicy.kt
@@ -18,16 +18,13 @@
         route: Route,
         path: EnginePath,
         timeLeft: Duration,
-    ): Boolean {
-        val waiting = path.predicted - path.work
-        return waiting > route.target * tolerance(route.urgency) || path.predicted > timeLeft * USABLE_TIME_SHARE
-    }
+    ): Boolean = path.waiting > route.target * tolerance(route.urgency) || path.predicted > timeLeft * USABLE_TIME_SHARE
 
     /** Returns the retry delay for a refused caller: roughly the time until the work queued before it is done. */
     fun retryAfter(
         route: Route,
         path: EnginePath,
-    ): Duration = (path.predicted - path.work - route.target / 2).coerceIn(MINIMUM_RETRY_DELAY, MAXIMUM_RETRY_DELAY)
+    ): Duration = (path.waiting - route.target / 2).coerceIn(MINIMUM_RETRY_DELAY, MAXIMUM_RETRY_DELAY)
 
     private fun tolerance(urgency: Int): Double = BASE_TOLERANCE + URGENT_TOLERANCE / (1 + urgency)
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/RateEstimator.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/RateEstimator.kt
@@ -66,7 +66,7 @@
     private const val MINIMUM_SAMPLE_MILLISECONDS = 20.0 // shorter ones are dominated by batch steps and the network
     private const val SAMPLE_WEIGHT = 0.05
     private const val DELAY_SAMPLE_WEIGHT = 0.15 // follows a burst within a few seconds
-    private val DELAY_FACTORS = 0.5..6.0
+    private val DELAY_FACTORS = 0.5..3.0
     private const val MAXIMUM_SAMPLE_FACTOR = 2.0
     private const val MAXIMUM_DEVIATION_FACTOR = 8.0
 }
--- a/state/src/main/kotlin/org/acaciaflow/state/load/FleetLoad.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/load/FleetLoad.kt
@@ -37,6 +37,9 @@
         return (work - halfOfOneJob - remoteAge(now)).coerceAtLeast(Duration.ZERO)
     }
 
+    /** The number of known jobs at [life] without a first result. */
+    fun waitingAt(life: BackendLife): Int = ownAt(life).waitingJobs + (remote[life]?.waiting ?: 0)
+
     /** Requests in flight at [life], including those of other gateways. */
     fun runningAt(life: BackendLife): Int = ownAt(life).jobs.size + (remote[life]?.running ?: 0)
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/peer/PeerExchange.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/peer/PeerExchange.kt
@@ -107,9 +107,9 @@
         }
 
     private companion object {
-        val MINIMUM_LOAD_INTERVAL: Duration = 60.milliseconds // shorter than most prefills
+        val MINIMUM_LOAD_INTERVAL: Duration = 90.milliseconds // shorter than most prefills
         val LOAD_INTERVAL_PER_MESSAGE: Duration = 8.milliseconds // bounds the messages sent per second
-        val MINIMUM_INTERVAL: Duration = 120.milliseconds
+        val MINIMUM_INTERVAL: Duration = 250.milliseconds
         val INTERVAL_PER_PEER: Duration = 30.milliseconds // bounds the bytes sent per second for any number of peers
     }
 }
