--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/LoadExchange.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/LoadExchange.kt
@@ -18,8 +18,6 @@
 import org.acaciaflow.state.peer.Peer
 import org.acaciaflow.state.peer.ReportedLoad
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /**
@@ -34,9 +32,7 @@
     private val tables: RelayTables,
 ) {
     private var sequence = 0L
-    private var selected: HostAddress? = null
-    private var selectedAt = Instant.DISTANT_PAST
-    private var unresponsive: Map<HostAddress, Instant> = emptyMap()
+    private var choice = AggregatorChoice.NONE
 
     /** Returns the messages to send at [now], each with its receiver; [stopping] gateways do not aggregate. */
     fun messages(
@@ -95,18 +91,9 @@
         gateways: Collection<Peer>,
         now: Instant,
     ): HostAddress? {
-        unresponsive = unresponsive.filterValues { it > now }
         val heardAt = load.sources.others?.receivedAt ?: Instant.DISTANT_PAST
-        val former = selected
-        if (former != null && former != self.address && now - maxOf(heardAt, selectedAt) > RESPONSE_TIMEOUT) {
-            unresponsive = unresponsive + (former to now + EXCLUSION_PERIOD)
-        }
-        val chosen = AggregatorSelection.aggregatorOf(self.dataCentre, gateways, unresponsive.keys) ?: self.address
-        if (chosen != former) {
-            selected = chosen
-            selectedAt = now
-        }
-        return chosen.takeIf { it != self.address }
+        choice = AggregatorSelection.choose(choice, self.address, self.dataCentre, gateways, heardAt, now)
+        return choice.address.takeIf { it != self.address }
     }
 
     private fun ownEntry(
@@ -194,8 +181,5 @@
 
         private fun remoteLoadOf(backend: BackendLoad) =
             RemoteLoad(backend.waitingWork, backend.waitingJobs, backend.jobs.size, backend.tokens)
-
-        private val RESPONSE_TIMEOUT: Duration = 600.milliseconds
-        private val EXCLUSION_PERIOD: Duration = 3.seconds // an aggregator that returns is selected again afterwards
     }
 }
