Do not close a connection that the pool may have passed on

Vert.x returns a connection to its pool when it has read the whole answer, even if the reader has not; closing it on a late cancel broke the request that used it next. DirectConnectionsTest's new case failed on that code. The connection is closed only after an answer of another request; in all other cases the reset alone is right.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -7,6 +7,7 @@
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BodyPart
 import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.protocol.dialect.CallPurpose
 import org.acaciaflow.protocol.http.HopByHopHeaders
@@ -33,6 +34,10 @@
     @Volatile
     private var complete = false
 
+    /** True if the answer belongs to another request, so that the connection is out of step with its requests. */
+    @Volatile
+    private var foreign = false
+
     override suspend fun next(): AttemptEvent {
         val channel = body ?: return head()
         return when (val part = channel.next()) {
@@ -58,15 +63,15 @@
     }
 
     /**
-     * Closes the connection unless the answer is complete, so that the pool can't reuse it with unread data.
+     * Resets the request unless its answer is complete, so that the pool can't reuse the connection with unread data.
      *
-     * Resetting the request is not enough: it does nothing once Vert.x has read a whole answer, which may be that of
-     * another request.
+     * A reset does nothing once Vert.x has read a whole answer, since the pool may have passed the connection on. After
+     * a foreign answer the connection is closed all the same, because no later request on it would get its own.
      */
     override fun cancel() {
         if (complete) return
         request.reset()
-        request.connection().close()
+        if (foreign) request.connection().close()
     }
 
     private suspend fun head(): AttemptEvent {
@@ -76,7 +81,9 @@
         body = answer.body
         val fields = answer.response.headers().toFields()
         val head = AnswerHead(answer.response.statusCode(), HopByHopHeaders.strip(fields))
-        val event = eventFor(dialect.classifyAnswer(order, purpose, head)) ?: return AttemptEvent.Head(head)
+        val verdict = dialect.classifyAnswer(order, purpose, head)
+        foreign = verdict == AnswerVerdict.OfOtherRequest || verdict == AnswerVerdict.Unsigned
+        val event = eventFor(verdict) ?: return AttemptEvent.Head(head)
         if (event is AttemptEvent.Refused) drain(answer.body)
         return event
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
@@ -68,7 +68,7 @@
                 BoundedBody.TooLarge, BoundedBody.Broken -> HttpResult.ConnectionLost
             }
         } finally {
-            if (!completed) request.connection().close()
+            if (!completed) request.reset()
         }
     }
 
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -90,6 +91,28 @@
         }
     }
 
+    @Test
+    fun `a request that is cancelled after its answer has arrived does not break the next one on its connection`() {
+        val backend =
+            RawBackend { output, id, number ->
+                if (number == 2) Thread.sleep(200)
+                write(output, answer(id))
+            }
+
+        backend.use {
+            runBlocking {
+                val stream = connections.open(orderFor(backend, "request-1"), EmptyBody)
+                stream.next()
+                delay(50.milliseconds)
+                val next = async { read(backend, "request-2") }
+                delay(50.milliseconds)
+                stream.cancel()
+
+                next.await().first shouldBe "body of request-2"
+            }
+        }
+    }
+
     @Test
     fun `a copy after a cancelled request does not reach the next one`() {
         val backend =
@@ -126,16 +149,7 @@
                 },
             )
         for ((name, head) in heads) {
-            RawBackend { output, _, _ -> head(output) }.use { backend ->
-                runBlocking {
-                    withClue("endless $name") {
-                        val (_, end) = withTimeout(5.seconds) { read(backend, "request-1") }
-
-                        end.shouldBeInstanceOf<AttemptEvent.Broken>()
-                        backend.poured.get() shouldBeLessThan POURED_LIMIT
-                    }
-                }
-            }
+            shouldBeCutOff("endless $name", RawBackend { output, _, _ -> head(output) })
         }
     }
 
@@ -155,16 +169,7 @@
                     write(output, "HTTP/1.1 200 OK\r\nRequest-Id: $id\r\nTransfer-Encoding: chunked\r\n\r\n")
                     body(output)
                 }
-            backend.use {
-                runBlocking {
-                    withClue("endless $name") {
-                        val (_, end) = withTimeout(5.seconds) { read(backend, "request-1") }
-
-                        end.shouldBeInstanceOf<AttemptEvent.Broken>()
-                        backend.poured.get() shouldBeLessThan POURED_LIMIT
-                    }
-                }
-            }
+            shouldBeCutOff("endless $name", backend)
         }
     }
 
@@ -235,14 +240,20 @@
                     write(output, "HTTP/1.1 200 OK\r\nRequest-Id: $id\r\n$half")
                     output.close()
                 }
-            backend.use {
-                runBlocking {
-                    withClue("without its $name") {
-                        val (_, end) = withTimeout(5.seconds) { read(backend, "request-1") }
+            shouldBeCutOff("without its $name", backend)
+        }
+    }
 
-                        end.shouldBeInstanceOf<AttemptEvent.Broken>()
-                    }
-                }
+    private fun shouldBeCutOff(
+        clue: String,
+        backend: RawBackend,
+    ) = backend.use {
+        runBlocking {
+            withClue(clue) {
+                val (_, end) = withTimeout(5.seconds) { read(backend, "request-1") }
+
+                end.shouldBeInstanceOf<AttemptEvent.Broken>()
+                backend.poured.get() shouldBeLessThan POURED_LIMIT
             }
         }
     }
