--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePath.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePath.kt
@@ -35,7 +35,7 @@
     /**
      * [prefillEngine] prefills the prompt; a decode engine chosen afterwards fetches the KV cache.
      *
-     * [queued] is the time that the prefill would take by the known queue and rate of its engine, including the queue.
+     * [queued] is the time that the queue and the rate of its engine suggest for the prefill, before the delay factor.
      */
     data class RemotePrefill(
         val prefillEngine: BackendEntry,
--- a/state/src/main/kotlin/org/acaciaflow/state/load/FleetLoad.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/load/FleetLoad.kt
@@ -32,7 +32,7 @@
         val own = ownAt(life)
         if (others.waiting == 0) return own.backlog(now)
         val work = own.waitingWork + others.work
-        // The server works on one job at a time; on average it has done half of that job.
+        // Messages do not tell what is already done of the work; on average it is half of one job.
         val halfOfOneJob = work / (2 * (own.waitingJobs + others.waiting))
         return (work - halfOfOneJob - remoteAge(now)).coerceAtLeast(Duration.ZERO)
     }
@@ -51,14 +51,10 @@
     fun tokensAt(life: BackendLife): Long = ownAt(life).tokens + (remote[life]?.tokens ?: 0)
 
     /** The age at [now] of what is known of the other gateways' loads; zero if there is no other gateway. */
-    fun remoteAge(now: Instant): Duration =
-        if (remoteMeasuredAt ==
-            Instant.DISTANT_PAST
-        ) {
-            Duration.ZERO
-        } else {
-            (now - remoteMeasuredAt).coerceAtLeast(Duration.ZERO)
-        }
+    fun remoteAge(now: Instant): Duration {
+        if (remoteMeasuredAt == Instant.DISTANT_PAST) return Duration.ZERO
+        return (now - remoteMeasuredAt).coerceAtLeast(Duration.ZERO)
+    }
 
     companion object {
         val NONE =
