--- a/standin/src/main/kotlin/org/acaciaflow/standin/load/DecisionCostCommand.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/load/DecisionCostCommand.kt
@@ -39,8 +39,8 @@
     private val rounds by option("--rounds", help = "The number of measured decisions.").int().default(20_000)
 
     override fun help(context: Context): String =
-        "Prints the time of one decision at 10, 42 and 600 engines. The number of gateways does not matter, since the " +
-            "load of all others is one sum a server. Example: acaciaflow-standin decision-cost --seed 1"
+        "Prints the time of one decision at 10, 42 and 600 engines, whatever the number of gateways: the load of all " +
+            "others is one sum a server. Example: acaciaflow-standin decision-cost --seed 1"
 
     override fun run() {
         echo("engines  median us  99th us")
