Look up cached parts, own loads and lifetimes once

Cause: a decision looked up the prompt's parts three times an engine; an aggregator derived its own loads anew for each member; PeerGossip and LoadExchange each built the same map of lifetimes. Change: EnginePlanner.choose looks the parts up once and hands them to EngineCosts; LoadExchange derives its own loads once a round; Fleet.livesByCode serves both readers of messages.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EngineCosts.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EngineCosts.kt
@@ -3,6 +3,7 @@
 import org.acaciaflow.coordination.reliability.ReliabilityPolicy
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.prompt.Prompt
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -12,13 +13,14 @@
  *
  * A cost sums the risk of a late first event, the delay, shared parts that are prefilled although another engine has
  * them, the work on the engines, their unreliability and their distance. [mostCached] is the largest number of tokens
- * of the prompt that any engine has cached, [home] the engine that prompts with the same shared parts prefer.
+ * of the prompt that any engine has cached, [cached] that of each engine, [home] the engine that prompts with the same shared parts prefer.
  */
 internal class EngineCosts private constructor(
     private val view: EngineView,
     private val prompt: Prompt,
     private val target: Duration,
     private val meanFailureShare: Double,
+    private val cached: Map<BackendLife, Int>,
     private val mostCached: Int,
     private val home: BackendEntry?,
 ) {
@@ -36,10 +38,12 @@
             excess * UNRELIABLE_COST + remote
     }
 
+    /** The tokens of the parts that other prompts may share; the last part belongs to this prompt alone. */
+    private val sharedTokens = prompt.parts.dropLast(1).sumOf { it.tokens }
+
     private fun rereadCost(engine: BackendEntry): Double {
-        val cached = EnginePlanner.cachedTokens(view, engine, prompt)
-        val reread = (mostCached - cached).coerceAtLeast(0)
-        val unplaced = if (engine.life == home?.life) 0 else sharedTokens(prompt) - maxOf(mostCached, cached)
+        val reread = mostCached - cached.getValue(engine.life)
+        val unplaced = if (engine.life == home?.life) 0 else sharedTokens - mostCached
         return reread * REREAD_COST + unplaced.coerceAtLeast(0) * UNPLACED_COST
     }
 
@@ -57,11 +61,12 @@
         }
 
     companion object {
-        /** Assesses the engines of [view] for [prompt]. */
+        /** Assesses the engines of [view] for [prompt], of which each has the tokens in [cached]. */
         fun forPrompt(
             view: EngineView,
             prompt: Prompt,
             target: Duration,
+            cached: Map<BackendLife, Int>,
         ): EngineCosts =
             EngineCosts(
                 view = view,
@@ -69,7 +74,8 @@
                 target = target,
                 meanFailureShare =
                     ReliabilityPolicy.meanFailureShare(view.reliability, view.engines.map { it.life }),
-                mostCached = view.engines.maxOfOrNull { EnginePlanner.cachedTokens(view, it, prompt) } ?: 0,
+                cached = cached,
+                mostCached = cached.values.maxOrNull() ?: 0,
                 home = homeOf(view, prompt),
             )
 
@@ -87,9 +93,6 @@
             return prefillEngines.ifEmpty { view.engines }.maxByOrNull { mixed(key, it.life.code) }
         }
 
-        /** The tokens of the parts that other prompts may share; the last part belongs to this prompt alone. */
-        private fun sharedTokens(prompt: Prompt): Int = prompt.parts.dropLast(1).sumOf { it.tokens }
-
         private fun mixed(
             key: Long,
             code: Int,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
@@ -37,10 +37,16 @@
         val fitting = decodeEngines.filter { fits(view, it, prompt) }
         val prefillEngines = view.engines.filter { it.role == EngineRole.PREFILL }
         val decoding = decodeEngines.minOf { firstTokenDelay(view, it) }
-        val costs = EngineCosts.forPrompt(view, prompt, route.target)
+        val cached = view.engines.associate { it.life to cachedTokens(view, it, prompt) }
+        val costs = EngineCosts.forPrompt(view, prompt, route.target, cached)
         val paths =
-            fitting.ifEmpty { decodeEngines }.map { localPrefill(view, it, prompt, now) } +
-                prefillEngines.map { remotePrefill(view, it, prompt, route.urgency, decoding, now) }
+            fitting.ifEmpty { decodeEngines }.map { engine ->
+                localPrefill(view, engine, prefillTime(view, engine, prompt, cached.getValue(engine.life)), now)
+            } +
+                prefillEngines.map { engine ->
+                    val work = prefillTime(view, engine, prompt, cached.getValue(engine.life))
+                    remotePrefill(view, engine, prompt, work, route.urgency, decoding, now)
+                }
         return paths.minBy { costs.of(it, UnseenWork.drawDuration(view.load, now, random)) }
     }
 
@@ -81,8 +87,14 @@
         view: EngineView,
         engine: BackendEntry,
         prompt: Prompt,
+    ): Duration = prefillTime(view, engine, prompt, cachedTokens(view, engine, prompt))
+
+    private fun prefillTime(
+        view: EngineView,
+        engine: BackendEntry,
+        prompt: Prompt,
+        cached: Int,
     ): Duration {
-        val cached = cachedTokens(view, engine, prompt)
         val fresh = prompt.promptTokens - cached
         val rate = if (engine.role == EngineRole.PREFILL) view.rates.prefill else view.rates.interleaved
         val pairs = fresh.toDouble() * (cached + fresh / 2.0)
@@ -91,7 +103,7 @@
     }
 
     /** Returns how many tokens at the start of [prompt] [engine] is presumed to have in its KV cache. */
-    internal fun cachedTokens(
+    private fun cachedTokens(
         view: EngineView,
         engine: BackendEntry,
         prompt: Prompt,
@@ -113,10 +125,9 @@
     private fun localPrefill(
         view: EngineView,
         engine: BackendEntry,
-        prompt: Prompt,
+        work: Duration,
         now: Instant,
     ): EnginePath.LocalPrefill {
-        val work = prefillTime(view, engine, prompt)
         val predicted = queueingDelay(view, engine, work, now) + work + firstTokenDelay(view, engine)
         return EnginePath.LocalPrefill(engine, work, predicted)
     }
@@ -155,11 +166,11 @@
         view: EngineView,
         engine: BackendEntry,
         prompt: Prompt,
+        work: Duration,
         urgency: Int,
         decoding: Duration,
         now: Instant,
     ): EnginePath.RemotePrefill {
-        val work = prefillTime(view, engine, prompt)
         val bits = prompt.promptTokens * view.properties.tokenBytes * BITS_PER_BYTE
         val transfer = (bits / view.properties.linkBitsPerMillisecond).milliseconds + TRANSFER_SETUP_TIME
         val queued = queueingDelay(view, engine, work, now) + work
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/LoadExchange.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/LoadExchange.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.coordination.peer
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import org.acaciaflow.coordination.load.RemoteLoads
@@ -45,10 +46,16 @@
         val load = tables.load.update { RemoteLoads.refreshed(it, self.dataCentre, dataCentres, now) }
         val members = RemoteLoads.membersOf(load.sources, now)
         val aggregator = selectAggregator(load, peers.values + ownEntry(stopping, now), now)
-        val toAggregator = if (aggregator == null) emptyList() else listOf(aggregator to ownShare(load))
+        val own = ownLoads(load)
+        val toAggregator =
+            if (aggregator == null) {
+                emptyList()
+            } else {
+                listOf(aggregator to share(LoadScope.Sender, Duration.ZERO, reported(own)))
+            }
         if (aggregator != null && members.isEmpty()) return toAggregator
         return toAggregator +
-            sumsForMembers(load, dataCentres, members, now) + sumsForOthers(load, peers, dataCentres, now)
+            sumsForMembers(load, own, dataCentres, members, now) + sumsForOthers(load, own, peers, dataCentres, now)
     }
 
     /** Applies a message that arrived at [now]. */
@@ -76,11 +83,7 @@
         measuredAt: Instant,
         now: Instant,
     ): LoadSource {
-        val lives =
-            tables.fleet
-                .snapshot()
-                .entries.values
-                .associate { it.life.code to it.life }
+        val lives = tables.fleet.snapshot().livesByCode()
         val known = loads.mapNotNull { entry -> lives[entry.lifeCode]?.let { it to entry.load } }.toMap()
         return LoadSource(senderStartedAt, sequence, known.toPersistentMap(), measuredAt, receivedAt = now)
     }
@@ -111,21 +114,21 @@
             stopping = stopping,
         )
 
-    private fun ownShare(load: FleetLoad): LoadShare = share(LoadScope.Sender, Duration.ZERO, ownLoads(load))
-
     private fun sumsForMembers(
         load: FleetLoad,
+        own: PersistentMap<BackendLife, RemoteLoad>,
         dataCentres: Map<HostAddress, DataCentre>,
         members: Set<HostAddress>,
         now: Instant,
     ): List<Pair<HostAddress, LoadShare>> =
         members.map { member ->
             val sources = RemoteLoads.sourcesOfOthers(load.sources, self.dataCentre, dataCentres, member, now)
-            member to sumOf(LoadScope.AllOthers, load, sources, now)
+            member to sumOf(LoadScope.AllOthers, own, sources, now)
         }
 
     private fun sumsForOthers(
         load: FleetLoad,
+        own: PersistentMap<BackendLife, RemoteLoad>,
         peers: Map<HostAddress, Peer>,
         dataCentres: Map<HostAddress, DataCentre>,
         now: Instant,
@@ -134,7 +137,7 @@
         if (others.isEmpty()) return emptyList()
         val sources =
             RemoteLoads.sourcesOfDataCentre(load.sources, self.dataCentre, dataCentres, receiver = null, now)
-        val sum = sumOf(LoadScope.WholeDataCentre(self.dataCentre), load, sources, now)
+        val sum = sumOf(LoadScope.WholeDataCentre(self.dataCentre), own, sources, now)
         return others.mapNotNull { receiverIn(it, load, peers, now) }.map { it to sum }
     }
 
@@ -152,13 +155,11 @@
 
     private fun sumOf(
         scope: LoadScope,
-        load: FleetLoad,
+        own: PersistentMap<BackendLife, RemoteLoad>,
         sources: List<LoadSource>,
         now: Instant,
     ): LoadShare {
-        val own = load.own.filterValues { it.jobs.isNotEmpty() }.mapValues { remoteLoadOf(it.value) }
-        val ownSource = LoadSource(self.startedAtMilliseconds, sequence, own.toPersistentMap(), now, now)
-        val all = sources + ownSource
+        val all = sources + LoadSource(self.startedAtMilliseconds, sequence, own, now, now)
         return share(scope, now - RemoteLoads.meanMeasuredAt(all, now), reported(RemoteLoads.sumOf(all)))
     }
 
@@ -168,16 +169,18 @@
         loads: PersistentList<ReportedLoad>,
     ) = LoadShare(self.address, self.startedAtMilliseconds, sequence, scope, age, loads)
 
-    private fun reported(loads: Map<BackendLife, RemoteLoad>): PersistentList<ReportedLoad> =
-        loads.map { (life, load) -> ReportedLoad(life.code, load) }.toPersistentList()
-
     companion object {
         /** Returns this gateway's own loads, as they are told to others. */
-        fun ownLoads(load: FleetLoad): PersistentList<ReportedLoad> =
+        fun reportedLoads(load: FleetLoad): PersistentList<ReportedLoad> = reported(ownLoads(load))
+
+        private fun ownLoads(load: FleetLoad): PersistentMap<BackendLife, RemoteLoad> =
             load.own
                 .filterValues { it.jobs.isNotEmpty() }
-                .map { (life, backend) -> ReportedLoad(life.code, remoteLoadOf(backend)) }
-                .toPersistentList()
+                .mapValues { remoteLoadOf(it.value) }
+                .toPersistentMap()
+
+        private fun reported(loads: Map<BackendLife, RemoteLoad>): PersistentList<ReportedLoad> =
+            loads.map { (life, load) -> ReportedLoad(life.code, load) }.toPersistentList()
 
         private fun remoteLoadOf(backend: BackendLoad) =
             RemoteLoad(backend.waitingWork, backend.waitingJobs, backend.jobs.size, backend.tokens)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
@@ -51,7 +51,7 @@
                     .snapshot()
                     .configuration.version,
             stopping = stopping,
-            loads = LoadExchange.ownLoads(tables.load.snapshot()),
+            loads = LoadExchange.reportedLoads(tables.load.snapshot()),
             reads = tables.reads.drain(),
             leaving =
                 fleet.leaving
@@ -73,11 +73,7 @@
         now: Instant,
     ) {
         if (report.sender == self.address || !isNewer(report, now)) return
-        val lives =
-            tables.fleet
-                .snapshot()
-                .entries.values
-                .associate { it.life.code to it.life }
+        val lives = tables.fleet.snapshot().livesByCode()
         applyLeaving(report, lives)
         applyReads(report, lives, now)
         applyLoads(report, now)
--- a/state/src/main/kotlin/org/acaciaflow/state/fleet/Fleet.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/fleet/Fleet.kt
@@ -25,6 +25,9 @@
     /** The backend servers of [pool] to which new work may be sent. */
     fun usableIn(pool: PoolName): List<BackendEntry> = entries.values.filter { it.pool == pool && usable(it) }
 
+    /** The lifetimes of the registered servers by the code that stands for them in messages between gateways. */
+    fun livesByCode(): Map<Int, BackendLife> = entries.values.associate { it.life.code to it.life }
+
     companion object {
         val NONE = Fleet(persistentMapOf(), persistentSetOf(), persistentSetOf(), persistentSetOf())
     }
