Log the size of a prompt, its own work and its wait with each decision

Change: prompt-tokens on every line about a request, waiting-ms and work-ms on declined. DecisionFormatterTest holds the keys against OPERATIONS.md. Checks: DecisionFormatterTest passed.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.relay
 
+import org.acaciaflow.coordination.engine.EnginePath
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.load.FleetLoad
 import org.acaciaflow.state.refusal.Refusal
@@ -23,11 +24,10 @@
             get() = request.facts.requestId
     }
 
-    /** The request is refused at arrival; its first event was predicted to take [predicted] on [backend]. */
+    /** The request is refused at arrival, although [path] was the best way to serve it. */
     data class Declined(
         val request: RelayedRequest,
-        val backend: BackendEntry,
-        val predicted: Duration,
+        val path: EnginePath,
         val reason: Refusal,
         val load: FleetLoad,
         override val at: Instant,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -72,7 +72,7 @@
         now: Instant,
     ): Conclusion? {
         val reason = refusalReason(request, prompt, view, path, now) ?: return null
-        observations.decided(Decision.Declined(request, path.prefilledBy, path.predicted, reason, view.load, now))
+        observations.decided(Decision.Declined(request, path, reason, view.load, now))
         return Conclusion.NotExecuted(reason, LatencyAdmissionPolicy.retryAfter(request.route, path))
     }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -32,7 +32,8 @@
 
     private fun declined(decision: Decision.Declined): String =
         commonFields("declined", decision) + requestFields(decision.request) + " reason=${decision.reason.code}" +
-            backendFields(decision.backend, decision.load, decision.predicted, decision.at) +
+            backendFields(decision.path.prefilledBy, decision.load, decision.path.predicted, decision.at) +
+            " waiting-ms=${decision.path.waiting.inWholeMilliseconds} work-ms=${decision.path.work.inWholeMilliseconds}" +
             " target-ms=${decision.request.route.target.inWholeMilliseconds}"
 
     /** The known load of [backend] and the age of what is known of the other gateways' loads. */
@@ -76,5 +77,6 @@
         }
 
     private fun requestFields(request: RelayedRequest): String =
-        " route=${request.route.name.name} configuration=${request.version} pool=${request.pool.name}"
+        " route=${request.route.name.name} configuration=${request.version} pool=${request.pool.name}" +
+            " prompt-tokens=${request.facts.prompt?.promptTokens ?: 0}"
 }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import org.acaciaflow.coordination.engine.EnginePath
 import org.acaciaflow.coordination.relay.Conclusion
 import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.coordination.relay.RelayProgress
@@ -16,6 +17,7 @@
     private val at = Instant.fromEpochSeconds(1_780_000_000)
     private val request = SampleRequest.at(at)
     private val backend = SampleRequest.BACKEND
+    private val path = EnginePath.LocalPrefill(backend, work = 4.milliseconds, predicted = 10.milliseconds)
 
     @Test
     fun `decision lines have the keys that the operations page documents`() {
@@ -24,7 +26,7 @@
             listOf(
                 Decision.Sent(request, backend, 10.milliseconds, SampleRequest.LOAD, at),
                 Decision.Ran(request, backend, "Broken(reason=BACKEND_CRASHED)", at),
-                Decision.Declined(request, backend, 10.milliseconds, NotRun.LATE_ALREADY, SampleRequest.LOAD, at),
+                Decision.Declined(request, path, NotRun.LATE_ALREADY, SampleRequest.LOAD, at),
                 Decision.Concluded(
                     request,
                     Conclusion.NotExecuted(NotRun.LATE_ALREADY, null),
