Charge a prompt the queue wait of an average prompt of its route

Cause: EnginePlanner.queueingDelay charged a prompt as much of each other job as it takes itself, up to the whole backlog; admission compared that with one limit a route, and the learned delay factor multiplied it in predictions. The first events of what was sent to prefill engines came after some 450 ms whatever their size, where 200 to 1,320 ms were predicted by size.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EnginePlanner.kt
@@ -96,12 +96,24 @@
         cached: Int,
     ): Duration {
         val fresh = prompt.promptTokens - cached
-        val rate = if (engine.role == EngineRole.PREFILL) view.rates.prefill else view.rates.interleaved
+        val rate = rateOf(view, engine)
         val pairs = fresh.toDouble() * (cached + fresh / 2.0)
         val attentionScale = view.rates.prefill / rate
         return (fresh / rate + pairs * ATTENTION_MILLISECONDS_PER_PAIR * attentionScale).milliseconds
     }
 
+    /** Returns the prefill that [path] includes, in uncached prompt tokens with the cost of attention. */
+    fun prefillTokens(
+        view: EngineView,
+        path: EnginePath,
+    ): Double = milliseconds(path.work) * rateOf(view, path.prefilledBy)
+
+    /** Returns how many tokens [engine] prefills in a millisecond. */
+    private fun rateOf(
+        view: EngineView,
+        engine: BackendEntry,
+    ): Double = if (engine.role == EngineRole.PREFILL) view.rates.prefill else view.rates.interleaved
+
     /** Returns how many tokens at the start of [prompt] [engine] is presumed to have in its KV cache. */
     private fun cachedTokens(
         view: EngineView,
@@ -136,7 +148,8 @@
      * Predicts how long a prefill of [work] at [engine] is delayed by other jobs.
      *
      * An engine prefills all its prompts a piece at a time in turn, so a job waits for as much of each other job as it
-     * takes itself, and at least for one piece.
+     * takes itself, and at least for one piece. The delay is that of an average job of the route: the long prompts of a
+     * route would otherwise be refused at queues at which its short ones are served.
      */
     private fun queueingDelay(
         view: EngineView,
@@ -149,7 +162,9 @@
                 EngineRole.PREFILL -> (PIECE_TOKENS / view.rates.prefill).milliseconds
                 EngineRole.DECODE, EngineRole.MIXED -> (LOCAL_PIECE_TOKENS / view.rates.interleaved).milliseconds
             }
-        return minOf(view.load.backlogAt(engine.life, now), maxOf(work, piece) * view.load.waitingAt(engine.life))
+        val averageWork = view.averagePrefill?.let { (it / rateOf(view, engine)).milliseconds } ?: work
+        val inTurn = maxOf(averageWork, piece) * view.load.waitingAt(engine.life)
+        return minOf(view.load.backlogAt(engine.life, now), inTurn)
     }
 
     /** Predicts the time to the first token after prefill: the wait for a free slot on [engine] and one step. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Candidates.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Candidates.kt
@@ -6,7 +6,6 @@
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.identity.DataCentre
-import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.route.EngineProperties
 import kotlin.time.Instant
 
@@ -45,18 +44,19 @@
             load.ownAt(life).silence(now) <= ReliabilityPolicy.STREAM_SILENCE_LIMIT
     }
 
-    /** Returns the state of [engines] as known to this gateway. */
+    /** Returns the state of [engines] as known to this gateway, for [request]. */
     fun view(
         engines: List<BackendEntry>,
         properties: EngineProperties,
-        pool: PoolName,
+        request: RelayedRequest,
     ): EngineView =
         EngineView(
             engines = engines,
             load = tables.load.snapshot(),
             caches = tables.caches.snapshot(),
             reliability = tables.reliability.snapshot(),
-            rates = tables.rates.snapshot()[pool] ?: RateEstimator.INITIAL,
+            rates = tables.rates.snapshot()[request.pool] ?: RateEstimator.INITIAL,
+            averagePrefill = tables.meanPrefills.snapshot()[request.route.name]?.tokens,
             properties = properties,
             ownDataCentre = ownDataCentre,
         )
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -2,8 +2,6 @@
 
 import org.acaciaflow.coordination.engine.EnginePath
 import org.acaciaflow.coordination.engine.EnginePlanner
-import org.acaciaflow.coordination.engine.EngineView
-import org.acaciaflow.coordination.engine.LatencyAdmissionPolicy
 import org.acaciaflow.coordination.port.CacheSource
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.PrefillOutcome
@@ -13,18 +11,17 @@
 import org.acaciaflow.state.prompt.Prompt
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
-import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.route.EngineProperties
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Instant
 
 /** Serves generations: plans prefill and decode, including KV cache transfers, and resumes broken streams. */
 internal class EngineRelay(
     private val tables: RelayTables,
     private val candidates: Candidates,
+    private val admission: GenerationAdmission,
     private val retryLimiter: RetryLimiter,
     private val prefillRun: PrefillRun,
     private val backendRun: BackendRun,
@@ -43,12 +40,12 @@
         while (true) {
             val now = clock.now()
             if (now >= request.deadline) return timedOut(tracker.progress)
-            val view = candidates.view(candidates.of(request, tracker.progress, now), properties, request.pool)
+            val view = candidates.view(candidates.of(request, tracker.progress, now), properties, request)
             val path =
                 EnginePlanner.choose(view, prompt, request.route, now, random)
                     ?: return noAttemptLeft(tracker.progress)
             if (tracker.progress == RelayProgress.INITIAL) {
-                val refusal = refusalAtArrival(request, prompt, view, path, now)
+                val refusal = admission.refusalAtArrival(request, prompt, view, path, now)
                 if (refusal != null) return refusal
             }
             if (!retryLimiter.tryAcquire(request, tracker.progress, reason, now)) return noAttemptLeft(tracker.progress)
@@ -64,33 +61,6 @@
         }
     }
 
-    private fun refusalAtArrival(
-        request: RelayedRequest,
-        prompt: Prompt,
-        view: EngineView,
-        path: EnginePath,
-        now: Instant,
-    ): Conclusion? {
-        val reason = refusalReason(request, prompt, view, path, now) ?: return null
-        observations.decided(Decision.Declined(request, path, reason, view.load, now))
-        return Conclusion.NotExecuted(reason, LatencyAdmissionPolicy.retryAfter(request.route, path))
-    }
-
-    private fun refusalReason(
-        request: RelayedRequest,
-        prompt: Prompt,
-        view: EngineView,
-        path: EnginePath,
-        now: Instant,
-    ): NotRun? {
-        val urgency = request.route.urgency
-        return when {
-            LatencyAdmissionPolicy.isTooLate(request.route, path, request.deadline - now) -> NotRun.LATE_ALREADY
-            urgency > 0 && !EnginePlanner.hasRoom(view, prompt, urgency) -> NotRun.ROOM_RESERVED
-            else -> null
-        }
-    }
-
     private suspend fun prefillRemotely(
         request: RelayedRequest,
         prompt: Prompt,
@@ -139,7 +109,7 @@
             prefillRun.release(source)
             return EngineStep.Finished(timedOut(tracker.progress))
         }
-        val view = candidates.view(candidates.of(request, tracker.progress, now), properties, request.pool)
+        val view = candidates.view(candidates.of(request, tracker.progress, now), properties, request)
         val chosen = EnginePlanner.chooseDecodeEngine(view, prompt, now, random)
         if (chosen == null || !retryLimiter.tryAcquire(request, tracker.progress, RetryReason.ATTEMPT_REFUSED, now)) {
             prefillRun.release(source)
@@ -236,7 +206,7 @@
         properties: EngineProperties,
         engine: BackendEntry,
         prompt: Prompt,
-    ): Duration = EnginePlanner.prefillTime(candidates.view(listOf(engine), properties, request.pool), engine, prompt)
+    ): Duration = EnginePlanner.prefillTime(candidates.view(listOf(engine), properties, request), engine, prompt)
 
     private fun orderFor(
         request: RelayedRequest,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -77,6 +77,7 @@
     EngineRelay(
         tables = tables,
         candidates = candidates,
+        admission = GenerationAdmission(tables, ports.observations),
         retryLimiter = retryLimiter,
         prefillRun = prefillRun,
         backendRun = backendRun,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
@@ -13,6 +13,7 @@
 import org.acaciaflow.state.identity.RouteName
 import org.acaciaflow.state.load.EngineRates
 import org.acaciaflow.state.load.FleetLoad
+import org.acaciaflow.state.load.MeanPrefill
 import org.acaciaflow.state.lock.LockOrder
 import org.acaciaflow.state.peer.Peers
 import org.acaciaflow.state.prompt.PromptCache
@@ -29,6 +30,7 @@
     internal val turns: SharedTable<PersistentList<PendingTurn>>,
     val fleet: SharedTable<Fleet>,
     val reliability: SharedTable<PersistentMap<BackendLife, ReliabilityRecord>>,
+    val meanPrefills: SharedTable<PersistentMap<RouteName, MeanPrefill>>,
     val caches: SharedTable<PersistentMap<BackendLife, PromptCache>>,
     val reads: RecentReads,
     val load: SharedTable<FleetLoad>,
@@ -46,6 +48,7 @@
         turns = createSharedTable(LockOrder.REQUEST_TURNS, persistentListOf()),
         fleet = createSharedTable(LockOrder.FLEET, Fleet.NONE),
         reliability = createSharedTable(LockOrder.RELIABILITY, persistentMapOf()),
+        meanPrefills = createSharedTable(LockOrder.MEAN_PREFILLS, persistentMapOf()),
         caches = createSharedTable(LockOrder.PROMPT_CACHES, persistentMapOf()),
         reads = RecentReads(createSharedTable(LockOrder.RECENT_READS, persistentListOf())),
         load = createSharedTable(LockOrder.FLEET_LOAD, FleetLoad.NONE),
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/engine/EnginePlannerTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/engine/EnginePlannerTest.kt
@@ -257,6 +257,7 @@
         caches = persistentMapOf(),
         reliability = persistentMapOf(),
         rates = RateEstimator.INITIAL,
+        averagePrefill = null,
         properties = ENGINE_PROPERTIES,
         ownDataCentre = OWN_DATA_CENTRE,
     )
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/load/FleetSimulation.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/load/FleetSimulation.kt
@@ -199,6 +199,7 @@
         caches = persistentMapOf(),
         reliability = persistentMapOf(),
         rates = RateEstimator.INITIAL,
+        averagePrefill = null,
         properties = PROPERTIES,
         ownDataCentre = OWN_DATA_CENTRE,
     )
--- a/standin/src/main/kotlin/org/acaciaflow/standin/load/DecisionCostCommand.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/load/DecisionCostCommand.kt
@@ -83,6 +83,7 @@
             caches = caches,
             reliability = persistentMapOf(),
             rates = RateEstimator.INITIAL,
+            averagePrefill = null,
             properties = PROPERTIES,
             ownDataCentre = DataCentre("centre-1"),
         )
--- a/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
@@ -18,6 +18,7 @@
     BACKEND_SERVERS(40),
     FLEET(42),
     RELIABILITY(44),
+    MEAN_PREFILLS(45),
     PROMPT_CACHES(46),
     RECENT_READS(47),
     FLEET_LOAD(48),
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -33,7 +33,8 @@
     private fun declined(decision: Decision.Declined): String =
         commonFields("declined", decision) + requestFields(decision.request) + " reason=${decision.reason.code}" +
             backendFields(decision.path.prefilledBy, decision.load, decision.path.predicted, decision.at) +
-            " waiting-ms=${decision.path.waiting.inWholeMilliseconds} work-ms=${decision.path.work.inWholeMilliseconds}" +
+            " waiting-ms=${decision.path.waiting.inWholeMilliseconds}" +
+            " work-ms=${decision.path.work.inWholeMilliseconds}" +
             " target-ms=${decision.request.route.target.inWholeMilliseconds}"
 
     /** The known load of [backend] and the age of what is known of the other gateways' loads. */
