Log the shared prompt parts of a request with the outcome of each attempt

Change: shared-parts on lines of kind ran; Prompt.sharedParts replaces two copies of the same expression. Checks: DecisionFormatterTest, EnginePlannerTest, format check of the modules.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EngineCosts.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/engine/EngineCosts.kt
@@ -38,8 +38,7 @@
             excess * UNRELIABLE_COST + remote
     }
 
-    /** The tokens of the parts that other prompts may share; the last part belongs to this prompt alone. */
-    private val sharedTokens = prompt.parts.dropLast(1).sumOf { it.tokens }
+    private val sharedTokens = prompt.sharedParts.sumOf { it.tokens }
 
     private fun rereadCost(engine: BackendEntry): Double {
         val reread = mostCached - cached.getValue(engine.life)
@@ -85,8 +84,7 @@
             prompt: Prompt,
         ): BackendEntry? {
             val key =
-                prompt.parts
-                    .dropLast(1)
+                prompt.sharedParts
                     .maxByOrNull { it.tokens }
                     ?.key ?: return null
             val prefillEngines = view.engines.filter { it.role == EngineRole.PREFILL }
--- a/state/src/main/kotlin/org/acaciaflow/state/prompt/Prompt.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/prompt/Prompt.kt
@@ -19,7 +19,11 @@
     val parts: PersistentList<PromptPart>,
     val promptTokens: Int,
     val maximumOutputTokens: Int,
-)
+) {
+    /** The parts that other prompts may share. */
+    val sharedParts: List<PromptPart>
+        get() = parts.dropLast(1)
+}
 
 /** The cache key of the prompt part that callers identify as [identity], for [model]. */
 fun promptPartKey(
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -52,7 +52,16 @@
     }
 
     private fun ran(decision: Decision.Ran): String =
-        commonFields("ran", decision) + " backend=${decision.backend.life.instance} outcome=\"${decision.outcome}\""
+        commonFields("ran", decision) + " backend=${decision.backend.life.instance} outcome=\"${decision.outcome}\"" +
+            " shared-parts=${sharedParts(decision.request)}"
+
+    /** The keys of the prompt parts that other requests may share, or `none`. */
+    private fun sharedParts(request: RelayedRequest): String =
+        request.facts.prompt
+            ?.sharedParts
+            .orEmpty()
+            .joinToString(",") { it.key.toULong().toString(HEXADECIMAL) }
+            .ifEmpty { "none" }
 
     private fun refused(decision: Decision.Refused): String =
         commonFields("refused", decision) + " host=${decision.host} path=${decision.path}" +
@@ -80,4 +89,6 @@
     private fun requestFields(request: RelayedRequest): String =
         " route=${request.route.name.name} configuration=${request.version} pool=${request.pool.name}" +
             " prompt-tokens=${request.facts.prompt?.promptTokens ?: 0}"
+
+    private const val HEXADECIMAL = 16
 }
