Show that a crashing prompt part reaches server after server (KNOWN-RED)

Test: CrashingPartTest fails: all 120 sends of 60 requests with the part reach servers. Its second test, on sound requests, passes and has to go on passing.

--- /dev/null
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/CrashingPartTest.kt
@@ -0,0 +1,124 @@
+package org.acaciaflow.coordination.relay
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.acaciaflow.coordination.port.AttemptEvent
+import org.acaciaflow.coordination.port.AttemptStream
+import org.acaciaflow.coordination.port.BackendConnections
+import org.acaciaflow.coordination.port.CacheSource
+import org.acaciaflow.coordination.port.CallBody
+import org.acaciaflow.coordination.port.PrefillOutcome
+import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.coordination.retry.RetryBounds
+import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.prompt.Prompt
+import org.acaciaflow.state.prompt.PromptPart
+import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.route.RequestKind
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class CrashingPartTest : AnnotationSpec() {
+    private val route = route(RequestKind.EventStream(resumable = true), ENGINE_POOL)
+    private val engines = (1..6).map { backend("decode-$it", ENGINE_POOL, EngineRole.DECODE) }
+    private val first = PromptPart(1, 100)
+    private val deadly = PromptPart(666, 40)
+
+    // Guards against requests that share a crashing prompt part, none like another, crashing one server after the other.
+    @Test
+    fun `a prompt part that crashes servers stops reaching them although no two requests are alike`() =
+        runTest {
+            val fleet = CrashingFleet(tablesWith(route, engines))
+
+            repeat(60) { number ->
+                serve(fleet, number, listOf(first, deadly))
+                repeat(3) { serve(fleet, 1_000 + number * 10 + it, listOf(first, PromptPart(20L + it, 40))) }
+            }
+
+            fleet.deadlyOrders shouldBeLessThanOrEqual 5
+        }
+
+    // Guards against refusing sound requests that share their first part with the crashing ones.
+    @Test
+    fun `sound requests with the same first part go on while a part crashes servers`() =
+        runTest {
+            val fleet = CrashingFleet(tablesWith(route, engines))
+
+            val served =
+                (0 until 60).flatMap { number ->
+                    serve(fleet, number, listOf(first, deadly))
+                    (0..2).map { serve(fleet, 1_000 + number * 10 + it, listOf(first, PromptPart(20L + it, 40))) }
+                }
+
+            served.count { it } shouldBe served.size
+        }
+
+    /** Sends a request with [sharedParts] and a part of its own; returns true if it was answered completely. */
+    private suspend fun TestScope.serve(
+        fleet: CrashingFleet,
+        number: Int,
+        sharedParts: List<PromptPart>,
+    ): Boolean {
+        val parts = persistentListOf<PromptPart>().addAll(sharedParts).add(PromptPart(10_000L + number, 30))
+        val prompt = Prompt(parts, parts.sumOf { it.tokens }, 10)
+        fleet.startsDeadly = deadly in sharedParts
+        val caller = FakeCaller("/calls/$number")
+        relayOn(fleet, prompt).accept(caller)
+        return caller.ended
+    }
+
+    private fun TestScope.relayOn(
+        fleet: CrashingFleet,
+        prompt: Prompt,
+    ): RequestRelay {
+        val clock =
+            object : Clock {
+                override fun now(): Instant = Instant.fromEpochMilliseconds(1_000_000 + currentTime)
+            }
+        val ports =
+            RelayPorts(fleet, FakeDialect(prompt), LetterFraming, FakeObservations(), clock, Random(3), this)
+        return createRequestRelay(fleet.tables, ports, OWN_DATA_CENTRE, RetryBounds(0.2, 1000.0, 10.seconds))
+    }
+}
+
+/** Servers that crash, and start again as another life, when they start to write an answer to a deadly request. */
+private class CrashingFleet(
+    val tables: RelayTables,
+) : BackendConnections {
+    private val sound = ScriptedConnections(MutableList(1_000) { Reaction.Streams(breakAt = null) })
+    var startsDeadly = false
+    var deadlyOrders = 0
+        private set
+
+    override suspend fun open(
+        order: RunOrder,
+        body: CallBody,
+    ): AttemptStream {
+        if (!startsDeadly) return sound.open(order, body)
+        deadlyOrders += 1
+        val life = order.backend.life
+        val restarted = order.backend.copy(life = life.copy(startedAtMilliseconds = life.startedAtMilliseconds + 1))
+        tables.fleet.update { it.copy(entries = it.entries.put(life.instance, restarted)) }
+        return CrashedStream
+    }
+
+    override suspend fun prefill(
+        order: RunOrder,
+        body: CallBody,
+    ): PrefillOutcome = sound.prefill(order, body)
+
+    override fun release(cache: CacheSource) = sound.release(cache)
+}
+
+private data object CrashedStream : AttemptStream {
+    override suspend fun next(): AttemptEvent = AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED)
+
+    override fun cancel() = Unit
+}
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeFrontEnd.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeFrontEnd.kt
@@ -20,8 +20,10 @@
 import kotlin.time.Duration
 
 /** A caller that records the answer that it receives. */
-internal class FakeCaller : CallerExchange {
-    override val call = CallHead("POST", "/calls/1", persistentListOf())
+internal class FakeCaller(
+    target: String = "/calls/1",
+) : CallerExchange {
+    override val call = CallHead("POST", target, persistentListOf())
     override val body =
         object : CallBody {
             override val buffered = BODY
