Quarantine prompt parts that crash servers, not only whole requests

What callers would see: streams of all kinds broken off every few seconds and two thirds of the requests refused meanwhile, since requests with one prompt part, none like another, crash each server that starts on them. Cause: CrashQuarantine knew requests by method, target and body alone, so no request reached its limit. It was asked at admission only, and a crash was told to other gateways for 5 s without its age, so that a gateway which starts later never learned of it. Change: a crash puts what was starting at the server under suspicion, requests and their shared parts; being served clears a subject of the crashes before; a part is refused after three crashes, for 120 s and with Retry-After. It is asked before each send. Reports tell quarantines as long as they last, with ages, and what was served.

--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashRecorder.kt
@@ -0,0 +1,56 @@
+package org.acaciaflow.coordination.crash
+
+import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.state.crash.CrashReports
+import org.acaciaflow.state.crash.CrashSubject
+import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.state.table.SharedTable
+import org.acaciaflow.state.table.Transition
+import kotlin.time.Instant
+
+/** Records crashes and served requests in the shared table, and reports subjects that come into quarantine. */
+internal class CrashRecorder(
+    private val crashes: SharedTable<CrashReports>,
+    private val observations: Observations,
+) {
+    /** Records that [life] crashed at [now] while it started on a request with [subjects]. */
+    fun crashed(
+        subjects: List<CrashSubject>,
+        life: BackendLife,
+        now: Instant,
+    ) = subjects.forEach { crashed(it, life.code, now, now) }
+
+    /** Records that the life with the code [lifeCode] crashed at time [at] while it started on [subject]. */
+    fun crashed(
+        subject: CrashSubject,
+        lifeCode: Int,
+        at: Instant,
+        now: Instant,
+    ) {
+        val since =
+            crashes.transition { reports ->
+                val next = CrashQuarantine.crashed(reports, subject, lifeCode, at)
+                val wasQuarantined = isQuarantined(reports, subject, now)
+                Transition(next, !wasQuarantined && isQuarantined(next, subject, now))
+            }
+        if (since) observations.event(Event.CrashSubjectQuarantined(subject))
+    }
+
+    /** Records that a request with [subjects] was served completely at time [at]. */
+    fun served(
+        subjects: List<CrashSubject>,
+        at: Instant,
+    ) {
+        val known = crashes.snapshot().bySubject
+        val suspects = subjects.filter { it in known }
+        if (suspects.isEmpty()) return
+        crashes.update { reports -> suspects.fold(reports) { rest, next -> CrashQuarantine.served(rest, next, at) } }
+    }
+
+    private fun isQuarantined(
+        reports: CrashReports,
+        subject: CrashSubject,
+        now: Instant,
+    ): Boolean = CrashQuarantine.quarantinedUntil(reports, listOf(subject), now) != null
+}
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -4,6 +4,7 @@
 import org.acaciaflow.coordination.port.DocumentFault
 import org.acaciaflow.coordination.port.StoreFailure
 import org.acaciaflow.coordination.routing.ConfigurationOrigin
+import org.acaciaflow.state.crash.CrashSubject
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.identity.HostAddress
@@ -170,6 +171,10 @@
         val digest: RequestDigest,
     ) : Event(EventKind.CRASH_QUARANTINED)
 
+    data class CrashSubjectQuarantined(
+        val subject: CrashSubject,
+    ) : Event(EventKind.CRASH_SUBJECT_QUARANTINED)
+
     data class WorkerFailed(
         val cause: Throwable,
     ) : Event(EventKind.WORKER_FAILED)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/load/LoadLedger.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/load/LoadLedger.kt
@@ -19,8 +19,10 @@
         work: Duration,
         tokens: Int,
         now: Instant,
-    ): FleetLoad =
-        changed(load, life) { it.copy(jobs = it.jobs.put(job, OutstandingJob(work, tokens, now, producing = false))) }
+    ): FleetLoad {
+        val added = OutstandingJob(work, tokens, now, firstResultAt = null)
+        return changed(load, life) { it.copy(jobs = it.jobs.put(job, added)) }
+    }
 
     /** Marks a job as producing and records that data of its stream arrived at [now]. */
     fun producing(
@@ -32,7 +34,7 @@
         changed(load, life) { backend ->
             val known = backend.jobs[job] ?: return@changed backend
             backend.copy(
-                jobs = backend.jobs.put(job, known.copy(producing = true)),
+                jobs = backend.jobs.put(job, known.copy(firstResultAt = known.firstResultAt ?: now)),
                 lastResultAt = if (known.producing) backend.lastResultAt else now,
                 lastReceivedAt = now,
             )
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
@@ -1,7 +1,7 @@
 package org.acaciaflow.coordination.peer
 
 import kotlinx.collections.immutable.toPersistentList
-import org.acaciaflow.coordination.crash.CrashQuarantine
+import org.acaciaflow.coordination.crash.CrashRecorder
 import org.acaciaflow.coordination.engine.PromptCaches
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.fleet.FleetChanges
@@ -12,7 +12,6 @@
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.peer.Peer
 import org.acaciaflow.state.peer.PeerReport
-import org.acaciaflow.state.peer.ReportedCrash
 import org.acaciaflow.state.table.Transition
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -26,6 +25,7 @@
     private val loadExchange: LoadExchange,
     private val observations: Observations,
 ) {
+    private val crashGossip = CrashGossip(tables.crashes, CrashRecorder(tables.crashes, observations))
     private var sequence = 0L
 
     /** Builds the next report as of [now]; the prompts in it are left out of later reports. */
@@ -39,7 +39,6 @@
             fleet.entries.values
                 .map { it.life }
                 .toSet()
-        val crashes = tables.crashes.snapshot().byDigest
         return PeerReport(
             sender = self.address,
             startedAtMilliseconds = self.startedAtMilliseconds,
@@ -59,11 +58,8 @@
                     .map { it.code }
                     .toPersistentList(),
             unheard = unresponsiveServers(now).map { it.code }.toPersistentList(),
-            crashes =
-                crashes
-                    .flatMap { (digest, lives) -> crashedRecently(lives, now).map { ReportedCrash(digest, it.code) } }
-                    .take(MAXIMUM_CRASHES)
-                    .toPersistentList(),
+            crashes = crashGossip.reportedCrashes(now),
+            served = crashGossip.reportedServed(now),
         )
     }
 
@@ -82,10 +78,7 @@
             val until = now + SUSPICION_PERIOD
             tables.load.update { it.copy(suspected = it.suspected.putAll(suspected.associateWith { until })) }
         }
-        for (crash in report.crashes) {
-            val life = lives[crash.lifeCode] ?: continue
-            tables.crashes.update { CrashQuarantine.reportedByPeer(it, crash.digest, life, now) }
-        }
+        crashGossip.receive(report, now)
     }
 
     /** Removes the peers whose last report is older than [PEER_TIMEOUT] as of [now]. */
@@ -190,11 +183,6 @@
         return silent + unreachable
     }
 
-    private fun crashedRecently(
-        lives: Map<BackendLife, Instant>,
-        now: Instant,
-    ): List<BackendLife> = lives.filterValues { now - it < CRASH_REPORT_PERIOD }.keys.toList()
-
     private enum class Recency {
         FIRST,
         NEWER,
@@ -202,8 +190,6 @@
     }
 
     private companion object {
-        const val MAXIMUM_CRASHES = 32 // so that a report fits into one datagram
-        val CRASH_REPORT_PERIOD: Duration = 5.seconds
         val SUSPICION_PERIOD: Duration = 600.milliseconds // renewed by the next reports while the suspicion lasts
         val PEER_TIMEOUT: Duration = 3.seconds
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -1,6 +1,6 @@
 package org.acaciaflow.coordination.relay
 
-import org.acaciaflow.coordination.crash.CrashQuarantine
+import org.acaciaflow.coordination.crash.CrashRecorder
 import org.acaciaflow.coordination.fleet.FleetChanges
 import org.acaciaflow.coordination.gateway.StreamFraming
 import org.acaciaflow.coordination.gateway.sendWhole
@@ -25,6 +25,7 @@
 /** Sends a request to one backend server and relays its answer to the caller. */
 internal class BackendRun(
     private val tables: RelayTables,
+    private val crashes: CrashRecorder,
     private val connections: BackendConnections,
     private val framing: StreamFraming,
     private val jobs: JobIdentityAllocator,
@@ -58,7 +59,7 @@
             val stalled = watchdog.stalled && relayOutcome is RunOutcome.Broken
             val outcome = if (stalled) RunOutcome.Broken(MayHaveRun.STREAM_STALLED) else relayOutcome
             tracker.update { it.copy(attemptInFlight = false) }
-            recordVerdict(request, life, outcome)
+            recordVerdict(request, life, job, outcome)
             return outcome
         } finally {
             tables.load.update { LoadLedger.ended(it, life, job, clock.now()) }
@@ -176,6 +177,7 @@
     private fun recordVerdict(
         request: RelayedRequest,
         life: BackendLife,
+        job: JobIdentity,
         outcome: RunOutcome,
     ) {
         val now = clock.now()
@@ -188,11 +190,47 @@
                 is RunOutcome.Failed -> RunVerdict.FAILED
             }
         tables.reliability.update { ReliabilityPolicy.recorded(it, life, verdict, now) }
-        if (outcome is RunOutcome.Broken && outcome.reason == MayHaveRun.BACKEND_CRASHED) {
-            tables.crashes.update { CrashQuarantine.reported(it, request.digest, life, now) }
+        recordCrashEvidence(request, life, job, outcome, now)
+    }
+
+    private fun recordCrashEvidence(
+        request: RelayedRequest,
+        life: BackendLife,
+        job: JobIdentity,
+        outcome: RunOutcome,
+        now: Instant,
+    ) {
+        when (outcome) {
+            is RunOutcome.Delivered -> {
+                if (outcome.status < FIRST_FAILURE_STATUS) crashes.served(request.crashSubjects, now)
+            }
+
+            is RunOutcome.Broken -> {
+                val crashed = outcome.reason == MayHaveRun.BACKEND_CRASHED
+                if (crashed && wasStarting(life, job, now)) crashes.crashed(request.crashSubjects, life, now)
+            }
+
+            RunOutcome.CallerGone, is RunOutcome.NotExecuted, is RunOutcome.Failed -> {
+                Unit
+            }
         }
     }
 
+    /** Returns true if [job] at [life] has no result as of [now] or had its first one just before. */
+    private fun wasStarting(
+        life: BackendLife,
+        job: JobIdentity,
+        now: Instant,
+    ): Boolean {
+        val jobs =
+            tables.load
+                .snapshot()
+                .ownAt(life)
+                .jobs
+        val firstResultAt = jobs[job]?.firstResultAt ?: return true
+        return now - firstResultAt < START_PERIOD
+    }
+
     private fun verdictOf(
         life: BackendLife,
         reason: AttemptRefusal,
@@ -203,6 +241,7 @@
 
     private companion object {
         const val FIRST_FAILURE_STATUS = 400
+        val START_PERIOD: Duration = 250.milliseconds // the first event may arrive before the server has crashed
         val LOAD_UPDATE_INTERVAL: Duration = 50.milliseconds // load predictions need no finer resolution
     }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Conclusions.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Conclusions.kt
@@ -17,6 +17,16 @@
     }
 }
 
+/** Returns the conclusion of a request whose quarantine for crashes goes on for [left]. */
+internal fun quarantined(
+    progress: RelayProgress,
+    left: Duration,
+): Conclusion =
+    when (progress.mayHaveRun) {
+        null -> Conclusion.NotExecuted(NotRun.CRASH_SUSPECT, retryAfter = left)
+        else -> uncertain(progress, MayHaveRun.CRASH_SUSPECT)
+    }
+
 /** Returns the conclusion of a request that may have been executed. */
 internal fun uncertain(
     progress: RelayProgress,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -22,6 +22,7 @@
     private val tables: RelayTables,
     private val candidates: Candidates,
     private val admission: GenerationAdmission,
+    private val quarantine: QuarantineCheck,
     private val retryLimiter: RetryLimiter,
     private val prefillRun: PrefillRun,
     private val backendRun: BackendRun,
@@ -40,6 +41,7 @@
         while (true) {
             val now = clock.now()
             if (now >= request.deadline) return timedOut(tracker.progress)
+            quarantine.conclusion(request, tracker.progress, now)?.let { return it }
             val view = candidates.view(candidates.of(request, tracker.progress, now), properties, request)
             val path =
                 EnginePlanner.choose(view, prompt, request.route, now, random)
@@ -105,9 +107,10 @@
         tracker: RelayProgressTracker,
     ): EngineStep {
         val now = clock.now()
-        if (now >= request.deadline) {
+        val quarantined = quarantine.conclusion(request, tracker.progress, now)
+        if (quarantined != null || now >= request.deadline) {
             prefillRun.release(source)
-            return EngineStep.Finished(timedOut(tracker.progress))
+            return EngineStep.Finished(quarantined ?: timedOut(tracker.progress))
         }
         val view = candidates.view(candidates.of(request, tracker.progress, now), properties, request)
         val chosen = EnginePlanner.chooseDecodeEngine(view, prompt, now, random)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -17,6 +17,7 @@
 internal class PlainRelay(
     private val tables: RelayTables,
     private val candidates: Candidates,
+    private val quarantine: QuarantineCheck,
     private val retryLimiter: RetryLimiter,
     private val backendRun: BackendRun,
     private val ownDataCentre: DataCentre,
@@ -33,6 +34,7 @@
         while (true) {
             val now = clock.now()
             if (now >= request.deadline) return timedOut(tracker.progress)
+            quarantine.conclusion(request, tracker.progress, now)?.let { return it }
             val usable = candidates.of(request, tracker.progress, now)
             val chosen = choose(usable, now) ?: return noAttemptLeft(tracker.progress)
             if (!retryLimiter.tryAcquire(request, tracker.progress, reason, now)) return noAttemptLeft(tracker.progress)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
@@ -5,6 +5,7 @@
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.routing.RouteLookup
 import org.acaciaflow.state.bytes.fingerprintOf
+import org.acaciaflow.state.crash.crashSubjectsOf
 import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.route.Route
 import org.acaciaflow.state.route.RoutingConfiguration
@@ -34,9 +35,8 @@
             return refused(NotRun.STOPPING, STOPPING_RETRY_AFTER, configuration)
         }
         val request = requestOf(exchange, facts, route, configuration, now)
-        if (CrashQuarantine.isQuarantined(tables.crashes.snapshot(), request.digest, now)) {
-            return refused(NotRun.CRASH_SUSPECT, retryAfter = null, configuration)
-        }
+        val quarantineEnd = CrashQuarantine.quarantinedUntil(tables.crashes.snapshot(), request.crashSubjects, now)
+        if (quarantineEnd != null) return refused(NotRun.CRASH_SUSPECT, quarantineEnd - now, configuration)
         return Admission.Admitted(request)
     }
 
@@ -62,7 +62,7 @@
             pool = pool,
             service = configuration.services[pool],
             version = configuration.version,
-            digest = digest,
+            crashSubjects = crashSubjectsOf(digest, facts.prompt),
             arrivedAt = now,
             deadline = now + minOf(route.timeout, facts.timeLimit ?: route.timeout),
         )
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.coordination.relay
 
 import kotlinx.coroutines.CoroutineScope
+import org.acaciaflow.coordination.crash.CrashRecorder
 import org.acaciaflow.coordination.gateway.StreamFraming
 import org.acaciaflow.coordination.port.BackendConnections
 import org.acaciaflow.coordination.port.CallerDialect
@@ -32,7 +33,8 @@
     val candidates = Candidates(tables, dataCentre)
     val retryLimiter = RetryLimiter(tables, candidates, bounds, ports.observations)
     val jobIdentities = JobIdentityAllocator()
-    val backendRun = BackendRun(tables, ports.connections, ports.framing, jobIdentities, ports.clock)
+    val crashes = CrashRecorder(tables.crashes, ports.observations)
+    val backendRun = BackendRun(tables, crashes, ports.connections, ports.framing, jobIdentities, ports.clock)
     val prefillRun = PrefillRun(tables, ports.connections, jobIdentities, ports.clock)
     return RequestRelay(
         dialect = ports.dialect,
@@ -58,6 +60,7 @@
     PlainRelay(
         tables = tables,
         candidates = candidates,
+        quarantine = QuarantineCheck(tables),
         retryLimiter = retryLimiter,
         backendRun = backendRun,
         ownDataCentre = dataCentre,
@@ -78,6 +81,7 @@
         tables = tables,
         candidates = candidates,
         admission = GenerationAdmission(tables, ports.observations),
+        quarantine = QuarantineCheck(tables),
         retryLimiter = retryLimiter,
         prefillRun = prefillRun,
         backendRun = backendRun,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayedRequest.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayedRequest.kt
@@ -1,7 +1,9 @@
 package org.acaciaflow.coordination.relay
 
+import kotlinx.collections.immutable.PersistentList
 import org.acaciaflow.coordination.port.CallFacts
 import org.acaciaflow.coordination.port.CallerExchange
+import org.acaciaflow.state.crash.CrashSubject
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.route.Route
 import org.acaciaflow.state.route.RoutedService
@@ -10,8 +12,8 @@
 /**
  * An admitted request; [version] is the configuration version that it was admitted under.
  *
- * [service] is null when the configuration does not describe the pool. [digest] is a fingerprint of the method, the
- * target and the buffered body.
+ * [service] is null when the configuration does not describe the pool. [crashSubjects] is what in it
+ * may crash backend servers.
  */
 data class RelayedRequest(
     val exchange: CallerExchange,
@@ -20,7 +22,7 @@
     val pool: PoolName,
     val service: RoutedService?,
     val version: Long,
-    val digest: Long,
+    val crashSubjects: PersistentList<CrashSubject>,
     val arrivedAt: Instant,
     val deadline: Instant,
 ) {
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/crash/CrashQuarantineTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/crash/CrashQuarantineTest.kt
@@ -3,33 +3,81 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
 import org.acaciaflow.state.crash.CrashReports
-import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.state.crash.CrashSubject
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 class CrashQuarantineTest : AnnotationSpec() {
     private val now = Instant.fromEpochSeconds(1_000)
-    private val lives = listOf(BackendLife("first", 1), BackendLife("second", 1))
+    private val request = CrashSubject.Request(7)
+    private val part = CrashSubject.Part(8)
 
     @Test
     fun `gateways that tell each other of the same crashes do not renew them`() {
-        var reports =
-            lives.fold(
-                CrashReports.NONE,
-            ) { known, life -> CrashQuarantine.reported(known, DIGEST, life, now) }
+        var reports = crashes(CrashReports.NONE, request, lives = 1..2, now)
 
         for (second in 1..130) {
-            reports =
-                lives.fold(reports) { known, life ->
-                    CrashQuarantine.reportedByPeer(known, DIGEST, life, now + second.seconds)
-                }
+            reports = crashes(reports, request, lives = 1..2, now + second.seconds)
         }
 
-        CrashQuarantine.isQuarantined(reports, DIGEST, now + 100.seconds) shouldBe true
-        CrashQuarantine.isQuarantined(reports, DIGEST, now + 125.seconds) shouldBe false
+        isQuarantined(reports, request, now + 100.seconds) shouldBe true
+        isQuarantined(reports, request, now + 125.seconds) shouldBe false
     }
 
-    private companion object {
-        const val DIGEST = 7L
+    // Guards against blaming a sound part, which is at many crashes that others cause.
+    @Test
+    fun `a part that is served between crashes is not quarantined however many there are`() {
+        var reports = CrashReports.NONE
+
+        for (crash in 1..20) {
+            val at = now + crash.seconds
+            reports = CrashQuarantine.crashed(reports, part, lifeCode = crash, at)
+            reports = CrashQuarantine.served(reports, part, at + 0.5.seconds)
+        }
+
+        isQuarantined(reports, part, now + 21.seconds) shouldBe false
+    }
+
+    @Test
+    fun `a report of a crash that arrives after a later answer does not count`() {
+        var reports = crashes(CrashReports.NONE, part, lives = 1..1, now)
+        reports = CrashQuarantine.served(reports, part, now + 2.seconds)
+
+        reports = crashes(reports, part, lives = 2..4, now + 1.seconds)
+
+        isQuarantined(reports, part, now + 3.seconds) shouldBe false
+    }
+
+    @Test
+    fun `one more crash after the end of a quarantine renews it`() {
+        var reports = crashes(CrashReports.NONE, part, lives = 1..3, now)
+        val later = now + 4.minutes
+        reports = CrashQuarantine.pruned(reports, later)
+        isQuarantined(reports, part, later) shouldBe false
+
+        reports = crashes(reports, part, lives = 4..4, later)
+
+        isQuarantined(reports, part, later + 1.seconds) shouldBe true
+    }
+
+    @Test
+    fun `suspects that crashed nothing else are forgotten`() {
+        val reports = crashes(CrashReports.NONE, part, lives = 1..1, now)
+
+        CrashQuarantine.pruned(reports, now + 3.minutes) shouldBe CrashReports.NONE
     }
+
+    private fun crashes(
+        reports: CrashReports,
+        subject: CrashSubject,
+        lives: IntRange,
+        at: Instant,
+    ) = lives.fold(reports) { known, life -> CrashQuarantine.crashed(known, subject, life, at) }
+
+    private fun isQuarantined(
+        reports: CrashReports,
+        subject: CrashSubject,
+        at: Instant,
+    ) = CrashQuarantine.quarantinedUntil(reports, listOf(subject), at) != null
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RelayFixtures.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RelayFixtures.kt
@@ -104,7 +104,7 @@
         pool = SERVICE_POOL,
         service = null,
         version = 1,
-        digest = 1,
+        crashSubjects = persistentListOf(),
         arrivedAt = Instant.DISTANT_PAST,
         deadline = Instant.DISTANT_PAST,
     )
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
@@ -12,9 +12,9 @@
 import org.acaciaflow.state.peer.LoadShare
 import org.acaciaflow.state.peer.PeerDatagram
 import org.acaciaflow.state.peer.PeerReport
-import org.acaciaflow.state.peer.ReportedCrash
 import org.acaciaflow.state.peer.ReportedRead
 import org.acaciaflow.state.prompt.PromptPart
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Encodes and decodes the datagrams that gateways exchange: one byte for the kind of message, then CBOR. */
@@ -148,11 +148,18 @@
             partTokens = report.reads.flatMap { read -> read.parts.map { it.tokens } },
             leaving = report.leaving,
             unheard = report.unheard,
-            crashDigests = report.crashes.map { it.digest },
+            crashSubjects = report.crashes.map { numberOf(it.subject) },
             crashLives = report.crashes.map { it.lifeCode },
+            crashKinds = report.crashes.map { kindCodeOf(it.subject) },
+            crashAgesMilliseconds = report.crashes.map { millisecondsOf(it.age) },
+            servedSubjects = report.served.map { numberOf(it.subject) },
+            servedKinds = report.served.map { kindCodeOf(it.subject) },
+            servedAgesMilliseconds = report.served.map { millisecondsOf(it.age) },
         )
     }
 
+    private fun millisecondsOf(age: Duration): Int = age.inWholeMilliseconds.toInt()
+
     private fun reportOf(message: PeerMessage): DecodedDatagram {
         val sender = parseHostAddress(message.address)
         if (message.form != FORMAT_VERSION || sender == null) return UNDECODABLE
@@ -169,7 +176,8 @@
                 reads = readsOf(message),
                 leaving = message.leaving.toPersistentList(),
                 unheard = message.unheard.toPersistentList(),
-                crashes = message.crashDigests.zip(message.crashLives, ::ReportedCrash).toPersistentList(),
+                crashes = crashesOf(message),
+                served = servedOf(message),
             ),
         )
     }
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
@@ -9,7 +9,8 @@
  *
  * Lists whose names share a prefix are parallel: `load` lists have one entry for each reported load, `read` lists one
  * for each reported prompt. [partKeys] and [partTokens] hold the parts of all prompts in order;
- * [readPartCounts] is the number of parts of each prompt.
+ * [readPartCounts] is the number of parts of each prompt. The `crash` lists have one entry for each reported crash, the
+ * `served` lists one for each subject that was served; kinds are those of [CrashSubjectCode].
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -28,11 +29,22 @@
     @CborLabel(11) val partKeys: List<Long> = emptyList(),
     @CborLabel(12) val partTokens: List<Int> = emptyList(),
     @CborLabel(13) val leaving: List<Int> = emptyList(),
-    @CborLabel(14) val crashDigests: List<Long> = emptyList(),
+    @CborLabel(14) val crashSubjects: List<Long> = emptyList(),
     @CborLabel(15) val crashLives: List<Int> = emptyList(),
     @CborLabel(17) val loadKiloTokens: List<Int> = emptyList(),
     @CborLabel(16) val unheard: List<Int> = emptyList(),
     @CborLabel(18) val loadWaiting: List<Int> = emptyList(),
     @CborLabel(19) val dataCentre: String = "",
     @CborLabel(20) val capacity: Double = 0.0,
+    @CborLabel(21) val crashKinds: List<Int> = emptyList(),
+    @CborLabel(22) val crashAgesMilliseconds: List<Int> = emptyList(),
+    @CborLabel(23) val servedSubjects: List<Long> = emptyList(),
+    @CborLabel(24) val servedKinds: List<Int> = emptyList(),
+    @CborLabel(25) val servedAgesMilliseconds: List<Int> = emptyList(),
 )
+
+/** Codes of the kinds of crash subjects in [PeerMessage]. */
+internal object CrashSubjectCode {
+    const val REQUEST = 0
+    const val PART = 1
+}
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerCodecTest.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerCodecTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
+import org.acaciaflow.state.crash.CrashSubject
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.load.RemoteLoad
@@ -14,6 +15,7 @@
 import org.acaciaflow.state.peer.ReportedCrash
 import org.acaciaflow.state.peer.ReportedLoad
 import org.acaciaflow.state.peer.ReportedRead
+import org.acaciaflow.state.peer.ReportedServed
 import org.acaciaflow.state.prompt.PromptPart
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -95,6 +97,11 @@
         reads = (1..reads).map { ReportedRead(it, persistentListOf(PromptPart(it.toLong(), 5))) }.toPersistentList(),
         leaving = persistentListOf(1, -2),
         unheard = persistentListOf(3),
-        crashes = persistentListOf(ReportedCrash(99, 4)),
+        crashes =
+            persistentListOf(
+                ReportedCrash(CrashSubject.Request(99), 4, 20.milliseconds),
+                ReportedCrash(CrashSubject.Part(-98), 5, 90_000.milliseconds),
+            ),
+        served = persistentListOf(ReportedServed(CrashSubject.Part(97), 30.milliseconds)),
     )
 }
--- a/state/src/main/kotlin/org/acaciaflow/state/crash/CrashReports.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/crash/CrashReports.kt
@@ -2,18 +2,32 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
-import org.acaciaflow.state.fleet.BackendLife
 import kotlin.time.Instant
 
+/** What is known of the subjects of requests that were starting at backend servers when these crashed. */
+data class CrashReports(
+    val bySubject: PersistentMap<CrashSubject, CrashRecord>,
+) {
+    companion object {
+        val NONE = CrashReports(persistentMapOf())
+    }
+}
+
 /**
- * Backend servers that broke off an answer, by the digest of the request that they were executing.
+ * What is known of one subject.
  *
- * The time of the latest failure is kept for each server.
+ * [crashes] holds the times of the crashes by the codes of the crashed lives. [servedAt] is when a request with the
+ * subject was last served completely; crashes before that time had another cause.
  */
-data class CrashReports(
-    val byDigest: PersistentMap<Long, PersistentMap<BackendLife, Instant>>,
+data class CrashRecord(
+    val crashes: PersistentMap<Int, Instant>,
+    val servedAt: Instant,
 ) {
+    /** The times of the crashes that the subject may have caused. */
+    val unexplained: List<Instant>
+        get() = crashes.values.filter { it > servedAt }
+
     companion object {
-        val NONE = CrashReports(persistentMapOf())
+        val NONE = CrashRecord(persistentMapOf(), Instant.DISTANT_PAST)
     }
 }
--- a/state/src/main/kotlin/org/acaciaflow/state/load/OutstandingJob.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/load/OutstandingJob.kt
@@ -7,11 +7,14 @@
  * A job in flight from this gateway to a backend server.
  *
  * [work] is the predicted processing time until its first result, [tokens] the engine memory that it may occupy.
- * [producing] is true once its first result has arrived.
+ * [firstResultAt] is when its first result arrived; null while there is none.
  */
 data class OutstandingJob(
     val work: Duration,
     val tokens: Int,
     val sentAt: Instant,
-    val producing: Boolean,
-)
+    val firstResultAt: Instant?,
+) {
+    val producing: Boolean
+        get() = firstResultAt != null
+}
--- a/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.state.peer
 
 import kotlinx.collections.immutable.PersistentList
+import org.acaciaflow.state.crash.CrashSubject
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.load.RemoteLoad
@@ -23,8 +24,8 @@
  *
  * [dataCentre] and [capacity], the number of processor cores that the sender may use, select the aggregators. [reads]
  * lists the prompts sent to engines for prefill since the last report, [leaving] the backend servers seen draining and
- * [unheard] those that are unreachable or silent. [crashes] lists the backend servers that broke off an answer, with the
- * digest of the request they executed.
+ * [unheard] those that are unreachable or silent. [crashes] lists backend servers that crashed and what they were starting
+ * on, [served] what is suspected of crashes and was served since.
  */
 data class PeerReport(
     override val sender: HostAddress,
@@ -39,6 +40,7 @@
     val leaving: PersistentList<Int>,
     val unheard: PersistentList<Int>,
     val crashes: PersistentList<ReportedCrash>,
+    val served: PersistentList<ReportedServed>,
 ) : PeerDatagram
 
 /**
@@ -81,8 +83,15 @@
     val parts: PersistentList<PromptPart>,
 )
 
-/** A request, by its [digest], whose answer a backend server broke off. */
+/** A backend server crashed [age] ago while it started on a request with [subject]. */
 data class ReportedCrash(
-    val digest: Long,
+    val subject: CrashSubject,
     val lifeCode: Int,
+    val age: Duration,
+)
+
+/** A request with [subject], which is suspected of crashes, was served completely [age] ago. */
+data class ReportedServed(
+    val subject: CrashSubject,
+    val age: Duration,
 )
--- a/state/src/main/kotlin/org/acaciaflow/state/prompt/Prompt.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/prompt/Prompt.kt
@@ -25,6 +25,9 @@
         get() = parts.dropLast(1)
 }
 
+/** The form of the cache [key] of a prompt part in the log. */
+fun promptPartKeyText(key: Long): String = key.toULong().toString(radix = 16)
+
 /** The cache key of the prompt part that callers identify as [identity], for [model]. */
 fun promptPartKey(
     model: String,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -5,6 +5,7 @@
 import org.acaciaflow.coordination.relay.RelayedRequest
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.load.FleetLoad
+import org.acaciaflow.state.prompt.promptPartKeyText
 import kotlin.time.Duration
 import kotlin.time.Instant
 
@@ -60,7 +61,7 @@
         request.facts.prompt
             ?.sharedParts
             .orEmpty()
-            .joinToString(",") { it.key.toULong().toString(HEXADECIMAL) }
+            .joinToString(",") { promptPartKeyText(it.key) }
             .ifEmpty { "none" }
 
     private fun refused(decision: Decision.Refused): String =
@@ -89,6 +90,4 @@
     private fun requestFields(request: RelayedRequest): String =
         " route=${request.route.name.name} configuration=${request.version} pool=${request.pool.name}" +
             " prompt-tokens=${request.facts.prompt?.promptTokens ?: 0}"
-
-    private const val HEXADECIMAL = 16
 }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/rehearsal/SampleRequest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/rehearsal/SampleRequest.kt
@@ -43,7 +43,7 @@
             pool = route.destinations.first().pool,
             service = null,
             version = configuration.version,
-            digest = 1,
+            crashSubjects = persistentListOf(),
             arrivedAt = now,
             deadline = now + 1.seconds,
         )
