Do not take a stream that ends before its first event for a complete answer

What callers would see: an empty stream with status 200, as a success, where the server had crashed. An answer may have neither a length nor chunks and end with its connection, so a crash at its start looks like its end; such a crash did not count against the request, and even cleared its parts of earlier crashes. Change: an event stream that ends without any event has been broken off; broken off at its start counts as a crash, also inside the first event. Tests: StreamProgressTest (an empty answer before) and CrashingPartTest (60 of 60 requests reached servers before, 5 allowed), both failed first; 168 tests and the format check passed.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -128,7 +128,9 @@
                 }
 
                 AttemptEvent.End -> {
-                    if (!delivery.endsAtEventBoundary) return RunOutcome.Broken(MayHaveRun.ANSWER_INCOMPLETE)
+                    // An answer without length ends with its connection, so a crash at its start looks like its end.
+                    val incomplete = !delivery.endsAtEventBoundary || !tracker.progress.begun
+                    if (incomplete) return RunOutcome.Broken(MayHaveRun.ANSWER_INCOMPLETE)
                     return outcomeOf(delivery.end(), head.status)
                 }
 
@@ -206,8 +208,8 @@
             }
 
             is RunOutcome.Broken -> {
-                val crashed = outcome.reason == MayHaveRun.BACKEND_CRASHED
-                if (crashed && wasStarting(life, job, now)) crashes.crashed(request.crashSubjects, life, now)
+                val mayBeCause = outcome.reason in CRASH_SIGNS && wasStarting(life, job, now)
+                if (mayBeCause) crashes.crashed(request.crashSubjects, life, now)
             }
 
             RunOutcome.CallerGone, is RunOutcome.NotExecuted, is RunOutcome.Failed -> {
@@ -241,6 +243,7 @@
 
     private companion object {
         const val FIRST_FAILURE_STATUS = 400
+        val CRASH_SIGNS = setOf(MayHaveRun.BACKEND_CRASHED, MayHaveRun.ANSWER_INCOMPLETE)
         val START_PERIOD: Duration = 250.milliseconds // the first event may arrive before the server has crashed
         val LOAD_UPDATE_INTERVAL: Duration = 50.milliseconds // load predictions need no finer resolution
     }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/CrashingPartTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/CrashingPartTest.kt
@@ -20,6 +20,7 @@
 import org.acaciaflow.state.prompt.PromptPart
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.route.RequestKind
+import org.acaciaflow.state.work.AnswerHead
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.seconds
@@ -31,6 +32,10 @@
     private val first = PromptPart(1, 100)
     private val deadly = PromptPart(666, 40)
 
+    private companion object {
+        val HEAD = AttemptEvent.Head(AnswerHead(LetterFraming.STREAM_STATUS, persistentListOf()))
+    }
+
     // Guards against requests that share a crashing prompt part, none like another, crashing one server after the other.
     @Test
     fun `a prompt part that crashes servers stops reaching them although no two requests are alike`() =
@@ -45,6 +50,17 @@
             fleet.deadlyOrders shouldBeLessThanOrEqual 5
         }
 
+    // Guards against missing crashes at servers whose answers have no length and just end with their connection.
+    @Test
+    fun `a crash that ends an answer without length at its start counts as one`() =
+        runTest {
+            val fleet = CrashingFleet(tablesWith(route, engines), deadlyAnswer = listOf(HEAD, AttemptEvent.End))
+
+            repeat(60) { serve(fleet, it, listOf(first, deadly)) }
+
+            fleet.deadlyOrders shouldBeLessThanOrEqual 5
+        }
+
     // Guards against refusing sound requests that share their first part with the crashing ones.
     @Test
     fun `sound requests with the same first part go on while a part crashes servers`() =
@@ -91,6 +107,7 @@
 /** Servers that crash, and start again as another life, when they start to write an answer to a deadly request. */
 private class CrashingFleet(
     val tables: RelayTables,
+    private val deadlyAnswer: List<AttemptEvent> = listOf(AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED)),
 ) : BackendConnections {
     private val sound = ScriptedConnections(MutableList(1_000) { Reaction.Streams(breakAt = null) })
     var startsDeadly = false
@@ -106,7 +123,7 @@
         val life = order.backend.life
         val restarted = order.backend.copy(life = life.copy(startedAtMilliseconds = life.startedAtMilliseconds + 1))
         tables.fleet.update { it.copy(entries = it.entries.put(life.instance, restarted)) }
-        return CrashedStream
+        return CrashedStream(deadlyAnswer)
     }
 
     override suspend fun prefill(
@@ -117,8 +134,12 @@
     override fun release(cache: CacheSource) = sound.release(cache)
 }
 
-private data object CrashedStream : AttemptStream {
-    override suspend fun next(): AttemptEvent = AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED)
+private class CrashedStream(
+    events: List<AttemptEvent>,
+) : AttemptStream {
+    private val remaining = events.iterator()
+
+    override suspend fun next(): AttemptEvent = remaining.next()
 
     override fun cancel() = Unit
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/StreamProgressTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/StreamProgressTest.kt
@@ -66,6 +66,21 @@
             currentTime shouldBeLessThan 4_100L
         }
 
+    // Guards against passing on an answer without length that ended with its connection as an empty success.
+    @Test
+    fun `a stream that ends before its first event is not taken for a complete answer`() =
+        runTest {
+            val empty = Reaction.Paces(emptyList(), 5.milliseconds, endless = false)
+            val connections = ScriptedConnections(mutableListOf(empty, Reaction.Streams(breakAt = null)))
+            val caller = FakeCaller()
+
+            relay(connections).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+            caller.ended shouldBe true
+            connections.orders shouldHaveSize 2
+        }
+
     private fun isResumed(parts: List<String>) =
         runTest {
             val stalled = Reaction.Paces(parts, 100.milliseconds, endless = true)
