Refuse a new part for 10 s after two crashes

What callers would see: in a pool of three decoders all were down at once, since one request with the part, and its retry, crashed two and the next one the third within half a second; requests of all kinds were refused for 3 s. Cause: a part had to crash three servers, though one that was never served is far more likely the cause than those that are served all the time. Change: CrashReports remembers the parts that this gateway has served, up to 10,000; a part that is none of them is refused for 10 s after two crashes. A gateway that has served no part yet waits for three, since it cannot tell.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashQuarantine.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashQuarantine.kt
@@ -1,8 +1,10 @@
 package org.acaciaflow.coordination.crash
 
+import kotlinx.collections.immutable.persistentSetOf
 import org.acaciaflow.state.crash.CrashRecord
 import org.acaciaflow.state.crash.CrashReports
 import org.acaciaflow.state.crash.CrashSubject
+import org.acaciaflow.state.crash.ServedParts
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -12,7 +14,8 @@
  * Quarantines what several crashed backend servers were starting on, so that it doesn't crash further servers.
  *
  * A crash puts every request under suspicion that was starting at that server, and so do all their shared prompt parts.
- * What crashes servers is never served, so a subject that is served is clear of all crashes until then.
+ * What crashes servers is never served, so a subject that is served is clear of all crashes until then, and a part that
+ * was never served is the more likely cause.
  */
 object CrashQuarantine {
     /** Records that the life with the code [lifeCode] crashed at time [at] while it started on [subject]. */
@@ -34,8 +37,18 @@
         subject: CrashSubject,
         at: Instant,
     ): CrashReports {
-        val record = reports.bySubject[subject] ?: return reports
-        return if (at <= record.servedAt) reports else with(reports, subject, record.copy(servedAt = at))
+        val known = withServedPart(reports, subject)
+        val record = known.bySubject[subject] ?: return known
+        return if (at <= record.servedAt) known else with(known, subject, record.copy(servedAt = at))
+    }
+
+    /** Returns true if recording that [subject] was served would change [reports]. */
+    fun isNews(
+        reports: CrashReports,
+        subject: CrashSubject,
+    ): Boolean {
+        val isNewPart = subject is CrashSubject.Part && subject.key !in reports.servedParts.recent
+        return isNewPart || subject in reports.bySubject
     }
 
     /** Returns when the quarantine of a request with [subjects] ends, or null if it is not in quarantine at [now]. */
@@ -45,7 +58,7 @@
         now: Instant,
     ): Instant? =
         subjects
-            .mapNotNull { subject -> reports.bySubject[subject]?.let { quarantineEnd(subject, it) } }
+            .mapNotNull { subject -> reports.bySubject[subject]?.let { quarantineEnd(reports, subject, it) } }
             .filter { it > now }
             .maxOrNull()
 
@@ -54,25 +67,65 @@
         reports: CrashReports,
         now: Instant,
     ): CrashReports {
-        val expired = reports.bySubject.filter { (subject, record) -> isExpired(subject, record, now) }.keys
+        val expired = reports.bySubject.filter { (subject, record) -> isExpired(reports, subject, record, now) }.keys
         if (expired.isEmpty()) return reports
-        return CrashReports(expired.fold(reports.bySubject) { rest, subject -> rest.remove(subject) })
+        return reports.copy(bySubject = expired.fold(reports.bySubject) { rest, subject -> rest.remove(subject) })
     }
 
     private fun quarantineEnd(
+        reports: CrashReports,
         subject: CrashSubject,
         record: CrashRecord,
     ): Instant? {
         val unexplained = record.unexplained
-        return if (unexplained.size < crashLimit(subject)) null else unexplained.max() + QUARANTINE_PERIOD
+        val period = quarantinePeriod(reports, subject, unexplained.size) ?: return null
+        return unexplained.max() + period
+    }
+
+    /** Returns how long [subject] is refused after the last of [crashes] crashes, or null if it is not. */
+    private fun quarantinePeriod(
+        reports: CrashReports,
+        subject: CrashSubject,
+        crashes: Int,
+    ): Duration? =
+        when (subject) {
+            is CrashSubject.Request -> {
+                QUARANTINE_PERIOD.takeIf { crashes >= REQUEST_CRASH_LIMIT }
+            }
+
+            is CrashSubject.Part -> {
+                when {
+                    crashes >= PART_CRASH_LIMIT -> QUARANTINE_PERIOD
+                    crashes == PART_CRASH_LIMIT - 1 && isNew(reports, subject) -> TRIAL_PERIOD
+                    else -> null
+                }
+            }
+        }
+
+    /** Returns true if this gateway serves requests but has served none with [part]. */
+    private fun isNew(
+        reports: CrashReports,
+        part: CrashSubject.Part,
+    ): Boolean = reports.servedParts != ServedParts.NONE && part.key !in reports.servedParts
+
+    private fun withServedPart(
+        reports: CrashReports,
+        subject: CrashSubject,
+    ): CrashReports {
+        val parts = reports.servedParts
+        if (subject !is CrashSubject.Part || subject.key in parts.recent) return reports
+        val isFull = parts.recent.size >= MAXIMUM_SERVED_PARTS
+        val kept = if (isFull) ServedParts(persistentSetOf(), former = parts.recent) else parts
+        return reports.copy(servedParts = kept.copy(recent = kept.recent.add(subject.key)))
     }
 
     private fun isExpired(
+        reports: CrashReports,
         subject: CrashSubject,
         record: CrashRecord,
         now: Instant,
     ): Boolean {
-        val lifetime = if (quarantineEnd(subject, record) == null) SUSPICION_LIFETIME else QUARANTINE_LIFETIME
+        val lifetime = if (quarantineEnd(reports, subject, record) == null) SUSPICION_LIFETIME else QUARANTINE_LIFETIME
         return record.crashes.values.all { now - it >= lifetime }
     }
 
@@ -80,16 +133,12 @@
         reports: CrashReports,
         subject: CrashSubject,
         record: CrashRecord,
-    ): CrashReports = CrashReports(reports.bySubject.put(subject, record))
-
-    private fun crashLimit(subject: CrashSubject): Int =
-        when (subject) {
-            is CrashSubject.Request -> REQUEST_CRASH_LIMIT
-            is CrashSubject.Part -> PART_CRASH_LIMIT
-        }
+    ): CrashReports = reports.copy(bySubject = reports.bySubject.put(subject, record))
 
     private const val REQUEST_CRASH_LIMIT = 2 // so that no third server crashes on the same request
     private const val PART_CRASH_LIMIT = 3 // a sound part can be at two crashes that others cause
+    private const val MAXIMUM_SERVED_PARTS = 5_000
+    private val TRIAL_PERIOD: Duration = 10.seconds // a new part is refused for this long after two crashes
     private val QUARANTINE_PERIOD: Duration = 120.seconds // callers resend such a request within minutes
     private val SUSPICION_LIFETIME: Duration = 120.seconds
     private val QUARANTINE_LIFETIME: Duration = 10.minutes // meanwhile, one more crash renews the quarantine
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashRecorder.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashRecorder.kt
@@ -42,10 +42,10 @@
         subjects: List<CrashSubject>,
         at: Instant,
     ) {
-        val known = crashes.snapshot().bySubject
-        val suspects = subjects.filter { it in known }
-        if (suspects.isEmpty()) return
-        crashes.update { reports -> suspects.fold(reports) { rest, next -> CrashQuarantine.served(rest, next, at) } }
+        val known = crashes.snapshot()
+        val news = subjects.filter { CrashQuarantine.isNews(known, it) }
+        if (news.isEmpty()) return
+        crashes.update { reports -> news.fold(reports) { rest, next -> CrashQuarantine.served(rest, next, at) } }
     }
 
     private fun isQuarantined(
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/crash/CrashQuarantineTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/crash/CrashQuarantineTest.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.coordination.crash
 
 import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import org.acaciaflow.state.crash.CrashReports
 import org.acaciaflow.state.crash.CrashSubject
@@ -39,6 +40,18 @@
         isQuarantined(reports, part, now + 21.seconds) shouldBe false
     }
 
+    // Guards against losing every server of a small pool to a part before it has crashed three of them.
+    @Test
+    fun `a part that was never served is refused for a while after two crashes, one that was served is not`() {
+        val served = CrashSubject.Part(9)
+        var reports = CrashQuarantine.served(CrashReports.NONE, served, now)
+        for (subject in listOf(part, served)) reports = crashes(reports, subject, lives = 1..2, now + 1.seconds)
+
+        isQuarantined(reports, part, now + 2.seconds) shouldBe true
+        isQuarantined(reports, served, now + 2.seconds) shouldBe false
+        isQuarantined(reports, part, now + 12.seconds) shouldBe false
+    }
+
     @Test
     fun `a report of a crash that arrives after a later answer does not count`() {
         var reports = crashes(CrashReports.NONE, part, lives = 1..1, now)
@@ -68,6 +81,18 @@
         CrashQuarantine.pruned(reports, now + 3.minutes) shouldBe CrashReports.NONE
     }
 
+    @Test
+    fun `the memory of served parts is bounded`() {
+        val reports =
+            (1..50_000L).fold(CrashReports.NONE) { known, key ->
+                CrashQuarantine.served(known, CrashSubject.Part(key), now)
+            }
+
+        val remembered = reports.servedParts.recent.size + reports.servedParts.former.size
+        remembered shouldBeLessThanOrEqual 10_000
+        (50_000L in reports.servedParts) shouldBe true
+    }
+
     private fun crashes(
         reports: CrashReports,
         subject: CrashSubject,
--- a/state/src/main/kotlin/org/acaciaflow/state/crash/CrashReports.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/crash/CrashReports.kt
@@ -4,12 +4,17 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlin.time.Instant
 
-/** What is known of the subjects of requests that were starting at backend servers when these crashed. */
+/**
+ * What is known of the subjects of requests that were starting at backend servers when these crashed.
+ *
+ * [servedParts] are the parts that this gateway has served, whether they are suspected of crashes or not.
+ */
 data class CrashReports(
     val bySubject: PersistentMap<CrashSubject, CrashRecord>,
+    val servedParts: ServedParts,
 ) {
     companion object {
-        val NONE = CrashReports(persistentMapOf())
+        val NONE = CrashReports(persistentMapOf(), ServedParts.NONE)
     }
 }
 
