Name the parts of the crash quarantine after what they do

Read again as a newcomer: isNews, since and with said little, or hid the standard library's with; "living memory" was no term. ServedParts has isEmpty, so that no sets are compared. The codec's test of the largest report has 64 crashes and 64 served subjects now, the most that are reported. Behaviour stays as it is; 170 tests and the format check passed.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashQuarantine.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashQuarantine.kt
@@ -28,7 +28,7 @@
         val record = reports.bySubject[subject] ?: CrashRecord.NONE
         // A crash that is known keeps its time, so that gateways do not renew it by telling each other.
         if (lifeCode in record.crashes) return reports
-        return with(reports, subject, record.copy(crashes = record.crashes.put(lifeCode, at)))
+        return replaced(reports, subject, record.copy(crashes = record.crashes.put(lifeCode, at)))
     }
 
     /** Records that a request with [subject] was served completely at time [at]. */
@@ -39,11 +39,11 @@
     ): CrashReports {
         val known = withServedPart(reports, subject)
         val record = known.bySubject[subject] ?: return known
-        return if (at <= record.servedAt) known else with(known, subject, record.copy(servedAt = at))
+        return if (at <= record.servedAt) known else replaced(known, subject, record.copy(servedAt = at))
     }
 
-    /** Returns true if recording that [subject] was served would change [reports]. */
-    fun isNews(
+    /** Returns true if [served] may change what [reports] say of [subject]. */
+    fun isAffectedByServing(
         reports: CrashReports,
         subject: CrashSubject,
     ): Boolean {
@@ -62,7 +62,7 @@
             .filter { it > now }
             .maxOrNull()
 
-    /** Removes the subjects that have no unexplained crash in living memory as of [now]. */
+    /** Removes the subjects whose crashes are all too old to matter as of [now]. */
     fun pruned(
         reports: CrashReports,
         now: Instant,
@@ -106,7 +106,7 @@
     private fun isNew(
         reports: CrashReports,
         part: CrashSubject.Part,
-    ): Boolean = reports.servedParts != ServedParts.NONE && part.key !in reports.servedParts
+    ): Boolean = !reports.servedParts.isEmpty && part.key !in reports.servedParts
 
     private fun withServedPart(
         reports: CrashReports,
@@ -129,7 +129,7 @@
         return record.crashes.values.all { now - it >= lifetime }
     }
 
-    private fun with(
+    private fun replaced(
         reports: CrashReports,
         subject: CrashSubject,
         record: CrashRecord,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashRecorder.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashRecorder.kt
@@ -28,13 +28,13 @@
         at: Instant,
         now: Instant,
     ) {
-        val since =
+        val becameQuarantined =
             crashes.transition { reports ->
                 val next = CrashQuarantine.crashed(reports, subject, lifeCode, at)
                 val wasQuarantined = isQuarantined(reports, subject, now)
                 Transition(next, !wasQuarantined && isQuarantined(next, subject, now))
             }
-        if (since) observations.event(Event.CrashSubjectQuarantined(subject))
+        if (becameQuarantined) observations.event(Event.CrashSubjectQuarantined(subject))
     }
 
     /** Records that a request with [subjects] was served completely at time [at]. */
@@ -43,9 +43,9 @@
         at: Instant,
     ) {
         val known = crashes.snapshot()
-        val news = subjects.filter { CrashQuarantine.isNews(known, it) }
-        if (news.isEmpty()) return
-        crashes.update { reports -> news.fold(reports) { rest, next -> CrashQuarantine.served(rest, next, at) } }
+        val affected = subjects.filter { CrashQuarantine.isAffectedByServing(known, it) }
+        if (affected.isEmpty()) return
+        crashes.update { reports -> affected.fold(reports) { rest, next -> CrashQuarantine.served(rest, next, at) } }
     }
 
     private fun isQuarantined(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/CrashGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/CrashGossip.kt
@@ -28,10 +28,9 @@
     fun reportedCrashes(now: Instant): PersistentList<ReportedCrash> {
         val reports = crashes.snapshot()
         val (quarantined, others) = reports.bySubject.entries.partition { isQuarantined(reports, it.key, now) }
-        val recent = others.flatMap { (subject, record) -> reported(subject, record, now) }
-        return (quarantined.flatMap { (subject, record) -> reported(subject, record, now) } + recent.filter(::isRecent))
-            .take(MAXIMUM_ENTRIES)
-            .toPersistentList()
+        val lasting = quarantined.flatMap { (subject, record) -> reported(subject, record, now) }
+        val recent = others.flatMap { (subject, record) -> reported(subject, record, now) }.filter(::isRecent)
+        return (lasting + recent).take(MAXIMUM_ENTRIES).toPersistentList()
     }
 
     /** Returns the subjects of recent crashes that were served since, as of [now]. */
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerCodecTest.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerCodecTest.kt
@@ -49,7 +49,14 @@
 
     @Test
     fun `the largest report fits into a datagram`() {
-        PeerCodec.encode(report(loads = 600, reads = 64)).size shouldBeLessThan 60_000
+        val report = report(loads = 600, reads = 64)
+        val crashes =
+            (1..64L).map { ReportedCrash(CrashSubject.Part(Long.MAX_VALUE - it), Int.MIN_VALUE, 120_000.milliseconds) }
+        val served = (1..64L).map { ReportedServed(CrashSubject.Part(Long.MIN_VALUE + it), 5_000.milliseconds) }
+
+        val full = report.copy(crashes = crashes.toPersistentList(), served = served.toPersistentList())
+
+        PeerCodec.encode(full).size shouldBeLessThan 60_000
     }
 
     @Test
--- a/state/src/main/kotlin/org/acaciaflow/state/crash/ServedParts.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/crash/ServedParts.kt
@@ -12,6 +12,9 @@
     val recent: PersistentSet<Long>,
     val former: PersistentSet<Long>,
 ) {
+    val isEmpty: Boolean
+        get() = recent.isEmpty() && former.isEmpty()
+
     operator fun contains(key: Long): Boolean = key in recent || key in former
 
     companion object {
