Ask for a quarantine before each send to an engine

What callers would see: one more crash by a request whose prompt part came into quarantine while its KV cache was fetched in vain, since the engine got it again. Cause: the quarantine was asked before a prefill and before the first send to a decode engine, not before the send that follows a refused fetch. Change: EngineRelay.send asks; decode no longer does.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -107,10 +107,9 @@
         tracker: RelayProgressTracker,
     ): EngineStep {
         val now = clock.now()
-        val quarantined = quarantine.conclusion(request, tracker.progress, now)
-        if (quarantined != null || now >= request.deadline) {
+        if (now >= request.deadline) {
             prefillRun.release(source)
-            return EngineStep.Finished(quarantined ?: timedOut(tracker.progress))
+            return EngineStep.Finished(timedOut(tracker.progress))
         }
         val view = candidates.view(candidates.of(request, tracker.progress, now), properties, request)
         val chosen = EnginePlanner.chooseDecodeEngine(view, prompt, now, random)
@@ -137,6 +136,11 @@
         path: EnginePath,
         tracker: RelayProgressTracker,
     ): EngineStep {
+        val quarantined = quarantine.conclusion(request, tracker.progress, clock.now())
+        if (quarantined != null) {
+            source?.let(prefillRun::release)
+            return EngineStep.Finished(quarantined)
+        }
         val order = orderFor(request, engine, source, tracker)
         val work = if (source == null) predictedWork(request, properties, engine, prompt) else CACHE_FETCH_WORK
         val now = clock.now()
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/CrashingPartTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/CrashingPartTest.kt
@@ -1,12 +1,14 @@
 package org.acaciaflow.coordination.relay
 
 import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
+import org.acaciaflow.coordination.crash.CrashQuarantine
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BackendConnections
@@ -16,9 +18,12 @@
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.crash.CrashSubject
 import org.acaciaflow.state.prompt.Prompt
 import org.acaciaflow.state.prompt.PromptPart
+import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.route.RequestKind
 import org.acaciaflow.state.work.AnswerHead
 import kotlin.random.Random
@@ -76,6 +81,38 @@
             served.count { it } shouldBe served.size
         }
 
+    // Guards against sending on a request whose part became known for crashes while its KV cache was fetched in vain.
+    @Test
+    fun `a part that comes into quarantine during a refused fetch is not sent again`() =
+        runTest {
+            val prefillEngine = backend("prefill", ENGINE_POOL, EngineRole.PREFILL)
+            val tables = tablesWith(route, engines + prefillEngine)
+            val sound = ScriptedConnections(mutableListOf(Reaction.Refuses(AttemptRefusal.CACHE_UNAVAILABLE)))
+            val connections =
+                object : BackendConnections by sound {
+                    override suspend fun open(
+                        order: RunOrder,
+                        body: CallBody,
+                    ): AttemptStream {
+                        quarantine(tables)
+                        return sound.open(order, body)
+                    }
+                }
+            val parts = persistentListOf(deadly, PromptPart(7, 12_000))
+            val caller = FakeCaller()
+
+            relayOn(tables, connections, Prompt(parts, 12_040, 10)).accept(caller)
+
+            sound.orders shouldHaveSize 1
+            caller.refusal shouldBe NotRun.CRASH_SUSPECT
+        }
+
+    private fun TestScope.quarantine(tables: RelayTables) {
+        val now = Instant.fromEpochMilliseconds(1_000_000 + currentTime)
+        val subject = CrashSubject.Part(deadly.key)
+        tables.crashes.update { (1..3).fold(it) { known, life -> CrashQuarantine.crashed(known, subject, life, now) } }
+    }
+
     /** Sends a request with [sharedParts] and a part of its own; returns true if it was answered completely. */
     private suspend fun TestScope.serve(
         fleet: CrashingFleet,
@@ -86,12 +123,13 @@
         val prompt = Prompt(parts, parts.sumOf { it.tokens }, 10)
         fleet.startsDeadly = deadly in sharedParts
         val caller = FakeCaller("/calls/$number")
-        relayOn(fleet, prompt).accept(caller)
+        relayOn(fleet.tables, fleet, prompt).accept(caller)
         return caller.ended
     }
 
     private fun TestScope.relayOn(
-        fleet: CrashingFleet,
+        tables: RelayTables,
+        connections: BackendConnections,
         prompt: Prompt,
     ): RequestRelay {
         val clock =
@@ -99,8 +137,8 @@
                 override fun now(): Instant = Instant.fromEpochMilliseconds(1_000_000 + currentTime)
             }
         val ports =
-            RelayPorts(fleet, FakeDialect(prompt), LetterFraming, FakeObservations(), clock, Random(3), this)
-        return createRequestRelay(fleet.tables, ports, OWN_DATA_CENTRE, RetryBounds(0.2, 1000.0, 10.seconds))
+            RelayPorts(connections, FakeDialect(prompt), LetterFraming, FakeObservations(), clock, Random(3), this)
+        return createRequestRelay(tables, ports, OWN_DATA_CENTRE, RetryBounds(0.2, 1000.0, 10.seconds))
     }
 }
 
