--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/CrashingPartTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/CrashingPartTest.kt
@@ -6,7 +6,6 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.test.TestScope
-import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.acaciaflow.coordination.crash.CrashQuarantine
 import org.acaciaflow.coordination.port.AttemptEvent
@@ -16,7 +15,6 @@
 import org.acaciaflow.coordination.port.CallBody
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RunOrder
-import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.crash.CrashSubject
 import org.acaciaflow.state.prompt.Prompt
@@ -26,10 +24,6 @@
 import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.route.RequestKind
 import org.acaciaflow.state.work.AnswerHead
-import kotlin.random.Random
-import kotlin.time.Clock
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 
 class CrashingPartTest : AnnotationSpec() {
     private val route = route(RequestKind.EventStream(resumable = true), ENGINE_POOL)
@@ -101,14 +95,14 @@
             val parts = persistentListOf(deadly, PromptPart(7, 12_000))
             val caller = FakeCaller()
 
-            relayOn(tables, connections, Prompt(parts, 12_040, 10)).accept(caller)
+            createTestRelay(tables, connections, Prompt(parts, 12_040, 10)).accept(caller)
 
             sound.orders shouldHaveSize 1
             caller.refusal shouldBe NotRun.CRASH_SUSPECT
         }
 
     private fun TestScope.quarantine(tables: RelayTables) {
-        val now = Instant.fromEpochMilliseconds(1_000_000 + currentTime)
+        val now = virtualClock().now()
         val subject = CrashSubject.Part(deadly.key)
         tables.crashes.update { (1..3).fold(it) { known, life -> CrashQuarantine.crashed(known, subject, life, now) } }
     }
@@ -123,23 +117,9 @@
         val prompt = Prompt(parts, parts.sumOf { it.tokens }, 10)
         fleet.startsDeadly = deadly in sharedParts
         val caller = FakeCaller("/calls/$number")
-        relayOn(fleet.tables, fleet, prompt).accept(caller)
+        createTestRelay(fleet.tables, fleet, prompt).accept(caller)
         return caller.ended
     }
-
-    private fun TestScope.relayOn(
-        tables: RelayTables,
-        connections: BackendConnections,
-        prompt: Prompt,
-    ): RequestRelay {
-        val clock =
-            object : Clock {
-                override fun now(): Instant = Instant.fromEpochMilliseconds(1_000_000 + currentTime)
-            }
-        val ports =
-            RelayPorts(connections, FakeDialect(prompt), LetterFraming, FakeObservations(), clock, Random(3), this)
-        return createRequestRelay(tables, ports, OWN_DATA_CENTRE, RetryBounds(0.2, 1000.0, 10.seconds))
-    }
 }
 
 /** Servers that crash, and start again as another life, when they start to write an answer to a deadly request. */
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/PromptSizeAdmissionTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/PromptSizeAdmissionTest.kt
@@ -5,10 +5,8 @@
 import io.kotest.matchers.doubles.shouldBeLessThan
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.test.TestScope
-import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.acaciaflow.coordination.load.LoadLedger
-import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.load.JobIdentity
 import org.acaciaflow.state.prompt.Prompt
@@ -16,10 +14,7 @@
 import org.acaciaflow.state.route.RequestKind
 import kotlin.math.exp
 import kotlin.random.Random
-import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 
 class PromptSizeAdmissionTest : AnnotationSpec() {
     private val engines =
@@ -51,7 +46,7 @@
     private suspend fun TestScope.serveBehind(queue: Int): List<Result> {
         val random = Random(queue)
         val tables = tablesWith(route, engines)
-        val now = testClock().now()
+        val now = virtualClock().now()
         for (engine in engines) {
             for (job in 1..queue) {
                 val identity = JobIdentity(QUEUED_JOBS + job)
@@ -61,34 +56,12 @@
         return List(60) { number ->
             val tokens = (600 * exp(2.5 * random.nextDouble())).toInt()
             val caller = FakeCaller()
-            relayOn(tables, prompt(number, tokens)).accept(caller)
+            val connections = ScriptedConnections(mutableListOf(Reaction.Streams(breakAt = null)))
+            createTestRelay(tables, connections, prompt(number, tokens)).accept(caller)
             Result(tokens, served = caller.refusal == null)
         }
     }
 
-    private fun TestScope.relayOn(
-        tables: RelayTables,
-        prompt: Prompt,
-    ): RequestRelay {
-        val connections = ScriptedConnections(mutableListOf(Reaction.Streams(breakAt = null)))
-        val ports =
-            RelayPorts(
-                connections,
-                FakeDialect(prompt),
-                LetterFraming,
-                FakeObservations(),
-                testClock(),
-                Random(3),
-                this,
-            )
-        return createRequestRelay(tables, ports, OWN_DATA_CENTRE, RetryBounds(0.2, 1000.0, 10.seconds))
-    }
-
-    private fun TestScope.testClock(): Clock =
-        object : Clock {
-            override fun now(): Instant = Instant.fromEpochMilliseconds(1_000_000 + currentTime)
-        }
-
     private fun prompt(
         number: Int,
         tokens: Int,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestRelayTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestRelayTest.kt
@@ -13,7 +13,6 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.acaciaflow.coordination.port.PrefillOutcome
-import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.prompt.Prompt
@@ -24,9 +23,6 @@
 import org.acaciaflow.state.route.RequestKind
 import org.acaciaflow.state.route.Route
 import kotlin.random.Random
-import kotlin.time.Clock
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 
 class RequestRelayTest : AnnotationSpec() {
     private val services = listOf(backend("one"), backend("second"), backend("third-1"))
@@ -194,7 +190,7 @@
             val caller = FakeCaller()
             val tables = createRelayTables()
 
-            relayOn(tables, ScriptedConnections(mutableListOf()), null).accept(caller)
+            createTestRelay(tables, ScriptedConnections(mutableListOf()), null).accept(caller)
 
             caller.refusal shouldBe NotRun.NO_CONFIGURATION
             caller.retryAfter.shouldBeInstanceOf<kotlin.time.Duration>()
@@ -206,7 +202,7 @@
             val caller = FakeCaller()
             val known = tablesWith(route(RequestKind.Idempotent), services)
             val tables = known.copy(routing = createRelayTables().routing)
-            val relay = relayOn(tables, ScriptedConnections(mutableListOf()), null)
+            val relay = createTestRelay(tables, ScriptedConnections(mutableListOf()), null)
 
             val call = launch { relay.accept(caller) }
             delay(300)
@@ -220,7 +216,7 @@
     fun `a call is refused immediately when no configuration was read within the initial wait`() =
         runTest {
             val caller = FakeCaller()
-            val relay = relayOn(createRelayTables(), ScriptedConnections(mutableListOf()), null)
+            val relay = createTestRelay(createRelayTables(), ScriptedConnections(mutableListOf()), null)
             delay(5_000)
 
             relay.accept(caller)
@@ -235,7 +231,7 @@
             val crash = MutableList<Reaction>(8) { Reaction.BreaksConnection }
             val connections = ScriptedConnections(crash)
             val tables = tablesWith(route(RequestKind.Idempotent, maximumAttempts = 1), services)
-            val relay = relayOn(tables, connections, null)
+            val relay = createTestRelay(tables, connections, null)
 
             repeat(6) { relay.accept(FakeCaller()) }
 
@@ -250,30 +246,7 @@
         backends: List<BackendEntry>,
         connections: ScriptedConnections,
         prompt: Prompt? = null,
-    ): RequestRelay = relayOn(tablesWith(route, backends), connections, prompt)
-
-    private fun TestScope.relayOn(
-        tables: RelayTables,
-        connections: ScriptedConnections,
-        prompt: Prompt?,
-    ): RequestRelay {
-        val ports =
-            RelayPorts(
-                connections,
-                FakeDialect(prompt),
-                LetterFraming,
-                FakeObservations(),
-                testClock(),
-                Random(3),
-                this,
-            )
-        return createRequestRelay(tables, ports, OWN_DATA_CENTRE, RetryBounds(0.2, 1000.0, 10.seconds))
-    }
-
-    private fun TestScope.testClock(): Clock =
-        object : Clock {
-            override fun now(): Instant = Instant.fromEpochMilliseconds(1_000_000 + currentTime)
-        }
+    ): RequestRelay = createTestRelay(tablesWith(route, backends), connections, prompt)
 
     private fun prompt(tokens: Int): Prompt = Prompt(persistentListOf(PromptPart(1, tokens)), tokens, 10)
 
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/StreamProgressTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/StreamProgressTest.kt
@@ -9,18 +9,14 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
-import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.prompt.Prompt
 import org.acaciaflow.state.prompt.PromptPart
 import org.acaciaflow.state.route.RequestKind
 import org.acaciaflow.state.route.Route
-import kotlin.random.Random
-import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 
 class StreamProgressTest : AnnotationSpec() {
     private val engines =
@@ -101,13 +97,6 @@
         route: Route = this@StreamProgressTest.route,
     ): RequestRelay {
         val prompt = Prompt(persistentListOf(PromptPart(1, 100)), 100, 10)
-        val clock =
-            object : Clock {
-                override fun now(): Instant = Instant.fromEpochMilliseconds(1_000_000 + currentTime)
-            }
-        val ports =
-            RelayPorts(connections, FakeDialect(prompt), LetterFraming, FakeObservations(), clock, Random(3), this)
-        val bounds = RetryBounds(0.2, 1000.0, 10.seconds)
-        return createRequestRelay(tablesWith(route, engines), ports, OWN_DATA_CENTRE, bounds)
+        return createTestRelay(tablesWith(route, engines), connections, prompt)
     }
 }
--- /dev/null
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TestRelay.kt
@@ -0,0 +1,36 @@
+package org.acaciaflow.coordination.relay
+
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import org.acaciaflow.coordination.port.BackendConnections
+import org.acaciaflow.coordination.retry.RetryBounds
+import org.acaciaflow.state.prompt.Prompt
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Creates a relay on [tables] that lives in the virtual time of this scope; every call to it has [prompt]. */
+internal fun TestScope.createTestRelay(
+    tables: RelayTables,
+    connections: BackendConnections,
+    prompt: Prompt?,
+): RequestRelay {
+    val ports =
+        RelayPorts(
+            connections,
+            FakeDialect(prompt),
+            LetterFraming,
+            FakeObservations(),
+            virtualClock(),
+            Random(3),
+            this,
+        )
+    return createRequestRelay(tables, ports, OWN_DATA_CENTRE, RetryBounds(0.2, 1000.0, 10.seconds))
+}
+
+/** The virtual time of this scope. */
+internal fun TestScope.virtualClock(): Clock =
+    object : Clock {
+        override fun now(): Instant = Instant.fromEpochMilliseconds(1_000_000 + currentTime)
+    }
