--- a/review/standins/GatewayProcess.java
+++ b/review/standins/GatewayProcess.java
@@ -1,4 +1,3 @@
-import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -99,18 +98,6 @@
         return process.waitFor();
     }
 
-    /** The resident memory in megabytes, or -1 where it cannot be read. */
-    long residentMegabytes() {
-        try {
-            for (String line : Files.readAllLines(new File("/proc/" + process.pid() + "/status").toPath())) {
-                if (line.startsWith("VmRSS:")) return Long.parseLong(line.replaceAll("\\D", "")) / 1024;
-            }
-        } catch (IOException ended) {
-            return -1;
-        }
-        return -1;
-    }
-
     /** Sends SIGKILL. */
     @Override
     public void close() {
--- a/review/standins/Scene.java
+++ b/review/standins/Scene.java
@@ -1,5 +1,6 @@
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicLong;
@@ -58,11 +59,17 @@
             + "\",\"cold_remaining_ms\":0";
     }
 
-    /** Ends the case with [status] after [verdict] was written to the record. */
-    void end(int status, String verdict) {
+    /** Ends the case with [status]; the gateways' settings and logs are kept only if it could not run. */
+    void end(int status, String verdict) throws IOException {
         note(verdict);
         record.close();
         System.out.println(verdict);
+        if (status != NOT_RUN) {
+            try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
+                for (Path file : files) Files.delete(file);
+            }
+            Files.delete(folder);
+        }
         System.exit(status);
     }
 }
