review: keep the disruptions of cases 2 and 4 inside the site's limits

Case 2: one of four runners crashes and comes back, instead of one of two for good. Case 4: three of six model runners spoil a twentieth of their answers for 5 s, instead of one of three all of them.

--- a/review/2/JoinedRuns.java
+++ b/review/2/JoinedRuns.java
@@ -6,8 +6,10 @@
 
 /** A runner of a service without model runners crashes while it answers streams that may be resumed. */
 public class JoinedRuns {
-    private static final int STREAMS = 30;
-    private static final int GAP_MS = 100;
+    private static final int RUNNERS = 4;
+    private static final int STREAMS = 60;
+    private static final int GAP_MS = 50;
+    private static final int BACK_AFTER_MS = 1_400;
     private static final int EVENTS = 24;
     private static final int EVENT_GAP_MS = 50;
     private static final int TIMEOUT_MS = 8_000;
@@ -25,16 +27,19 @@
 
     private static void play(Scene scene) throws IOException, InterruptedException {
         AtomicBoolean crashed = new AtomicBoolean();
-        RunnerStandin first = new RunnerStandin("i-desk-1", (request, exchange) ->
-            stream(scene, "i-desk-1", request, exchange, crashed));
-        RunnerStandin second = new RunnerStandin("i-desk-2", (request, exchange) ->
-            stream(scene, "i-desk-2", request, exchange, new AtomicBoolean()));
+        List<RunnerStandin> runners = new ArrayList<>();
+        for (int i = 1; i <= RUNNERS; i++) {
+            String name = "i-desk-" + i;
+            AtomicBoolean ends = i == 1 ? crashed : new AtomicBoolean();
+            runners.add(new RunnerStandin(name, (request, exchange) -> stream(scene, name, request, exchange, ends)));
+        }
         StoreStandin store = new StoreStandin();
         store.put("op/config", Documents.configuration(7,
             List.of(Documents.streamRoute("compare", "desk", 2, TIMEOUT_MS, 1_200, 2, true)),
             List.of(Documents.plainService("desk"))));
-        store.put("servers/i-desk-1", Scene.entry(first, "desk", 64, "ready", 1_000));
-        store.put("servers/i-desk-2", Scene.entry(second, "desk", 64, "ready", 1_000));
+        for (RunnerStandin runner : runners) {
+            store.put("servers/" + runner.id, Scene.entry(runner, "desk", 64, "ready", 1_000));
+        }
         GatewayProcess gateway = new GatewayProcess("gateway-1", store.address(), scene.folder);
         if (!gateway.awaitReady(20)) {
             scene.end(Scene.NOT_RUN, "NOT RUN: the gateway is not ready; see " + gateway.log);
@@ -45,10 +50,17 @@
             String id = scene.nextId();
             calls.add(RunnerStandin.start("client", () -> call(scene, gateway, id)));
             Thread.sleep(GAP_MS);
+            if (i == STREAMS / 2 + BACK_AFTER_MS / GAP_MS && scene.trouble) {
+                runners.add(new RunnerStandin("i-desk-5", (request, exchange) ->
+                    stream(scene, "i-desk-5", request, exchange, new AtomicBoolean())));
+                store.remove("servers/i-desk-1");
+                store.put("servers/i-desk-5", Scene.entry(runners.get(RUNNERS), "desk", 64, "ready", 2_000));
+                scene.note("the crashed runner is back as i-desk-5");
+            }
             if (i == STREAMS / 2 && scene.trouble) {
                 crashed.set(true);
                 scene.note("i-desk-1 crashes: its connections are reset, and it accepts no others");
-                first.close();
+                runners.get(0).close();
             }
         }
         for (Thread call : calls) call.join();
--- a/review/4/EndlessEvent.java
+++ b/review/4/EndlessEvent.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** One of three model runners sends, for some seconds, event streams whose first event does not end. */
+/** Three of six model runners send, for some seconds, a twentieth of their event streams with an event that does not end. */
 public class EndlessEvent {
     private static final int CHATS = 220;
     private static final int CHAT_GAP_MS = 37; // the sheet of cuadros-bog has 27.1 thread queries a second
@@ -16,7 +16,10 @@
     private static final int LOOKUP_GAP_MS = 183; // 5.47 a second
     private static final int LOOKUP_TIMEOUT_MS = 1_000;
     private static final int FAULT_MS = 5_000;
-    private static final int CHUNK_BYTES = 16;
+    private static final int CHUNK_BYTES = 4;
+    private static final int RUNNERS = 6;
+    private static final int FAULTY_RUNNERS = 3;
+    private static final int BROKEN_EVERY = 20; // one in so many answers of the faulty runners
 
     /** Requests that lasted longer than their route's timeout_ms, and those without an answer half a second later. */
     private static final AtomicInteger LASTED = new AtomicInteger();
@@ -36,13 +39,19 @@
 
     private static void play(Scene scene) throws IOException, InterruptedException {
         AtomicBoolean faulty = new AtomicBoolean();
-        RunnerStandin first = new RunnerStandin("i-model-1", (request, exchange) -> {
-            if (!faulty.get()) return stream(request, exchange);
-            scene.note("i-model-1 answers with an event that does not end: " + request.header("Request-Id"));
-            return eventWithoutEnd(request, exchange, faulty);
-        });
-        RunnerStandin second = new RunnerStandin("i-model-2", EndlessEvent::stream);
-        RunnerStandin third = new RunnerStandin("i-model-3", EndlessEvent::stream);
+        AtomicInteger answers = new AtomicInteger();
+        List<RunnerStandin> models = new ArrayList<>();
+        for (int i = 1; i <= RUNNERS; i++) {
+            String name = "i-model-" + i;
+            boolean mayBeFaulty = i <= FAULTY_RUNNERS;
+            models.add(new RunnerStandin(name, (request, exchange) -> {
+                if (!mayBeFaulty || !faulty.get() || answers.incrementAndGet() % BROKEN_EVERY != 0) {
+                    return stream(request, exchange);
+                }
+                scene.note(name + " answers with an event that does not end: " + request.header("Request-Id"));
+                return eventWithoutEnd(request, exchange, faulty);
+            }));
+        }
         RunnerStandin plain = new RunnerStandin("i-plain-1", (request, exchange) -> {
             exchange.answer(request, "200 OK", "record");
             return true;
@@ -52,7 +61,7 @@
             List.of(Documents.plainRoute("lookup", "idempotent", "register", 2, LOOKUP_TIMEOUT_MS),
                 Documents.streamRoute("chat", "models", 1, CHAT_TIMEOUT_MS, 200, 0, false)),
             List.of(Documents.plainService("register"), Documents.modelService("models"))));
-        for (RunnerStandin runner : List.of(first, second, third)) {
+        for (RunnerStandin runner : models) {
             store.put("servers/" + runner.id, Scene.engineEntry(runner, "models", 64, "decode", 1_000));
         }
         store.put("servers/i-plain-1", Scene.entry(plain, "register", 6, "ready", 1_000));
@@ -76,11 +85,11 @@
         calls.add(RunnerStandin.start("fault", () -> {
             Thread.sleep(1_000);
             faulty.set(scene.trouble);
-            scene.note("i-model-1 is faulty: " + scene.trouble);
+            scene.note("three model runners are faulty: " + scene.trouble);
             Thread.sleep(FAULT_MS);
             faulty.set(false);
             for (Socket socket : BROKEN_ANSWERS) socket.close();
-            scene.note("i-model-1 is sound again, and has closed the connections of those answers");
+            scene.note("all runners are sound again, and have closed the connections of those answers");
         }));
         for (int i = 0; i < CHATS; i++) {
             String id = scene.nextId();
