Bound the depth of JSON from other processes before parsing it

Claims went to the old service after a change, and a process started after it answered 503 to everything.

Cause: the JSON parser descends once a level, so the entry overflowed the stack of the event loop (256 KiB in the deploy file). StackOverflowError is no SerializationException; it passed through PlatformDocuments and ended the coroutine of the store watch.

Change: Json.parseForeign and Json.decodeForeign count open brackets first and reject more than 256 levels as malformed; every reader of JSON from elsewhere uses them (entries, configurations, store pages, callers' bodies, records, plans, suspects, host list, engine reports). A record with malformed Base64 or a suspect with a malformed field is unreadable instead of an exception.

--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/configuration/ConfigurationCodec.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/configuration/ConfigurationCodec.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.acaciaflow.coordination.configuration.ConfigurationFault
+import org.acaciaflow.protocol.json.decodeForeign
 import org.acaciaflow.state.configuration.Configuration
 
 /** Encodes and decodes configurations as JSON. */
@@ -65,7 +66,7 @@
         text: String,
     ): Parsed<Value> =
         try {
-            Parsed.Value(json.decodeFromString(serializer, text))
+            Parsed.Value(json.decodeForeign(serializer, text))
         } catch (failure: SerializationException) {
             Parsed.Faulty(ConfigurationFault.Undecodable(failure.message.orEmpty()))
         } catch (failure: IllegalArgumentException) {
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/JsonBodyReader.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/JsonBodyReader.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.json.JsonPrimitive
 import org.acaciaflow.coordination.classification.BodyFacts
 import org.acaciaflow.coordination.classification.BodyReader
+import org.acaciaflow.protocol.json.parseForeign
 import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.state.work.RequestDigest
 import org.acaciaflow.state.work.WorkEstimate
@@ -34,7 +35,7 @@
     private fun parseObject(body: ByteString): JsonObject? {
         if (body.isEmpty() || body[0] != OPENING_BRACE) return null
         return try {
-            Json.parseToJsonElement(body.decodeToString()) as? JsonObject
+            Json.parseForeign(body.decodeToString()) as? JsonObject
         } catch (_: SerializationException) {
             null
         }
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/plan/StoredPlanRecords.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/plan/StoredPlanRecords.kt
@@ -8,7 +8,6 @@
 import kotlinx.io.bytestring.decodeToString
 import kotlinx.io.bytestring.encodeToByteString
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.acaciaflow.coordination.port.KeyValueStore
 import org.acaciaflow.coordination.port.PlanKey
@@ -18,6 +17,7 @@
 import org.acaciaflow.coordination.port.StoreResult
 import org.acaciaflow.coordination.port.StoredValue
 import org.acaciaflow.coordination.port.SwapOutcome
+import org.acaciaflow.protocol.json.decodeForeign
 import org.acaciaflow.protocol.store.StoreLayout
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.identity.parseHostAddress
@@ -61,9 +61,9 @@
     private fun decode(value: StoredValue?): StoreResult<PoolPlan> {
         if (value == null) return StoreResult.Success(PoolPlan.NONE)
         return try {
-            val document = Json.decodeFromString(PlanDocument.serializer(), value.value.decodeToString())
+            val document = Json.decodeForeign(PlanDocument.serializer(), value.value.decodeToString())
             StoreResult.Success(planOf(document, value.revision))
-        } catch (_: SerializationException) {
+        } catch (_: IllegalArgumentException) {
             StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
         }
     }
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/record/StoredExecutionRecords.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/record/StoredExecutionRecords.kt
@@ -5,7 +5,6 @@
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.decodeToString
 import kotlinx.io.bytestring.encodeToByteString
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.acaciaflow.coordination.port.ExecutionRecords
 import org.acaciaflow.coordination.port.KeyValueStore
@@ -17,6 +16,7 @@
 import org.acaciaflow.coordination.port.StoredValue
 import org.acaciaflow.coordination.port.SwapOutcome
 import org.acaciaflow.coordination.port.VersionedRecord
+import org.acaciaflow.protocol.json.decodeForeign
 import org.acaciaflow.protocol.store.StoreLayout
 import org.acaciaflow.state.identity.DeploymentName
 import org.acaciaflow.state.identity.RequestIdentity
@@ -54,9 +54,9 @@
         }
 
     private fun listedExecution(value: StoredValue): ListedExecution? {
-        val document = parse(value.value) ?: return null
-        val record = document.state.toRecord() ?: return null
-        return ListedExecution(RequestIdentity(DeploymentName(document.deployment), document.identityKey), record)
+        val parsed = parse(value.value) ?: return null
+        val identity = RequestIdentity(DeploymentName(parsed.document.deployment), parsed.document.identityKey)
+        return ListedExecution(identity, parsed.record)
     }
 
     /** Resolves a write whose answer was lost: it took effect if the stored value equals the written one. */
@@ -115,17 +115,22 @@
         return StoreResult.Success(VersionedRecord(record, found.revision))
     }
 
-    private fun decode(value: ByteString): ExecutionRecord? = parse(value)?.state?.toRecord()
+    private fun decode(value: ByteString): ExecutionRecord? = parse(value)?.record
 
-    private fun parse(value: ByteString): ExecutionRecordDocument? =
+    /** Parses a record; null when its JSON, an identity, a reason or the Base64 text of its answer is malformed. */
+    private fun parse(value: ByteString): ParsedRecord? =
         try {
-            json.decodeFromString(ExecutionRecordDocument.serializer(), value.decodeToString())
-        } catch (_: SerializationException) {
-            null
+            val document = json.decodeForeign(ExecutionRecordDocument.serializer(), value.decodeToString())
+            document.state.toRecord()?.let { ParsedRecord(document, it) }
         } catch (_: IllegalArgumentException) {
             null
         }
 
+    private data class ParsedRecord(
+        val document: ExecutionRecordDocument,
+        val record: ExecutionRecord,
+    )
+
     private companion object {
         const val MAXIMUM_LISTED = 100_000
     }
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/suspect/StoredSuspectRecords.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/suspect/StoredSuspectRecords.kt
@@ -9,7 +9,6 @@
 import kotlinx.io.bytestring.decodeToString
 import kotlinx.io.bytestring.encodeToByteString
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.acaciaflow.coordination.port.KeyValueStore
 import org.acaciaflow.coordination.port.StoreFailure
@@ -21,6 +20,7 @@
 import org.acaciaflow.protocol.frame.WireAttempt
 import org.acaciaflow.protocol.frame.toIdentity
 import org.acaciaflow.protocol.frame.toWire
+import org.acaciaflow.protocol.json.decodeForeign
 import org.acaciaflow.protocol.store.StoreLayout
 import org.acaciaflow.state.suspect.CrashSuspect
 import org.acaciaflow.state.work.RequestDigest
@@ -77,11 +77,11 @@
     /** Decodes a suspect; null when it was cleared or the document is malformed. */
     private fun decode(value: ByteString): CrashSuspect? =
         try {
-            val document = Json.decodeFromString(SuspectDocument.serializer(), value.decodeToString())
+            val document = Json.decodeForeign(SuspectDocument.serializer(), value.decodeToString())
             val crashes = document.crashes.mapNotNull { it.toIdentity() }.toPersistentSet()
             val at = Instant.fromEpochMilliseconds(document.lastCrashAt)
             if (crashes.isEmpty()) null else CrashSuspect(crashes, at)
-        } catch (_: SerializationException) {
+        } catch (_: IllegalArgumentException) {
             null
         }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/engine/HttpEngineControl.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/engine/HttpEngineControl.kt
@@ -13,6 +13,7 @@
 import org.acaciaflow.protocol.engine.EngineOrderDocument
 import org.acaciaflow.protocol.engine.EnginePaths
 import org.acaciaflow.protocol.engine.EngineReportDocument
+import org.acaciaflow.protocol.json.decodeForeign
 import org.acaciaflow.protocol.plan.toDocument
 import org.acaciaflow.protocol.plan.toState
 import org.acaciaflow.state.identity.HostAddress
@@ -44,7 +45,7 @@
                 .timeout(CALL_TIMEOUT.inWholeMilliseconds)
                 .send()
                 .coAwait()
-        val report = json.decodeFromString(EngineReportDocument.serializer(), response.bodyAsString().orEmpty())
+        val report = json.decodeForeign(EngineReportDocument.serializer(), response.bodyAsString().orEmpty())
         return EngineReading.Known(report.state.toState(), report.changing)
     }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/hosts/HttpHostList.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/hosts/HttpHostList.kt
@@ -12,6 +12,7 @@
 import org.acaciaflow.coordination.port.ListedHost
 import org.acaciaflow.protocol.http.HostListDocument
 import org.acaciaflow.protocol.http.toHosts
+import org.acaciaflow.protocol.json.decodeForeign
 import org.acaciaflow.state.identity.HostAddress
 import java.io.IOException
 import java.util.concurrent.TimeoutException
@@ -35,7 +36,7 @@
                     .send()
                     .coAwait()
             json
-                .decodeFromString(HostListDocument.serializer(), response.bodyAsString().orEmpty())
+                .decodeForeign(HostListDocument.serializer(), response.bodyAsString().orEmpty())
                 .toHosts()
                 .toPersistentList()
         } catch (_: SerializationException) {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
@@ -29,6 +29,7 @@
 import org.acaciaflow.coordination.port.StoreResult
 import org.acaciaflow.coordination.port.StoredValue
 import org.acaciaflow.coordination.port.SwapOutcome
+import org.acaciaflow.protocol.json.decodeForeign
 import org.acaciaflow.protocol.store.EtcdJson
 import org.acaciaflow.protocol.store.LeaseGrantRequest
 import org.acaciaflow.protocol.store.LeaseGrantResponse
@@ -195,7 +196,7 @@
         if (response.statusCode() == HTTP_SERVICE_UNAVAILABLE) return StoreResult.Failure(StoreFailure.REJECTED)
         if (response.statusCode() != HTTP_OK) return StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
         return try {
-            StoreResult.Success(EtcdJson.json.decodeFromString(responseType, response.bodyAsString()))
+            StoreResult.Success(EtcdJson.json.decodeForeign(responseType, response.bodyAsString()))
         } catch (_: SerializationException) {
             StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
         }
@@ -214,7 +215,7 @@
     private fun decodeEvents(line: Buffer): List<StoredValue> =
         try {
             EtcdJson.json
-                .decodeFromString(WatchResponse.serializer(), line.toString())
+                .decodeForeign(WatchResponse.serializer(), line.toString())
                 .result.events
                 .map { EtcdJson.decodeValue(it.kv) }
         } catch (_: SerializationException) {
