Restart lasting loops that fail, and show their state

Cause: the watch of the store, the exchanges with peers, the lease, pruning, polls and the accept loops were launched plainly. A task that overflowed the stack ended its worker, a call that did so kept its connection open without an answer, and a rehearsal that threw left the gateway unready for good.

Change: WorkerPool.startLoop supervises each lasting loop: the failure is logged as AF1902 with its cause, counted, and the loop starts again after 50 ms to 2 s (RestartPolicy). /status lists the loops, the readiness answer names those that wait to start again. Workers and calls outlive an overflow of the stack.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/configuration/ConfigurationUpdater.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/configuration/ConfigurationUpdater.kt
@@ -1,13 +1,12 @@
 package org.acaciaflow.coordination.configuration
 
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.port.LoopSupervisor
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreResult
 import org.acaciaflow.state.configuration.Configuration
@@ -32,10 +31,10 @@
     /** The revision in force, observable so that changes can be announced to peers. */
     val revision: StateFlow<Long> = revisions
 
-    /** Starts the watch and the poll in [scope]. */
-    fun start(scope: CoroutineScope) {
-        scope.launch { watch() }
-        scope.launch { refreshOnChange() }
+    /** Starts the watch and the poll as loops of [supervisor]. */
+    fun start(supervisor: LoopSupervisor) {
+        supervisor.startLoop("configuration-watch") { watch() }
+        supervisor.startLoop("configuration-poll") { refreshOnChange() }
     }
 
     /** Adopts [offered] if it is newer than the configuration in force. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -178,4 +178,12 @@
     data class WorkerFailed(
         val cause: Throwable,
     ) : Event(EventKind.WORKER_FAILED)
+
+    /** The loop [name] ended with [cause], for the [failures]th time in a row, and starts again after [pause]. */
+    data class LoopFailed(
+        val name: String,
+        val failures: Int,
+        val pause: Duration,
+        val cause: Throwable,
+    ) : Event(EventKind.LOOP_FAILED)
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/EventKind.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/EventKind.kt
@@ -43,6 +43,7 @@
     CRASH_QUARANTINED(1602, EventLevel.ERROR),
     CRASH_SUBJECT_QUARANTINED(1603, EventLevel.ERROR),
     WORKER_FAILED(1901, EventLevel.ERROR),
+    LOOP_FAILED(1902, EventLevel.ERROR),
 }
 
 /** Severity of a log event. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/suspect/CrashSuspectRegistry.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/suspect/CrashSuspectRegistry.kt
@@ -1,9 +1,8 @@
 package org.acaciaflow.coordination.suspect
 
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.port.LoopSupervisor
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreResult
 import org.acaciaflow.coordination.port.SuspectChange
@@ -22,9 +21,9 @@
     private val table: SharedTable<CrashSuspects>,
     private val observations: Observations,
 ) {
-    /** Starts watching the store in [scope]. */
-    fun start(scope: CoroutineScope) {
-        scope.launch { watch() }
+    /** Starts a loop of [supervisor] that watches the store. */
+    fun start(supervisor: LoopSupervisor) {
+        supervisor.startLoop("suspect-watch") { watch() }
     }
 
     /** Returns how a request with this digest may run as of [now]. */
--- a/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
@@ -32,4 +32,5 @@
     EXCHANGES(80),
     LINKS(90),
     STREAMS(100),
+    LOOPS(110),
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
@@ -76,8 +76,9 @@
             accept(request, channel, closed)
         } catch (failure: Exception) {
             currentCoroutineContext().ensureActive()
-            observations.event(Event.WorkerFailed(failure))
-            request.connection().close()
+            abort(request, failure)
+        } catch (overflow: StackOverflowError) {
+            abort(request, overflow)
         }
     }
 
@@ -98,6 +99,14 @@
         }
     }
 
+    private fun abort(
+        request: HttpServerRequest,
+        failure: Throwable,
+    ) {
+        observations.event(Event.WorkerFailed(failure))
+        request.connection().close()
+    }
+
     private suspend fun refuse(exchange: VertxCallerExchange) {
         observations.refused(NotRun.BODY_TOO_LARGE)
         exchange.refuse(NotRun.BODY_TOO_LARGE)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/OperatorsServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/OperatorsServer.kt
@@ -13,6 +13,9 @@
     /** True while the process accepts new work. */
     val ready: Boolean
 
+    /** Names of the loops that have failed and not started again yet. */
+    val failingLoops: List<String>
+
     /** The status of the process as a JSON document. */
     fun status(): String
 }
@@ -39,7 +42,7 @@
 
     private fun answerReady(context: RoutingContext) {
         when (view.ready) {
-            true -> context.end("ready\n")
+            true -> context.end("ready\n" + view.failingLoops.joinToString("") { "restarting: $it\n" })
             false -> context.response().setStatusCode(UNAVAILABLE).end("not ready\n")
         }
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/link/HostListWatcher.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/link/HostListWatcher.kt
@@ -4,13 +4,12 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentSet
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.io.IOException
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.HostList
 import org.acaciaflow.coordination.port.ListedHost
+import org.acaciaflow.coordination.port.LoopSupervisor
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.lock.LockOrder
@@ -26,13 +25,13 @@
     private val hosts: HostList,
     private val runner: SidecarLinkRunner,
     private val observations: Observations,
-    private val scope: CoroutineScope,
+    private val supervisor: LoopSupervisor,
     private val random: Random,
 ) {
     private val targets = createSharedTable(LockOrder.LINKS, Targets(persistentSetOf(), persistentSetOf()))
 
     fun start() {
-        scope.launch { pollHostList() }
+        supervisor.startLoop("host-list-poll") { pollHostList() }
     }
 
     private suspend fun pollHostList() {
@@ -52,7 +51,7 @@
                 val unlinked = listed.removeAll(current.maintained)
                 Transition(Targets(listed, current.maintained.addAll(unlinked)), unlinked)
             }
-        added.forEach { address -> scope.launch { maintainLink(address) } }
+        added.forEach { address -> supervisor.startLoop("link $address") { maintainLink(address) } }
     }
 
     private suspend fun maintainLink(address: HostAddress) {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/link/LinkServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/link/LinkServer.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.io.IOException
 import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.port.LoopSupervisor
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.sidecar.AttemptAdmission
 import org.acaciaflow.coordination.sidecar.SidecarTables
@@ -37,6 +38,7 @@
     private val admission: AttemptAdmission,
     private val exchanges: ExchangeQueue,
     private val observations: Observations,
+    private val supervisor: LoopSupervisor,
     private val scope: CoroutineScope,
 ) {
     private val links = createSharedTable(LockOrder.LINKS, NO_LINKS)
@@ -44,8 +46,8 @@
     /** Binds the port and starts to accept links; fails when another process is listening on the port. */
     suspend fun start(address: HostAddress) {
         val server = aSocket(selector).tcp().bind(address.ip, address.port) { reuseAddress = true }
-        scope.launch { accept(server) }
-        scope.launch { broadcastLoadChanges() }
+        supervisor.startLoop("link-accept") { accept(server) }
+        supervisor.startLoop("load-broadcast") { broadcastLoadChanges() }
     }
 
     /** Sends the current load and phase to all connected gateways. */
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionLog.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionLog.kt
@@ -1,9 +1,8 @@
 package org.acaciaflow.transport.log
 
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
+import org.acaciaflow.coordination.port.LoopSupervisor
 import org.tinylog.kotlin.Logger
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
@@ -24,9 +23,9 @@
         if (!queue.trySend(line).isSuccess) droppedLines.incrementAndGet()
     }
 
-    /** Starts writing queued lines until [scope] is cancelled. */
-    fun start(scope: CoroutineScope) {
-        scope.launch {
+    /** Starts a loop of [supervisor] that writes queued lines. */
+    fun start(supervisor: LoopSupervisor) {
+        supervisor.startLoop("decision-log") {
             while (true) {
                 Logger.info(batchFrom(queue.receive()))
                 delay(BATCH_INTERVAL)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
@@ -3,9 +3,9 @@
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
-import kotlinx.coroutines.CoroutineScope
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.event.EventLevel
+import org.acaciaflow.coordination.port.LoopSupervisor
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreFailure
 import org.acaciaflow.coordination.relay.Decision
@@ -60,8 +60,8 @@
 
     override fun decided(decision: Decision) = decisions.write(DecisionFormatter.format(decision))
 
-    /** Starts writing queued decision lines to the log until [scope] is cancelled. */
-    fun start(scope: CoroutineScope) = decisions.start(scope)
+    /** Starts a loop of [supervisor] that writes queued decision lines to the log. */
+    fun start(supervisor: LoopSupervisor) = decisions.start(supervisor)
 
     override fun storeFailed(reason: StoreFailure) = count(Meters.STORE_FAILURES, "reason", reason.code)
 
@@ -73,6 +73,7 @@
     ) {
         when (event) {
             is Event.WorkerFailed -> Logger.error(event.cause, text)
+            is Event.LoopFailed -> Logger.error(event.cause, text)
             else -> Logger.error(text)
         }
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/peer/ConfigurationExchange.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/peer/ConfigurationExchange.kt
@@ -18,6 +18,7 @@
 import kotlinx.io.IOException
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.port.LoopSupervisor
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.routing.ConfigurationOrigin
 import org.acaciaflow.coordination.routing.KnownRouting
@@ -42,13 +43,14 @@
     private val updater: RoutingUpdater,
     private val peers: SharedTable<Peers>,
     private val observations: Observations,
+    private val supervisor: LoopSupervisor,
     private val scope: CoroutineScope,
 ) {
     /** Binds the port, then starts to serve peers and to check their versions. */
     suspend fun start() {
         val server = aSocket(selector).tcp().bind(InetSocketAddress(self.ip, self.port))
-        scope.launch { serve(server) }
-        scope.launch { pollPeers() }
+        supervisor.startLoop("configuration-serving") { serve(server) }
+        supervisor.startLoop("peer-configuration-poll") { pollPeers() }
     }
 
     private suspend fun serve(server: ServerSocket) {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/peer/PeerExchange.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/peer/PeerExchange.kt
@@ -5,15 +5,14 @@
 import io.ktor.network.sockets.Datagram
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.aSocket
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.io.Buffer
 import kotlinx.io.IOException
 import kotlinx.io.readByteArray
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.peer.LoadExchange
 import org.acaciaflow.coordination.peer.PeerGossip
+import org.acaciaflow.coordination.port.LoopSupervisor
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.protocol.peer.DecodedDatagram
 import org.acaciaflow.protocol.peer.PeerCodec
@@ -40,7 +39,7 @@
     private val loads: LoadExchange,
     private val peers: SharedTable<Peers>,
     private val observations: Observations,
-    private val scope: CoroutineScope,
+    private val supervisor: LoopSupervisor,
     private val clock: Clock,
 ) {
     /** Whether the reports announce that this gateway is stopping. */
@@ -50,9 +49,9 @@
     /** Binds the port and starts to send and receive reports. */
     suspend fun start() {
         val socket = aSocket(selector).udp().bind(InetSocketAddress(self.ip, self.port))
-        scope.launch { receive(socket) }
-        scope.launch { sendReports(socket) }
-        scope.launch { sendLoads(socket) }
+        supervisor.startLoop("peer-receiver") { receive(socket) }
+        supervisor.startLoop("peer-reports") { sendReports(socket) }
+        supervisor.startLoop("peer-loads") { sendLoads(socket) }
     }
 
     private suspend fun sendLoads(socket: BoundDatagramSocket) {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/DaemonRuntime.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/DaemonRuntime.kt
@@ -12,6 +12,7 @@
 import org.acaciaflow.transport.observation.MeteredObservations
 import org.acaciaflow.transport.worker.WorkerPool
 import org.acaciaflow.transport.worker.createWorkerPool
+import kotlin.time.Clock
 
 /** The threads, sockets and meter registry of one daemon. */
 internal class DaemonRuntime(
@@ -29,10 +30,10 @@
 }
 
 /** Creates a runtime with separate event loops and worker threads. */
-internal fun createRuntime(): DaemonRuntime {
+internal fun createRuntime(clock: Clock): DaemonRuntime {
     val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     val observations = MeteredObservations(registry)
-    val workers = createWorkerPool(WORKER_THREADS, observations)
+    val workers = createWorkerPool(WORKER_THREADS, observations, clock)
     return DaemonRuntime(
         vertx = Vertx.vertx(vertxOptions(EVENT_LOOP_THREADS)),
         selector = SelectorManager(Dispatchers.IO.limitedParallelism(SELECTOR_THREADS)),
@@ -43,7 +44,7 @@
 }
 
 /** Creates a runtime with one event loop, which also runs the workers, for hosts with less than one processor. */
-internal fun createSingleLoopRuntime(): DaemonRuntime {
+internal fun createSingleLoopRuntime(clock: Clock): DaemonRuntime {
     val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     val observations = MeteredObservations(registry)
     val vertx = Vertx.vertx(vertxOptions(threads = 1))
@@ -52,7 +53,7 @@
         selector = SelectorManager(Dispatchers.IO.limitedParallelism(SELECTOR_THREADS)),
         registry = registry,
         observations = observations,
-        workers = createWorkerPool(vertx.orCreateContext.dispatcher(), observations),
+        workers = createWorkerPool(vertx.orCreateContext.dispatcher(), observations, clock),
     )
 }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EngineReconciliationLoop.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EngineReconciliationLoop.kt
@@ -1,11 +1,10 @@
 package org.acaciaflow.transport.process
 
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.plan.EngineReconciler
+import org.acaciaflow.coordination.port.LoopSupervisor
 import org.acaciaflow.transport.link.LinkServer
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -23,9 +22,9 @@
 ) {
     private val planChanged = Channel<Unit>(Channel.CONFLATED)
 
-    fun start(scope: CoroutineScope) {
-        scope.launch { watchPlan() }
-        scope.launch { reconcile() }
+    fun start(supervisor: LoopSupervisor) {
+        supervisor.startLoop("plan-watch") { watchPlan() }
+        supervisor.startLoop("engine-reconciliation") { reconcile() }
     }
 
     private suspend fun watchPlan() {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
@@ -53,18 +53,18 @@
 
     /** Opens the callers' port first: after an outage of all hosts, a refused connection costs a caller an attempt. */
     override suspend fun start() {
-        val scope = runtime.workers.scope
-        scope.launch { watcher.run() }
+        val workers = runtime.workers
+        workers.startLoop("store-watch") { watcher.run() }
         callers.start(settings.callers)
-        runtime.observations.start(scope)
+        runtime.observations.start(workers)
         OperatorsServer(runtime.vertx, runtime.registry, this, settings.readinessPath).start(settings.readiness)
         runtime.observations.event(Event.ProcessStarted(self))
         peers.start()
         configurations.start()
         OperatorsServer(runtime.vertx, runtime.registry, this).start(settings.metrics)
-        scope.launch { registration.run() }
-        scope.launch { pruneTables() }
-        scope.launch { rehearse() }
+        workers.startLoop("peer-registration") { registration.run() }
+        workers.startLoop("table-pruning") { pruneTables() }
+        workers.scope.launch { rehearse() }
     }
 
     /** Fails the readiness check at once, drains calls, and returns before the platform kills the process. */
@@ -82,16 +82,22 @@
 
     override fun reload() = runtime.observations.event(Event.SettingsReloaded)
 
-    override fun status(): String = EntryGatewayStatus.describe(self, tables, clock.now())
+    override val failingLoops: List<String>
+        get() = failingLoops(runtime.workers.loops)
+
+    override fun status(): String = EntryGatewayStatus.describe(self, tables, runtime.workers.loops, clock.now())
 
     /** Skips the rehearsal, or ends it early, when callers have open calls, since both compete for the processor. */
     private suspend fun rehearse() {
-        delay(REHEARSAL_DELAY)
-        if (callers.openCalls == 0) {
-            val result = rehearsal.run { callers.openCalls == 0 && !stop.requested }
-            runtime.observations.event(Event.Rehearsed(result.answered, result.elapsed))
+        try {
+            delay(REHEARSAL_DELAY)
+            if (callers.openCalls == 0) {
+                val result = rehearsal.run { callers.openCalls == 0 && !stop.requested }
+                runtime.observations.event(Event.Rehearsed(result.answered, result.elapsed))
+            }
+        } finally {
+            rehearsed = true // a gateway whose rehearsal failed still serves, only more slowly at first
         }
-        rehearsed = true
     }
 
     /** Waits until no call has been open for [REQUIRED_IDLE_TIME], since callers keep reusing their connections. */
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -32,7 +32,7 @@
     clock: Clock,
     random: Random,
 ): Daemon {
-    val runtime = createSingleLoopRuntime()
+    val runtime = createSingleLoopRuntime(clock)
     val tables = createRelayTables()
     val calls = VertxHttpCalls(runtime.vertx)
     val store = adapters.openStore(calls)
@@ -74,6 +74,7 @@
                 updater = updater,
                 peers = tables.peers,
                 observations = runtime.observations,
+                supervisor = runtime.workers,
                 scope = runtime.workers.scope,
             ),
         callers = CallerServer(runtime.vertx, relay, runtime.observations, runtime.workers.scope, frontEnd),
@@ -142,7 +143,7 @@
         loads = loads,
         peers = tables.peers,
         observations = runtime.observations,
-        scope = runtime.workers.scope,
+        supervisor = runtime.workers,
         clock = clock,
     )
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayStatus.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayStatus.kt
@@ -1,5 +1,7 @@
 package org.acaciaflow.transport.process
 
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.addJsonObject
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
@@ -8,6 +10,7 @@
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.Fleet
 import org.acaciaflow.state.identity.ProcessIdentity
+import org.acaciaflow.state.loop.LoopState
 import kotlin.time.Instant
 
 /** Describes a gateway's view of the fleet as JSON. */
@@ -15,6 +18,7 @@
     fun describe(
         self: ProcessIdentity,
         tables: RelayTables,
+        loops: PersistentMap<String, LoopState>,
         now: Instant,
     ): String {
         val fleet = tables.fleet.snapshot()
@@ -42,6 +46,9 @@
                     }
                 }
             }
+            putJsonArray("loops") {
+                for (loop in loopStatuses(loops)) add(Json.encodeToJsonElement(LoopStatus.serializer(), loop))
+            }
             putJsonArray("peers") {
                 for (peer in peers.live.values) {
                     addJsonObject {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemon.kt
@@ -1,7 +1,6 @@
 package org.acaciaflow.transport.process
 
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.configuration.ConfigurationUpdater
 import org.acaciaflow.coordination.event.Event
@@ -39,11 +38,11 @@
         get() = !stopping && tables.configuration.snapshot().revision != Configuration.NO_REVISION
 
     override suspend fun start() {
-        configuration.start(runtime.workers.scope)
-        core.suspects.start(runtime.workers.scope)
+        configuration.start(runtime.workers)
+        core.suspects.start(runtime.workers)
         hosts.start()
         runtime.workers.startWorkers(settings.exchangeWorkers) { core.worker.serveNext() }
-        runtime.workers.scope.launch { refuseExpired() }
+        runtime.workers.startLoop("expiry-check") { refuseExpired() }
         OperatorsServer(runtime.vertx, runtime.registry, this).start(settings.operators)
         callers.start(settings.callers)
         runtime.observations.event(Event.ProcessStarted(self))
@@ -58,7 +57,10 @@
         runtime.close()
     }
 
-    override fun status(): String = GatewayStatus.describe(self, tables, clock.now())
+    override val failingLoops: List<String>
+        get() = failingLoops(runtime.workers.loops)
+
+    override fun status(): String = GatewayStatus.describe(self, tables, runtime.workers.loops, clock.now())
 
     private suspend fun awaitIdle() {
         while (callers.openCalls > 0) delay(DRAIN_POLL_INTERVAL)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
@@ -37,7 +37,7 @@
     clock: Clock,
     random: Random,
 ): Daemon {
-    val runtime = createRuntime()
+    val runtime = createRuntime(clock)
     val self = newProcessIdentity(settings.callers)
     val tables = createGatewayTables()
     val store = EtcdKeyValueStore(runtime.vertx, settings.store, runtime.registry, runtime.observations)
@@ -63,7 +63,7 @@
         runtime = runtime,
         tables = tables,
         configuration = updater,
-        hosts = HostListWatcher(hosts, runner, runtime.observations, runtime.workers.scope, random),
+        hosts = HostListWatcher(hosts, runner, runtime.observations, runtime.workers, random),
         core = core,
         callers = createCallerServer(settings, runtime, core),
         clock = clock,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayStatus.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayStatus.kt
@@ -1,10 +1,12 @@
 package org.acaciaflow.transport.process
 
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.acaciaflow.coordination.gateway.GatewayTables
 import org.acaciaflow.state.backend.BackendServer
 import org.acaciaflow.state.identity.ProcessIdentity
+import org.acaciaflow.state.loop.LoopState
 import org.acaciaflow.state.waiting.WaitingRequests
 import org.acaciaflow.state.work.Rank
 import kotlin.time.Instant
@@ -17,11 +19,13 @@
     val revision: Long,
     val backendServers: List<BackendServerStatus>,
     val waiting: List<RankStatus>,
+    val loops: List<LoopStatus>,
 ) {
     companion object {
         fun describe(
             self: ProcessIdentity,
             tables: GatewayTables,
+            loops: PersistentMap<String, LoopState>,
             now: Instant,
         ): String {
             val servers =
@@ -36,6 +40,7 @@
                     revision = tables.configuration.snapshot().revision,
                     backendServers = servers.map(::serverStatus),
                     waiting = Rank.entries.map { rankStatus(it, tables.waiting.snapshot()) },
+                    loops = loopStatuses(loops),
                 )
             return Json.encodeToString(serializer(), status)
         }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemon.kt
@@ -1,7 +1,6 @@
 package org.acaciaflow.transport.process
 
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.configuration.ConfigurationUpdater
 import org.acaciaflow.coordination.event.Event
@@ -39,11 +38,11 @@
 
     override suspend fun start() {
         supervisor.probe()
-        configuration.start(runtime.workers.scope)
+        configuration.start(runtime.workers)
         runtime.workers.startWorkers(settings.capacity) { exchanges.serveNext() }
         links.start(settings.links)
-        runtime.workers.scope.launch { superviseBackend() }
-        reconciler?.let { EngineReconciliationLoop(it, links).start(runtime.workers.scope) }
+        runtime.workers.startLoop("backend-probe") { superviseBackend() }
+        reconciler?.let { EngineReconciliationLoop(it, links).start(runtime.workers) }
         OperatorsServer(runtime.vertx, runtime.registry, this).start(settings.operators)
         runtime.observations.event(Event.ProcessStarted(self))
     }
@@ -59,7 +58,10 @@
         runtime.close()
     }
 
-    override fun status(): String = SidecarStatus.describe(self, tables, clock.now())
+    override val failingLoops: List<String>
+        get() = failingLoops(runtime.workers.loops)
+
+    override fun status(): String = SidecarStatus.describe(self, tables, runtime.workers.loops, clock.now())
 
     private suspend fun awaitIdle() {
         while (tables.load
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemonFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemonFactory.kt
@@ -26,7 +26,7 @@
     settings: SidecarSettings,
     clock: Clock,
 ): Daemon {
-    val runtime = createRuntime()
+    val runtime = createRuntime(clock)
     val self = newProcessIdentity(settings.links)
     val tables = createSidecarTables(settings.capacity, JOURNAL_CAPACITY)
     val store = EtcdKeyValueStore(runtime.vertx, settings.store, runtime.registry, runtime.observations)
@@ -85,6 +85,7 @@
         admission = admission,
         exchanges = exchanges,
         observations = runtime.observations,
+        supervisor = runtime.workers,
         scope = runtime.workers.scope,
     )
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarStatus.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarStatus.kt
@@ -1,9 +1,11 @@
 package org.acaciaflow.transport.process
 
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.acaciaflow.coordination.sidecar.SidecarTables
 import org.acaciaflow.state.identity.ProcessIdentity
+import org.acaciaflow.state.loop.LoopState
 import kotlin.time.Instant
 
 /** The status page of a sidecar. */
@@ -17,11 +19,13 @@
     val running: Int,
     val capacity: Int,
     val journalEntries: Int,
+    val loops: List<LoopStatus>,
 ) {
     companion object {
         fun describe(
             self: ProcessIdentity,
             tables: SidecarTables,
+            loops: PersistentMap<String, LoopState>,
             now: Instant,
         ): String {
             val load = tables.load.snapshot()
@@ -38,6 +42,7 @@
                         tables.journal
                             .snapshot()
                             .entries.size,
+                    loops = loopStatuses(loops),
                 )
             return Json.encodeToString(serializer(), status)
         }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/StoreSession.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/StoreSession.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.transport.process
 
+import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.coordination.port.KeyValueStore
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.transport.store.EtcdKeyValueStore
@@ -9,7 +10,7 @@
     address: HostAddress,
     work: suspend (KeyValueStore) -> Result,
 ): Result {
-    val runtime = createRuntime()
+    val runtime = createRuntime(createSteadyClock())
     try {
         return work(EtcdKeyValueStore(runtime.vertx, address, runtime.registry, runtime.observations))
     } finally {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import kotlinx.io.bytestring.ByteString
@@ -17,6 +18,7 @@
 import kotlinx.io.bytestring.encodeToByteString
 import org.acaciaflow.coordination.port.Decoded
 import org.acaciaflow.coordination.port.DocumentFault
+import org.acaciaflow.coordination.port.LoopSupervisor
 import org.acaciaflow.coordination.port.StoreKey
 import org.acaciaflow.coordination.port.StoredDocuments
 import org.acaciaflow.coordination.port.StoredKeyKind
@@ -76,7 +78,25 @@
         scope: CoroutineScope,
     ): ConfigurationExchange {
         val updater = RoutingUpdater(VersionDocuments, tables.routing, observations)
-        return ConfigurationExchange(self, selector, tables.routing, updater, tables.peers, observations, scope)
+        val supervisor =
+            object : LoopSupervisor {
+                override fun startLoop(
+                    name: String,
+                    loop: suspend () -> Unit,
+                ) {
+                    scope.launch { loop() }
+                }
+            }
+        return ConfigurationExchange(
+            self,
+            selector,
+            tables.routing,
+            updater,
+            tables.peers,
+            observations,
+            supervisor,
+            scope,
+        )
     }
 
     private fun peerAt(
