Apply the same rules to streams of all services

Cause: what follows an attempt was decided twice, in PlainRelay and in EngineRelay, by whether the service has engine properties and not by what the route promises. The plain way had no resume point, so every run began at the first piece; a caller's own Last-Event-Id was dropped for the same reason, an error answer was written into a stream that had begun, and a stream that may run once went on at its server after its caller had left. The test also showed two gaps on both ways: a stream whose last event has no identity was resumed before it, and a server that ignores the resume point had its pieces appended. An event stream on an idempotent route, which cannot be resumed, was joined from two runs.

Change: nextStepAfter and runOrderFor decide for both relays from the route's kind and the progress. A stream is resumed only while each event sent has an identity; the first event of a resumed run must come after the last one sent, otherwise the attempt is broken off (stream-not-resumed). What cannot be resumed is aborted. A stream without prompt has the stall timeouts of streams and ends with its caller.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -123,6 +123,7 @@
                     when (val forwarded = delivery.forward(event.bytes)) {
                         is Forwarded.Written -> if (forwarded.progressed) watchdog.recordProgress(clock.now())
                         Forwarded.CallerGone -> return RunOutcome.CallerGone
+                        Forwarded.OutOfOrder -> return RunOutcome.Broken(MayHaveRun.STREAM_NOT_RESUMED)
                         Forwarded.EventTooLarge -> return RunOutcome.Broken(MayHaveRun.ANSWER_TOO_LARGE)
                     }
                 }
@@ -163,7 +164,7 @@
         }
         val answer = buffer.toStoredAnswer()
         if (head.status >= FIRST_FAILURE_STATUS || tracker.progress.begun) return RunOutcome.Failed(answer)
-        tracker.update { it.copy(begunAt = clock.now()) }
+        tracker.update { it.copy(begunAt = clock.now(), resumable = false) }
         return outcomeOf(request.exchange.sendWhole(answer), head.status)
     }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -5,12 +5,10 @@
 import org.acaciaflow.coordination.port.CacheSource
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.PrefillOutcome
-import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.coordination.retry.RetryReason
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.prompt.Prompt
 import org.acaciaflow.state.refusal.AttemptRefusal
-import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.route.EngineProperties
 import kotlin.random.Random
 import kotlin.time.Clock
@@ -72,7 +70,7 @@
     ): EngineStep {
         val sentAt = clock.now()
         observations.decided(Decision.Sent(request, path.prefillEngine, path.predicted, tables.load.snapshot(), sentAt))
-        val order = orderFor(request, path.prefillEngine, null, tracker)
+        val order = runOrderFor(request, path.prefillEngine, source = null, tracker.progress, sentAt)
         return when (val outcome = prefillRun.run(request, order, path, prompt, properties)) {
             is PrefillOutcome.Ready -> {
                 tracker.update { it.copy(prefillCalls = it.prefillCalls + 1) }
@@ -141,9 +139,9 @@
             source?.let(prefillRun::release)
             return EngineStep.Finished(quarantined)
         }
-        val order = orderFor(request, engine, source, tracker)
         val work = if (source == null) predictedWork(request, properties, engine, prompt) else CACHE_FETCH_WORK
         val now = clock.now()
+        val order = runOrderFor(request, engine, source, tracker.progress, now)
         observations.decided(Decision.Sent(request, engine, path.predicted, tables.load.snapshot(), now))
         prefillRun.recordCachedParts(engine.life, prompt, properties, now)
         val backlog = tables.load.snapshot().backlogAt(engine.life, now)
@@ -166,39 +164,30 @@
         request: RelayedRequest,
         outcome: RunOutcome,
         tracker: RelayProgressTracker,
-    ): EngineStep {
-        val repeatable = request.route.kind.repeatable
-        return when (outcome) {
-            is RunOutcome.Delivered -> {
-                EngineStep.Finished(Conclusion.Delivered(outcome.status))
-            }
-
-            RunOutcome.CallerGone -> {
-                EngineStep.Finished(Conclusion.CallerGone)
-            }
-
-            is RunOutcome.NotExecuted -> {
-                EngineStep.Retry(RetryReason.ATTEMPT_REFUSED)
-            }
-
-            is RunOutcome.Broken -> {
-                when {
-                    !repeatable -> EngineStep.Finished(uncertain(tracker.progress, outcome.reason))
-                    tracker.progress.begun -> EngineStep.Retry(RetryReason.STREAM_RESUMED)
-                    else -> EngineStep.Retry(RetryReason.ANSWER_INCOMPLETE)
-                }
-            }
-
-            is RunOutcome.Failed -> {
-                when {
-                    tracker.progress.begun -> EngineStep.Finished(Conclusion.Aborted(MayHaveRun.ANSWER_INCOMPLETE))
-                    repeatable && outcome.answer.status >= FIRST_SERVER_ERROR && hasCandidateLeft(request, tracker) ->
-                        EngineStep.Retry(RetryReason.BACKEND_FAILED)
-                    else -> EngineStep.Finished(forwardFailure(request, outcome))
-                }
-            }
+    ): EngineStep =
+        when (
+            val step =
+                nextStepAfter(
+                    outcome,
+                    request,
+                    tracker.progress,
+                    mayRetryFailure(request, outcome, tracker),
+                )
+        ) {
+            is NextStep.Finish -> EngineStep.Finished(step.conclusion)
+            is NextStep.Retry -> EngineStep.Retry(step.reason)
+            is NextStep.ForwardFailure -> EngineStep.Finished(forwardFailure(request, step.failed))
         }
-    }
+
+    private fun mayRetryFailure(
+        request: RelayedRequest,
+        outcome: RunOutcome,
+        tracker: RelayProgressTracker,
+    ): Boolean =
+        outcome is RunOutcome.Failed &&
+            request.route.kind.repeatable &&
+            outcome.answer.status >= FIRST_SERVER_ERROR &&
+            hasCandidateLeft(request, tracker)
 
     private fun hasCandidateLeft(
         request: RelayedRequest,
@@ -215,22 +204,6 @@
         prompt: Prompt,
     ): Duration = EnginePlanner.prefillTime(candidates.view(listOf(engine), properties, request), engine, prompt)
 
-    private fun orderFor(
-        request: RelayedRequest,
-        backend: BackendEntry,
-        source: CacheSource?,
-        tracker: RelayProgressTracker,
-    ): RunOrder =
-        RunOrder(
-            backend = backend,
-            call = request.facts.forwarded,
-            requestId = request.facts.requestId,
-            timeLeft = request.deadline - clock.now(),
-            urgency = request.route.urgency,
-            resumeAfter = tracker.progress.lastEvent ?: request.facts.resumeAfter,
-            source = source,
-        )
-
     /** Returns the stall timeouts of a stream that may be resumed on another engine, and none otherwise. */
     private fun stallTimeoutsFor(
         request: RelayedRequest,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
@@ -24,6 +24,9 @@
 ) {
     private var rest = ByteString()
 
+    /** True until the first event of an attempt that resumes the stream has been checked against the last one sent. */
+    private var resuming = tracker.progress.begun
+
     /** True when the data received so far ends at an event boundary. */
     val endsAtEventBoundary: Boolean
         get() = rest.isEmpty()
@@ -36,14 +39,35 @@
         if (framed.events.isEmpty()) return Forwarded.Written(progressed = false)
         if (!tracker.progress.begun && exchange.begin(head) == CallerWrite.CALLER_GONE) return Forwarded.CallerGone
         val former = tracker.progress.lastEvent
+        if (resuming && framed.events.any { !continues(it, former) }) return Forwarded.OutOfOrder
         val last = framed.events.lastOrNull { it.identity != null }?.identity
-        tracker.update { it.copy(begunAt = it.begunAt ?: clock.now(), lastEvent = last ?: it.lastEvent) }
+        val identified = framed.events.all { it.isComment || it.isEndMark || it.identity != null }
+        if (last != null) resuming = false
+        tracker.update {
+            it.copy(
+                begunAt = it.begunAt ?: clock.now(),
+                lastEvent = last ?: it.lastEvent,
+                resumable = it.resumable && identified,
+            )
+        }
         return when (exchange.send(concatenate(framed.events.map { it.bytes }))) {
             CallerWrite.WRITTEN -> Forwarded.Written(progressed = framed.events.any { isProgress(it, former) })
             CallerWrite.CALLER_GONE -> Forwarded.CallerGone
         }
     }
 
+    /** Returns true if [event] can follow the event [former] in a stream whose identities increase. */
+    private fun continues(
+        event: StreamEvent,
+        former: String?,
+    ): Boolean {
+        val identity = event.identity
+        if (identity == null || former == null) return true
+        val number = identity.toLongOrNull()
+        val formerNumber = former.toLongOrNull()
+        return if (number != null && formerNumber != null) number > formerNumber else identity != former
+    }
+
     /** Comments, and events that repeat the identity [former], keep a stream alive without advancing it. */
     private fun isProgress(
         event: StreamEvent,
@@ -71,6 +95,9 @@
 
     data object CallerGone : Forwarded
 
+    /** An attempt that was to resume the stream sent events that the caller has already. */
+    data object OutOfOrder : Forwarded
+
     /** The stream has no event boundary within a reasonable size. */
     data object EventTooLarge : Forwarded
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -2,11 +2,11 @@
 
 import org.acaciaflow.coordination.plain.PlainSelection
 import org.acaciaflow.coordination.port.Observations
-import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.coordination.retry.RetryReason
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.route.RequestKind
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -38,28 +38,12 @@
             val usable = candidates.of(request, tracker.progress, now)
             val chosen = choose(usable, now) ?: return noAttemptLeft(tracker.progress)
             if (!retryLimiter.tryAcquire(request, tracker.progress, reason, now)) return noAttemptLeft(tracker.progress)
-            when (val outcome = send(request, chosen, tracker)) {
-                is RunOutcome.Delivered -> {
-                    return Conclusion.Delivered(outcome.status)
-                }
-
-                RunOutcome.CallerGone -> {
-                    return Conclusion.CallerGone
-                }
-
-                is RunOutcome.NotExecuted -> {
-                    reason = RetryReason.ATTEMPT_REFUSED
-                }
-
-                is RunOutcome.Broken -> {
-                    if (!request.route.kind.repeatable) return uncertain(tracker.progress, outcome.reason)
-                    reason = RetryReason.ANSWER_INCOMPLETE
-                }
-
-                is RunOutcome.Failed -> {
-                    if (!mayRetry(request, tracker, outcome)) return forwardFailure(request, outcome)
-                    reason = RetryReason.BACKEND_FAILED
-                }
+            val outcome = send(request, chosen, tracker)
+            val mayRetryFailure = mayRetryFailure(request, tracker, outcome)
+            when (val step = nextStepAfter(outcome, request, tracker.progress, mayRetryFailure)) {
+                is NextStep.Finish -> return step.conclusion
+                is NextStep.ForwardFailure -> return forwardFailure(request, step.failed)
+                is NextStep.Retry -> reason = step.reason
             }
         }
     }
@@ -78,18 +62,9 @@
         tracker: RelayProgressTracker,
     ): RunOutcome {
         val now = clock.now()
-        val order =
-            RunOrder(
-                backend = chosen,
-                call = request.facts.forwarded,
-                requestId = request.facts.requestId,
-                timeLeft = request.deadline - now,
-                urgency = request.route.urgency,
-                resumeAfter = null,
-                source = null,
-            )
+        val order = runOrderFor(request, chosen, source = null, tracker.progress, now)
         observations.decided(Decision.Sent(request, chosen, NO_PREDICTION, tables.load.snapshot(), now))
-        val outcome = backendRun.run(request, order, TYPICAL_WORK, stallTimeoutsFor(request, tracker), tracker)
+        val outcome = backendRun.run(request, order, TYPICAL_WORK, stallTimeoutsFor(request, tracker, now), tracker)
         recordAttempt(tracker, chosen, outcome)
         observations.decided(Decision.Ran(request, chosen, outcome.toString(), clock.now()))
         return outcome
@@ -99,18 +74,23 @@
     private fun stallTimeoutsFor(
         request: RelayedRequest,
         tracker: RelayProgressTracker,
+        now: Instant,
     ): StallTimeouts {
         val anotherAllowed = tracker.progress.reached.size + 1 < request.route.maximumAttempts
         if (!request.route.kind.repeatable || !anotherAllowed) return StallTimeouts.UNBOUNDED
-        return StallTimeouts.forPlainCall(request.route)
+        return when (request.route.kind) {
+            RequestKind.Idempotent, RequestKind.AtMostOnce -> StallTimeouts.forPlainCall(request.route)
+            is RequestKind.EventStream -> StallTimeouts.forPlainStream(request.route, request.deadline - now)
+        }
     }
 
-    private fun mayRetry(
+    private fun mayRetryFailure(
         request: RelayedRequest,
         tracker: RelayProgressTracker,
-        failed: RunOutcome.Failed,
+        outcome: RunOutcome,
     ): Boolean {
-        if (!request.route.kind.repeatable || failed.answer.status < FIRST_SERVER_ERROR) return false
+        if (outcome !is RunOutcome.Failed) return false
+        if (!request.route.kind.repeatable || outcome.answer.status < FIRST_SERVER_ERROR) return false
         val now = clock.now()
         if (request.deadline - now < request.route.target) return false
         return candidates.of(request, tracker.progress, now).isNotEmpty()
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayProgress.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayProgress.kt
@@ -14,7 +14,8 @@
  * successful prefills are not counted. [prefillCalls] is the number of prefill attempts. [attemptInFlight] is true
  * while an attempt other than a prefill is in progress. [mayHaveRun] is set once a backend server may have started to
  * execute the request. [begunAt] is when the first part of the answer was sent to the caller, [lastEvent] the identity
- * of the last event sent to it.
+ * of the last event sent to it. [resumable] is false once a part was sent after which no server can be asked to
+ * continue: a part of a plain answer, or an event without an identity.
  */
 data class RelayProgress(
     val reached: PersistentSet<BackendLife>,
@@ -25,6 +26,7 @@
     val mayHaveRun: MayHaveRun?,
     val begunAt: Instant?,
     val lastEvent: String?,
+    val resumable: Boolean,
 ) {
     val begun: Boolean
         get() = begunAt != null
@@ -40,6 +42,7 @@
                 mayHaveRun = null,
                 begunAt = null,
                 lastEvent = null,
+                resumable = true,
             )
     }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RequestRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RequestRelay.kt
@@ -12,6 +12,7 @@
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.refusal.NotRun
+import org.acaciaflow.state.route.RequestKind
 import kotlin.time.Clock
 
 /** Serves callers' requests by calling backend servers directly. */
@@ -64,8 +65,7 @@
     private suspend fun serve(request: RelayedRequest) {
         val tracker = RelayProgressTracker()
         retryLimiter.countRequest(request, request.arrivedAt)
-        // A plain request that must not be repeated runs to completion: cancelling it could leave its work half done.
-        if (request.route.kind.repeatable || request.facts.prompt != null) cancelOnDisconnect(request)
+        if (endsWithCaller(request.route.kind)) cancelOnDisconnect(request)
         try {
             val left = request.deadline - clock.now()
             val conclusion = withTimeoutOrNull(left) { relay(request, tracker) } ?: timedOut(tracker.progress)
@@ -89,6 +89,13 @@
         }
     }
 
+    /** A plain request that must not be repeated runs to completion: cancelling it could leave its work half done. */
+    private fun endsWithCaller(kind: RequestKind): Boolean =
+        when (kind) {
+            RequestKind.Idempotent, is RequestKind.EventStream -> true
+            RequestKind.AtMostOnce -> false
+        }
+
     private suspend fun cancelOnDisconnect(request: RelayedRequest) {
         val serving: Job = currentCoroutineContext().job
         request.exchange.onDisconnect { serving.cancel() }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StallTimeouts.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StallTimeouts.kt
@@ -23,6 +23,12 @@
         fun forPlainCall(route: Route): StallTimeouts =
             UNBOUNDED.copy(firstData = maxOf(route.target * TARGET_FACTOR, MINIMUM_PLAIN_TIMEOUT))
 
+        /** Timeouts for a stream that can be resumed elsewhere, from a service whose speed is not predicted. */
+        fun forPlainStream(
+            route: Route,
+            timeLeft: Duration,
+        ): StallTimeouts = forStream(route, predicted = Duration.ZERO, timeLeft).copy(serverSilence = null)
+
         /** Timeouts for a stream that can be resumed elsewhere; its first event is predicted to take [predicted]. */
         fun forStream(
             route: Route,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeFrontEnd.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeFrontEnd.kt
@@ -75,6 +75,7 @@
 /** Decodes every call into the same facts. */
 internal class FakeDialect(
     private val prompt: Prompt?,
+    private val resumeAfter: String? = null,
 ) : CallerDialect {
     override fun read(call: CallHead): Decoded<CallFacts> =
         Decoded.Valid(
@@ -84,13 +85,17 @@
                 path = call.target,
                 timeLimit = null,
                 prompt = prompt,
-                resumeAfter = null,
+                resumeAfter = resumeAfter,
                 forwarded = call,
             ),
         )
 }
 
-/** Frames each letter as one event, numbered by its position in the alphabet, and each period as a comment. */
+/**
+ * Frames each letter as one event, numbered by its position in the alphabet, and each period as a comment.
+ *
+ * Capital letters are events without an identity.
+ */
 internal object LetterFraming : StreamFraming {
     override fun isEventStream(head: AnswerHead): Boolean = head.status == STREAM_STATUS
 
@@ -102,7 +107,7 @@
     private fun eventOf(character: Char): StreamEvent =
         StreamEvent(
             bytes = ByteString(character.code.toByte()),
-            identity = if (character == COMMENT) null else numberOf(character),
+            identity = if (character.isLowerCase()) numberOf(character) else null,
             isEndMark = false,
             isComment = character == COMMENT,
         )
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
@@ -32,13 +32,21 @@
 
     data object StaysSilent : Reaction
 
-    /** Streams [parts], one every [gap], and then the end, or the last part again and again if [endless]. */
+    /**
+     * Streams [parts], one every [gap], and then the end, or the last part again and again if [endless].
+     *
+     * If [breaks], the connection breaks in place of the end.
+     */
     data class Paces(
         val parts: List<String>,
         val gap: Duration,
         val endless: Boolean,
+        val breaks: Boolean = false,
     ) : Reaction
 
+    /** Streams all letters, whatever the last one received. */
+    data object StartsOver : Reaction
+
     /** Streams the letters after the last one received; the connection breaks before [breakAt]. */
     data class Streams(
         val breakAt: Char?,
@@ -84,6 +92,7 @@
             Reaction.BreaksConnection -> listOf(AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED))
             Reaction.StaysSilent -> emptyList()
             is Reaction.Paces -> error("a paced stream makes its own events")
+            Reaction.StartsOver -> eventsOf(Reaction.Streams(breakAt = null), order.copy(resumeAfter = null))
             is Reaction.Streams -> listOf(head(LetterFraming.STREAM_STATUS)) + letters(reaction, order)
         }
 
@@ -143,6 +152,7 @@
             index < 0 -> AttemptEvent.Head(AnswerHead(LetterFraming.STREAM_STATUS, persistentListOf()))
             index < paces.parts.size -> AttemptEvent.Data(paces.parts[index].encodeToByteString())
             paces.endless -> AttemptEvent.Data(paces.parts.last().encodeToByteString())
+            paces.breaks -> AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED)
             else -> AttemptEvent.End
         }
     }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TestRelay.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TestRelay.kt
@@ -15,11 +15,12 @@
     tables: RelayTables,
     connections: BackendConnections,
     prompt: Prompt?,
+    resumeAfter: String? = null,
 ): RequestRelay {
     val ports =
         RelayPorts(
             connections,
-            FakeDialect(prompt),
+            FakeDialect(prompt, resumeAfter),
             LetterFraming,
             FakeObservations(),
             virtualClock(),
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
@@ -16,4 +16,5 @@
     ANSWER_UNSIGNED("answer-unsigned"),
     ANSWER_TOO_LARGE("answer-too-large"),
     STREAM_STALLED("stream-stalled"),
+    STREAM_NOT_RESUMED("stream-not-resumed"),
 }
