Look at each byte of an event stream once, and share the event loop

Cause: EventDelivery joined the unfinished event with each new part and searched all of it again, up to 256 KiB, so the work grew with the square of the parts. BodyChannel hands out parts that have arrived without suspending, so all of it ran in one piece on the one event loop that serves callers, servers, timeouts and the store.

Change: StreamFraming makes a splitter for each stream that keeps the unfinished event and looks at each byte once (both kinds of gateway use it); BodyChannel.next gives way after 64 parts. Other readers that gather bytes until a mark were read for the same pattern: heads, chunk sizes and trailers are bounded by the HTTP library and tested (DirectConnectionsTest), frames carry their length, whole answers and documents are joined once at their end, AnswerCompleteness keeps 32 bytes.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/AnswerDelivery.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/AnswerDelivery.kt
@@ -40,7 +40,7 @@
 
     suspend fun head(head: AnswerHead): CallerWrite {
         if (!bufferWhole && framing.isEventStream(head)) {
-            mode = DeliveryMode.Events(ByteString(), persistentListOf())
+            mode = DeliveryMode.Events(framing.newSplitter(), persistentListOf())
             return if (progress.begun) CallerWrite.WRITTEN else begin(head, resumable = true)
         }
         mode = DeliveryMode.Buffering(head, persistentListOf(), bufferedBytes = 0)
@@ -76,17 +76,17 @@
         current: DeliveryMode.Events,
         bytes: ByteString,
     ): CallerWrite {
-        val framed = framing.split(concatenate(listOf(current.rest, bytes)))
-        val endMarks = framed.events.filter { it.isEndMark }.map { it.bytes }
-        val contents = framed.events.filterNot { it.isEndMark }.map { it.bytes }
-        mode = DeliveryMode.Events(framed.rest, current.endMarks.addAll(endMarks))
+        val events = current.splitter.split(bytes)
+        val endMarks = events.filter { it.isEndMark }.map { it.bytes }
+        val contents = events.filterNot { it.isEndMark }.map { it.bytes }
+        mode = DeliveryMode.Events(current.splitter, current.endMarks.addAll(endMarks))
         if (contents.isEmpty()) return CallerWrite.WRITTEN
         progress = progress.copy(events = progress.events + contents.size)
         return exchange.send(concatenate(contents))
     }
 
     private suspend fun endEvents(current: DeliveryMode.Events): CallerWrite {
-        val last = concatenate(current.endMarks + current.rest)
+        val last = concatenate(current.endMarks + current.splitter.incomplete)
         if (!last.isEmpty()) exchange.send(last)
         return exchange.end()
     }
@@ -119,7 +119,7 @@
         data object AwaitingHead : DeliveryMode
 
         data class Events(
-            val rest: ByteString,
+            val splitter: EventSplitter,
             val endMarks: PersistentList<ByteString>,
         ) : DeliveryMode
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/StreamFraming.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/StreamFraming.kt
@@ -4,20 +4,26 @@
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.state.work.AnswerHead
 
-/** Splits a streamed answer into events according to the encoding of the backend servers. */
+/** Finds the events of streamed answers according to the encoding of the backend servers. */
 interface StreamFraming {
-    /** Returns true if the answer is an event stream, whose body [split] can split. */
+    /** Returns true if the answer is an event stream. */
     fun isEventStream(head: AnswerHead): Boolean
 
-    /** Splits [bytes] into complete events and the bytes of the incomplete event at the end. */
-    fun split(bytes: ByteString): FramedEvents
+    /** Creates a splitter for the body of one event stream. */
+    fun newSplitter(): EventSplitter
 }
 
-/** Complete events, and the bytes received so far of the incomplete one after them. */
-data class FramedEvents(
-    val events: PersistentList<StreamEvent>,
-    val rest: ByteString,
-)
+/** Splits the body of one event stream into events, as its parts arrive. */
+interface EventSplitter {
+    /** The bytes received so far of the event that is incomplete. */
+    val incomplete: ByteString
+
+    /** The size of [incomplete] in bytes, without a copy of it. */
+    val incompleteSize: Int
+
+    /** Returns the events that [bytes] complete. The work depends on the size of [bytes] alone. */
+    fun split(bytes: ByteString): PersistentList<StreamEvent>
+}
 
 /**
  * One event of a stream.
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
@@ -17,31 +17,30 @@
  */
 internal class EventDelivery(
     private val exchange: CallerExchange,
-    private val framing: StreamFraming,
+    framing: StreamFraming,
     private val tracker: RelayProgressTracker,
     private val head: AnswerHead,
     private val clock: Clock,
 ) {
-    private var rest = ByteString()
+    private val splitter = framing.newSplitter()
 
     /** True until the first event of an attempt that resumes the stream has been checked against the last one sent. */
     private var resuming = tracker.progress.begun
 
     /** True when the data received so far ends at an event boundary. */
     val endsAtEventBoundary: Boolean
-        get() = rest.isEmpty()
+        get() = splitter.incompleteSize == 0
 
     /** Forwards the events that [bytes] complete and buffers the rest. */
     suspend fun forward(bytes: ByteString): Forwarded {
-        val framed = framing.split(if (rest.isEmpty()) bytes else concatenate(listOf(rest, bytes)))
-        rest = framed.rest
-        if (rest.size > MAXIMUM_EVENT_BYTES) return Forwarded.EventTooLarge
-        if (framed.events.isEmpty()) return Forwarded.Written(progressed = false)
+        val events = splitter.split(bytes)
+        if (splitter.incompleteSize > MAXIMUM_EVENT_BYTES) return Forwarded.EventTooLarge
+        if (events.isEmpty()) return Forwarded.Written(progressed = false)
         if (!tracker.progress.begun && exchange.begin(head) == CallerWrite.CALLER_GONE) return Forwarded.CallerGone
         val former = tracker.progress.lastEvent
-        if (resuming && framed.events.any { !continues(it, former) }) return Forwarded.OutOfOrder
-        val last = framed.events.lastOrNull { it.identity != null }?.identity
-        val identified = framed.events.all { it.isComment || it.isEndMark || it.identity != null }
+        if (resuming && events.any { !continues(it, former) }) return Forwarded.OutOfOrder
+        val last = events.lastOrNull { it.identity != null }?.identity
+        val identified = events.all { it.isComment || it.isEndMark || it.identity != null }
         if (last != null) resuming = false
         tracker.update {
             it.copy(
@@ -50,8 +49,8 @@
                 resumable = it.resumable && identified,
             )
         }
-        return when (exchange.send(concatenate(framed.events.map { it.bytes }))) {
-            CallerWrite.WRITTEN -> Forwarded.Written(progressed = framed.events.any { isProgress(it, former) })
+        return when (exchange.send(concatenate(events.map { it.bytes }))) {
+            CallerWrite.WRITTEN -> Forwarded.Written(progressed = events.any { isProgress(it, former) })
             CallerWrite.CALLER_GONE -> Forwarded.CallerGone
         }
     }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/BoundedAnswerTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/BoundedAnswerTest.kt
@@ -3,14 +3,17 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import kotlinx.io.bytestring.ByteString
-import org.acaciaflow.coordination.gateway.FramedEvents
+import org.acaciaflow.coordination.gateway.EventSplitter
+import org.acaciaflow.coordination.gateway.StreamEvent
 import org.acaciaflow.coordination.gateway.StreamFraming
 import org.acaciaflow.coordination.retry.RetryBounds
+import org.acaciaflow.state.bytes.concatenate
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.route.RequestKind
 import org.acaciaflow.state.work.AnswerHead
@@ -63,13 +66,25 @@
     private object EndlessEventFraming : StreamFraming {
         override fun isEventStream(head: AnswerHead): Boolean = true
 
-        override fun split(bytes: ByteString): FramedEvents = FramedEvents(persistentListOf(), bytes)
+        override fun newSplitter(): EventSplitter = EndlessEventSplitter()
+    }
+
+    private class EndlessEventSplitter : EventSplitter {
+        override var incomplete = ByteString()
+
+        override val incompleteSize: Int
+            get() = incomplete.size
+
+        override fun split(bytes: ByteString): PersistentList<StreamEvent> {
+            incomplete = concatenate(listOf(incomplete, bytes))
+            return persistentListOf()
+        }
     }
 
     /** Takes no answer for a stream. */
     private object NoStreamFraming : StreamFraming {
         override fun isEventStream(head: AnswerHead): Boolean = false
 
-        override fun split(bytes: ByteString): FramedEvents = FramedEvents(persistentListOf(), bytes)
+        override fun newSplitter(): EventSplitter = error("no answer is a stream")
     }
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeFrontEnd.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeFrontEnd.kt
@@ -1,9 +1,11 @@
 package org.acaciaflow.coordination.relay
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.decodeToString
-import org.acaciaflow.coordination.gateway.FramedEvents
+import org.acaciaflow.coordination.gateway.EventSplitter
 import org.acaciaflow.coordination.gateway.StreamEvent
 import org.acaciaflow.coordination.gateway.StreamFraming
 import org.acaciaflow.coordination.port.BodyPart
@@ -99,10 +101,14 @@
 internal object LetterFraming : StreamFraming {
     override fun isEventStream(head: AnswerHead): Boolean = head.status == STREAM_STATUS
 
-    override fun split(bytes: ByteString): FramedEvents {
-        val events = bytes.decodeToString().map(::eventOf)
-        return FramedEvents(persistentListOf<StreamEvent>().addAll(events), ByteString())
-    }
+    override fun newSplitter(): EventSplitter =
+        object : EventSplitter {
+            override val incomplete = ByteString()
+            override val incompleteSize = 0
+
+            override fun split(bytes: ByteString): PersistentList<StreamEvent> =
+                bytes.decodeToString().map(::eventOf).toPersistentList()
+        }
 
     private fun eventOf(character: Char): StreamEvent =
         StreamEvent(
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/ServerSentEvents.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/ServerSentEvents.kt
@@ -3,10 +3,11 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.io.bytestring.ByteString
-import org.acaciaflow.coordination.gateway.FramedEvents
+import org.acaciaflow.coordination.gateway.EventSplitter
 import org.acaciaflow.coordination.gateway.StreamEvent
 import org.acaciaflow.coordination.gateway.StreamFraming
 import org.acaciaflow.state.work.AnswerHead
+import java.io.ByteArrayOutputStream
 
 /** Framing of completion streams: server-sent events, each ended by an empty line, with `[DONE]` as the last one. */
 object ServerSentEvents : StreamFraming {
@@ -24,55 +25,58 @@
         return head.status == SUCCESS && type?.startsWith(EVENT_STREAM_TYPE, ignoreCase = true) == true
     }
 
-    override fun split(bytes: ByteString): FramedEvents {
-        val content = bytes.toByteArray()
-        var events: PersistentList<StreamEvent> = persistentListOf()
-        var start = 0
-        for (index in 1 until content.size) {
-            if (content[index] == LINE_FEED && endsEmptyLine(content, index)) {
-                events = events.add(event(content, start, index + 1))
-                start = index + 1
+    override fun newSplitter(): EventSplitter = ServerSentEventSplitter()
+
+    /** Splits at empty lines; each byte is looked at once, however small the parts are. */
+    private class ServerSentEventSplitter : EventSplitter {
+        private val unfinished = ByteArrayOutputStream()
+        private var lastByte: Byte = 0
+        private var byteBeforeLast: Byte = 0
+
+        override val incomplete: ByteString
+            get() = ByteString(unfinished.toByteArray())
+
+        override val incompleteSize: Int
+            get() = unfinished.size()
+
+        override fun split(bytes: ByteString): PersistentList<StreamEvent> {
+            val content = bytes.toByteArray()
+            var events: PersistentList<StreamEvent> = persistentListOf()
+            var start = 0
+            for (index in content.indices) {
+                if (content[index] == LINE_FEED && isEmptyLine()) {
+                    unfinished.write(content, start, index + 1 - start)
+                    events = events.add(eventOf(unfinished.toByteArray()))
+                    unfinished.reset()
+                    start = index + 1
+                }
+                byteBeforeLast = lastByte
+                lastByte = content[index]
             }
+            unfinished.write(content, start, content.size - start)
+            return events
         }
-        return FramedEvents(events, ByteString(content, start, content.size))
-    }
 
-    /** True when the line feed at [index] ends an empty line. */
-    private fun endsEmptyLine(
-        content: ByteArray,
-        index: Int,
-    ): Boolean {
-        if (content[index - 1] == LINE_FEED) return true
-        return content[index - 1] == CARRIAGE_RETURN && index > 1 && content[index - 2] == LINE_FEED
+        /** True when a line feed after the last byte ends an empty line. */
+        private fun isEmptyLine(): Boolean =
+            lastByte == LINE_FEED || (lastByte == CARRIAGE_RETURN && byteBeforeLast == LINE_FEED)
     }
 
-    private fun event(
-        content: ByteArray,
-        start: Int,
-        end: Int,
-    ): StreamEvent =
+    private fun eventOf(content: ByteArray): StreamEvent =
         StreamEvent(
-            bytes = ByteString(content, start, end),
-            identity = identityOf(content, start, end),
-            isEndMark = end - start <= MAXIMUM_END_MARK_BYTES && content.decodeToString(start, end).trim() == END_MARK,
-            isComment = content[start] == COMMENT_START || isBlank(content, start, end),
+            bytes = ByteString(content),
+            identity = identityOf(content),
+            isEndMark = content.size <= MAXIMUM_END_MARK_BYTES && content.decodeToString().trim() == END_MARK,
+            isComment = content[0] == COMMENT_START || isBlank(content),
         )
 
-    private fun isBlank(
-        content: ByteArray,
-        start: Int,
-        end: Int,
-    ): Boolean = (start until end).all { content[it] == LINE_FEED || content[it] == CARRIAGE_RETURN }
+    private fun isBlank(content: ByteArray): Boolean = content.all { it == LINE_FEED || it == CARRIAGE_RETURN }
 
     /** The value of the event's first `id` field; null when it has none. */
-    private fun identityOf(
-        content: ByteArray,
-        start: Int,
-        end: Int,
-    ): String? {
-        var lineStart = start
-        while (lineStart < end) {
-            val lineEnd = lineEnd(content, lineStart, end)
+    private fun identityOf(content: ByteArray): String? {
+        var lineStart = 0
+        while (lineStart < content.size) {
+            val lineEnd = lineEnd(content, lineStart)
             if (startsWithIdentityField(content, lineStart, lineEnd)) {
                 return content.decodeToString(lineStart + IDENTITY_FIELD.length, lineEnd).trim()
             }
@@ -84,10 +88,9 @@
     private fun lineEnd(
         content: ByteArray,
         start: Int,
-        end: Int,
     ): Int {
         var index = start
-        while (index < end && content[index] != LINE_FEED) index += 1
+        while (index < content.size && content[index] != LINE_FEED) index += 1
         return index
     }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/BodyChannel.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/BodyChannel.kt
@@ -3,6 +3,7 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.streams.ReadStream
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.yield
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.coordination.port.BodyPart
 
@@ -21,7 +22,15 @@
         stream.exceptionHandler { parts.trySend(BodyPart.Broken) }
     }
 
+    private var partsInTurn = 0
+
+    /** Waits for the next part; gives way to other work of its thread after each [PARTS_PER_TURN] parts. */
     suspend fun next(): BodyPart {
+        partsInTurn += 1
+        if (partsInTurn > PARTS_PER_TURN) {
+            yield() // parts that have arrived are read without suspending, which could occupy an event loop
+            partsInTurn = 1
+        }
         val buffered = parts.tryReceive().getOrNull()
         if (buffered != null) return buffered
         stream.fetch(1)
@@ -38,6 +47,10 @@
     fun abort() {
         parts.trySend(BodyPart.Broken)
     }
+
+    private companion object {
+        const val PARTS_PER_TURN = 64
+    }
 }
 
 /** The buffered start of a body; [whole] when it is the complete body, [broken] when the sender disconnected. */
