Refuse what cannot end before a stop does, and close the door before leaving

Clients keep connections and use them again, so an idle moment says nothing about the next one.

Change: StopSignal with the phases serving, draining, closing replaces the flag. A request is admitted while its own deadline lies before the end of the notice; repeatable requests and streams also while the load balancer still sends connections (2.5 s), calls that may run once never beyond it: they are refused as not run, and another gateway serves them. Then nothing is admitted any more, the port closes, idle connections close at once and busy ones with their answer (CallerServer.shutdown), and what is still open at the end of the notice is concluded by what is known: refused as not run, answered as possibly run (stopping-running), or an aborted stream. Only then the process exits. The gateway of the product's own front end closes in the same way; before, it left at the first moment without an open call. The sidecar refuses attempts from SIGTERM on and was read, not changed.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Conclusions.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Conclusions.kt
@@ -41,6 +41,14 @@
         else -> Conclusion.NotExecuted(NotRun.DEADLINE_PASSED, RETRY_AFTER)
     }
 
+/** Returns the conclusion of a request that is in progress when the process ends. */
+internal fun stopped(progress: RelayProgress): Conclusion =
+    when {
+        progress.begun -> Conclusion.Aborted(MayHaveRun.STOPPING)
+        progress.mayHaveRun != null || progress.attemptInFlight -> Conclusion.Uncertain(MayHaveRun.STOPPING)
+        else -> Conclusion.NotExecuted(NotRun.STOPPING, RETRY_AFTER)
+    }
+
 /** Forwards the error answer of a backend server to the caller. */
 internal suspend fun forwardFailure(
     request: RelayedRequest,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
@@ -17,7 +17,7 @@
 /** Decides whether a call is admitted and which route applies to it. */
 internal class RelayAdmission(
     private val tables: RelayTables,
-    private val stopNotice: () -> StopNotice?,
+    private val stop: StopSignal,
 ) {
     /** Admits the call of [exchange] at [now] or returns the reason for refusing it. */
     fun admit(
@@ -30,11 +30,11 @@
         val route =
             RouteLookup.routeOf(configuration, facts.host, facts.path)
                 ?: return refused(NotRun.UNKNOWN_CALL, retryAfter = null, configuration)
-        val notice = stopNotice()
-        if (notice != null && !StopPolicy.mayAdmit(route, notice, now)) {
+        val deadline = now + minOf(route.timeout, facts.timeLimit ?: route.timeout)
+        if (!StopPolicy.mayAdmit(route.kind, deadline, stop.phase, now)) {
             return refused(NotRun.STOPPING, STOPPING_RETRY_AFTER, configuration)
         }
-        val request = requestOf(exchange, facts, route, configuration, now)
+        val request = requestOf(exchange, facts, route, configuration, now, deadline)
         val quarantineEnd = CrashQuarantine.quarantinedUntil(tables.crashes.snapshot(), request.crashSubjects, now)
         if (quarantineEnd != null) return refused(NotRun.CRASH_SUSPECT, quarantineEnd - now, configuration)
         return Admission.Admitted(request)
@@ -52,6 +52,7 @@
         route: Route,
         configuration: RoutingConfiguration,
         now: Instant,
+        deadline: Instant,
     ): RelayedRequest {
         val pool = RouteLookup.poolOf(route, facts.requestId)
         val digest = fingerprintOf("${exchange.call.method} ${exchange.call.target} ", exchange.body.buffered)
@@ -64,7 +65,7 @@
             version = configuration.version,
             crashSubjects = crashSubjectsOf(digest, facts.prompt),
             arrivedAt = now,
-            deadline = now + minOf(route.timeout, facts.timeLimit ?: route.timeout),
+            deadline = deadline,
         )
     }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -11,7 +11,7 @@
 import kotlin.random.Random
 import kotlin.time.Clock
 
-/** The ports that connect a relay to other layers; [stopNotice] returns null until the process is asked to stop. */
+/** The ports that connect a relay to other layers, and the planned stop of the process. */
 data class RelayPorts(
     val connections: BackendConnections,
     val dialect: CallerDialect,
@@ -20,7 +20,7 @@
     val clock: Clock,
     val random: Random,
     val scope: CoroutineScope,
-    val stopNotice: () -> StopNotice? = { null },
+    val stop: StopSignal = StopSignal(),
 )
 
 /** Creates the relay of a gateway in [dataCentre] that calls backend servers directly. */
@@ -39,12 +39,13 @@
     return RequestRelay(
         dialect = ports.dialect,
         initialConfiguration = InitialConfigurationWait(tables.routing, startedAt = ports.clock.now()),
-        admission = RelayAdmission(tables, ports.stopNotice),
+        admission = RelayAdmission(tables, ports.stop),
         turns = RequestTurns(tables.turns, ElapsedTimeEstimator(tables.timeLimits), ports.scope, ports.clock),
         retryLimiter = retryLimiter,
         plain = createPlainRelay(tables, candidates, retryLimiter, backendRun, dataCentre, ports),
         engine = createEngineRelay(tables, candidates, retryLimiter, prefillRun, backendRun, ports),
         observations = ports.observations,
+        stop = ports.stop,
         clock = ports.clock,
     )
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RequestRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RequestRelay.kt
@@ -1,8 +1,12 @@
 package org.acaciaflow.coordination.relay
 
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.job
 import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.port.CallAcceptor
@@ -25,6 +29,7 @@
     private val plain: PlainRelay,
     private val engine: EngineRelay,
     private val observations: Observations,
+    private val stop: StopSignal,
     private val clock: Clock,
 ) : CallAcceptor {
     override suspend fun accept(exchange: CallerExchange) {
@@ -68,7 +73,7 @@
         if (endsWithCaller(request.route.kind)) cancelOnDisconnect(request)
         try {
             val left = request.deadline - clock.now()
-            val conclusion = withTimeoutOrNull(left) { relay(request, tracker) } ?: timedOut(tracker.progress)
+            val conclusion = withTimeoutOrNull(left) { relayUntilStop(request, tracker) } ?: timedOut(tracker.progress)
             conclude(request, tracker, conclusion)
         } catch (cancellation: CancellationException) {
             recordConclusion(request, tracker, Conclusion.CallerGone)
@@ -76,6 +81,24 @@
         }
     }
 
+    /** Relays [request]; breaks off when the process ends. */
+    private suspend fun relayUntilStop(
+        request: RelayedRequest,
+        tracker: RelayProgressTracker,
+    ): Conclusion =
+        coroutineScope {
+            val relaying = async(start = CoroutineStart.UNDISPATCHED) { relay(request, tracker) }
+            val handle = stop.onEnd { relaying.cancel() }
+            try {
+                relaying.await()
+            } catch (_: CancellationException) {
+                currentCoroutineContext().ensureActive()
+                stopped(tracker.progress)
+            } finally {
+                handle.dispose()
+            }
+        }
+
     private suspend fun relay(
         request: RelayedRequest,
         tracker: RelayProgressTracker,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StopPolicy.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StopPolicy.kt
@@ -1,31 +1,39 @@
 package org.acaciaflow.coordination.relay
 
 import org.acaciaflow.state.route.RequestKind
-import org.acaciaflow.state.route.Route
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** When the process was asked to stop, and the latest time at which it exits. */
-data class StopNotice(
-    val requestedAt: Instant,
-    val endsAt: Instant,
-)
-
-/** Decides which requests a stopping gateway still admits, so that none is cut off when the process exits. */
+/** Decides which requests a stopping gateway still admits, so that none is cut off when the process ends. */
 object StopPolicy {
-    /** Returns true when a request of [route] that arrives at [now] is expected to end before the process exits. */
+    /**
+     * Returns true when a request of [kind] that arrives at [now] is admitted.
+     *
+     * A request that may take until after the end of the process, by its [deadline], is admitted only while the load
+     * balancer still sends new connections, and only if its execution may be repeated or its caller sees that its
+     * stream was cut. Otherwise it is refused as not run, and another gateway serves it.
+     */
     fun mayAdmit(
-        route: Route,
-        notice: StopNotice,
+        kind: RequestKind,
+        deadline: Instant,
+        phase: StopPhase,
         now: Instant,
     ): Boolean =
-        when (route.kind) {
-            is RequestKind.EventStream -> now - notice.requestedAt < STREAM_ADMISSION_PERIOD
-            RequestKind.Idempotent, RequestKind.AtMostOnce -> now + minOf(route.timeout, CALL_TIME_CAP) < notice.endsAt
+        when (phase) {
+            StopPhase.Serving -> true
+            is StopPhase.Draining -> deadline <= phase.notice.endsAt || mayBeCut(kind, now - phase.notice.requestedAt)
+            StopPhase.Closing -> false
+        }
+
+    private fun mayBeCut(
+        kind: RequestKind,
+        sinceNotice: Duration,
+    ): Boolean =
+        when (kind) {
+            RequestKind.Idempotent, is RequestKind.EventStream -> sinceNotice < BALANCER_NOTICE_PERIOD
+            RequestKind.AtMostOnce -> false
         }
 
-    // Within the load balancer's notice period; most streams admitted by then end before the process exits.
-    private val STREAM_ADMISSION_PERIOD: Duration = 2.5.seconds
-    private val CALL_TIME_CAP: Duration = 2.seconds // calls with a longer timeout count as this long
+    private val BALANCER_NOTICE_PERIOD: Duration = 2.5.seconds // most requests admitted by then end in time
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TestRelay.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TestRelay.kt
@@ -16,6 +16,7 @@
     connections: BackendConnections,
     prompt: Prompt?,
     resumeAfter: String? = null,
+    stop: StopSignal = StopSignal(),
 ): RequestRelay {
     val ports =
         RelayPorts(
@@ -26,6 +27,7 @@
             virtualClock(),
             Random(3),
             this,
+            stop,
         )
     return createRequestRelay(tables, ports, OWN_DATA_CENTRE, RetryBounds(0.2, 1000.0, 10.seconds))
 }
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/GracefulStopTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/GracefulStopTest.kt
@@ -1,12 +1,15 @@
 package org.acaciaflow.daemon
 
 import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import kotlin.io.path.readText
 import kotlin.io.path.writeText
@@ -17,7 +20,7 @@
     fun `a gateway logs its shutdown on SIGTERM and exits with status 0`() {
         val folder = Files.createTempDirectory("graceful-stop")
         val log = folder.resolve("log")
-        val process = start(settingsIn(folder), log)
+        val process = start(settingsIn(folder, freePorts()), log)
         awaitLine(log, "AF1001")
 
         process.destroy()
@@ -30,6 +33,41 @@
         log.readText() shouldContain "AF1003"
     }
 
+    /**
+     * Guards against requests that are read and dropped between the last idle moment and the end of the process.
+     *
+     * The clients keep their connections, are silent after SIGTERM, and send again when the gateway has found itself
+     * idle. One request may cross the close of its connection.
+     */
+    @Test
+    fun `a stopping gateway answers each request on a kept connection until the connection is closed`() {
+        val folder = Files.createTempDirectory("graceful-stop")
+        val log = folder.resolve("log")
+        val ports = freePorts()
+        val process = start(settingsIn(folder, ports), log)
+        awaitLine(log, "AF1001")
+        val threads = Executors.newFixedThreadPool(CLIENTS)
+        val clients = List(CLIENTS) { KeptConnection(ports.first()) }
+        clients.map { it.call() } shouldBe clients.map { CallResult.ANSWERED }
+
+        process.destroy()
+        Thread.sleep(SILENCE_MILLISECONDS)
+        val calls =
+            clients.map { client ->
+                Thread.sleep(CALL_GAP_MILLISECONDS)
+                CompletableFuture.supplyAsync(client::call, threads)
+            }
+        val results = calls.map { it.join() }
+        threads.shutdown()
+
+        clients.forEach { it.close() }
+        val exited = process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)
+        if (!exited) process.destroyForcibly()
+        println("calls of a stopping gateway: ${results.groupingBy { it }.eachCount()}")
+        process.exitValue() shouldBe 0
+        results.count { it == CallResult.DROPPED } shouldBeLessThanOrEqual 1
+    }
+
     private fun start(
         settings: Path,
         log: Path,
@@ -51,8 +89,10 @@
         }
     }
 
-    private fun settingsIn(folder: Path): Path {
-        val ports = freePorts()
+    private fun settingsIn(
+        folder: Path,
+        ports: List<Int>,
+    ): Path {
         val document =
             """
             {"node_name": "front-1", "ip": "127.0.0.1", "zone": "suba", "seeds": [],
@@ -71,6 +111,9 @@
     private companion object {
         const val MAIN_CLASS = "org.acaciaflow.daemon.MainKt"
         const val PORTS = 5
+        const val CLIENTS = 20
+        const val SILENCE_MILLISECONDS = 3_630L // the load balancer's notice and the idle time that a stop waits for
+        const val CALL_GAP_MILLISECONDS = 20L
         const val START_SECONDS = 60L
         const val STOP_SECONDS = 30L
         const val POLL_MILLISECONDS = 50L
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
@@ -17,4 +17,5 @@
     ANSWER_TOO_LARGE("answer-too-large"),
     STREAM_STALLED("stream-stalled"),
     STREAM_NOT_RESUMED("stream-not-resumed"),
+    STOPPING("stopping-running"),
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
@@ -20,8 +20,10 @@
 import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.state.work.HeaderField
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
 
 /** HTTP front end for callers; accepts any method, path, headers and body. */
 internal class CallerServer(
@@ -33,6 +35,9 @@
 ) {
     private val open = AtomicInteger()
 
+    @Volatile
+    private var server: HttpServer? = null
+
     /** Number of calls whose answer is not complete. */
     val openCalls: Int
         get() = open.get()
@@ -51,6 +56,16 @@
             .requestHandler(router)
             .listen(address.port, address.ip)
             .coAwait()
+            .also { server = it }
+    }
+
+    /**
+     * Closes the port and all connections: idle ones at once, the others when their call is answered.
+     *
+     * Returns when all are closed; closes those that are still open after [timeout].
+     */
+    suspend fun shutdown(timeout: Duration) {
+        server?.shutdown(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)?.coAwait()
     }
 
     private fun handle(request: HttpServerRequest) {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/FrontEnd.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/FrontEnd.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.transport.http
 
+import org.acaciaflow.coordination.relay.StopSignal
 import org.acaciaflow.protocol.http.RefusalEncoder
 
 /** Current limits and state of a front end for callers. */
@@ -14,12 +15,13 @@
     val stopping: Boolean
 }
 
-/** A front end with fixed limits that never reports that it is stopping. */
+/** A front end with fixed limits. */
 internal class FixedFrontEnd(
     override val refusals: RefusalEncoder,
     override val bodyLimitBytes: Long,
     override val bufferedBytes: Int,
+    private val stop: StopSignal,
 ) : FrontEnd {
     override val stopping: Boolean
-        get() = false
+        get() = stop.requested
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
@@ -1,5 +1,7 @@
 package org.acaciaflow.transport.process
 
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -9,6 +11,7 @@
 import org.acaciaflow.coordination.peer.PeerRegistration
 import org.acaciaflow.coordination.relay.RelayTables
 import org.acaciaflow.coordination.relay.StopNotice
+import org.acaciaflow.coordination.relay.StopSignal
 import org.acaciaflow.coordination.store.StoreWatcher
 import org.acaciaflow.protocol.settings.EntryHostSettings
 import org.acaciaflow.state.identity.ProcessIdentity
@@ -35,7 +38,7 @@
     private val configurations: ConfigurationExchange,
     private val callers: CallerServer,
     private val rehearsal: Rehearsal,
-    private val stop: StopFlag,
+    private val stop: StopSignal,
     private val clock: Clock,
 ) : Daemon,
     OperatorsView {
@@ -67,19 +70,36 @@
         workers.scope.launch { rehearse() }
     }
 
-    /** Fails the readiness check at once, drains calls, and returns before the platform kills the process. */
+    /**
+     * Fails the readiness check at once, drains calls, and returns before the platform kills the process.
+     *
+     * The callers' port closes before the process ends, so that no request is read that nobody would answer.
+     */
     override suspend fun stop() {
         runtime.observations.event(Event.ProcessStopping(self))
         val now = clock.now()
-        stop.notice = StopNotice(requestedAt = now, endsAt = now + settings.gracePeriod - KILL_MARGIN)
+        val notice = StopNotice(requestedAt = now, endsAt = now + settings.gracePeriod - KILL_MARGIN)
+        stop.drain(notice)
         peers.stopping = true
-        withTimeoutOrNull(settings.gracePeriod - KILL_MARGIN) {
+        withTimeoutOrNull(notice.endsAt - now) {
             delay(BALANCER_DELAY)
             awaitIdle()
         }
+        closeCallers(notice)
         runtime.observations.event(Event.ProcessStopped(self))
     }
 
+    /** Refuses new requests, lets those in progress go on until the notice ends, and closes all connections. */
+    private suspend fun closeCallers(notice: StopNotice) =
+        coroutineScope {
+            stop.close()
+            val left = (notice.endsAt - clock.now()).coerceAtLeast(Duration.ZERO)
+            val closing = async { callers.shutdown(left + CONCLUSION_TIME) }
+            withTimeoutOrNull(left) { closing.join() }
+            stop.end()
+            closing.await()
+        }
+
     override fun reload() = runtime.observations.event(Event.SettingsReloaded)
 
     override val failingLoops: List<String>
@@ -133,6 +153,7 @@
         val REHEARSAL_DELAY: Duration = 150.milliseconds // after an outage of all hosts, callers reconnect at once
         val BALANCER_DELAY: Duration = 3.seconds // two failed readiness checks of the load balancer, one second apart
         val KILL_MARGIN: Duration = 1.seconds // includes the time that the JVM takes to exit
+        val CONCLUSION_TIME: Duration = 300.milliseconds // to write the last answers
         val REQUIRED_IDLE_TIME: Duration = 600.milliseconds
         val IDLE_POLL_INTERVAL: Duration = 50.milliseconds
         val PRUNE_INTERVAL: Duration = 250.milliseconds
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -7,6 +7,7 @@
 import org.acaciaflow.coordination.peer.PeerRegistration
 import org.acaciaflow.coordination.relay.RelayPorts
 import org.acaciaflow.coordination.relay.RelayTables
+import org.acaciaflow.coordination.relay.StopSignal
 import org.acaciaflow.coordination.relay.createRelayTables
 import org.acaciaflow.coordination.relay.createRequestRelay
 import org.acaciaflow.coordination.routing.RoutingUpdater
@@ -36,7 +37,7 @@
     val tables = createRelayTables()
     val calls = VertxHttpCalls(runtime.vertx)
     val store = adapters.openStore(calls)
-    val stop = StopFlag()
+    val stop = StopSignal()
     val connections = DirectConnections(runtime.vertx, adapters.backends, calls, runtime.workers.scope)
     val ports =
         RelayPorts(
@@ -47,7 +48,7 @@
             clock = clock,
             random = random,
             scope = runtime.workers.scope,
-            stopNotice = { stop.notice },
+            stop = stop,
         )
     val relay = createRequestRelay(tables, ports, settings.dataCentre, settings.retryBounds)
     val updater = RoutingUpdater(adapters.documents, tables.routing, runtime.observations)
@@ -152,7 +153,7 @@
 private class ConfiguredFrontEnd(
     override val refusals: RefusalEncoder,
     private val tables: RelayTables,
-    private val stop: StopFlag,
+    private val stop: StopSignal,
 ) : FrontEnd {
     override val bodyLimitBytes: Long
         get() =
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemon.kt
@@ -1,11 +1,12 @@
 package org.acaciaflow.transport.process
 
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.configuration.ConfigurationUpdater
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.gateway.GatewayCore
 import org.acaciaflow.coordination.gateway.GatewayTables
+import org.acaciaflow.coordination.relay.StopNotice
+import org.acaciaflow.coordination.relay.StopSignal
 import org.acaciaflow.protocol.settings.GatewaySettings
 import org.acaciaflow.state.configuration.Configuration
 import org.acaciaflow.state.identity.ProcessIdentity
@@ -28,14 +29,12 @@
     private val hosts: HostListWatcher,
     private val core: GatewayCore,
     private val callers: CallerServer,
+    private val stop: StopSignal,
     private val clock: Clock,
 ) : Daemon,
     OperatorsView {
-    @Volatile
-    private var stopping = false
-
     override val ready: Boolean
-        get() = !stopping && tables.configuration.snapshot().revision != Configuration.NO_REVISION
+        get() = !stop.requested && tables.configuration.snapshot().revision != Configuration.NO_REVISION
 
     override suspend fun start() {
         configuration.start(runtime.workers)
@@ -50,9 +49,10 @@
 
     override suspend fun stop() {
         runtime.observations.event(Event.ProcessStopping(self))
-        stopping = true
+        val now = clock.now()
+        stop.drain(StopNotice(requestedAt = now, endsAt = now + BALANCER_DELAY + DRAIN_TIMEOUT))
         delay(BALANCER_DELAY)
-        withTimeoutOrNull(DRAIN_TIMEOUT) { awaitIdle() }
+        callers.shutdown(DRAIN_TIMEOUT)
         runtime.observations.event(Event.ProcessStopped(self))
         runtime.close()
     }
@@ -62,10 +62,6 @@
 
     override fun status(): String = GatewayStatus.describe(self, tables, runtime.workers.loops, clock.now())
 
-    private suspend fun awaitIdle() {
-        while (callers.openCalls > 0) delay(DRAIN_POLL_INTERVAL)
-    }
-
     private suspend fun refuseExpired() {
         while (true) {
             delay(EXPIRY_CHECK_INTERVAL)
@@ -76,7 +72,6 @@
     private companion object {
         val EXPIRY_CHECK_INTERVAL: Duration = 200.milliseconds
         val BALANCER_DELAY: Duration = 2.seconds
-        val DRAIN_POLL_INTERVAL: Duration = 50.milliseconds
         val DRAIN_TIMEOUT: Duration = 120.seconds
     }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
@@ -11,6 +11,7 @@
 import org.acaciaflow.coordination.gateway.createGatewayTables
 import org.acaciaflow.coordination.queue.QueueLimits
 import org.acaciaflow.coordination.queue.QueuePolicy
+import org.acaciaflow.coordination.relay.StopSignal
 import org.acaciaflow.coordination.selection.SelectionPolicy
 import org.acaciaflow.protocol.configuration.StoredConfigurationSource
 import org.acaciaflow.protocol.http.JsonBodyReader
@@ -44,6 +45,7 @@
     val updater = ConfigurationUpdater(StoredConfigurationSource(store), tables.configuration, runtime.observations)
     val directory = SidecarDirectory(runtime.workers.scope)
     val wakeUp = WakeUp()
+    val stop = StopSignal()
     val ports =
         GatewayPorts(
             records = StoredExecutionRecords(store),
@@ -65,7 +67,8 @@
         configuration = updater,
         hosts = HostListWatcher(hosts, runner, runtime.observations, runtime.workers, random),
         core = core,
-        callers = createCallerServer(settings, runtime, core),
+        callers = createCallerServer(settings, runtime, core, stop),
+        stop = stop,
         clock = clock,
     )
 }
@@ -118,13 +121,14 @@
     settings: GatewaySettings,
     runtime: DaemonRuntime,
     core: GatewayCore,
+    stop: StopSignal,
 ): CallerServer =
     CallerServer(
         vertx = runtime.vertx,
         acceptor = core.arrivals,
         observations = runtime.observations,
         scope = runtime.workers.scope,
-        frontEnd = FixedFrontEnd(RefusalAnswer::of, settings.bodyLimitBytes, BUFFERED_BYTES),
+        frontEnd = FixedFrontEnd(RefusalAnswer::of, settings.bodyLimitBytes, BUFFERED_BYTES, stop),
     )
 
 private const val SAMPLED_SERVERS = 3
--- a/transport/src/main/kotlin/org/acaciaflow/transport/rehearsal/Rehearsal.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/rehearsal/Rehearsal.kt
@@ -83,7 +83,7 @@
                 dependencies.scope,
             )
         val relay = createRequestRelay(tables, ports, RehearsalFleet.DATA_CENTRE, RetryBounds(1.0, 1.0, TIME_LIMIT))
-        val frontEnd = FixedFrontEnd(dependencies.refusals, BODY_LIMIT.toLong(), BODY_LIMIT)
+        val frontEnd = FixedFrontEnd(dependencies.refusals, BODY_LIMIT.toLong(), BODY_LIMIT, ports.stop)
         val server = CallerServer(dependencies.vertx, relay, observations, dependencies.scope, frontEnd)
         val gateway = server.start(HostAddress(LOOPBACK, 0))
         try {
