Bound the memory of unfinished answers for the process, not for a call

Cause: BufferedAnswer and EventDelivery bound an answer, nothing bounds their sum, and an OutOfMemoryError on the event loop leaves a process that lives on. Small parts made it worse: each was kept as an object of its own.

Change: BufferReservation takes what an unfinished answer or event occupies beyond 4 KiB from one table of the process: an eighth of the heap in total, half of that for one server. What does not fit ends the attempt (answer-memory-spent, counted), so that it is retried or answered like any broken one. Small parts are joined into blocks.

AnswerMemoryTest and BufferPolicyTest hold the bound; without the reservation the first test's sum has no limit but 8 MiB a call.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -1,5 +1,7 @@
 package org.acaciaflow.coordination.relay
 
+import org.acaciaflow.coordination.buffer.BufferLimits
+import org.acaciaflow.coordination.buffer.BufferReservation
 import org.acaciaflow.coordination.crash.CrashRecorder
 import org.acaciaflow.coordination.fleet.FleetChanges
 import org.acaciaflow.coordination.gateway.StreamFraming
@@ -29,6 +31,7 @@
     private val connections: BackendConnections,
     private val framing: StreamFraming,
     private val jobs: JobIdentityAllocator,
+    private val bufferLimits: BufferLimits,
     private val clock: Clock,
 ) {
     /**
@@ -50,10 +53,12 @@
         try {
             val stream = connections.open(order, request.exchange.body)
             val watchdog = StallWatchdog(tables, life, stallTimeouts, clock)
+            val memory = BufferReservation(tables.answerBuffers, bufferLimits, life)
             val relayOutcome =
                 try {
-                    watchdog.during(stream) { relayAnswer(stream, request, life, job, watchdog, tracker) }
+                    watchdog.during(stream) { relayAnswer(stream, request, life, job, watchdog, tracker, memory) }
                 } finally {
+                    memory.release()
                     stream.cancel()
                 }
             val stalled = watchdog.stalled && relayOutcome is RunOutcome.Broken
@@ -76,6 +81,7 @@
         job: JobIdentity,
         watchdog: StallWatchdog,
         tracker: RelayProgressTracker,
+        memory: BufferReservation,
     ): RunOutcome =
         when (val first = stream.next()) {
             is AttemptEvent.Refused -> {
@@ -85,9 +91,9 @@
             is AttemptEvent.Head -> {
                 tracker.update { it.copy(mayHaveRun = MayHaveRun.ANSWER_INCOMPLETE) }
                 if (framing.isEventStream(first.head)) {
-                    relayEvents(stream, first.head, request, life, job, watchdog, tracker)
+                    relayEvents(stream, first.head, request, life, job, watchdog, tracker, memory)
                 } else {
-                    relayBuffered(stream, first.head, request, tracker)
+                    relayBuffered(stream, first.head, request, tracker, memory)
                 }
             }
 
@@ -109,8 +115,9 @@
         job: JobIdentity,
         watchdog: StallWatchdog,
         tracker: RelayProgressTracker,
+        memory: BufferReservation,
     ): RunOutcome {
-        val delivery = EventDelivery(request.exchange, framing, tracker, head, clock)
+        val delivery = EventDelivery(request.exchange, framing, tracker, head, memory, clock)
         var recordedAt = Instant.DISTANT_PAST
         while (true) {
             when (val event = stream.next()) {
@@ -124,6 +131,7 @@
                         is Forwarded.Written -> if (forwarded.progressed) watchdog.recordProgress(clock.now())
                         Forwarded.CallerGone -> return RunOutcome.CallerGone
                         Forwarded.OutOfOrder -> return RunOutcome.Broken(MayHaveRun.STREAM_NOT_RESUMED)
+                        Forwarded.MemorySpent -> return RunOutcome.Broken(MayHaveRun.ANSWER_MEMORY_SPENT)
                         Forwarded.EventTooLarge -> return RunOutcome.Broken(MayHaveRun.ANSWER_TOO_LARGE)
                     }
                 }
@@ -151,12 +159,12 @@
         head: AnswerHead,
         request: RelayedRequest,
         tracker: RelayProgressTracker,
+        memory: BufferReservation,
     ): RunOutcome {
-        val buffer = BufferedAnswer(head)
+        val buffer = BufferedAnswer(head, memory)
         while (true) {
             when (val event = stream.next()) {
-                is AttemptEvent.Data ->
-                    if (!buffer.append(event.bytes)) return RunOutcome.Broken(MayHaveRun.ANSWER_TOO_LARGE)
+                is AttemptEvent.Data -> buffer.append(event.bytes)?.let { return RunOutcome.Broken(it) }
                 AttemptEvent.End -> break
                 is AttemptEvent.Broken -> return RunOutcome.Broken(event.reason)
                 is AttemptEvent.Head, is AttemptEvent.Refused -> error("backend server sent a second answer head")
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.isEmpty
+import org.acaciaflow.coordination.buffer.BufferReservation
 import org.acaciaflow.coordination.gateway.StreamEvent
 import org.acaciaflow.coordination.gateway.StreamFraming
 import org.acaciaflow.coordination.port.CallerExchange
@@ -20,6 +21,7 @@
     framing: StreamFraming,
     private val tracker: RelayProgressTracker,
     private val head: AnswerHead,
+    private val memory: BufferReservation,
     private val clock: Clock,
 ) {
     private val splitter = framing.newSplitter()
@@ -35,6 +37,7 @@
     suspend fun forward(bytes: ByteString): Forwarded {
         val events = splitter.split(bytes)
         if (splitter.incompleteSize > MAXIMUM_EVENT_BYTES) return Forwarded.EventTooLarge
+        if (!memory.covers(splitter.incompleteSize.toLong())) return Forwarded.MemorySpent
         if (events.isEmpty()) return Forwarded.Written(progressed = false)
         if (!tracker.progress.begun && exchange.begin(head) == CallerWrite.CALLER_GONE) return Forwarded.CallerGone
         val former = tracker.progress.lastEvent
@@ -97,6 +100,9 @@
     /** An attempt that was to resume the stream sent events that the caller has already. */
     data object OutOfOrder : Forwarded
 
+    /** There is no memory left for the event that is incomplete. */
+    data object MemorySpent : Forwarded
+
     /** The stream has no event boundary within a reasonable size. */
     data object EventTooLarge : Forwarded
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -1,6 +1,8 @@
 package org.acaciaflow.coordination.relay
 
 import kotlinx.coroutines.CoroutineScope
+import org.acaciaflow.coordination.buffer.BufferLimits
+import org.acaciaflow.coordination.buffer.bufferLimitsOf
 import org.acaciaflow.coordination.crash.CrashRecorder
 import org.acaciaflow.coordination.gateway.StreamFraming
 import org.acaciaflow.coordination.port.BackendConnections
@@ -11,7 +13,7 @@
 import kotlin.random.Random
 import kotlin.time.Clock
 
-/** The ports that connect a relay to other layers, and the planned stop of the process. */
+/** The ports that connect a relay to other layers, the planned stop of the process and the memory for answers. */
 data class RelayPorts(
     val connections: BackendConnections,
     val dialect: CallerDialect,
@@ -21,6 +23,7 @@
     val random: Random,
     val scope: CoroutineScope,
     val stop: StopSignal = StopSignal(),
+    val bufferLimits: BufferLimits = bufferLimitsOf(Runtime.getRuntime().maxMemory()),
 )
 
 /** Creates the relay of a gateway in [dataCentre] that calls backend servers directly. */
@@ -33,8 +36,7 @@
     val candidates = Candidates(tables, dataCentre)
     val retryLimiter = RetryLimiter(tables, candidates, bounds, ports.observations)
     val jobIdentities = JobIdentityAllocator()
-    val crashes = CrashRecorder(tables.crashes, ports.observations)
-    val backendRun = BackendRun(tables, crashes, ports.connections, ports.framing, jobIdentities, ports.clock)
+    val backendRun = createBackendRun(tables, jobIdentities, ports)
     val prefillRun = PrefillRun(tables, ports.connections, jobIdentities, ports.clock)
     return RequestRelay(
         dialect = ports.dialect,
@@ -50,6 +52,21 @@
     )
 }
 
+private fun createBackendRun(
+    tables: RelayTables,
+    jobs: JobIdentityAllocator,
+    ports: RelayPorts,
+): BackendRun =
+    BackendRun(
+        tables = tables,
+        crashes = CrashRecorder(tables.crashes, ports.observations),
+        connections = ports.connections,
+        framing = ports.framing,
+        jobs = jobs,
+        bufferLimits = ports.bufferLimits,
+        clock = ports.clock,
+    )
+
 private fun createPlainRelay(
     tables: RelayTables,
     candidates: Candidates,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.acaciaflow.coordination.peer.RecentReads
 import org.acaciaflow.coordination.routing.KnownRouting
+import org.acaciaflow.state.buffer.BufferUse
 import org.acaciaflow.state.crash.CrashReports
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.fleet.Fleet
@@ -37,6 +38,7 @@
     val rates: SharedTable<PersistentMap<PoolName, EngineRates>>,
     val crashes: SharedTable<CrashReports>,
     val peers: SharedTable<Peers>,
+    val answerBuffers: SharedTable<BufferUse>,
     val retryWindows: SharedTable<PersistentMap<PoolName, RetryWindow>>,
 )
 
@@ -55,5 +57,6 @@
         rates = createSharedTable(LockOrder.ENGINE_RATES, persistentMapOf()),
         crashes = createSharedTable(LockOrder.CRASH_REPORTS, CrashReports.NONE),
         peers = createSharedTable(LockOrder.PEERS, Peers.NONE),
+        answerBuffers = createSharedTable(LockOrder.ANSWER_BUFFERS, BufferUse.NONE),
         retryWindows = createSharedTable(LockOrder.RETRY_WINDOWS, persistentMapOf()),
     )
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
@@ -42,6 +42,7 @@
         val gap: Duration,
         val endless: Boolean,
         val breaks: Boolean = false,
+        val status: Int = LetterFraming.STREAM_STATUS,
     ) : Reaction
 
     /** Streams all letters, whatever the last one received. */
@@ -149,7 +150,7 @@
     private fun event(): AttemptEvent {
         val index = next++
         return when {
-            index < 0 -> AttemptEvent.Head(AnswerHead(LetterFraming.STREAM_STATUS, persistentListOf()))
+            index < 0 -> AttemptEvent.Head(AnswerHead(paces.status, persistentListOf()))
             index < paces.parts.size -> AttemptEvent.Data(paces.parts[index].encodeToByteString())
             paces.endless -> AttemptEvent.Data(paces.parts.last().encodeToByteString())
             paces.breaks -> AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED)
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TestRelay.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TestRelay.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
+import org.acaciaflow.coordination.buffer.BufferLimits
+import org.acaciaflow.coordination.buffer.bufferLimitsOf
 import org.acaciaflow.coordination.port.BackendConnections
 import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.state.prompt.Prompt
@@ -17,6 +19,7 @@
     prompt: Prompt?,
     resumeAfter: String? = null,
     stop: StopSignal = StopSignal(),
+    bufferLimits: BufferLimits = bufferLimitsOf(heapBytes = 1_000_000_000),
 ): RequestRelay {
     val ports =
         RelayPorts(
@@ -28,6 +31,7 @@
             Random(3),
             this,
             stop,
+            bufferLimits,
         )
     return createRequestRelay(tables, ports, OWN_DATA_CENTRE, RetryBounds(0.2, 1000.0, 10.seconds))
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
@@ -23,9 +23,14 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Makes short HTTP calls over keep-alive connections; a call that times out closes its connection. */
+/**
+ * Makes short HTTP calls over keep-alive connections.
+ *
+ * A call that times out, or whose answer has more than [maximumBytes], closes its connection.
+ */
 internal class VertxHttpCalls(
     vertx: Vertx,
+    private val maximumBytes: Int,
 ) : HttpCalls {
     private val client: HttpClient =
         vertx.createHttpClient(
@@ -63,7 +68,7 @@
             if (opening.failed()) return HttpResult.ConnectionLost
             val (response, channel) = opening.result()
             val answerHead = AnswerHead(response.statusCode(), response.headers().toFields())
-            return when (val content = channel.readWhole(MAXIMUM_BYTES)) {
+            return when (val content = channel.readWhole(maximumBytes)) {
                 is BoundedBody.Whole -> HttpResult.Answered(answerHead, content.bytes).also { completed = true }
                 BoundedBody.TooLarge, BoundedBody.Broken -> HttpResult.ConnectionLost
             }
@@ -84,7 +89,6 @@
 
     private companion object {
         const val CONNECTIONS = 4
-        const val MAXIMUM_BYTES = 8 * 1024 * 1024 // several times the largest page of the store
         val CONNECT_TIMEOUT: Duration = 500.milliseconds
     }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -35,8 +35,8 @@
 ): Daemon {
     val runtime = createSingleLoopRuntime(clock)
     val tables = createRelayTables()
-    val calls = VertxHttpCalls(runtime.vertx)
-    val store = adapters.openStore(calls)
+    val calls = VertxHttpCalls(runtime.vertx, SHORT_ANSWER_BYTES)
+    val store = adapters.openStore(VertxHttpCalls(runtime.vertx, STORE_ANSWER_BYTES))
     val stop = StopSignal()
     val connections = DirectConnections(runtime.vertx, adapters.backends, calls, runtime.workers.scope)
     val ports =
@@ -149,6 +149,9 @@
     )
 }
 
+private const val SHORT_ANSWER_BYTES = 64 * 1024
+private const val STORE_ANSWER_BYTES = 8 * 1024 * 1024 // several times the largest page of the store
+
 /** A front end whose limits come from the configuration in force. */
 private class ConfiguredFrontEnd(
     override val refusals: RefusalEncoder,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -39,7 +39,8 @@
 class DirectConnectionsTest : AnnotationSpec() {
     private val vertx = Vertx.vertx()
     private val releases = CoroutineScope(Dispatchers.Default)
-    private val connections = DirectConnections(vertx, TestDialect, VertxHttpCalls(vertx), releases)
+    private val connections =
+        DirectConnections(vertx, TestDialect, VertxHttpCalls(vertx, maximumBytes = 64 * 1024), releases)
 
     @AfterAll
     fun close() =
