Keep a server that restarts under its id while its entry is lapsed

Cause: FleetChanges.registered took the new lifetime out of the lapsed ones, where the old one was. lapsedRemoved then removed the entry by its id, every 250 ms.

Change: the lifetime that the entry had before is taken out. A lapsed lifetime is always the known one, so the same line covers an entry that is registered again.

Evidence: FleetChangesTest "a new lifetime that registers after a lapse is not removed with the old one" failed before (no usable server), passes now.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/FleetChanges.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/FleetChanges.kt
@@ -17,7 +17,7 @@
         return fleet.copy(
             entries = fleet.entries.put(entry.life.instance, entry),
             leaving = leaving,
-            lapsed = fleet.lapsed.remove(entry.life),
+            lapsed = if (known == null) fleet.lapsed else fleet.lapsed.remove(known.life),
         )
     }
 
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/FleetChangesTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/FleetChangesTest.kt
@@ -64,6 +64,18 @@
         remaining.entries.values.shouldBeEmpty()
     }
 
+    /** Guards against a server that restarts under its id while the store is away and then gets no work for good. */
+    @Test
+    fun `a new lifetime that registers after a lapse is not removed with the old one`() {
+        val lapsed = FleetChanges.lapsed(FleetChanges.registered(Fleet.NONE, backend("one", startedAt = 1)), "one")
+
+        val restarted = FleetChanges.registered(lapsed, backend("one", startedAt = 2))
+        val remaining = FleetChanges.lapsedRemoved(FleetChanges.lapsedRemoved(restarted))
+
+        remaining.usableIn(SERVICE_POOL) shouldHaveSize 1
+        remaining.lapsed.shouldBeEmpty()
+    }
+
     @Test
     fun `an entry registered again after a lapse is not removed`() {
         val lapsed = FleetChanges.lapsed(FleetChanges.registered(Fleet.NONE, backend("one")), "one")
