Send only whole bodies, and fix the body limits once for a call

Cause: the body was buffered up to the limit in force at arrival (the built-in one before the first configuration) and checked against the limit in force later; the buffered start was then sent as the whole. A chunked body beyond the limit was cut and run for the same reason, and a limit of 2 GiB was cut to 32 bits, which emptied all bodies.

Change: FrontEnd.bodyLimits waits for the first configuration and fixes the limits for the call; what exceeds them is refused with 413, or 503 while no configuration is known. BackendConnections takes a WholeBody, which can only be made of a complete body. Sizes are counted in 64 bits.

CallerServerTest covers the sizes around a limit, with a length and in chunks, limits of 2 and 4 GiB, and a limit that changes; it can't be built on the code before, which had no such type.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/BackendConnections.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/BackendConnections.kt
@@ -8,13 +8,13 @@
     /** Sends a request to run; [AttemptStream.cancel] closes the connection, which cancels the work. */
     suspend fun open(
         order: RunOrder,
-        body: CallBody,
+        body: WholeBody,
     ): AttemptStream
 
     /** Runs the prefill of a request without decoding. */
     suspend fun prefill(
         order: RunOrder,
-        body: CallBody,
+        body: WholeBody,
     ): PrefillOutcome
 
     /** Releases KV cache that will not be fetched. On a failure the engine releases it itself later. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -51,7 +51,7 @@
         tables.load.update { LoadLedger.sent(it, life, job, work, tokensOf(request), clock.now()) }
         tracker.update { it.copy(attemptInFlight = true) }
         try {
-            val stream = connections.open(order, request.exchange.body)
+            val stream = connections.open(order, request.body)
             val watchdog = StallWatchdog(tables, life, stallTimeouts, clock)
             val memory = BufferReservation(tables.answerBuffers, bufferLimits, life)
             val relayOutcome =
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/InitialConfigurationWait.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/InitialConfigurationWait.kt
@@ -15,7 +15,7 @@
  * When all gateways restart, calls arrive before the store has answered. Refusing a call then would use up one of the
  * few attempts that its caller makes.
  */
-internal class InitialConfigurationWait(
+class InitialConfigurationWait(
     private val routing: SharedTable<KnownRouting>,
     private val startedAt: Instant,
 ) {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
@@ -52,7 +52,7 @@
         try {
             val timeout = StallTimeouts.forPrefill(path.predicted)
             val outcome =
-                withTimeoutOrNull(timeout) { connections.prefill(order, request.exchange.body) }
+                withTimeoutOrNull(timeout) { connections.prefill(order, request.body) }
                     ?: PrefillOutcome.Broken(MayHaveRun.STREAM_STALLED)
             val now = clock.now()
             val verdict = verdictOf(life, outcome)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
@@ -3,6 +3,7 @@
 import org.acaciaflow.coordination.crash.CrashQuarantine
 import org.acaciaflow.coordination.port.CallFacts
 import org.acaciaflow.coordination.port.CallerExchange
+import org.acaciaflow.coordination.port.WholeBody
 import org.acaciaflow.coordination.routing.RouteLookup
 import org.acaciaflow.state.bytes.fingerprintOf
 import org.acaciaflow.state.crash.crashSubjectsOf
@@ -23,6 +24,7 @@
     fun admit(
         exchange: CallerExchange,
         facts: CallFacts,
+        body: WholeBody,
         now: Instant,
     ): Admission {
         val configuration = tables.routing.snapshot().configuration
@@ -34,7 +36,7 @@
         if (!StopPolicy.mayAdmit(route.kind, deadline, stop.phase, now)) {
             return refused(NotRun.STOPPING, STOPPING_RETRY_AFTER, configuration)
         }
-        val request = requestOf(exchange, facts, route, configuration, now, deadline)
+        val request = requestOf(exchange, facts, body, route, configuration, now, deadline)
         val quarantineEnd = CrashQuarantine.quarantinedUntil(tables.crashes.snapshot(), request.crashSubjects, now)
         if (quarantineEnd != null) return refused(NotRun.CRASH_SUSPECT, quarantineEnd - now, configuration)
         return Admission.Admitted(request)
@@ -49,16 +51,18 @@
     private fun requestOf(
         exchange: CallerExchange,
         facts: CallFacts,
+        body: WholeBody,
         route: Route,
         configuration: RoutingConfiguration,
         now: Instant,
         deadline: Instant,
     ): RelayedRequest {
         val pool = RouteLookup.poolOf(route, facts.requestId)
-        val digest = fingerprintOf("${exchange.call.method} ${exchange.call.target} ", exchange.body.buffered)
+        val digest = fingerprintOf("${exchange.call.method} ${exchange.call.target} ", body.bytes)
         return RelayedRequest(
             exchange = exchange,
             facts = facts,
+            body = body,
             route = route,
             pool = pool,
             service = configuration.services[pool],
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayedRequest.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayedRequest.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentList
 import org.acaciaflow.coordination.port.CallFacts
 import org.acaciaflow.coordination.port.CallerExchange
+import org.acaciaflow.coordination.port.WholeBody
 import org.acaciaflow.state.crash.CrashSubject
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.route.Route
@@ -18,6 +19,7 @@
 data class RelayedRequest(
     val exchange: CallerExchange,
     val facts: CallFacts,
+    val body: WholeBody,
     val route: Route,
     val pool: PoolName,
     val service: RoutedService?,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RequestRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RequestRelay.kt
@@ -10,10 +10,13 @@
 import kotlinx.coroutines.job
 import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.port.CallAcceptor
+import org.acaciaflow.coordination.port.CallFacts
 import org.acaciaflow.coordination.port.CallerDialect
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.port.Decoded
 import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.coordination.port.WholeBody
+import org.acaciaflow.coordination.port.wholeBodyOf
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.route.RequestKind
@@ -33,40 +36,50 @@
     private val clock: Clock,
 ) : CallAcceptor {
     override suspend fun accept(exchange: CallerExchange) {
+        val body = wholeBodyOf(exchange.body) ?: return refuse(exchange, NotRun.BODY_TOO_LARGE)
         when (val decoded = dialect.read(exchange.call)) {
-            is Decoded.Invalid -> {
-                observations.refused(NotRun.IDENTITY_UNREADABLE)
-                exchange.refuse(NotRun.IDENTITY_UNREADABLE)
-            }
+            is Decoded.Invalid -> refuse(exchange, NotRun.IDENTITY_UNREADABLE)
+            is Decoded.Valid -> accept(exchange, decoded.value, body)
+        }
+    }
 
-            is Decoded.Valid -> {
-                val facts = decoded.value
-                val now = clock.now()
-                initialConfiguration.await(clock)
-                when (val admitted = admission.admit(exchange, facts, now)) {
-                    is Admission.Admitted -> {
-                        serve(admitted.request)
-                    }
+    private suspend fun accept(
+        exchange: CallerExchange,
+        facts: CallFacts,
+        body: WholeBody,
+    ) {
+        val now = clock.now()
+        initialConfiguration.await(clock)
+        when (val admitted = admission.admit(exchange, facts, body, now)) {
+            is Admission.Admitted -> {
+                serve(admitted.request)
+            }
 
-                    is Admission.Refused -> {
-                        observations.refused(admitted.reason)
-                        observations.decided(
-                            Decision.Refused(
-                                facts.requestId,
-                                facts.host,
-                                facts.path,
-                                admitted.version,
-                                admitted.reason,
-                                now,
-                            ),
-                        )
-                        exchange.refuse(admitted.reason, admitted.retryAfter)
-                    }
-                }
+            is Admission.Refused -> {
+                observations.refused(admitted.reason)
+                observations.decided(
+                    Decision.Refused(
+                        facts.requestId,
+                        facts.host,
+                        facts.path,
+                        admitted.version,
+                        admitted.reason,
+                        now,
+                    ),
+                )
+                exchange.refuse(admitted.reason, admitted.retryAfter)
             }
         }
     }
 
+    private suspend fun refuse(
+        exchange: CallerExchange,
+        reason: NotRun,
+    ) {
+        observations.refused(reason)
+        exchange.refuse(reason)
+    }
+
     private suspend fun serve(request: RelayedRequest) {
         val tracker = RelayProgressTracker()
         retryLimiter.countRequest(request, request.arrivedAt)
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/CrashingPartTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/CrashingPartTest.kt
@@ -12,9 +12,9 @@
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BackendConnections
 import org.acaciaflow.coordination.port.CacheSource
-import org.acaciaflow.coordination.port.CallBody
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.coordination.port.WholeBody
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.crash.CrashSubject
 import org.acaciaflow.state.prompt.Prompt
@@ -86,7 +86,7 @@
                 object : BackendConnections by sound {
                     override suspend fun open(
                         order: RunOrder,
-                        body: CallBody,
+                        body: WholeBody,
                     ): AttemptStream {
                         quarantine(tables)
                         return sound.open(order, body)
@@ -134,7 +134,7 @@
 
     override suspend fun open(
         order: RunOrder,
-        body: CallBody,
+        body: WholeBody,
     ): AttemptStream {
         if (!startsDeadly) return sound.open(order, body)
         deadlyOrders += 1
@@ -146,7 +146,7 @@
 
     override suspend fun prefill(
         order: RunOrder,
-        body: CallBody,
+        body: WholeBody,
     ): PrefillOutcome = sound.prefill(order, body)
 
     override fun release(cache: CacheSource) = sound.release(cache)
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RelayFixtures.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RelayFixtures.kt
@@ -5,6 +5,7 @@
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.encodeToByteString
 import org.acaciaflow.coordination.port.CallFacts
+import org.acaciaflow.coordination.port.wholeBodyOf
 import org.acaciaflow.coordination.routing.KnownRouting
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.fleet.BackendEntry
@@ -99,6 +100,7 @@
     val caller = FakeCaller()
     return RelayedRequest(
         exchange = caller,
+        body = checkNotNull(wholeBodyOf(caller.body)),
         facts = CallFacts(name, route.host, route.prefix, null, null, null, caller.call),
         route = route,
         pool = SERVICE_POOL,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
@@ -9,9 +9,9 @@
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BackendConnections
 import org.acaciaflow.coordination.port.CacheSource
-import org.acaciaflow.coordination.port.CallBody
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.coordination.port.WholeBody
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
@@ -66,7 +66,7 @@
 
     override suspend fun open(
         order: RunOrder,
-        body: CallBody,
+        body: WholeBody,
     ): AttemptStream {
         orders += order
         val reaction = if (reactions.isEmpty()) Reaction.Answers(OK) else reactions.removeAt(0)
@@ -76,7 +76,7 @@
 
     override suspend fun prefill(
         order: RunOrder,
-        body: CallBody,
+        body: WholeBody,
     ): PrefillOutcome = prefill ?: PrefillOutcome.Ready(CacheSource(order.backend.address, "handle"), tokens = 1)
 
     override fun release(cache: CacheSource) {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -15,9 +15,9 @@
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BackendConnections
 import org.acaciaflow.coordination.port.CacheSource
-import org.acaciaflow.coordination.port.CallBody
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.coordination.port.WholeBody
 import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.protocol.dialect.CallPurpose
@@ -52,7 +52,7 @@
 
     override suspend fun open(
         order: RunOrder,
-        body: CallBody,
+        body: WholeBody,
     ): AttemptStream {
         val head = dialect.runHead(order)
         val request =
@@ -64,7 +64,7 @@
 
     override suspend fun prefill(
         order: RunOrder,
-        body: CallBody,
+        body: WholeBody,
     ): PrefillOutcome {
         val head = dialect.prefillHead(order)
         val request =
@@ -119,16 +119,16 @@
         return if (connected.succeeded()) connected.result() else null
     }
 
-    /** Sends the whole request; its body was buffered in full before a backend server was chosen. */
+    /** Sends the whole request. */
     private fun send(
         request: HttpClientRequest,
         head: CallHead,
-        body: CallBody,
+        body: WholeBody,
     ): HttpClientRequest {
         head.headers.filterNot { it.name.equals("content-length", ignoreCase = true) }.forEach {
             request.headers().add(it.name, it.value)
         }
-        if (body.buffered.size > 0) request.end(body.buffered.toBuffer()) else request.end()
+        if (body.bytes.size > 0) request.end(body.bytes.toBuffer()) else request.end()
         return request
     }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/BodyChannel.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/BodyChannel.kt
@@ -58,4 +58,9 @@
     val bytes: ByteString,
     val whole: Boolean,
     val broken: Boolean,
-)
+) {
+    companion object {
+        /** The start of a body that is not read, since its call is refused. */
+        val UNREAD = BodyStart(ByteString(), whole = false, broken = false)
+    }
+}
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
@@ -24,6 +24,7 @@
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** HTTP front end for callers; accepts any method, path, headers and body. */
 internal class CallerServer(
@@ -102,14 +103,15 @@
         channel: BodyChannel,
         closed: CompletableDeferred<Unit>,
     ) {
-        val start = readStart(channel, frontEnd.bufferedBytes)
-        val limit = frontEnd.bodyLimitBytes
-        val body = VertxCallBody(channel, start, limit)
-        val exchange = VertxCallerExchange(request, headOf(request), body, closed, frontEnd)
+        val limits = frontEnd.bodyLimits()
         val declared = request.getHeader("content-length")?.toLongOrNull() ?: 0
+        val isDeclaredTooLarge = declared > limits.maximumBytes
+        val start = if (isDeclaredTooLarge) BodyStart.UNREAD else readStart(channel, limits.bufferedBytes)
+        val body = VertxCallBody(channel, start, limits.maximumBytes)
+        val exchange = VertxCallerExchange(request, headOf(request), body, closed, frontEnd)
         when {
             start.broken -> observations.refused(NotRun.CALLER_GONE)
-            declared > limit -> refuse(exchange)
+            isDeclaredTooLarge || start.bytes.size > limits.maximumBytes -> refuse(exchange, limits.excess)
             else -> acceptor.accept(exchange)
         }
     }
@@ -122,9 +124,12 @@
         request.connection().close()
     }
 
-    private suspend fun refuse(exchange: VertxCallerExchange) {
-        observations.refused(NotRun.BODY_TOO_LARGE)
-        exchange.refuse(NotRun.BODY_TOO_LARGE)
+    private suspend fun refuse(
+        exchange: VertxCallerExchange,
+        reason: NotRun,
+    ) {
+        observations.refused(reason)
+        exchange.refuse(reason, RETRY_AFTER.takeIf { reason == NotRun.NO_CONFIGURATION })
     }
 
     private fun headOf(request: HttpServerRequest): CallHead {
@@ -139,6 +144,7 @@
     private companion object {
         const val LINE_BYTES = 16 * 1024
         const val HEADER_BYTES = 64 * 1024
+        val RETRY_AFTER: Duration = 1.seconds
         const val ACCEPT_BACKLOG = 1024 // a full queue drops SYNs, and a burst of callers would wait for retransmission
     }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/FrontEnd.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/FrontEnd.kt
@@ -2,26 +2,42 @@
 
 import org.acaciaflow.coordination.relay.StopSignal
 import org.acaciaflow.protocol.http.RefusalEncoder
+import org.acaciaflow.state.refusal.NotRun
 
 /** Current limits and state of a front end for callers. */
 internal interface FrontEnd {
     val refusals: RefusalEncoder
-    val bodyLimitBytes: Long
-
-    /** Number of bytes of a body to buffer before its call is accepted. */
-    val bufferedBytes: Int
 
     /** True once the process is stopping; answers then ask callers to close their connections. */
     val stopping: Boolean
+
+    /** Returns the limits for the body of a call that has just arrived; they hold until the call is answered. */
+    suspend fun bodyLimits(): BodyLimits
 }
 
+/**
+ * Limits for the body of one call.
+ *
+ * A body of more than [maximumBytes] is refused with [excess]. Its first [bufferedBytes] are buffered before the call is
+ * accepted.
+ */
+internal data class BodyLimits(
+    val maximumBytes: Long,
+    val bufferedBytes: Long,
+    val excess: NotRun,
+)
+
 /** A front end with fixed limits. */
 internal class FixedFrontEnd(
     override val refusals: RefusalEncoder,
-    override val bodyLimitBytes: Long,
-    override val bufferedBytes: Int,
+    bodyLimitBytes: Long,
+    bufferedBytes: Int,
     private val stop: StopSignal,
 ) : FrontEnd {
+    private val limits = BodyLimits(bodyLimitBytes, bufferedBytes.toLong(), NotRun.BODY_TOO_LARGE)
+
     override val stopping: Boolean
         get() = stop.requested
+
+    override suspend fun bodyLimits(): BodyLimits = limits
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/VertxCallBody.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/VertxCallBody.kt
@@ -32,10 +32,10 @@
 /** Buffers the start of a body, up to and including the first part that exceeds [bufferedBytes]. */
 internal suspend fun readStart(
     channel: BodyChannel,
-    bufferedBytes: Int,
+    bufferedBytes: Long,
 ): BodyStart {
     var parts: PersistentList<ByteString> = persistentListOf()
-    var size = 0
+    var size = 0L
     while (size <= bufferedBytes) {
         when (val part = channel.next()) {
             is BodyPart.Data -> {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -5,6 +5,7 @@
 import org.acaciaflow.coordination.peer.LoadExchange
 import org.acaciaflow.coordination.peer.PeerGossip
 import org.acaciaflow.coordination.peer.PeerRegistration
+import org.acaciaflow.coordination.relay.InitialConfigurationWait
 import org.acaciaflow.coordination.relay.RelayPorts
 import org.acaciaflow.coordination.relay.RelayTables
 import org.acaciaflow.coordination.relay.StopSignal
@@ -15,8 +16,10 @@
 import org.acaciaflow.protocol.http.RefusalEncoder
 import org.acaciaflow.protocol.http.ServerSentEvents
 import org.acaciaflow.protocol.settings.EntryHostSettings
+import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.transport.direct.DirectConnections
 import org.acaciaflow.transport.direct.VertxHttpCalls
+import org.acaciaflow.transport.http.BodyLimits
 import org.acaciaflow.transport.http.CallerServer
 import org.acaciaflow.transport.http.FrontEnd
 import org.acaciaflow.transport.peer.ConfigurationExchange
@@ -52,7 +55,14 @@
         )
     val relay = createRequestRelay(tables, ports, settings.dataCentre, settings.retryBounds)
     val updater = RoutingUpdater(adapters.documents, tables.routing, runtime.observations)
-    val frontEnd = ConfiguredFrontEnd(adapters.refusals, tables, stop)
+    val frontEnd =
+        ConfiguredFrontEnd(
+            adapters.refusals,
+            tables,
+            InitialConfigurationWait(tables.routing, clock.now()),
+            stop,
+            clock,
+        )
     return EntryGatewayDaemon(
         settings = settings,
         self = newProcessIdentity(settings.peers),
@@ -152,22 +162,23 @@
 private const val SHORT_ANSWER_BYTES = 64 * 1024
 private const val STORE_ANSWER_BYTES = 8 * 1024 * 1024 // several times the largest page of the store
 
-/** A front end whose limits come from the configuration in force. */
+/** A front end whose limits come from the configuration in force when a call arrives. */
 private class ConfiguredFrontEnd(
     override val refusals: RefusalEncoder,
     private val tables: RelayTables,
+    private val initialConfiguration: InitialConfigurationWait,
     private val stop: StopSignal,
+    private val clock: Clock,
 ) : FrontEnd {
-    override val bodyLimitBytes: Long
-        get() =
-            tables.routing
-                .snapshot()
-                .configuration.limits.bodyBytes
-
-    /** Buffers the whole body, since a retry sends it again. */
-    override val bufferedBytes: Int
-        get() = bodyLimitBytes.toInt()
-
     override val stopping: Boolean
         get() = stop.requested
+
+    /** Buffers the whole body, since a retry sends it again. Without a configuration, no limit of it is exceeded. */
+    override suspend fun bodyLimits(): BodyLimits {
+        initialConfiguration.await(clock)
+        val configuration = tables.routing.snapshot().configuration
+        val limit = configuration.limits.bodyBytes
+        val excess = if (configuration.known) NotRun.BODY_TOO_LARGE else NotRun.NO_CONFIGURATION
+        return BodyLimits(maximumBytes = limit, bufferedBytes = limit, excess)
+    }
 }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -24,6 +24,7 @@
 import org.acaciaflow.coordination.port.CallBody
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.coordination.port.wholeBodyOf
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
@@ -39,6 +40,7 @@
 class DirectConnectionsTest : AnnotationSpec() {
     private val vertx = Vertx.vertx()
     private val releases = CoroutineScope(Dispatchers.Default)
+    private val emptyBody = checkNotNull(wholeBodyOf(EmptyBody))
     private val connections =
         DirectConnections(vertx, TestDialect, VertxHttpCalls(vertx, maximumBytes = 64 * 1024), releases)
 
@@ -102,7 +104,7 @@
 
         backend.use {
             runBlocking {
-                val stream = connections.open(orderFor(backend, "request-1"), EmptyBody)
+                val stream = connections.open(orderFor(backend, "request-1"), emptyBody)
                 stream.next()
                 delay(50.milliseconds)
                 val next = async { read(backend, "request-2") }
@@ -124,7 +126,7 @@
 
         backend.use {
             runBlocking {
-                connections.open(orderFor(backend, "request-1"), EmptyBody).cancel()
+                connections.open(orderFor(backend, "request-1"), emptyBody).cancel()
 
                 read(backend, "request-2").first shouldBe "body of request-2"
             }
@@ -184,7 +186,7 @@
 
         backend.use {
             runBlocking {
-                val outcome = withTimeout(5.seconds) { connections.prefill(orderFor(backend, "request-1"), EmptyBody) }
+                val outcome = withTimeout(5.seconds) { connections.prefill(orderFor(backend, "request-1"), emptyBody) }
 
                 outcome shouldBe PrefillOutcome.Broken(MayHaveRun.ANSWER_TOO_LARGE)
                 backend.poured.get() shouldBeLessThan POURED_LIMIT
@@ -277,7 +279,7 @@
         backend: RawBackend,
         requestId: String,
     ): Pair<String, AttemptEvent> {
-        val stream = connections.open(orderFor(backend, requestId), EmptyBody)
+        val stream = connections.open(orderFor(backend, requestId), emptyBody)
         val body = StringBuilder()
         try {
             while (true) {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/CallerServerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/CallerServerTest.kt
@@ -1,10 +1,12 @@
 package org.acaciaflow.transport.http
 
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
@@ -19,12 +21,17 @@
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.coordination.port.CallAcceptor
 import org.acaciaflow.coordination.port.CallerExchange
+import org.acaciaflow.coordination.port.wholeBodyOf
 import org.acaciaflow.coordination.relay.StopSignal
 import org.acaciaflow.protocol.http.RefusalAnswer
+import org.acaciaflow.protocol.http.RefusalEncoder
 import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.transport.observation.MeteredObservations
 import java.net.ConnectException
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -35,6 +42,7 @@
     private val vertx = Vertx.vertx()
     private val callScope = CoroutineScope(Dispatchers.Default)
     private val accepted = AtomicInteger()
+    private val bodySizes = CopyOnWriteArrayList<Int>()
 
     @AfterAll
     suspend fun close() {
@@ -65,22 +73,107 @@
             calls.map { it.await() } shouldBe List(20) { 200 }
             took shouldBeLessThan 5.seconds
         }
-        val refused = runCatching { call() }.exceptionOrNull()
-        (refused is ConnectException) shouldBe true
+        shouldThrow<ConnectException> { Socket("127.0.0.1", port).close() }
     }
 
-    private fun server(work: Duration): CallerServer {
+    /** Guards against a body that is cut at a limit and then run, under a length that fits what is left of it. */
+    @Test
+    suspend fun `a body is accepted whole or refused as too large`() {
+        val port = startServer(FixedLimits(LIMIT_BYTES.toLong()))
+
+        for (size in listOf(0, 1, LIMIT_BYTES - 1, LIMIT_BYTES, LIMIT_BYTES + 1, 5 * LIMIT_BYTES)) {
+            for (chunked in listOf(true, false)) {
+                bodySizes.clear()
+
+                val status = send(port, size, chunked)
+
+                val fits = size <= LIMIT_BYTES
+                status shouldBe if (fits) 200 else 413
+                bodySizes.toList() shouldBe if (fits) listOf(size) else emptyList()
+            }
+        }
+    }
+
+    /** Guards against limits beyond 32 bits that are cut to a number below the size of a body. */
+    @Test
+    suspend fun `a body is accepted whole under limits of two and four GiB`() {
+        for (limit in listOf(Int.MAX_VALUE.toLong(), Int.MAX_VALUE + 1L, 4L * 1024 * 1024 * 1024)) {
+            val port = startServer(FixedLimits(limit))
+            bodySizes.clear()
+
+            send(port, size = 200_000, chunked = false) shouldBe 200
+            send(port, size = 200_000, chunked = true) shouldBe 200
+
+            bodySizes.toList() shouldBe listOf(200_000, 200_000)
+        }
+    }
+
+    /** Guards against a limit that is read twice for a call, with a change of the configuration in between. */
+    @Test
+    suspend fun `the limit that holds when a call arrives holds for all of it`() {
+        val port = startServer(FixedLimits(LIMIT_BYTES.toLong(), later = 10L * LIMIT_BYTES))
+        bodySizes.clear()
+
+        send(port, 2 * LIMIT_BYTES, chunked = true) shouldBe 413
+        send(port, 2 * LIMIT_BYTES, chunked = true) shouldBe 200
+
+        bodySizes.toList() shouldBe listOf(2 * LIMIT_BYTES)
+    }
+
+    private suspend fun startServer(limits: FrontEnd): Int =
+        server(work = Duration.ZERO, limits).start(HostAddress("127.0.0.1", 0)).actualPort()
+
+    private suspend fun send(
+        port: Int,
+        size: Int,
+        chunked: Boolean,
+    ): Int =
+        withTimeout(30.seconds) {
+            vertx
+                .createHttpClient()
+                .request(HttpMethod.POST, port, "127.0.0.1", "/call")
+                .compose { request ->
+                    request.isChunked = chunked
+                    request.send(Buffer.buffer(ByteArray(size)))
+                }.compose { response -> response.body().map(response.statusCode()) }
+                .coAwait()
+        }
+
+    /** Limits of [bytes] for the first call and of [later] for the calls after it. */
+    private class FixedLimits(
+        private val bytes: Long,
+        private val later: Long = bytes,
+    ) : FrontEnd {
+        private val calls = AtomicInteger()
+        override val refusals = RefusalEncoder(RefusalAnswer::of)
+        override val stopping = false
+
+        override suspend fun bodyLimits(): BodyLimits {
+            val limit = if (calls.getAndIncrement() == 0) bytes else later
+            return BodyLimits(limit, limit, NotRun.BODY_TOO_LARGE)
+        }
+    }
+
+    private fun server(
+        work: Duration,
+        frontEnd: FrontEnd =
+            FixedFrontEnd(RefusalAnswer::of, bodyLimitBytes = 1000, bufferedBytes = 1000, StopSignal()),
+    ): CallerServer {
         val acceptor =
             object : CallAcceptor {
                 override suspend fun accept(exchange: CallerExchange) {
                     accepted.incrementAndGet()
+                    bodySizes += checkNotNull(wholeBodyOf(exchange.body)).bytes.size
                     delay(work)
                     exchange.begin(AnswerHead(200, persistentListOf()))
                     exchange.send(ByteString(1, 2, 3))
                     exchange.end()
                 }
             }
-        val frontEnd = FixedFrontEnd(RefusalAnswer::of, bodyLimitBytes = 1000, bufferedBytes = 1000, StopSignal())
         return CallerServer(vertx, acceptor, MeteredObservations(SimpleMeterRegistry()), callScope, frontEnd)
     }
+
+    private companion object {
+        const val LIMIT_BYTES = 100_000
+    }
 }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/rehearsal/SampleRequest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/rehearsal/SampleRequest.kt
@@ -7,6 +7,7 @@
 import org.acaciaflow.coordination.port.CallFacts
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.port.CallerWrite
+import org.acaciaflow.coordination.port.wholeBodyOf
 import org.acaciaflow.coordination.relay.RelayedRequest
 import org.acaciaflow.coordination.relay.createRelayTables
 import org.acaciaflow.state.identity.HostAddress
@@ -36,8 +37,10 @@
                 .first()
                 .first()
         val call = CallHead("POST", RehearsalFleet.PATH, persistentListOf())
+        val caller = DiscardingCaller(call)
         return RelayedRequest(
-            exchange = DiscardingCaller(call),
+            exchange = caller,
+            body = checkNotNull(wholeBodyOf(caller.body)),
             facts = CallFacts("r1", route.host, route.prefix, null, null, null, call),
             route = route,
             pool = route.destinations.first().pool,
