--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/FleetChangesTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/FleetChangesTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.property.Arb
 import io.kotest.property.arbitrary.boolean
+import io.kotest.property.arbitrary.enum
 import io.kotest.property.arbitrary.int
 import io.kotest.property.arbitrary.list
 import io.kotest.property.arbitrary.pair
@@ -76,6 +77,49 @@
         remaining.lapsed.shouldBeEmpty()
     }
 
+    @Test
+    fun `after any sequence of entries, outages and restarts the fleet is what the store shows`() =
+        kotlinx.coroutines.test.runTest {
+            checkAll(500, Arb.list(Arb.enum<StoreEvent>(), 1..12)) { events ->
+                var life = 1L
+                var shown: Long? = null
+                var fleet = Fleet.NONE
+                for (event in events) {
+                    when (event) {
+                        StoreEvent.RESTARTED_AND_REGISTERED -> {
+                            life += 1
+                            shown = life
+                            fleet = FleetChanges.registered(fleet, backend("one", startedAt = life))
+                        }
+
+                        StoreEvent.REGISTERED -> {
+                            shown = life
+                            fleet = FleetChanges.registered(fleet, backend("one", startedAt = life))
+                        }
+
+                        StoreEvent.LAPSED_IN_OUTAGE -> {
+                            shown = null
+                            fleet = FleetChanges.lapsed(fleet, "one")
+                        }
+
+                        StoreEvent.REMOVED -> {
+                            shown = null
+                            fleet = FleetChanges.removed(fleet, "one")
+                        }
+
+                        StoreEvent.GRACE_OVER -> fleet = FleetChanges.lapsedRemoved(fleet)
+                    }
+                }
+
+                val settled = FleetChanges.lapsedRemoved(fleet)
+
+                settled.usableIn(SERVICE_POOL).map { it.life.startedAtMilliseconds } shouldBe listOfNotNull(shown)
+                settled.lapsed.shouldBeEmpty()
+            }
+        }
+
+    private enum class StoreEvent { RESTARTED_AND_REGISTERED, REGISTERED, LAPSED_IN_OUTAGE, REMOVED, GRACE_OVER }
+
     @Test
     fun `an entry registered again after a lapse is not removed`() {
         val lapsed = FleetChanges.lapsed(FleetChanges.registered(Fleet.NONE, backend("one")), "one")
