--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerCodecTest.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerCodecTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import org.acaciaflow.state.crash.CrashSubject
@@ -21,6 +22,29 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 class PeerCodecTest : AnnotationSpec() {
+    /** Guards against a datagram that overflows the stack of the event loop; the stack has the deploy file's size. */
+    @Test
+    fun `a deeply nested datagram is undecodable`() {
+        val openings = listOf(0x81, 0x9f, 0xa1, 0xbf, 0xc1, 0x5f, 0x7f, 0xd8) // arrays, maps, tags, strings in parts
+        val unknownField = listOf(0xa1, 0x18, 0x63)
+        val datagrams =
+            openings.flatMap { opening ->
+                listOf(1, 2).map { kind ->
+                    byteArrayOf(kind.toByte()) + unknownField.map { it.toByte() } +
+                        ByteArray(60_000) { opening.toByte() }
+                }
+            }
+        var results = emptyList<DecodedDatagram>()
+
+        Thread(null, { results = datagrams.map(PeerCodec::decode) }, "small-stack", 256L * 1024).apply {
+            start()
+            join()
+        }
+
+        results.size shouldBe datagrams.size
+        results.forEach { it.shouldBeInstanceOf<DecodedDatagram.Faulty>() }
+    }
+
     @Test
     fun `a report is unchanged after encoding and decoding`() {
         val report = report(loads = 12, reads = 5)
