Show the age and revision of what a gateway knows of the store

The logs could not tell a watch that stands still from a store in which nothing changes. /status, gauges and the readiness answer now show when the store last answered, at which revision and what was unreadable; AF1505 warns after ten seconds. No decision changes: availability moves from two fields of StoreWatcher into the table StoreKnowledge.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -112,6 +112,12 @@
         val revision: Long,
     ) : Event(EventKind.STORE_HISTORY_LOST)
 
+    /** The store has not answered for [age]; all changes up to [revision] are known. */
+    data class StoreKnowledgeStale(
+        val revision: Long,
+        val age: Duration,
+    ) : Event(EventKind.STORE_KNOWLEDGE_STALE)
+
     data class RoutingAdopted(
         val version: Long,
         val former: Long,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
@@ -20,6 +20,7 @@
 import org.acaciaflow.state.prompt.PromptCache
 import org.acaciaflow.state.reliability.ReliabilityRecord
 import org.acaciaflow.state.retry.RetryWindow
+import org.acaciaflow.state.store.StoreKnowledge
 import org.acaciaflow.state.table.SharedTable
 import org.acaciaflow.state.table.createSharedTable
 import kotlin.time.Duration
@@ -37,6 +38,7 @@
     val load: SharedTable<FleetLoad>,
     val rates: SharedTable<PersistentMap<PoolName, EngineRates>>,
     val crashes: SharedTable<CrashReports>,
+    val store: SharedTable<StoreKnowledge>,
     val peers: SharedTable<Peers>,
     val answerBuffers: SharedTable<BufferUse>,
     val retryWindows: SharedTable<PersistentMap<PoolName, RetryWindow>>,
@@ -56,6 +58,7 @@
         load = createSharedTable(LockOrder.FLEET_LOAD, FleetLoad.NONE),
         rates = createSharedTable(LockOrder.ENGINE_RATES, persistentMapOf()),
         crashes = createSharedTable(LockOrder.CRASH_REPORTS, CrashReports.NONE),
+        store = createSharedTable(LockOrder.STORE_KNOWLEDGE, StoreKnowledge.NONE),
         peers = createSharedTable(LockOrder.PEERS, Peers.NONE),
         answerBuffers = createSharedTable(LockOrder.ANSWER_BUFFERS, BufferUse.NONE),
         retryWindows = createSharedTable(LockOrder.RETRY_WINDOWS, persistentMapOf()),
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreFreshness.kt
@@ -0,0 +1,60 @@
+package org.acaciaflow.coordination.store
+
+import org.acaciaflow.state.store.StoreKnowledge
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Records answers and failures of the store, and decides when a process's knowledge of it is stale. */
+object StoreFreshness {
+    /** Without an answer for this long, knowledge is stale. A watch without changes answers several times as often. */
+    val STALE_AFTER: Duration = 10.seconds
+
+    /** Records that everything up to [revision] was applied at [now]. */
+    fun answered(
+        knowledge: StoreKnowledge,
+        revision: Long,
+        now: Instant,
+    ): StoreKnowledge = available(knowledge, now).copy(revision = revision, answeredAt = now)
+
+    /** Records that all keys were read at [now], as of [revision] or later. */
+    fun read(
+        knowledge: StoreKnowledge,
+        revision: Long,
+        now: Instant,
+    ): StoreKnowledge = answered(knowledge, revision, now).copy(readAt = now)
+
+    /** Records that the store answered at [now], whatever the answer holds. */
+    fun available(
+        knowledge: StoreKnowledge,
+        now: Instant,
+    ): StoreKnowledge =
+        when (knowledge.failingSince) {
+            null -> knowledge
+            else -> knowledge.copy(failingSince = null, recoveredAt = now)
+        }
+
+    /** Records a failed call; [StoreKnowledge.failingSince] keeps the first failure since the last answer. */
+    fun failed(
+        knowledge: StoreKnowledge,
+        now: Instant,
+    ): StoreKnowledge = if (knowledge.failingSince == null) knowledge.copy(failingSince = now) else knowledge
+
+    /** Records something that could not be decoded. */
+    fun unreadable(
+        knowledge: StoreKnowledge,
+        fault: String,
+    ): StoreKnowledge = knowledge.copy(unreadable = knowledge.unreadable + 1, lastFault = fault)
+
+    /** How long ago the store last answered; null before its first answer. */
+    fun age(
+        knowledge: StoreKnowledge,
+        now: Instant,
+    ): Duration? = knowledge.answeredAt?.let { now - it }
+
+    /** True if the knowledge was complete once and has not been confirmed for [STALE_AFTER]. */
+    fun isStale(
+        knowledge: StoreKnowledge,
+        now: Instant,
+    ): Boolean = age(knowledge, now)?.let { it >= STALE_AFTER } ?: false
+}
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -20,6 +20,7 @@
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.identity.parseHostAddress
 import org.acaciaflow.state.peer.Peers
+import org.acaciaflow.state.store.StoreKnowledge
 import org.acaciaflow.state.table.SharedTable
 import kotlin.random.Random
 import kotlin.time.Clock
@@ -40,15 +41,13 @@
     private val routing: RoutingUpdater,
     private val fleet: SharedTable<Fleet>,
     private val peers: SharedTable<Peers>,
+    private val knowledge: SharedTable<StoreKnowledge>,
     private val observations: Observations,
     private val clock: Clock,
     private val random: Random,
 ) {
     @Volatile
-    private var unavailableSince: Instant? = null
-
-    @Volatile
-    private var recoveredAt: Instant = Instant.DISTANT_PAST
+    private var staleReportedAt: Instant? = null
 
     /** True once the first snapshot of the store has been applied. */
     @Volatile
@@ -65,15 +64,29 @@
         }
     }
 
+    /** Logs at [now] that the knowledge of the store is stale, once a [STALE_REPORT_INTERVAL] while it is. */
+    fun reportStaleness(now: Instant) {
+        val known = knowledge.snapshot()
+        if (!StoreFreshness.isStale(known, now)) {
+            staleReportedAt = null
+            return
+        }
+        val reported = staleReportedAt
+        if (reported != null && now - reported < STALE_REPORT_INTERVAL) return
+        staleReportedAt = now
+        observations.event(Event.StoreKnowledgeStale(known.revision, StoreFreshness.age(known, now) ?: return))
+    }
+
     /** Removes the entries that are still lapsed [LAPSED_ENTRY_GRACE] after the store recovered. */
     fun removeLapsedEntries(now: Instant) {
-        if (unavailableSince != null || now - recoveredAt < LAPSED_ENTRY_GRACE) return
+        if (inDoubt(now)) return
         if (fleet.snapshot().lapsed.isNotEmpty()) fleet.update(FleetChanges::lapsedRemoved)
     }
 
     private suspend fun watchFrom(snapshot: StoreSnapshot) {
         markAvailable()
         apply(snapshot)
+        knowledge.update { StoreFreshness.read(it, snapshot.revision, clock.now()) }
         synchronized = true
         var revision = snapshot.revision
         while (true) {
@@ -90,6 +103,7 @@
                         is StoreChanges.Batch -> {
                             changes.changes.forEach { apply(it) }
                             revision = changes.revision
+                            knowledge.update { StoreFreshness.answered(it, changes.revision, clock.now()) }
                             if (changes.changes.isNotEmpty()) delay(BATCH_PAUSE)
                         }
                     }
@@ -145,6 +159,7 @@
         when (val decoded = documents.readEntry(instance, stored.value)) {
             is Decoded.Invalid -> {
                 observations.event(Event.BackendEntryUnreadable(instance, stored.revision, decoded.fault))
+                knowledge.update { StoreFreshness.unreadable(it, "${stored.key.path}: ${decoded.fault.detail}") }
                 fleet.update { FleetChanges.removed(it, instance) }
             }
 
@@ -160,7 +175,7 @@
 
     private fun handleMissing(instance: String) {
         val known = fleet.snapshot().entries[instance] ?: return
-        val doubtful = unavailableSince != null || clock.now() - recoveredAt < LAPSED_ENTRY_GRACE
+        val doubtful = inDoubt(clock.now())
         observations.event(Event.BackendMissing(known.life, doubtful))
         fleet.update { if (doubtful) FleetChanges.lapsed(it, instance) else FleetChanges.removed(it, instance) }
     }
@@ -177,19 +192,23 @@
         }
     }
 
+    /** True while an entry may be missing only because its server could not reach the store. */
+    private fun inDoubt(now: Instant): Boolean {
+        val known = knowledge.snapshot()
+        val recoveredAt = known.recoveredAt
+        return known.failingSince != null || (recoveredAt != null && now - recoveredAt < LAPSED_ENTRY_GRACE)
+    }
+
     private fun markAvailable() {
-        if (unavailableSince == null) return
-        unavailableSince = null
-        recoveredAt = clock.now()
+        if (knowledge.snapshot().failingSince == null) return
+        knowledge.update { StoreFreshness.available(it, clock.now()) }
         observations.event(Event.StoreAvailable)
     }
 
     private suspend fun backOff(reason: StoreFailure) {
         observations.storeFailed(reason)
-        if (unavailableSince == null) {
-            unavailableSince = clock.now()
-            observations.event(Event.StoreUnavailable(reason))
-        }
+        if (knowledge.snapshot().failingSince == null) observations.event(Event.StoreUnavailable(reason))
+        knowledge.update { StoreFreshness.failed(it, clock.now()) }
         delay(RETRY_DELAY + RETRY_JITTER * random.nextDouble())
     }
 
@@ -197,6 +216,9 @@
         /** How long lapsed entries stay in use after the store recovers; live backends register again within it. */
         val LAPSED_ENTRY_GRACE: Duration = 2.seconds
 
+        /** How often stale knowledge is logged. */
+        private val STALE_REPORT_INTERVAL: Duration = 60.seconds
+
         private val WATCH_WAIT: Duration = 1500.milliseconds // detects a dead connection within the drain time
         private val BATCH_PAUSE: Duration = 150.milliseconds // so that one call returns several changes
         private val RETRY_DELAY: Duration = 150.milliseconds
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
@@ -142,6 +142,7 @@
                 routing = RoutingUpdater(PlainDocuments, tables.routing, observations),
                 fleet = tables.fleet,
                 peers = tables.peers,
+                knowledge = tables.store,
                 observations = observations,
                 clock =
                     object : Clock {
--- /dev/null
+++ b/state/src/main/kotlin/org/acaciaflow/state/store/StoreKnowledge.kt
@@ -0,0 +1,34 @@
+package org.acaciaflow.state.store
+
+import kotlin.time.Instant
+
+/**
+ * How recent a process's knowledge of the platform's store is.
+ *
+ * All changes up to [revision] have been applied, as the store answered at [answeredAt]; all keys were last read at
+ * [readAt]. Both times are null before the first answer. [failingSince] is the first failure after the last answer;
+ * [recoveredAt] is when the store last answered after a failure. [unreadable] counts the changes, keys and answers that
+ * could not be decoded, of which [lastFault] describes the last.
+ */
+data class StoreKnowledge(
+    val revision: Long,
+    val answeredAt: Instant?,
+    val readAt: Instant?,
+    val failingSince: Instant?,
+    val recoveredAt: Instant?,
+    val unreadable: Long,
+    val lastFault: String?,
+) {
+    companion object {
+        val NONE =
+            StoreKnowledge(
+                revision = 0,
+                answeredAt = null,
+                readAt = null,
+                failingSince = null,
+                recoveredAt = null,
+                unreadable = 0,
+                lastFault = null,
+            )
+    }
+}
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/OperatorsServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/OperatorsServer.kt
@@ -16,6 +16,10 @@
     /** Names of the loops that have failed and not started again yet. */
     val failingLoops: List<String>
 
+    /** Further lines of the readiness answer, each without its line break; empty when there is nothing to say. */
+    val readinessNotes: List<String>
+        get() = emptyList()
+
     /** The status of the process as a JSON document. */
     fun status(): String
 }
@@ -42,11 +46,18 @@
 
     private fun answerReady(context: RoutingContext) {
         when (view.ready) {
-            true -> context.end("ready\n" + view.failingLoops.joinToString("") { "restarting: $it\n" })
+            true -> context.end(readyText())
             false -> context.response().setStatusCode(UNAVAILABLE).end("not ready\n")
         }
     }
 
+    private fun readyText(): String =
+        (
+            listOf(
+                "ready",
+            ) + view.failingLoops.map { "restarting: $it" } + view.readinessNotes
+        ).joinToString("") { "$it\n" }
+
     private companion object {
         const val UNAVAILABLE = 503
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
@@ -12,6 +12,9 @@
     const val ANSWER_TIME = "acaciaflow.answer.time"
     const val STORE_FAILURES = "acaciaflow.store.failures"
     const val STORE_CALLS = "acaciaflow.store.calls"
+    const val STORE_ANSWER_AGE = "acaciaflow.store.answer.age"
+    const val STORE_REVISION = "acaciaflow.store.revision"
+    const val CONFIGURATION_VERSION = "acaciaflow.configuration.version"
     const val STRAY_FRAMES = "acaciaflow.frames.stray"
 
     val ALL =
@@ -26,6 +29,9 @@
             ANSWER_TIME,
             STORE_FAILURES,
             STORE_CALLS,
+            STORE_ANSWER_AGE,
+            STORE_REVISION,
+            CONFIGURATION_VERSION,
             STRAY_FRAMES,
         )
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
@@ -105,6 +105,9 @@
     override val failingLoops: List<String>
         get() = failingLoops(runtime.workers.loops)
 
+    override val readinessNotes: List<String>
+        get() = StoreStatus.readinessNotes(tables.store.snapshot(), clock.now())
+
     override fun status(): String = EntryGatewayStatus.describe(self, tables, runtime.workers.loops, clock.now())
 
     /** Skips the rehearsal, or ends it early, when callers have open calls, since both compete for the processor. */
@@ -135,6 +138,7 @@
             delay(PRUNE_INTERVAL)
             val now = clock.now()
             watcher.removeLapsedEntries(now)
+            watcher.reportStaleness(now)
             val registered =
                 tables.fleet
                     .snapshot()
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -22,6 +22,7 @@
 import org.acaciaflow.transport.http.BodyLimits
 import org.acaciaflow.transport.http.CallerServer
 import org.acaciaflow.transport.http.FrontEnd
+import org.acaciaflow.transport.observation.registerStoreGauges
 import org.acaciaflow.transport.peer.ConfigurationExchange
 import org.acaciaflow.transport.peer.PeerExchange
 import org.acaciaflow.transport.rehearsal.Rehearsal
@@ -38,6 +39,7 @@
 ): Daemon {
     val runtime = createSingleLoopRuntime(clock)
     val tables = createRelayTables()
+    registerStoreGauges(runtime.registry, tables.store, tables.routing, clock)
     val calls = VertxHttpCalls(runtime.vertx, SHORT_ANSWER_BYTES)
     val store = adapters.openStore(VertxHttpCalls(runtime.vertx, STORE_ANSWER_BYTES))
     val stop = StopSignal()
@@ -112,6 +114,7 @@
         routing = updater,
         fleet = tables.fleet,
         peers = tables.peers,
+        knowledge = tables.store,
         observations = runtime.observations,
         clock = clock,
         random = random,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayStatus.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayStatus.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
 import org.acaciaflow.coordination.relay.RelayTables
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.Fleet
@@ -33,6 +34,7 @@
                     .snapshot()
                     .configuration.version,
             )
+            putJsonObject("store") { StoreStatus.describe(this, tables.store.snapshot(), now) }
             putJsonArray("backends") {
                 for (entry in fleet.entries.values) {
                     addJsonObject {
