Tell an answer over the limit apart from a lost connection

A store's answer over the client's limit was counted as answer-lost, as if the connection had closed, so a watch asked for the same answer again and again.

Cause: VertxHttpCalls mapped both ends of a body, too large and broken off, to ConnectionLost. The two need different treatment: a lost answer is worth a retry, one over the limit comes again at the same size.

Evidence: a raw server with 65,537 bytes at a limit of 65,536. Before, the new test got ConnectionLost; now it gets AnswerTooLarge, while an answer of exactly the limit is whole and one that breaks off a byte short stays ConnectionLost. VertxHttpCallsTest, PlatformStoreTest and DirectConnectionsTest pass.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/StoreFailure.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/StoreFailure.kt
@@ -9,5 +9,6 @@
     REJECTED("rejected", mayHaveTakenEffect = false),
     TIMED_OUT("timed-out", mayHaveTakenEffect = true),
     ANSWER_LOST("answer-lost", mayHaveTakenEffect = true),
+    ANSWER_TOO_LARGE("answer-too-large", mayHaveTakenEffect = true),
     MALFORMED_ANSWER("malformed-answer", mayHaveTakenEffect = true),
 }
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/HttpCalls.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/HttpCalls.kt
@@ -31,4 +31,7 @@
 
     /** The connection closed before the answer was complete. */
     data object ConnectionLost : HttpResult
+
+    /** The answer has more bytes than the client takes; the rest was not read. */
+    data object AnswerTooLarge : HttpResult
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
@@ -70,7 +70,8 @@
             val answerHead = AnswerHead(response.statusCode(), response.headers().toFields())
             return when (val content = channel.readWhole(maximumBytes)) {
                 is BoundedBody.Whole -> HttpResult.Answered(answerHead, content.bytes).also { completed = true }
-                BoundedBody.TooLarge, BoundedBody.Broken -> HttpResult.ConnectionLost
+                BoundedBody.TooLarge -> HttpResult.AnswerTooLarge
+                BoundedBody.Broken -> HttpResult.ConnectionLost
             }
         } finally {
             if (!completed) request.reset()
--- /dev/null
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/VertxHttpCallsTest.kt
@@ -0,0 +1,57 @@
+package org.acaciaflow.transport.direct
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.runBlocking
+import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.protocol.dialect.HttpResult
+import org.acaciaflow.state.work.CallHead
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class VertxHttpCallsTest : AnnotationSpec() {
+    private val vertx = Vertx.vertx()
+    private val calls = VertxHttpCalls(vertx, maximumBytes = MAXIMUM_BYTES)
+
+    @AfterAll
+    fun close() =
+        runBlocking<Unit> {
+            vertx.close().coAwait()
+        }
+
+    /** Guards against asking again and again for an answer over the limit, which looked like a lost connection. */
+    @Test
+    fun `an answer over the limit is told apart from a lost connection`() =
+        runBlocking<Unit> {
+            val sizes = listOf(MAXIMUM_BYTES, MAXIMUM_BYTES + 1)
+
+            val (whole, excess) = sizes.map { size -> backendWithBody(size, size).use { call(it) } }
+            val lost = backendWithBody(MAXIMUM_BYTES, MAXIMUM_BYTES - 1).use { call(it) }
+
+            whole.shouldBeInstanceOf<HttpResult.Answered>().body.size shouldBe MAXIMUM_BYTES
+            excess shouldBe HttpResult.AnswerTooLarge
+            lost shouldBe HttpResult.ConnectionLost
+        }
+
+    /** A server whose answers declare [declared] bytes and have [sent] before the connection closes. */
+    private fun backendWithBody(
+        declared: Int,
+        sent: Int,
+    ) = RawBackend { output, _, _ ->
+        write(output, "HTTP/1.1 200 OK\r\nContent-Length: $declared\r\n\r\n" + "x".repeat(sent))
+        output.close()
+    }
+
+    private suspend fun call(
+        backend: RawBackend,
+        timeout: Duration = 5.seconds,
+    ): HttpResult = calls.call(backend.address, CallHead("GET", "/", persistentListOf()), ByteString(), timeout)
+
+    private companion object {
+        const val MAXIMUM_BYTES = 64 * 1024
+    }
+}
