Pause between reads of a store that forgets its history

One gateway beside a store without history read all keys some 20 times a second, 390 of them 16,000 times where the store allows 2,000: a lost history was answered by a new read at once. Reads in a row that no answer to a watch came between now wait for up to a second, spread at random; polling alone still brings changes within the bound of two seconds.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -57,10 +57,18 @@
 
     /** Watches the store until cancelled; reads a new snapshot when the store has lost its change history. */
     suspend fun run() {
+        var readsInARow = 0
         while (true) {
+            delay(StoreReadPolicy.pauseBefore(readsInARow, random))
             when (val snapshot = feed.snapshot()) {
-                is StoreResult.Failure -> backOff(snapshot.reason)
-                is StoreResult.Success -> watchFrom(snapshot.value)
+                is StoreResult.Failure -> {
+                    backOff(snapshot.reason)
+                }
+
+                is StoreResult.Success -> {
+                    val followed = watchFrom(snapshot.value)
+                    readsInARow = if (followed) 1 else readsInARow + 1
+                }
             }
         }
     }
@@ -84,12 +92,14 @@
         if (fleet.snapshot().lapsed.isNotEmpty()) fleet.update(FleetChanges::lapsedRemoved)
     }
 
-    private suspend fun watchFrom(snapshot: StoreSnapshot) {
+    /** Applies [snapshot] and follows it; returns whether any changes could be followed before the place was lost. */
+    private suspend fun watchFrom(snapshot: StoreSnapshot): Boolean {
         markAvailable()
         apply(snapshot)
         knowledge.update { StoreFreshness.read(it, snapshot.revision, clock.now()) }
         synchronized = true
         var revision = snapshot.revision
+        var followed = false
         while (true) {
             when (val result = feed.changes(revision, WATCH_WAIT)) {
                 is StoreResult.Failure -> {
@@ -99,11 +109,15 @@
                 is StoreResult.Success -> {
                     markAvailable()
                     when (val changes = result.value) {
-                        StoreChanges.HistoryLost -> return observations.event(Event.StoreHistoryLost(revision))
+                        StoreChanges.HistoryLost -> {
+                            observations.event(Event.StoreHistoryLost(revision))
+                            return followed
+                        }
 
                         is StoreChanges.Batch -> {
                             changes.changes.forEach { apply(it) }
                             revision = changes.revision
+                            followed = true
                             knowledge.update { StoreFreshness.answered(it, changes.revision, clock.now()) }
                             if (changes.changes.isNotEmpty()) delay(BATCH_PAUSE)
                         }
