Order the entries of a server by the store's revisions, not by its start time

Requests went on to a server that had said it was draining, for good, after another writer had left an entry under its id with a start far ahead: each later entry had a lower start and was taken for an older one. A clock that is set back does the same. The store's revisions order the writes, so the last one written counts; the start time only tells lifetimes apart. It also keeps a watch from undoing what a page has shown already. If the store's own revision went back, the order is forgotten.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/FleetChanges.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/FleetChanges.kt
@@ -6,28 +6,58 @@
 
 /** Applies store entries and observations to the set of known backend servers. */
 object FleetChanges {
-    /** Adds [entry] unless a later lifetime of the instance is known; a lifetime once seen draining stays draining. */
+    /**
+     * Adds [entry] as written at the store's [revision], unless a later write of the instance is known.
+     *
+     * The store orders the writes; the start time in an entry comes from its writer's clock and only tells lifetimes
+     * apart. A lifetime once seen draining stays draining.
+     */
     fun registered(
         fleet: Fleet,
         entry: BackendEntry,
+        revision: Long,
     ): Fleet {
-        val known = fleet.entries[entry.life.instance]
-        if (known != null && known.life.startedAtMilliseconds > entry.life.startedAtMilliseconds) return fleet
+        val instance = entry.life.instance
+        if (isOlder(fleet, instance, revision)) return fleet
+        val known = fleet.entries[instance]
         val leaving = if (entry.draining) fleet.leaving.add(entry.life) else fleet.leaving
         return fleet.copy(
-            entries = fleet.entries.put(entry.life.instance, entry),
+            entries = fleet.entries.put(instance, entry),
+            revisions = fleet.revisions.put(instance, revision),
             leaving = leaving,
             lapsed = if (known == null) fleet.lapsed else fleet.lapsed.remove(known.life),
         )
     }
 
+    /** True if the entry of [instance] was written after [revision]. */
+    fun isOlder(
+        fleet: Fleet,
+        instance: String,
+        revision: Long,
+    ): Boolean = revision < (fleet.revisions[instance] ?: return false)
+
+    /**
+     * Forgets the order of all writes if one of them is later than [revision], at which the store is now.
+     *
+     * A store whose revision went back, for example since it was restored, numbers its writes anew.
+     */
+    fun reorderedFor(
+        fleet: Fleet,
+        revision: Long,
+    ): Fleet =
+        if (fleet.revisions.values.any { it > revision }) fleet.copy(revisions = fleet.revisions.clear()) else fleet
+
     /** Removes the backend server [instance]. */
     fun removed(
         fleet: Fleet,
         instance: String,
     ): Fleet {
         val known = fleet.entries[instance] ?: return fleet
-        return fleet.copy(entries = fleet.entries.remove(instance), lapsed = fleet.lapsed.remove(known.life))
+        return fleet.copy(
+            entries = fleet.entries.remove(instance),
+            revisions = fleet.revisions.remove(instance),
+            lapsed = fleet.lapsed.remove(known.life),
+        )
     }
 
     /** Marks the entry of [instance] as lapsed; the backend server stays in use until [lapsedRemoved]. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
@@ -34,6 +34,7 @@
 ) {
     /** Applies one change, or one key of a page. */
     fun apply(change: StoreChange) {
+        if (isOutdated(change)) return
         when (change) {
             is StoreItem.Written -> applyWrite(change.value)
             is StoreItem.Unreadable -> applyUnreadable(change)
@@ -41,6 +42,13 @@
         }
     }
 
+    /** True for a change of a server's entry that was written again since, as a page may show before the watch does. */
+    private fun isOutdated(change: StoreChange): Boolean =
+        when (val kind = documents.kindOf(change.key)) {
+            is StoredKeyKind.Backend -> FleetChanges.isOlder(fleet.snapshot(), kind.instance, change.revision)
+            is StoredKeyKind.Gateway, StoredKeyKind.Configuration, StoredKeyKind.Other -> false
+        }
+
     private fun applyWrite(stored: StoredValue) {
         when (val kind = documents.kindOf(stored.key)) {
             StoredKeyKind.Configuration -> routing.offer(stored.value, ConfigurationOrigin.STORE)
@@ -82,7 +90,7 @@
 
             is Decoded.Valid -> {
                 val former = fleet.snapshot().entries[instance]
-                fleet.update { FleetChanges.registered(it, decoded.value) }
+                fleet.update { FleetChanges.registered(it, decoded.value, stored.revision) }
                 if (former != decoded.value) {
                     observations.event(Event.BackendRegistered(decoded.value, stored.revision))
                 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -157,6 +157,7 @@
 
     private fun applyPage(page: StorePage) {
         markAvailable()
+        fleet.update { FleetChanges.reorderedFor(it, page.revision) }
         page.items.forEach { applier.apply(it) }
     }
 
--- a/state/src/main/kotlin/org/acaciaflow/state/fleet/Fleet.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/fleet/Fleet.kt
@@ -11,10 +11,11 @@
  *
  * A server in [leaving] was seen draining and gets no new work, whatever its later entries say. A server in [lapsed]
  * lost its entry during a store outage and stays in use. For a server in [rejected], another instance responded at its
- * address.
+ * address. [revisions] has the store's revision of each entry, by instance name.
  */
 data class Fleet(
     val entries: PersistentMap<String, BackendEntry>,
+    val revisions: PersistentMap<String, Long>,
     val leaving: PersistentSet<BackendLife>,
     val lapsed: PersistentSet<BackendLife>,
     val rejected: PersistentSet<BackendLife>,
@@ -29,6 +30,13 @@
     fun livesByCode(): Map<Int, BackendLife> = entries.values.associate { it.life.code to it.life }
 
     companion object {
-        val NONE = Fleet(persistentMapOf(), persistentSetOf(), persistentSetOf(), persistentSetOf())
+        val NONE =
+            Fleet(
+                entries = persistentMapOf(),
+                revisions = persistentMapOf(),
+                leaving = persistentSetOf(),
+                lapsed = persistentSetOf(),
+                rejected = persistentSetOf(),
+            )
     }
 }
