Bound how long servers with missing entries stay in use beside a failing store

A store that fails once a second kept the entries that had lapsed for good: they were only removed after two seconds without a failure. A lapse now ends ten seconds after it was seen, as soon as the store answers at all. StoreWatcherTest, a store that fails every second: in use after 12 s before, gone after.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/FleetChanges.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/FleetChanges.kt
@@ -3,6 +3,7 @@
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.fleet.Fleet
+import kotlin.time.Instant
 
 /** Applies store entries and observations to the set of known backend servers. */
 object FleetChanges {
@@ -60,17 +61,26 @@
         )
     }
 
-    /** Marks the entry of [instance] as lapsed; the backend server stays in use until [lapsedRemoved]. */
+    /** Marks the entry of [instance] as lapsed at [now]; the backend server stays in use until [lapsedRemoved]. */
     fun lapsed(
         fleet: Fleet,
         instance: String,
+        now: Instant,
     ): Fleet {
         val known = fleet.entries[instance] ?: return fleet
-        return fleet.copy(lapsed = fleet.lapsed.add(known.life))
+        if (known.life in fleet.lapsed) return fleet
+        return fleet.copy(lapsed = fleet.lapsed.put(known.life, now))
     }
 
-    /** Removes the backend servers whose entries are still marked as lapsed. */
-    fun lapsedRemoved(fleet: Fleet): Fleet = fleet.lapsed.fold(fleet) { rest, life -> removed(rest, life.instance) }
+    /** Removes the backend servers whose entries lapsed at [latest] or before. */
+    fun lapsedRemoved(
+        fleet: Fleet,
+        latest: Instant,
+    ): Fleet =
+        fleet.lapsed
+            .filterValues { it <= latest }
+            .keys
+            .fold(fleet) { rest, life -> removed(rest, life.instance) }
 
     /** Marks [life] as leaving, whether this gateway or a peer observed it. */
     fun leaving(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
@@ -100,9 +100,10 @@
 
     private fun handleMissing(instance: String) {
         val known = fleet.snapshot().entries[instance] ?: return
-        val doubtful = StoreFreshness.isInDoubt(knowledge.snapshot(), clock.now())
+        val now = clock.now()
+        val doubtful = StoreFreshness.isInDoubt(knowledge.snapshot(), now)
         observations.event(Event.BackendMissing(known.life, doubtful))
-        fleet.update { if (doubtful) FleetChanges.lapsed(it, instance) else FleetChanges.removed(it, instance) }
+        fleet.update { if (doubtful) FleetChanges.lapsed(it, instance, now) else FleetChanges.removed(it, instance) }
     }
 
     private fun applyGateway(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreFreshness.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreFreshness.kt
@@ -13,6 +13,9 @@
     /** How long an entry may be missing after an outage of the store although its server is alive. */
     val DOUBT_AFTER_OUTAGE: Duration = 2.seconds
 
+    /** How long a missing entry's server stays in use at most, beside a store that fails again and again. */
+    val LONGEST_DOUBT: Duration = 10.seconds
+
     /** Records that everything up to [revision] was applied at [now]. */
     fun answered(
         knowledge: StoreKnowledge,
@@ -58,6 +61,17 @@
         return knowledge.failingSince != null || (recoveredAt != null && now - recoveredAt < DOUBT_AFTER_OUTAGE)
     }
 
+    /** The latest time at which an entry lapsed whose server is now taken as gone; null while the store fails. */
+    fun latestCertainLapse(
+        knowledge: StoreKnowledge,
+        now: Instant,
+    ): Instant? =
+        when {
+            knowledge.failingSince != null -> null
+            isInDoubt(knowledge, now) -> now - LONGEST_DOUBT
+            else -> now
+        }
+
     /** How long ago the store last answered; null before its first answer. */
     fun age(
         knowledge: StoreKnowledge,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -80,10 +80,10 @@
         observations.event(Event.StoreKnowledgeStale(known.revision, StoreFreshness.age(known, now) ?: return))
     }
 
-    /** Removes the entries that are still lapsed [StoreFreshness.DOUBT_AFTER_OUTAGE] after the store recovered. */
+    /** Removes the servers whose entries have lapsed for so long that they are taken as gone at [now]. */
     fun removeLapsedEntries(now: Instant) {
-        if (StoreFreshness.isInDoubt(knowledge.snapshot(), now)) return
-        if (fleet.snapshot().lapsed.isNotEmpty()) fleet.update(FleetChanges::lapsedRemoved)
+        val latest = StoreFreshness.latestCertainLapse(knowledge.snapshot(), now) ?: return
+        if (fleet.snapshot().lapsed.isNotEmpty()) fleet.update { FleetChanges.lapsedRemoved(it, latest) }
     }
 
     /** Reads and applies all sections, except those that can't be decoded. */
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/FleetChangesTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/FleetChangesTest.kt
@@ -17,6 +17,7 @@
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.Fleet
 import kotlin.random.Random
+import kotlin.time.Instant
 
 class FleetChangesTest : AnnotationSpec() {
     @Test
@@ -94,8 +95,8 @@
     fun `a lapsed entry stays in use until lapsed entries are removed`() {
         val known = registered(Fleet.NONE, backend("one"))
 
-        val lapsed = FleetChanges.lapsed(known, "one")
-        val remaining = FleetChanges.lapsedRemoved(lapsed)
+        val lapsed = lapsed(known, "one")
+        val remaining = lapsedRemoved(lapsed)
 
         lapsed.usableIn(SERVICE_POOL) shouldHaveSize 1
         remaining.entries.values.shouldBeEmpty()
@@ -104,13 +105,13 @@
     /** Guards against a server that restarts under its id while the store is away and then gets no work for good. */
     @Test
     fun `a new lifetime that registers after a lapse is not removed with the old one`() {
-        val lapsed = FleetChanges.lapsed(registered(Fleet.NONE, backend("one", startedAt = 1)), "one")
+        val lapsed = lapsed(registered(Fleet.NONE, backend("one", startedAt = 1)), "one")
 
         val restarted = registered(lapsed, backend("one", startedAt = 2))
-        val remaining = FleetChanges.lapsedRemoved(FleetChanges.lapsedRemoved(restarted))
+        val remaining = lapsedRemoved(lapsedRemoved(restarted))
 
         remaining.usableIn(SERVICE_POOL) shouldHaveSize 1
-        remaining.lapsed.shouldBeEmpty()
+        remaining.lapsed.keys.shouldBeEmpty()
     }
 
     @Test
@@ -135,7 +136,7 @@
 
                         StoreEvent.LAPSED_IN_OUTAGE -> {
                             shown = null
-                            fleet = FleetChanges.lapsed(fleet, "one")
+                            fleet = lapsed(fleet, "one")
                         }
 
                         StoreEvent.REMOVED -> {
@@ -143,17 +144,24 @@
                             fleet = FleetChanges.removed(fleet, "one")
                         }
 
-                        StoreEvent.GRACE_OVER -> fleet = FleetChanges.lapsedRemoved(fleet)
+                        StoreEvent.GRACE_OVER -> fleet = lapsedRemoved(fleet)
                     }
                 }
 
-                val settled = FleetChanges.lapsedRemoved(fleet)
+                val settled = lapsedRemoved(fleet)
 
                 settled.usableIn(SERVICE_POOL).map { it.life.startedAtMilliseconds } shouldBe listOfNotNull(shown)
-                settled.lapsed.shouldBeEmpty()
+                settled.lapsed.keys.shouldBeEmpty()
             }
         }
 
+    private fun lapsed(
+        fleet: Fleet,
+        instance: String,
+    ): Fleet = FleetChanges.lapsed(fleet, instance, LAPSED_AT)
+
+    private fun lapsedRemoved(fleet: Fleet): Fleet = FleetChanges.lapsedRemoved(fleet, LAPSED_AT)
+
     private fun registered(
         fleet: Fleet,
         entry: BackendEntry,
@@ -163,10 +171,14 @@
 
     @Test
     fun `an entry registered again after a lapse is not removed`() {
-        val lapsed = FleetChanges.lapsed(registered(Fleet.NONE, backend("one")), "one")
+        val lapsed = lapsed(registered(Fleet.NONE, backend("one")), "one")
 
-        val remaining = FleetChanges.lapsedRemoved(registered(lapsed, backend("one")))
+        val remaining = lapsedRemoved(registered(lapsed, backend("one")))
 
         remaining.usableIn(SERVICE_POOL) shouldHaveSize 1
     }
+
+    private companion object {
+        val LAPSED_AT: Instant = Instant.fromEpochMilliseconds(1_000_000)
+    }
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.advanceTimeBy
@@ -39,6 +40,7 @@
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -72,6 +74,40 @@
             usable(tables) shouldBe 0
         }
 
+    /** Guards against servers that have left and stay in use for good beside a store that fails every second. */
+    @Test
+    fun `an entry that lapsed is not used ten seconds later although the store fails every second`() =
+        runTest {
+            val tables = createRelayTables()
+            val failure = StoreResult.Failure(StoreFailure.REJECTED)
+            val nothing = StoreResult.Success(StoreChanges.Batch(persistentListOf(), revision = 2))
+            val flapping = List(FLAPS) { listOf(failure, nothing) }.flatten()
+
+            val watcher =
+                watch(
+                    tables,
+                    snapshot(entry),
+                    failure,
+                    batch(removal),
+                    *flapping.toTypedArray(),
+                    pace = 500.milliseconds,
+                )
+            val used = List(24) { usableAfter(watcher, tables, 500.milliseconds) }
+
+            used.take(10) shouldBe List(10) { 1 }
+            used.last() shouldBe 0
+        }
+
+    private fun TestScope.usableAfter(
+        watcher: StoreWatcher,
+        tables: RelayTables,
+        wait: Duration,
+    ): Int {
+        advanceTimeBy(wait)
+        watcher.removeLapsedEntries(now())
+        return usable(tables)
+    }
+
     @Test
     fun `an entry that is registered again within the grace period stays in use`() =
         runTest {
@@ -207,12 +243,13 @@
     private fun TestScope.watch(
         tables: RelayTables,
         vararg answers: StoreResult<Any>,
+        pace: Duration = Duration.ZERO,
     ): StoreWatcher {
         val observations = FakeObservations()
         val watcher =
             StoreWatcher(
                 self = HostAddress("10.0.0.1", 1),
-                feed = ScriptedFeed(answers.toMutableList()),
+                feed = ScriptedFeed(answers.toMutableList(), pace),
                 documents = PlainDocuments,
                 routing = RoutingUpdater(PlainDocuments, tables.routing, observations),
                 fleet = tables.fleet,
@@ -251,11 +288,16 @@
 
     private fun batch(change: StoreChange) =
         StoreResult.Success(StoreChanges.Batch(persistentListOf(change), revision = maxOf(2, change.revision)))
+
+    private companion object {
+        const val FLAPS = 30
+    }
 }
 
-/** A store that returns the given answers in order and then suspends. */
+/** A store that returns the given answers in order, each after [pace], and then suspends. */
 private class ScriptedFeed(
     private val answers: MutableList<StoreResult<Any>>,
+    private val pace: Duration,
 ) : ChangeFeed {
     override val sections: PersistentList<StoreKey> = persistentListOf(StoreKey("backend/"))
 
@@ -272,7 +314,10 @@
         wait: Duration,
     ): StoreResult<StoreChanges> = next() as StoreResult<StoreChanges>
 
-    private suspend fun next(): StoreResult<Any> = if (answers.isEmpty()) awaitCancellation() else answers.removeAt(0)
+    private suspend fun next(): StoreResult<Any> {
+        delay(pace)
+        return if (answers.isEmpty()) awaitCancellation() else answers.removeAt(0)
+    }
 }
 
 /** Decodes documents whose text is an entry's state or a configuration's version. */
--- a/state/src/main/kotlin/org/acaciaflow/state/fleet/Fleet.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/fleet/Fleet.kt
@@ -5,19 +5,20 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.acaciaflow.state.identity.PoolName
+import kotlin.time.Instant
 
 /**
  * The registered backend servers, by instance name.
  *
  * A server in [leaving] was seen draining and gets no new work, whatever its later entries say. A server in [lapsed]
- * lost its entry during a store outage and stays in use. For a server in [rejected], another instance responded at its
+ * lost its entry at that time, during a store outage, and stays in use. For a server in [rejected], another instance responded at its
  * address. [revisions] has the store's revision of each entry, by instance name.
  */
 data class Fleet(
     val entries: PersistentMap<String, BackendEntry>,
     val revisions: PersistentMap<String, Long>,
     val leaving: PersistentSet<BackendLife>,
-    val lapsed: PersistentSet<BackendLife>,
+    val lapsed: PersistentMap<BackendLife, Instant>,
     val rejected: PersistentSet<BackendLife>,
 ) {
     /** True if new work may be sent to [entry]. */
@@ -35,7 +36,7 @@
                 entries = persistentMapOf(),
                 revisions = persistentMapOf(),
                 leaving = persistentSetOf(),
-                lapsed = persistentSetOf(),
+                lapsed = persistentMapOf(),
                 rejected = persistentSetOf(),
             )
     }
