--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -138,6 +138,12 @@
         val reason: StoreFailure,
     ) : Event(EventKind.STORE_SECTION_UNREADABLE)
 
+    /** A read of all keys showed a change of [key] that the watch had not brought. */
+    data class StoreChangeMissed(
+        val key: StoreKey,
+        val revision: Long,
+    ) : Event(EventKind.STORE_CHANGE_MISSED)
+
     data class RoutingAdopted(
         val version: Long,
         val former: Long,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
@@ -42,6 +42,16 @@
         }
     }
 
+    /** Logs a server's entry that changes up to the revision [followed] should have brought, and did not. */
+    fun reportMissed(
+        item: StoreItem,
+        followed: Long,
+    ) {
+        val kind = documents.kindOf(item.key) as? StoredKeyKind.Backend ?: return
+        val known = fleet.snapshot().revisions[kind.instance] ?: return
+        if (item.revision in known + 1..followed) observations.event(Event.StoreChangeMissed(item.key, item.revision))
+    }
+
     /** True for a change of a server's entry that was written again since, as a page may show before the watch does. */
     private fun isOutdated(change: StoreChange): Boolean =
         when (val kind = documents.kindOf(change.key)) {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreReadPolicy.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreReadPolicy.kt
@@ -41,6 +41,19 @@
             StoreFailure.MALFORMED_ANSWER, StoreFailure.ANSWER_TOO_LARGE -> AfterFailedPage.SKIP_SECTION
         }
 
+    /**
+     * How long after a read all keys are read once more, although their changes are followed.
+     *
+     * Whatever a watch fails to bring is corrected then; sooner if the read was not [complete].
+     */
+    fun readInterval(
+        complete: Boolean,
+        random: Random,
+    ): Duration {
+        val interval = if (complete) READ_INTERVAL else INCOMPLETE_READ_INTERVAL
+        return interval * (1 - SPREAD / 2 + SPREAD * random.nextDouble())
+    }
+
     /** How long the [failures]th repetition of a page waits for its answer; a slow link gets more time. */
     fun pageTimeout(failures: Int): Duration = if (failures == 0) PAGE_TIMEOUT else LONGEST_PAGE_TIMEOUT
 
@@ -63,6 +76,8 @@
     private const val LOST_ANSWERS = 2
     private const val MAXIMUM_DOUBLINGS = 10
     private const val SPREAD = 0.4
+    private val READ_INTERVAL: Duration = 30.seconds
+    private val INCOMPLETE_READ_INTERVAL: Duration = 2.seconds
     private val SHORTEST_PAUSE: Duration = 125.milliseconds
     private val LONGEST_PAUSE: Duration = 1000.milliseconds
     private val PAGE_TIMEOUT: Duration = 1.seconds // a slow store takes some hundred milliseconds to answer
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -62,11 +62,20 @@
             when (val read = readAll()) {
                 FullRead.Unavailable -> Unit
                 FullRead.Unreadable -> readsInARow += 1
-                is FullRead.Done -> readsInARow = if (follow(read.revision)) 1 else readsInARow + 1
+                is FullRead.Done -> readsInARow = readsAfter(follow(read), readsInARow)
             }
         }
     }
 
+    private fun readsAfter(
+        end: EndOfFollowing,
+        reads: Int,
+    ): Int =
+        when (end) {
+            EndOfFollowing.ReadDue -> 0
+            is EndOfFollowing.PlaceLost -> if (end.followed) 1 else reads + 1
+        }
+
     /** Logs at [now] that the knowledge of the store is stale, once a [STALE_REPORT_INTERVAL] while it is. */
     fun reportStaleness(now: Instant) {
         val known = knowledge.snapshot()
@@ -89,6 +98,7 @@
     /** Reads and applies all sections, except those that can't be decoded. */
     private suspend fun readAll(): FullRead {
         var revision: Long? = null
+        var complete = true
         for (section in feed.sections) {
             when (val read = reader.read(section)) {
                 is SectionRead.Complete -> {
@@ -98,6 +108,7 @@
 
                 is SectionRead.Unreadable -> {
                     observations.event(Event.StoreSectionUnreadable(section, read.reason))
+                    complete = false
                 }
 
                 SectionRead.Unavailable -> {
@@ -106,17 +117,17 @@
             }
         }
         val known = revision ?: return FullRead.Unreadable
-        knowledge.update { StoreFreshness.read(it, known, clock.now()) }
+        val now = clock.now()
+        knowledge.update { StoreFreshness.read(it, known, now) }
         synchronized = true
-        return FullRead.Done(known)
+        return FullRead.Done(known, nextReadAt = now + StoreReadPolicy.readInterval(complete, random))
     }
 
-    /** Applies the changes after [start]; returns, when all keys must be read again, whether any answer came before. */
-    private suspend fun follow(start: Long): Boolean {
-        var revision = start
-        var followed = false
+    /** Applies the changes since [read] until all keys must be read again. */
+    private suspend fun follow(read: FullRead.Done): EndOfFollowing {
+        var revision = read.revision
         var failures = 0
-        while (true) {
+        while (clock.now() < read.nextReadAt) {
             when (val result = feed.changes(revision, WATCH_WAIT)) {
                 is StoreResult.Failure -> {
                     failures += 1
@@ -125,7 +136,7 @@
                         AfterFailedWatch.ASK_AGAIN -> Unit
                         AfterFailedWatch.READ_ALL_KEYS -> {
                             observations.event(Event.StoreAnswerUnreadable(revision, result.reason))
-                            return followed
+                            return EndOfFollowing.PlaceLost(followed = revision > read.revision)
                         }
                     }
                 }
@@ -133,37 +144,45 @@
                 is StoreResult.Success -> {
                     failures = 0
                     markAvailable()
-                    when (val changes = result.value) {
-                        StoreChanges.HistoryLost -> {
-                            observations.event(Event.StoreHistoryLost(revision))
-                            return followed
-                        }
-
-                        is StoreChanges.Batch -> {
-                            if (changes.revision < revision) {
-                                observations.event(Event.StoreHistoryLost(revision))
-                                return followed
-                            }
-                            applyBatch(changes)
-                            revision = changes.revision
-                            followed = true
-                            if (changes.changes.isNotEmpty()) delay(BATCH_PAUSE)
-                        }
+                    val next = revisionAfter(result.value, revision)
+                    if (next == null) {
+                        observations.event(Event.StoreHistoryLost(revision))
+                        return EndOfFollowing.PlaceLost(followed = revision > read.revision)
                     }
+                    revision = next
                 }
             }
         }
+        return EndOfFollowing.ReadDue
     }
 
+    /** Applies [changes] after [revision]; returns the revision to go on from, or null if all keys must be read. */
+    private suspend fun revisionAfter(
+        changes: StoreChanges,
+        revision: Long,
+    ): Long? =
+        when (changes) {
+            StoreChanges.HistoryLost -> {
+                null
+            }
+
+            is StoreChanges.Batch -> {
+                if (changes.revision < revision) return null
+                changes.changes.forEach { applier.apply(it) }
+                knowledge.update { StoreFreshness.answered(it, changes.revision, clock.now()) }
+                if (changes.changes.isNotEmpty()) delay(BATCH_PAUSE)
+                changes.revision
+            }
+        }
+
     private fun applyPage(page: StorePage) {
         markAvailable()
         fleet.update { FleetChanges.reorderedFor(it, page.revision) }
-        page.items.forEach { applier.apply(it) }
-    }
-
-    private fun applyBatch(batch: StoreChanges.Batch) {
-        batch.changes.forEach { applier.apply(it) }
-        knowledge.update { StoreFreshness.answered(it, batch.revision, clock.now()) }
+        val followed = knowledge.snapshot().revision
+        page.items.forEach { item ->
+            applier.reportMissed(item, followed)
+            applier.apply(item)
+        }
     }
 
     private fun markAvailable() {
@@ -181,9 +200,10 @@
     }
 
     private sealed interface FullRead {
-        /** Everything that could be decoded is applied; later changes follow [revision]. */
+        /** Everything that could be decoded is applied; later changes follow [revision] until [nextReadAt]. */
         data class Done(
             val revision: Long,
+            val nextReadAt: Instant,
         ) : FullRead
 
         data object Unreadable : FullRead
@@ -191,6 +211,15 @@
         data object Unavailable : FullRead
     }
 
+    private sealed interface EndOfFollowing {
+        data object ReadDue : EndOfFollowing
+
+        /** The next changes can't be had; [followed] if any were applied before. */
+        data class PlaceLost(
+            val followed: Boolean,
+        ) : EndOfFollowing
+    }
+
     private companion object {
         val STALE_REPORT_INTERVAL: Duration = 60.seconds
 
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
@@ -184,6 +184,25 @@
             usable(tables) shouldBe 1
         }
 
+    /** Guards against a gateway that never learns of a change that the store's watch left out. */
+    @Test
+    fun `a change that the watch does not bring is known after the next read of all keys`() =
+        runTest {
+            val tables = createRelayTables()
+            val first = snapshot(entry)
+            val second = snapshot(written("configuration", "7", revision = 5), revision = 9)
+
+            follow(tables, SilentFeed(mutableListOf(first, second)))
+            val before = usable(tables)
+            advanceTimeBy(40.seconds)
+
+            before shouldBe 1
+            usable(tables) shouldBe 0
+            tables.routing
+                .snapshot()
+                .configuration.version shouldBe 7
+        }
+
     @Test
     fun `a store whose revision went back is read again`() =
         runTest {
@@ -244,12 +263,17 @@
         tables: RelayTables,
         vararg answers: StoreResult<Any>,
         pace: Duration = Duration.ZERO,
+    ): StoreWatcher = follow(tables, ScriptedFeed(answers.toMutableList(), pace))
+
+    private fun TestScope.follow(
+        tables: RelayTables,
+        feed: ChangeFeed,
     ): StoreWatcher {
         val observations = FakeObservations()
         val watcher =
             StoreWatcher(
                 self = HostAddress("10.0.0.1", 1),
-                feed = ScriptedFeed(answers.toMutableList(), pace),
+                feed = feed,
                 documents = PlainDocuments,
                 routing = RoutingUpdater(PlainDocuments, tables.routing, observations),
                 fleet = tables.fleet,
@@ -258,7 +282,7 @@
                 observations = observations,
                 clock =
                     object : Clock {
-                        override fun now(): Instant = this@watch.now()
+                        override fun now(): Instant = this@follow.now()
                     },
                 random = Random(1),
             )
@@ -320,6 +344,27 @@
     }
 }
 
+/** A store that returns the given pages in order, and whose watches answer once a second without a change. */
+private class SilentFeed(
+    private val pages: MutableList<StoreResult<StorePage>>,
+) : ChangeFeed {
+    override val sections: PersistentList<StoreKey> = persistentListOf(StoreKey("backend/"))
+
+    override suspend fun page(
+        section: StoreKey,
+        after: StoreKey?,
+        timeout: Duration,
+    ): StoreResult<StorePage> = pages.removeAt(0)
+
+    override suspend fun changes(
+        revision: Long,
+        wait: Duration,
+    ): StoreResult<StoreChanges> {
+        delay(1.seconds)
+        return StoreResult.Success(StoreChanges.Batch(persistentListOf(), revision))
+    }
+}
+
 /** Decodes documents whose text is an entry's state or a configuration's version. */
 private object PlainDocuments : StoredDocuments {
     override fun kindOf(key: StoreKey): StoredKeyKind =
