Close a connection that arrives after its call has timed out

Cause: VertxHttpCalls waits for a connection under a timeout. The pool does not learn of the timeout: the connection that it hands out later was given to a waiter that is gone, and nobody closed it. Four such leave the client (four connections a server) without any, and every later call times out for good, however sound the server is. The sidecar's VertxBackendCaller had the same fault when a caller left while its call waited.

Evidence: a raw server that is silent for 300 ms, 12 calls at once, then it answers. Before, 0 of 8 later calls succeeded, each with two seconds; now 8 of 8.

Why it works: DirectConnections already closed such a connection, which makes room in the pool. That code is now HttpClient.connect, and all three clients use it.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/backend/VertxBackendCaller.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/backend/VertxBackendCaller.kt
@@ -1,6 +1,5 @@
 package org.acaciaflow.transport.backend
 
-import io.vertx.core.AsyncResult
 import io.vertx.core.Vertx
 import io.vertx.core.VertxException
 import io.vertx.core.http.HttpClient
@@ -34,6 +33,7 @@
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.transport.http.BodyChannel
 import org.acaciaflow.transport.http.awaitResult
+import org.acaciaflow.transport.http.connect
 import org.acaciaflow.transport.http.toBuffer
 import org.acaciaflow.transport.http.toFields
 import java.io.IOException
@@ -68,9 +68,10 @@
         body: CallBody,
         sink: AnswerSink,
     ): BackendResult {
-        val connected = connect(order)
-        if (connected.failed()) return BackendResult.NotStarted(AttemptRefusal.CONNECTION_REFUSED)
-        val request = connected.result()
+        val selectedClient = if (order.atMostOnce) singleUseClient else client
+        val request =
+            selectedClient.connect(backend, order.call)
+                ?: return BackendResult.NotStarted(AttemptRefusal.CONNECTION_REFUSED)
         return try {
             exchange(request, order, body, sink)
         } catch (_: IOException) {
@@ -105,12 +106,6 @@
         )
     }
 
-    private suspend fun connect(order: AttemptOrder): AsyncResult<HttpClientRequest> {
-        val options = requestOptions(HttpMethod.valueOf(order.call.method), order.call.target)
-        val selectedClient = if (order.atMostOnce) singleUseClient else client
-        return selectedClient.request(options).awaitResult()
-    }
-
     private fun requestOptions(
         method: HttpMethod,
         target: String,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -4,10 +4,7 @@
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
-import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
-import io.vertx.core.http.RequestOptions
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.io.bytestring.ByteString
@@ -22,13 +19,12 @@
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.protocol.dialect.CallPurpose
 import org.acaciaflow.protocol.dialect.HttpCalls
-import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.transport.http.BoundedBody
-import org.acaciaflow.transport.http.awaitResult
+import org.acaciaflow.transport.http.connect
 import org.acaciaflow.transport.http.toBuffer
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -56,7 +52,7 @@
     ): AttemptStream {
         val head = dialect.runHead(order)
         val request =
-            connect(order.backend.address, head) ?: return FinishedStream(
+            client.connect(order.backend.address, head) ?: return FinishedStream(
                 AttemptEvent.Refused(AttemptRefusal.CONNECTION_REFUSED),
             )
         return DirectStream(order, CallPurpose.RUN, dialect, send(request, head, body))
@@ -68,7 +64,8 @@
     ): PrefillOutcome {
         val head = dialect.prefillHead(order)
         val request =
-            connect(order.backend.address, head) ?: return PrefillOutcome.Refused(AttemptRefusal.CONNECTION_REFUSED)
+            client.connect(order.backend.address, head)
+                ?: return PrefillOutcome.Refused(AttemptRefusal.CONNECTION_REFUSED)
         val stream = DirectStream(order, CallPurpose.PREFILL, dialect, send(request, head, body))
         try {
             return when (val first = stream.next()) {
@@ -97,28 +94,6 @@
             BoundedBody.Broken -> PrefillOutcome.Broken(MayHaveRun.BACKEND_CRASHED)
         }
 
-    /** Connects to the backend server; null when the connection failed and nothing was sent. */
-    private suspend fun connect(
-        address: HostAddress,
-        head: CallHead,
-    ): HttpClientRequest? {
-        val options =
-            RequestOptions()
-                .setMethod(HttpMethod.valueOf(head.method))
-                .setHost(address.ip)
-                .setPort(address.port)
-                .setURI(head.target)
-        val connecting = client.request(options)
-        val connected =
-            try {
-                connecting.awaitResult()
-            } catch (cancellation: CancellationException) {
-                connecting.onSuccess { it.connection().close() } // otherwise the pool would never get it back
-                throw cancellation
-            }
-        return if (connected.succeeded()) connected.result() else null
-    }
-
     /** Sends the whole request. */
     private fun send(
         request: HttpClientRequest,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
@@ -4,9 +4,7 @@
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
-import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
-import io.vertx.core.http.RequestOptions
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.protocol.dialect.HttpCalls
@@ -17,6 +15,7 @@
 import org.acaciaflow.transport.http.BodyChannel
 import org.acaciaflow.transport.http.BoundedBody
 import org.acaciaflow.transport.http.awaitResult
+import org.acaciaflow.transport.http.connect
 import org.acaciaflow.transport.http.readWhole
 import org.acaciaflow.transport.http.toBuffer
 import org.acaciaflow.transport.http.toFields
@@ -50,8 +49,8 @@
         head: CallHead,
         body: ByteString,
     ): HttpResult {
-        val connected = client.request(optionsFor(address, head)).awaitResult()
-        return if (connected.succeeded()) exchange(connected.result(), head, body) else HttpResult.Unreachable
+        val request = client.connect(address, head) ?: return HttpResult.Unreachable
+        return exchange(request, head, body)
     }
 
     private suspend fun exchange(
@@ -78,16 +77,6 @@
         }
     }
 
-    private fun optionsFor(
-        address: HostAddress,
-        head: CallHead,
-    ): RequestOptions =
-        RequestOptions()
-            .setMethod(HttpMethod.valueOf(head.method))
-            .setHost(address.ip)
-            .setPort(address.port)
-            .setURI(head.target)
-
     private companion object {
         const val CONNECTIONS = 4
         val CONNECT_TIMEOUT: Duration = 500.milliseconds
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/ClientConnecting.kt
@@ -0,0 +1,35 @@
+package org.acaciaflow.transport.http
+
+import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.RequestOptions
+import kotlinx.coroutines.CancellationException
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.work.CallHead
+
+/**
+ * Waits for a connection to [address] and returns the unsent request; null when the connection failed.
+ *
+ * A caller that gets a request has to send or reset it. A connection that arrives after a cancellation is closed.
+ */
+internal suspend fun HttpClient.connect(
+    address: HostAddress,
+    head: CallHead,
+): HttpClientRequest? {
+    val options =
+        RequestOptions()
+            .setMethod(HttpMethod.valueOf(head.method))
+            .setHost(address.ip)
+            .setPort(address.port)
+            .setURI(head.target)
+    val connecting = request(options)
+    val connected =
+        try {
+            connecting.awaitResult()
+        } catch (cancellation: CancellationException) {
+            connecting.onSuccess { it.connection().close() } // otherwise the pool would never get it back
+            throw cancellation
+        }
+    return if (connected.succeeded()) connected.result() else null
+}
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/VertxHttpCallsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/VertxHttpCallsTest.kt
@@ -6,11 +6,15 @@
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.runBlocking
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.protocol.dialect.HttpResult
 import org.acaciaflow.state.work.CallHead
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class VertxHttpCallsTest : AnnotationSpec() {
@@ -37,6 +41,28 @@
             lost shouldBe HttpResult.ConnectionLost
         }
 
+    /** Guards against a client that has no connection left once more calls timed out than it has connections. */
+    @Test
+    fun `calls succeed again after more calls than connections timed out`() {
+        val silent = AtomicBoolean(true)
+        val backend =
+            RawBackend { output, _, _ ->
+                while (silent.get()) Thread.sleep(5)
+                write(output, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            }
+
+        backend.use {
+            runBlocking {
+                val during = List(3 * CONNECTIONS) { async { call(backend, 300.milliseconds) } }.awaitAll()
+                silent.set(false)
+                val after = List(2 * CONNECTIONS) { async { call(backend, 2.seconds) } }.awaitAll()
+
+                during shouldBe List(3 * CONNECTIONS) { HttpResult.TimedOut }
+                after.count { it is HttpResult.Answered } shouldBe 2 * CONNECTIONS
+            }
+        }
+    }
+
     /** A server whose answers declare [declared] bytes and have [sent] before the connection closes. */
     private fun backendWithBody(
         declared: Int,
@@ -52,6 +78,7 @@
     ): HttpResult = calls.call(backend.address, CallHead("GET", "/", persistentListOf()), ByteString(), timeout)
 
     private companion object {
+        const val CONNECTIONS = 4
         const val MAXIMUM_BYTES = 64 * 1024
     }
 }
