Give back the connection of a probe that timed out

What callers saw: after some probes had met a silent server, the sidecar called it unreachable for good, and sent it no more calls, though it answered on new connections.

Cause: a probe was a chain of futures under a timeout. The timeout ended the wait, not the request, which kept its connection for as long as the server stayed silent. The pool was shared with calls, so connections + 2 such probes left neither of them any. An answer's body was also read without a bound.

Evidence: a raw server that is silent on its first five connections and answers on later ones, two connections for calls.

Why it works: probes use VertxHttpCalls, which resets a request at its timeout, bounds the answer and has its own connections.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/backend/VertxBackendCaller.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/backend/VertxBackendCaller.kt
@@ -6,10 +6,9 @@
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
-import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
-import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
@@ -23,6 +22,7 @@
 import org.acaciaflow.coordination.port.BackendResult
 import org.acaciaflow.coordination.port.BodyPart
 import org.acaciaflow.coordination.port.CallBody
+import org.acaciaflow.protocol.dialect.HttpResult
 import org.acaciaflow.protocol.http.AnswerCompleteness
 import org.acaciaflow.protocol.http.EngineHeaders
 import org.acaciaflow.protocol.http.HopByHopHeaders
@@ -31,6 +31,9 @@
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
+import org.acaciaflow.state.work.CallHead
+import org.acaciaflow.state.work.HeaderField
+import org.acaciaflow.transport.direct.VertxHttpCalls
 import org.acaciaflow.transport.http.BodyChannel
 import org.acaciaflow.transport.http.awaitResult
 import org.acaciaflow.transport.http.connect
@@ -51,7 +54,7 @@
     private val client: HttpClient =
         vertx.createHttpClient(
             HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds.toInt()),
-            PoolOptions().setHttp1MaxSize(connections + PROBE_CONNECTIONS),
+            PoolOptions().setHttp1MaxSize(connections),
         )
 
     /** Opens a new connection for each at-most-once call: the backend may close a reused one while a call is sent. */
@@ -63,6 +66,8 @@
             PoolOptions().setHttp1MaxSize(connections),
         )
 
+    private val probes = VertxHttpCalls(vertx, PROBE_ANSWER_BYTES)
+
     override suspend fun call(
         order: AttemptOrder,
         body: CallBody,
@@ -83,38 +88,24 @@
         }
     }
 
-    override suspend fun probe(): BackendHealth =
-        withTimeoutOrNull(PROBE_TIMEOUT) { fetchHealth() } ?: BackendHealth.Unreachable
-
-    private suspend fun fetchHealth(): BackendHealth? {
-        val answered =
-            client
-                .request(requestOptions(HttpMethod.GET, probePath))
-                .compose { it.send() }
-                .compose { answer -> answer.body().map { answer } }
-                .awaitResult()
-        if (answered.failed()) return null
-        return answered.result().takeIf { it.statusCode() == HTTP_OK }?.let(::toHealth)
+    override suspend fun probe(): BackendHealth {
+        val head = CallHead("GET", probePath, persistentListOf())
+        val result = probes.call(backend, head, ByteString(), PROBE_TIMEOUT)
+        val answer = (result as? HttpResult.Answered)?.head?.takeIf { it.status == HTTP_OK }
+        return if (answer == null) BackendHealth.Unreachable else toHealth(answer.headers)
     }
 
-    private fun toHealth(response: HttpClientResponse): BackendHealth {
-        val role = response.getHeader(EngineHeaders.ROLE)?.uppercase()
+    private fun toHealth(fields: List<HeaderField>): BackendHealth {
+        val role = fields.valueOf(EngineHeaders.ROLE)?.uppercase()
         return BackendHealth.Alive(
-            life = response.getHeader(EngineHeaders.LIFE).orEmpty(),
+            life = fields.valueOf(EngineHeaders.LIFE).orEmpty(),
             role = EngineRole.entries.firstOrNull { it.name == role } ?: EngineRole.MIXED,
-            waitingPromptTokens = response.getHeader(EngineHeaders.WAITING_TOKENS)?.toIntOrNull() ?: 0,
+            waitingPromptTokens = fields.valueOf(EngineHeaders.WAITING_TOKENS)?.toIntOrNull() ?: 0,
         )
     }
 
-    private fun requestOptions(
-        method: HttpMethod,
-        target: String,
-    ): RequestOptions =
-        RequestOptions()
-            .setMethod(method)
-            .setHost(backend.ip)
-            .setPort(backend.port)
-            .setURI(target)
+    private fun List<HeaderField>.valueOf(name: String): String? =
+        firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
 
     private suspend fun exchange(
         request: HttpClientRequest,
@@ -211,7 +202,7 @@
 
     private companion object {
         const val HTTP_OK = 200
-        const val PROBE_CONNECTIONS = 2
+        const val PROBE_ANSWER_BYTES = 64 * 1024
         val CONNECT_TIMEOUT: Duration = 500.milliseconds
         val PROBE_TIMEOUT: Duration = 500.milliseconds
         val IDLE_TIMEOUT: Duration = 30.seconds
--- a/transport/src/test/kotlin/org/acaciaflow/transport/backend/VertxBackendCallerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/backend/VertxBackendCallerTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.collections.immutable.persistentListOf
@@ -93,6 +94,28 @@
         }
     }
 
+    /** Guards against probes that keep a connection each for as long as their server stays silent. */
+    @Test
+    fun `a probe succeeds after probes on silent connections have timed out`() {
+        val backend =
+            RawBackend { output, _, number ->
+                if (number <= SILENT_PROBES) Thread.sleep(60_000)
+                write(output, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            }
+
+        backend.use {
+            val caller = VertxBackendCaller(vertx, backend.address, "/health", connections = 2)
+            runBlocking {
+                val silent = List(SILENT_PROBES) { caller.probe() }
+
+                val later = caller.probe()
+
+                silent shouldBe List(SILENT_PROBES) { BackendHealth.Unreachable }
+                later.shouldBeInstanceOf<BackendHealth.Alive>()
+            }
+        }
+    }
+
     private object IgnoringSink : AnswerSink {
         override suspend fun head(head: AnswerHead) = Unit
 
@@ -107,6 +130,7 @@
     }
 
     private companion object {
+        const val SILENT_PROBES = 5
         val PROCESS = ProcessIdentity(HostAddress("127.0.0.1", 1), 1)
         val ORDER =
             AttemptOrder(
