Close the request of a store watch when its reader ends

What callers saw: nothing was reported. A process that follows the etcd-style store by watches would, after five of them had ended on its side, hear of changes by polling only.

Cause: the flow of a watch left its request open when its reader ended. The store's answer has no end, so the connection was never free again; the client has five.

Evidence: twelve watches one after the other, each read up to its first change, of a server that sends one at once. Before, the first five got theirs and the other seven none within a second each; now all twelve do (EtcdKeyValueStoreTest).

Why it works: the request is reset when the flow closes, also when its connection arrives only then. A reset after a whole answer does nothing.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
@@ -127,14 +127,14 @@
                     .setHost(address.ip)
                     .setPort(address.port)
                     .setURI(EtcdJson.WATCH_PATH)
-            watchClient
-                .request(options)
+            val opening = watchClient.request(options)
+            opening
                 .compose { it.send(Buffer.buffer(request)) }
                 .onFailure { close() }
                 .onSuccess { response ->
                     response.handler(lines).endHandler { close() }.exceptionHandler { close() }
                 }
-            awaitClose { }
+            awaitClose { opening.onSuccess { it.reset() } }
         }
 
     private suspend fun range(request: RangeRequest): StoreResult<RangeResponse> =
