--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/BackendDialect.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/BackendDialect.kt
@@ -50,7 +50,11 @@
         val reason: AttemptRefusal,
     ) : AnswerVerdict
 
-    /** It carries the identity of another request, such as an earlier one on the same connection. */
+    /**
+     * It doesn't carry the request's identity, or carries another one too.
+     *
+     * It may belong to an earlier request on the same connection, so nothing is known about this one.
+     */
     data object OfOtherRequest : AnswerVerdict
 
     /** It reports success but lacks the backend server's signature. */
