Wait for an answer before its request is sent

What callers saw: under load, an answer that had arrived was reported as a crash of its server (reason backend-crashed). Requests that may run once were told 502, others ran at a second server, and the server and the request's prompt parts gathered evidence of a crash that never was.

Cause: DirectConnections sent the request and only then created the DirectStream that asks Vert.x for the response. If the sending thread was held up in between, the answer was read without a handler, and reading its body afterwards threw, which failed the future.

Now the stream is created first. VertxHttpCalls and VertxBackendCaller already did so.

The new test holds the sending thread up for 200 ms: Broken(BACKEND_CRASHED) with the former order, passes now.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -29,7 +29,6 @@
 import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.transport.http.BoundedBody
 import org.acaciaflow.transport.http.awaitResult
-import org.acaciaflow.transport.http.toBuffer
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -59,7 +58,7 @@
             connect(order.backend.address, head) ?: return FinishedStream(
                 AttemptEvent.Refused(AttemptRefusal.CONNECTION_REFUSED),
             )
-        return DirectStream(order, CallPurpose.RUN, dialect, send(request, head, body))
+        return sendAttempt(order, CallPurpose.RUN, dialect, request, head, body)
     }
 
     override suspend fun prefill(
@@ -69,7 +68,7 @@
         val head = dialect.prefillHead(order)
         val request =
             connect(order.backend.address, head) ?: return PrefillOutcome.Refused(AttemptRefusal.CONNECTION_REFUSED)
-        val stream = DirectStream(order, CallPurpose.PREFILL, dialect, send(request, head, body))
+        val stream = sendAttempt(order, CallPurpose.PREFILL, dialect, request, head, body)
         try {
             return when (val first = stream.next()) {
                 is AttemptEvent.Head -> prefillOutcome(order, first.head, stream.readWhole(PREFILL_ANSWER_BYTES))
@@ -119,19 +118,6 @@
         return if (connected.succeeded()) connected.result() else null
     }
 
-    /** Sends the whole request. */
-    private fun send(
-        request: HttpClientRequest,
-        head: CallHead,
-        body: WholeBody,
-    ): HttpClientRequest {
-        head.headers.filterNot { it.name.equals("content-length", ignoreCase = true) }.forEach {
-            request.headers().add(it.name, it.value)
-        }
-        if (body.bytes.size > 0) request.end(body.bytes.toBuffer()) else request.end()
-        return request
-    }
-
     private companion object {
         const val PREFILL_ANSWER_BYTES = 64 * 1024 // a short document
         const val HEADER_BYTES = 64 * 1024
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -7,16 +7,19 @@
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BodyPart
 import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.coordination.port.WholeBody
 import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.protocol.dialect.CallPurpose
 import org.acaciaflow.protocol.http.HopByHopHeaders
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
+import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.transport.http.BodyChannel
 import org.acaciaflow.transport.http.BoundedBody
 import org.acaciaflow.transport.http.awaitResult
 import org.acaciaflow.transport.http.readWhole
+import org.acaciaflow.transport.http.toBuffer
 import org.acaciaflow.transport.http.toFields
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -104,3 +107,24 @@
         val REFUSAL_BODY_TIMEOUT: Duration = 100.milliseconds // the request waits for another backend server meanwhile
     }
 }
+
+/**
+ * Sends the whole request, and returns the stream that reads its answer.
+ *
+ * The stream is created first: an answer that arrives before it is lost, or loses its body.
+ */
+internal fun sendAttempt(
+    order: RunOrder,
+    purpose: CallPurpose,
+    dialect: BackendDialect,
+    request: HttpClientRequest,
+    head: CallHead,
+    body: WholeBody,
+): DirectStream {
+    val stream = DirectStream(order, purpose, dialect, request)
+    head.headers.filterNot { it.name.equals("content-length", ignoreCase = true) }.forEach {
+        request.headers().add(it.name, it.value)
+    }
+    if (body.bytes.size > 0) request.end(body.bytes.toBuffer()) else request.end()
+    return stream
+}
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -9,6 +9,9 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.vertx.core.Vertx
+import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CoroutineScope
@@ -20,11 +23,13 @@
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.decodeToString
 import org.acaciaflow.coordination.port.AttemptEvent
+import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BodyPart
 import org.acaciaflow.coordination.port.CallBody
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.coordination.port.wholeBodyOf
+import org.acaciaflow.protocol.dialect.CallPurpose
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
@@ -33,6 +38,7 @@
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.CallHead
+import java.lang.reflect.Proxy
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.measureTime
@@ -94,6 +100,28 @@
         }
     }
 
+    /** Guards against an answer that is lost because its request was sent before anything waited for the answer. */
+    @Test
+    fun `an answer that arrives while its request's thread is held up is read whole`() {
+        val backend = RawBackend { output, id, _ -> write(output, answer(id)) }
+
+        backend.use {
+            runBlocking {
+                val order = orderFor(backend, "request-1")
+                val options =
+                    RequestOptions()
+                        .setMethod(HttpMethod.POST)
+                        .setHost(backend.address.ip)
+                        .setPort(backend.address.port)
+                val request = heldUpAfterSend(vertx.createHttpClient().request(options).coAwait())
+                val stream =
+                    sendAttempt(order, CallPurpose.RUN, TestDialect, request, TestDialect.runHead(order), emptyBody)
+
+                bodyOf(stream) shouldBe ("body of request-1" to AttemptEvent.End)
+            }
+        }
+    }
+
     @Test
     fun `a request that is cancelled after its answer has arrived does not break the next one on its connection`() {
         val backend =
@@ -280,6 +308,10 @@
         requestId: String,
     ): Pair<String, AttemptEvent> {
         val stream = connections.open(orderFor(backend, requestId), emptyBody)
+        return bodyOf(stream)
+    }
+
+    private suspend fun bodyOf(stream: AttemptStream): Pair<String, AttemptEvent> {
         val body = StringBuilder()
         try {
             while (true) {
@@ -294,6 +326,18 @@
         }
     }
 
+    /** Returns [request], whose sending thread is held up as soon as the request is sent. */
+    private fun heldUpAfterSend(request: HttpClientRequest): HttpClientRequest =
+        Proxy.newProxyInstance(javaClass.classLoader, arrayOf(HttpClientRequest::class.java)) { _, method, arguments ->
+            method.invoke(request, *arguments.orEmpty()).also {
+                if (method.name ==
+                    "end"
+                ) {
+                    Thread.sleep(HELD_UP_MILLISECONDS)
+                }
+            }
+        } as HttpClientRequest
+
     private fun orderFor(
         backend: RawBackend,
         requestId: String,
@@ -329,6 +373,7 @@
     }
 
     private companion object {
+        const val HELD_UP_MILLISECONDS = 200L
         const val POURED_LIMIT = 16L * 1024 * 1024 // includes what the sockets' buffers hold
     }
 }
