Close the connection of a foreign answer before its request goes on

What callers saw: after an answer of another request, the next request to that server could be sent on the same connection, and broke when it was closed: 502 for requests that may run once, a second run for others.

Cause: the answer was classified by the reader's thread, after Vert.x had read it whole and put the connection back into its pool; the close came later still, from cancel.

Now the answer is classified when its head arrives and its connection is closed there, and the event is passed on when the close is done, so that a retry can't get the connection from the pool.

Not ruled out: another request may still get the connection between the end of the foreign answer and the close, if both arrive at once and its stream belongs to another event loop. It is broken then, never mis-answered.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.transport.direct
 
+import io.vertx.core.Future
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import kotlinx.coroutines.withTimeoutOrNull
@@ -31,16 +32,12 @@
     private val dialect: BackendDialect,
     private val request: HttpClientRequest,
 ) : AttemptStream {
-    private val opened = request.response().map { response -> OpenedAnswer(response, BodyChannel(response.pause())) }
+    private val opened = request.response().map(::openAnswer)
     private var body: BodyChannel? = null
 
     @Volatile
     private var complete = false
 
-    /** True if the answer belongs to another request, so that the connection is out of step with its requests. */
-    @Volatile
-    private var foreign = false
-
     override suspend fun next(): AttemptEvent {
         val channel = body ?: return head()
         return when (val part = channel.next()) {
@@ -65,16 +62,23 @@
         return channel.readWhole(limit).also { complete = it is BoundedBody.Whole }
     }
 
+    /** Resets the request unless its answer is complete, so that the pool can't reuse the connection with unread data. */
+    override fun cancel() {
+        if (!complete) request.reset()
+    }
+
     /**
-     * Resets the request unless its answer is complete, so that the pool can't reuse the connection with unread data.
+     * Classifies an answer at the time its head arrives.
      *
      * A reset does nothing once Vert.x has read a whole answer, since the pool may have passed the connection on. After
      * a foreign answer the connection is closed all the same, because no later request on it would get its own.
      */
-    override fun cancel() {
-        if (complete) return
-        request.reset()
-        if (foreign) request.connection().close()
+    private fun openAnswer(response: HttpClientResponse): OpenedAnswer {
+        val channel = BodyChannel(response.pause())
+        val head = AnswerHead(response.statusCode(), HopByHopHeaders.strip(response.headers().toFields()))
+        val verdict = dialect.classifyAnswer(order, purpose, head)
+        val isForeign = verdict == AnswerVerdict.OfOtherRequest || verdict == AnswerVerdict.Unsigned
+        return OpenedAnswer(head, verdict, channel, closed = if (isForeign) request.connection().close() else null)
     }
 
     private suspend fun head(): AttemptEvent {
@@ -82,11 +86,8 @@
         if (opening.failed()) return AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED)
         val answer = opening.result()
         body = answer.body
-        val fields = answer.response.headers().toFields()
-        val head = AnswerHead(answer.response.statusCode(), HopByHopHeaders.strip(fields))
-        val verdict = dialect.classifyAnswer(order, purpose, head)
-        foreign = verdict == AnswerVerdict.OfOtherRequest || verdict == AnswerVerdict.Unsigned
-        val event = eventFor(verdict) ?: return AttemptEvent.Head(head)
+        answer.closed?.awaitResult() // so that a retry can't get the connection from the pool
+        val event = eventFor(answer.verdict) ?: return AttemptEvent.Head(answer.head)
         if (event is AttemptEvent.Refused) drain(answer.body)
         return event
     }
@@ -97,9 +98,12 @@
         complete = body is BoundedBody.Whole
     }
 
+    /** An answer whose head has arrived; [closed] is the close of its connection if it is of another request. */
     private class OpenedAnswer(
-        val response: HttpClientResponse,
+        val head: AnswerHead,
+        val verdict: AnswerVerdict,
         val body: BodyChannel,
+        val closed: Future<Void>?,
     )
 
     private companion object {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -100,6 +100,26 @@
         }
     }
 
+    /** Guards against a request that gets the connection of an answer of another request, and breaks with it. */
+    @Test
+    fun `the connection of another request's answer is not used again`() {
+        var broken = 0
+        repeat(ROUNDS) {
+            val backend =
+                RawBackend { output, id, number -> write(output, if (number == 2) answer("request-1") else answer(id)) }
+            backend.use {
+                runBlocking {
+                    read(backend, "request-1")
+                    read(backend, "request-2")
+                    if (read(backend, "request-3").first != "body of request-3") broken += 1
+                }
+            }
+        }
+
+        println("requests that broke after an answer of another request: $broken of $ROUNDS")
+        broken shouldBe 0
+    }
+
     /** Guards against an answer that is lost because its request was sent before anything waited for the answer. */
     @Test
     fun `an answer that arrives while its request's thread is held up is read whole`() {
@@ -373,6 +393,7 @@
     }
 
     private companion object {
+        const val ROUNDS = 200
         const val HELD_UP_MILLISECONDS = 200L
         const val POURED_LIMIT = 16L * 1024 * 1024 // includes what the sockets' buffers hold
     }
