--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -3,7 +3,6 @@
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
-import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.PoolOptions
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -22,10 +21,8 @@
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
-import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.transport.http.BoundedBody
 import org.acaciaflow.transport.http.connect
-import org.acaciaflow.transport.http.toBuffer
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -55,7 +52,7 @@
             client.connect(order.backend.address, head) ?: return FinishedStream(
                 AttemptEvent.Refused(AttemptRefusal.CONNECTION_REFUSED),
             )
-        return DirectStream(order, CallPurpose.RUN, dialect, send(request, head, body))
+        return sendAttempt(order, CallPurpose.RUN, dialect, request, head, body)
     }
 
     override suspend fun prefill(
@@ -66,7 +63,7 @@
         val request =
             client.connect(order.backend.address, head)
                 ?: return PrefillOutcome.Refused(AttemptRefusal.CONNECTION_REFUSED)
-        val stream = DirectStream(order, CallPurpose.PREFILL, dialect, send(request, head, body))
+        val stream = sendAttempt(order, CallPurpose.PREFILL, dialect, request, head, body)
         try {
             return when (val first = stream.next()) {
                 is AttemptEvent.Head -> prefillOutcome(order, first.head, stream.readWhole(PREFILL_ANSWER_BYTES))
@@ -94,19 +91,6 @@
             BoundedBody.Broken -> PrefillOutcome.Broken(MayHaveRun.BACKEND_CRASHED)
         }
 
-    /** Sends the whole request. */
-    private fun send(
-        request: HttpClientRequest,
-        head: CallHead,
-        body: WholeBody,
-    ): HttpClientRequest {
-        head.headers.filterNot { it.name.equals("content-length", ignoreCase = true) }.forEach {
-            request.headers().add(it.name, it.value)
-        }
-        if (body.bytes.size > 0) request.end(body.bytes.toBuffer()) else request.end()
-        return request
-    }
-
     private companion object {
         const val PREFILL_ANSWER_BYTES = 64 * 1024 // a short document
         const val HEADER_BYTES = 64 * 1024
