Fetch a newer configuration from any peer that has one

What callers would see: while the store does not deliver, routes that were added stay unknown, since the gateway fetches no newer configuration although sound peers have it.

Cause: ConfigurationExchange always asked the one live peer that reports the highest version. A peer that reports a version far ahead and does not deliver it (unreachable, silent, bytes that are no document, an older document) was asked again every half second, and no other peer was ever asked.

ConfigurationFetchPolicy, a pure function of the peers, the failures and the time, now selects the peer: fewer failures first, then the higher version. Failures are forgotten when a peer delivers or is no longer live.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/peer/ConfigurationExchange.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/peer/ConfigurationExchange.kt
@@ -18,6 +18,8 @@
 import kotlinx.io.IOException
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.peer.ConfigurationFetchPolicy
+import org.acaciaflow.coordination.peer.ConfigurationFetches
 import org.acaciaflow.coordination.port.LoopSupervisor
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.routing.ConfigurationOrigin
@@ -27,6 +29,7 @@
 import org.acaciaflow.state.peer.Peer
 import org.acaciaflow.state.peer.Peers
 import org.acaciaflow.state.table.SharedTable
+import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -45,7 +48,10 @@
     private val observations: Observations,
     private val supervisor: LoopSupervisor,
     private val scope: CoroutineScope,
+    private val clock: Clock,
 ) {
+    private var fetches = ConfigurationFetches.NONE
+
     /** Binds the port, then starts to serve peers and to check their versions. */
     suspend fun start() {
         val server = aSocket(selector).tcp().bind(InetSocketAddress(self.ip, self.port))
@@ -77,19 +83,32 @@
     private suspend fun pollPeers() {
         while (true) {
             delay(CHECK_INTERVAL)
-            val newerPeer = newerPeer() ?: continue
+            if (nextPeer() == null) continue
             // The store usually delivers the new version within this time.
             delay(STORE_GRACE_PERIOD)
-            if (newerPeer.configurationVersion > ownVersion()) adoptFrom(newerPeer.address)
+            fetchNewer()
         }
     }
 
-    private fun newerPeer(): Peer? =
-        peers
-            .snapshot()
-            .live.values
-            .maxByOrNull { it.configurationVersion }
-            ?.takeIf { it.configurationVersion > ownVersion() }
+    /** Asks one peer after the other until one delivers a newer configuration or none is left to ask. */
+    private suspend fun fetchNewer() {
+        while (true) {
+            val peer = nextPeer()?.address ?: return
+            val formerVersion = ownVersion()
+            adoptFrom(peer)
+            if (ownVersion() > formerVersion) {
+                fetches = ConfigurationFetchPolicy.succeeded(fetches, peer)
+                return
+            }
+            fetches = ConfigurationFetchPolicy.failed(fetches, peer, clock.now())
+        }
+    }
+
+    private fun nextPeer(): Peer? {
+        val live = peers.snapshot().live
+        fetches = ConfigurationFetchPolicy.retained(fetches, live.keys)
+        return ConfigurationFetchPolicy.nextPeer(fetches, live.values, ownVersion(), clock.now())
+    }
 
     private fun ownVersion(): Long = routing.snapshot().configuration.version
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -89,6 +89,7 @@
                 observations = runtime.observations,
                 supervisor = runtime.workers,
                 scope = runtime.workers.scope,
+                clock = clock,
             ),
         callers = CallerServer(runtime.vertx, relay, runtime.observations, runtime.workers.scope, frontEnd),
         rehearsal = createRehearsal(adapters, runtime, connections, calls, clock),
--- a/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.decodeToString
 import kotlinx.io.bytestring.encodeToByteString
@@ -32,8 +33,12 @@
 import org.acaciaflow.state.peer.Peer
 import org.acaciaflow.state.route.RoutingConfiguration
 import org.acaciaflow.transport.observation.MeteredObservations
+import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.concurrent.thread
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -71,6 +76,43 @@
             selector.close()
         }
 
+    /** Guards against a gateway that asks one peer again and again, which reports a version that it cannot deliver. */
+    @Test
+    fun `a newer configuration is fetched although other peers report higher versions that they do not deliver`() =
+        runBlocking {
+            val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+            val selector = SelectorManager(Dispatchers.IO)
+            val newerPeer = freeAddress()
+            val olderTables = createRelayTables()
+            val newerTables = createRelayTables()
+            RoutingUpdater(VersionDocuments, newerTables.routing, observations)
+                .offer("9".encodeToByteString(), ConfigurationOrigin.STORE)
+            RoutingUpdater(VersionDocuments, olderTables.routing, observations)
+                .offer("5".encodeToByteString(), ConfigurationOrigin.STORE)
+            exchange(newerPeer, newerTables, selector, scope).start()
+            exchange(freeAddress(), olderTables, selector, scope).start()
+            val silentPeer = RawPeer(answer = null)
+            val faultyPeer = RawPeer("HTTP/1.1 400 Bad Request\r\n\r\n".encodeToByteArray())
+            val olderPeer = RawPeer(byteArrayOf(0, 0, 0, 1, '4'.code.toByte()))
+            val faulty = listOf(freeAddress(), silentPeer.address, faultyPeer.address, olderPeer.address)
+
+            val reports =
+                faulty.mapIndexed { index, address -> peerAt(address, version = 1_000L + index) } +
+                    peerAt(newerPeer, version = 9)
+            olderTables.peers.update { it.copy(live = it.live.putAll(reports.associateBy(Peer::address))) }
+
+            withTimeoutOrNull(10.seconds) { while (versionOf(olderTables) != 9L) delay(20.milliseconds) }
+            versionOf(olderTables) shouldBe 9
+            scope.cancel()
+            selector.close()
+            listOf(silentPeer, faultyPeer, olderPeer).forEach { it.close() }
+        }
+
+    private fun versionOf(tables: RelayTables): Long =
+        tables.routing
+            .snapshot()
+            .configuration.version
+
     private fun exchange(
         self: HostAddress,
         tables: RelayTables,
@@ -96,6 +138,7 @@
             observations,
             supervisor,
             scope,
+            Clock.System,
         )
     }
 
@@ -117,6 +160,35 @@
         ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { HostAddress("127.0.0.1", it.localPort) }
 }
 
+/** A peer that writes [answer] to each connection, or nothing, and keeps the connection open. */
+private class RawPeer(
+    answer: ByteArray?,
+) : AutoCloseable {
+    private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val connections = ConcurrentLinkedQueue<Socket>()
+
+    val address = HostAddress("127.0.0.1", server.localPort)
+
+    init {
+        thread(isDaemon = true) {
+            try {
+                while (true) server.accept().also(connections::add).apply { answer?.let(getOutputStream()::write) }
+            } catch (_: IOException) {
+                // The test has closed the server.
+            }
+        }
+    }
+
+    override fun close() {
+        server.close()
+        connections.forEach { it.close() }
+    }
+
+    private companion object {
+        const val BACKLOG = 50
+    }
+}
+
 /** Decodes documents that consist only of a version number. */
 private object VersionDocuments : StoredDocuments {
     override fun kindOf(key: StoreKey): StoredKeyKind = StoredKeyKind.Other
