Close configuration transfers that a peer does not read

What callers would see: a gateway that runs out of memory or connections, because peers connect to it and do not read.

Cause: the timeout of a transfer closed the socket, but ktor's close() waits until the peer has read what was written, so the connection and a copy of the whole document stayed for as long as the peer wished. The number of transfers was not limited.

A transfer now sends the document in chunks of 64 KiB, waits within its timeout until the socket has closed, and cancels the socket's own job otherwise. At most 32 transfers run at once; more peers wait in the backlog.

Test: 40 connections that read nothing for 3.5 s, of a document of 7 MiB. An accept() that fails ends the loop, which the supervisor starts again on the same socket (WorkerPoolTest); found sound, by reading.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/peer/ConfigurationExchange.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/peer/ConfigurationExchange.kt
@@ -5,6 +5,7 @@
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.awaitClosed
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.readByteArray
@@ -14,6 +15,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import kotlinx.io.bytestring.ByteString
@@ -60,24 +62,47 @@
     }
 
     private suspend fun serve(server: ServerSocket) {
+        val transfers = Semaphore(MAXIMUM_TRANSFERS)
         while (true) {
+            transfers.acquire()
             val socket = server.accept()
-            scope.launch { withTimeoutOrNull(TRANSFER_TIMEOUT) { sendConfiguration(socket) } }
+            scope.launch {
+                try {
+                    sendConfiguration(socket)
+                } finally {
+                    transfers.release()
+                }
+            }
         }
     }
 
     private suspend fun sendConfiguration(socket: Socket) {
         try {
-            socket.use {
-                val document = routing.snapshot().document
-                val output = it.openWriteChannel()
-                output.writeInt(document.size)
-                output.writeByteArray(document.toByteArray())
-                output.flushAndClose()
-            }
+            val document = routing.snapshot().document
+            val sent = withTimeoutOrNull(TRANSFER_TIMEOUT) { send(document, socket) }
+            if (sent == null) observations.event(Event.PeerUnreachable(self, "a peer did not read the configuration"))
         } catch (failure: IOException) {
             observations.event(Event.PeerUnreachable(self, failure.message.orEmpty()))
+        } finally {
+            // close() alone waits until the peer has read everything.
+            socket.socketContext.cancel()
+            socket.close()
+        }
+    }
+
+    private suspend fun send(
+        document: ByteString,
+        socket: Socket,
+    ) {
+        val output = socket.openWriteChannel()
+        output.writeInt(document.size)
+        for (start in 0 until document.size step CHUNK_BYTES) {
+            output.writeByteArray(document.toByteArray(start, minOf(start + CHUNK_BYTES, document.size)))
+            output.flush()
         }
+        output.flushAndClose()
+        socket.close()
+        socket.awaitClosed()
     }
 
     private suspend fun pollPeers() {
@@ -133,6 +158,8 @@
         }
 
     private companion object {
+        const val MAXIMUM_TRANSFERS = 32 // each holds up to a megabyte that the peer has not read
+        const val CHUNK_BYTES = 64 * 1024
         const val MAXIMUM_DOCUMENT_BYTES = 8 * 1024 * 1024
         val CHECK_INTERVAL: Duration = 200.milliseconds
         val STORE_GRACE_PERIOD: Duration = 300.milliseconds
--- a/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.transport.peer
 
 import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.ktor.network.selector.SelectorManager
 import io.micrometer.prometheusmetrics.PrometheusConfig
@@ -12,6 +13,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.bytestring.ByteString
@@ -35,6 +37,7 @@
 import org.acaciaflow.transport.observation.MeteredObservations
 import java.io.IOException
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.ConcurrentLinkedQueue
@@ -108,6 +111,61 @@
             listOf(silentPeer, faultyPeer, olderPeer).forEach { it.close() }
         }
 
+    /** Guards against peers that connect and read nothing, and hold a copy of the document and a connection each. */
+    @Test
+    fun `connections that read nothing are closed and hold little memory`() =
+        runBlocking {
+            val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+            val selector = SelectorManager(Dispatchers.IO)
+            val address = freeAddress()
+            val tables = createRelayTables()
+            val document = "9".padStart(LARGE_DOCUMENT_BYTES, '0')
+            RoutingUpdater(VersionDocuments, tables.routing, observations)
+                .offer(document.encodeToByteString(), ConfigurationOrigin.STORE)
+            exchange(address, tables, selector, scope).start()
+            val memoryBefore = usedMemory()
+
+            val readers = List(40) { connectSlowly(address) }
+            delay(500.milliseconds)
+            val memoryHeld = usedMemory() - memoryBefore
+            delay(3.seconds)
+            val wholeDocuments = readers.count { bytesUntilEnd(it) >= LARGE_DOCUMENT_BYTES }
+
+            wholeDocuments shouldBe 0
+            memoryHeld shouldBeLessThan 60L * 1024 * 1024
+            withContext(Dispatchers.IO) { bytesUntilEnd(connectSlowly(address)) } shouldBe LARGE_DOCUMENT_BYTES + 4
+            scope.cancel()
+            selector.close()
+        }
+
+    private fun usedMemory(): Long {
+        System.gc()
+        return Runtime.getRuntime().run { totalMemory() - freeMemory() }
+    }
+
+    private fun connectSlowly(address: HostAddress): Socket =
+        Socket().apply {
+            receiveBufferSize = 4096
+            connect(InetSocketAddress(address.ip, address.port))
+        }
+
+    private fun bytesUntilEnd(socket: Socket): Int =
+        socket.use {
+            it.soTimeout = 3_000
+            val buffer = ByteArray(65_536)
+            var total = 0
+            try {
+                while (true) {
+                    val count = it.getInputStream().read(buffer)
+                    if (count < 0) break
+                    total += count
+                }
+            } catch (_: IOException) {
+                // The peer has reset the connection.
+            }
+            total
+        }
+
     private fun versionOf(tables: RelayTables): Long =
         tables.routing
             .snapshot()
@@ -158,6 +216,10 @@
 
     private fun freeAddress(): HostAddress =
         ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { HostAddress("127.0.0.1", it.localPort) }
+
+    private companion object {
+        const val LARGE_DOCUMENT_BYTES = 7 * 1024 * 1024
+    }
 }
 
 /** A peer that writes [answer] to each connection, or nothing, and keeps the connection open. */
