Send reports to all peers although one address cannot be resolved

What callers would see: gateways that choose servers without knowing the load of the others, and refuse or queue more than needed; crashes and leaving servers that are not told.

Cause: sending to an address that cannot be resolved throws UnresolvedAddressException, which is no IOException and ended the loop of the reports. The supervisor starts it again, with pauses up to 2 s, and it ends at the same peer, so that the peers after it get no report for as long as the address is registered. An entry of another writer, a seed or one datagram is enough for such an address.

The exception is now reported as PEER_UNREACHABLE, like other failures to send.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/peer/PeerExchange.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/peer/PeerExchange.kt
@@ -22,6 +22,7 @@
 import org.acaciaflow.state.peer.PeerReport
 import org.acaciaflow.state.peer.Peers
 import org.acaciaflow.state.table.SharedTable
+import java.nio.channels.UnresolvedAddressException
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -86,6 +87,8 @@
             socket.send(Datagram(packet, InetSocketAddress(peer.ip, peer.port)))
         } catch (failure: IOException) {
             observations.event(Event.PeerUnreachable(peer, failure.message.orEmpty()))
+        } catch (_: UnresolvedAddressException) {
+            observations.event(Event.PeerUnreachable(peer, "the address cannot be resolved"))
         }
     }
 
