Order the reports of a peer by their numbers for a second only

What callers would see: after a gateway restarts with its clock set back, or after one report with a number far ahead, the others do not know its load, its leaving servers or its crashes until its former life counts as silent, and then drop all that they knew of it.

Cause: isStale ordered the lives of a peer by start time and its reports by sequence number without limit. The numbers only serve to drop late copies of datagrams. They now order reports within one second after the last one that was applied; ignored reports do not extend that second.

Late copies of older reports, also of a former life, are still ignored. Not covered: another process that goes on sending from the same address.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
@@ -103,7 +103,7 @@
         val recency =
             tables.peers.transition { peers ->
                 val known = peers.live[report.sender]
-                if (known != null && isStale(report, known)) return@transition Transition(peers, Recency.STALE)
+                if (known != null && isStale(report, known, now)) return@transition Transition(peers, Recency.STALE)
                 val peer =
                     Peer(
                         address = report.sender,
@@ -122,12 +122,22 @@
         return recency != Recency.STALE
     }
 
+    /**
+     * Returns true if [report] was sent before the last one of its sender.
+     *
+     * Start times and sequence numbers order reports only within [REORDERING_PERIOD] after the last one: the clock of
+     * the sender may have been set back, and a single report may have had a number far ahead.
+     */
     private fun isStale(
         report: PeerReport,
         known: Peer,
+        now: Instant,
     ): Boolean =
-        report.startedAtMilliseconds < known.startedAtMilliseconds ||
-            (report.startedAtMilliseconds == known.startedAtMilliseconds && report.sequence <= known.lastSequence)
+        when {
+            now - known.lastReportAt > REORDERING_PERIOD -> false
+            report.startedAtMilliseconds == known.startedAtMilliseconds -> report.sequence <= known.lastSequence
+            else -> report.startedAtMilliseconds < known.startedAtMilliseconds
+        }
 
     private fun applyLeaving(
         report: PeerReport,
@@ -192,5 +202,6 @@
     private companion object {
         val SUSPICION_PERIOD: Duration = 600.milliseconds // renewed by the next reports while the suspicion lasts
         val PEER_TIMEOUT: Duration = 3.seconds
+        val REORDERING_PERIOD: Duration = 1.seconds // late copies of datagrams arrive within it
     }
 }
