Replace loads that are no longer fresh whatever their sequence number

What callers would see: one message with a sequence number far ahead and the gateway uses its sender's loads of the periodic reports only, which are 250 ms old or more, for the rest of that process's life.

Cause: RemoteLoads.isOutdated compared sequence numbers without limit. For the sums of data centres and of all others nothing ever removed the last message, for members the silence of the peer did. Once a message is no longer fresh (800 ms), it is not used any more, so any later one now replaces it.

Test: a share, the sum of a data centre and the sum of all others with the sequence number Long.MAX_VALUE, then 12 a second later. Before: 0 of 3 applied. After: 3 of 3.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/load/RemoteLoads.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/load/RemoteLoads.kt
@@ -144,10 +144,15 @@
         now: Instant,
     ): Boolean = now - source.receivedAt < FRESHNESS
 
+    /** Returns true if [source] was sent before [known]; once [known] is no longer fresh, any message replaces it. */
     private fun isOutdated(
         source: LoadSource,
         known: LoadSource?,
-    ): Boolean = known != null && source.senderStartedAt == known.senderStartedAt && source.sequence <= known.sequence
+    ): Boolean =
+        known != null &&
+            isFresh(known, source.receivedAt) &&
+            source.senderStartedAt == known.senderStartedAt &&
+            source.sequence <= known.sequence
 
     /** Several intervals of the frequent messages; older ones are replaced by the periodic reports. */
     val FRESHNESS: Duration = 800.milliseconds
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/LoadExchangeTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/LoadExchangeTest.kt
@@ -4,12 +4,14 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentListOf
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.load.LoadLedger
 import org.acaciaflow.coordination.relay.ENGINE_POOL
 import org.acaciaflow.coordination.relay.FakeObservations
 import org.acaciaflow.coordination.relay.RelayTables
 import org.acaciaflow.coordination.relay.backend
+import org.acaciaflow.coordination.relay.createRelayTables
 import org.acaciaflow.coordination.relay.route
 import org.acaciaflow.coordination.relay.tablesWith
 import org.acaciaflow.state.backend.EngineRole
@@ -18,6 +20,8 @@
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.load.JobIdentity
+import org.acaciaflow.state.peer.LoadScope
+import org.acaciaflow.state.peer.LoadShare
 import org.acaciaflow.state.peer.PeerReport
 import org.acaciaflow.state.route.RequestKind
 import kotlin.time.Duration
@@ -139,6 +143,35 @@
         first.running() shouldBe 5
     }
 
+    /** Guards against one message with a sequence number far ahead that makes all later ones of its sender void. */
+    @Test
+    fun `a message with a sequence number far ahead delays those of its sender by a second at most`() {
+        val tables = createRelayTables()
+        val receiver =
+            LoadExchange(GatewayIdentity(HostAddress("10.0.0.1", 7000), 1, DataCentre("north"), 1.0), tables)
+        val sums = listOf(LoadScope.Sender, LoadScope.WholeDataCentre(DataCentre("south")), LoadScope.AllOthers)
+        for (scope in sums) receiver.receive(share(scope, Long.MAX_VALUE), start)
+
+        val later = start + 1.seconds
+        for (scope in sums) receiver.receive(share(scope, sequence = 12), later)
+
+        val sources = tables.load.snapshot().sources
+        listOf(
+            sources.members.values
+                .single()
+                .receivedAt,
+            sources.dataCentres.values
+                .single()
+                .source.receivedAt,
+            sources.others?.receivedAt,
+        ) shouldBe listOf(later, later, later)
+    }
+
+    private fun share(
+        scope: LoadScope,
+        sequence: Long,
+    ) = LoadShare(HostAddress("10.0.0.2", 7000), 1, sequence, scope, Duration.ZERO, persistentListOf())
+
     @Test
     fun `a gateway that is silent is forgotten together with its load`() {
         val fleet = fleetOf("north" to 2)
