Use the values of the key-value store beside one that cannot be decoded

What callers would see: after another writer puts a value that is not Base64 text, or has no number for a revision, gateways and sidecars miss all later changes of that watch until the next poll (configuration, plans) or for good (crash suspects), and lists of executions and suspects fail as a whole.

Cause: one faulty event threw out of the line handler of the watch, after which the parser passed on nothing more, while the connection stayed open. A list was decoded as a whole or not at all.

Events and listed values are now decoded one by one. One that cannot be decoded is left out and reported as STORED_VALUE_UNREADABLE (AF1510). A line of a watch is limited to 8 MiB, and a watch that is given up resets its request. A read of one key still fails as MALFORMED_ANSWER.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -118,6 +118,11 @@
         val age: Duration,
     ) : Event(EventKind.STORE_KNOWLEDGE_STALE)
 
+    /** A value or message from the store could not be decoded and was left out; [excerpt] is its beginning. */
+    data class StoredValueUnreadable(
+        val excerpt: String,
+    ) : Event(EventKind.STORED_VALUE_UNREADABLE)
+
     data class RoutingAdopted(
         val version: Long,
         val former: Long,
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/store/EtcdJson.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/store/EtcdJson.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.io.bytestring.ByteString
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
 import org.acaciaflow.coordination.port.StoreKey
 import org.acaciaflow.coordination.port.StoredValue
 import kotlin.io.encoding.Base64
@@ -38,6 +39,22 @@
             revision = pair.modRevision.toLong(),
         )
 
+    /** Decodes one pair of a [ReceivedRange]; null if it is malformed. */
+    fun decodePair(pair: JsonElement): StoredValue? =
+        decodeOrNull { decodeValue(json.decodeFromJsonElement(KeyValue.serializer(), pair)) }
+
+    /** Decodes one event of a [ReceivedWatch]; null if it is malformed. */
+    fun decodeEvent(event: JsonElement): StoredValue? =
+        decodeOrNull { decodeValue(json.decodeFromJsonElement(WatchEvent.serializer(), event).kv) }
+
+    /** Returns null if [decode] fails on malformed JSON, numbers or Base64 text. */
+    private fun decodeOrNull(decode: () -> StoredValue): StoredValue? =
+        try {
+            decode()
+        } catch (_: IllegalArgumentException) {
+            null
+        }
+
     /** A request that reads one key. */
     fun readRequest(key: StoreKey): RangeRequest = RangeRequest(encodeKey(key))
 
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/store/EtcdMessages.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/store/EtcdMessages.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
 
 /*
  * Messages of the etcd v3 JSON API, as served by the etcd gRPC gateway: keys and values are in Base64, 64-bit integers
@@ -22,6 +23,12 @@
     val more: Boolean = false,
 )
 
+/** A [RangeResponse] whose pairs are decoded one by one, since any of them may be malformed. */
+@Serializable
+data class ReceivedRange(
+    val kvs: List<JsonElement> = emptyList(),
+)
+
 @Serializable
 data class ResponseHeader(
     val revision: String = "0",
@@ -124,6 +131,18 @@
     val events: List<WatchEvent> = emptyList(),
 )
 
+/** A [WatchResponse] whose events are decoded one by one, since any of them may be malformed. */
+@Serializable
+data class ReceivedWatch(
+    val result: ReceivedEvents = ReceivedEvents(),
+)
+
+/** The events of a [ReceivedWatch]. */
+@Serializable
+data class ReceivedEvents(
+    val events: List<JsonElement> = emptyList(),
+)
+
 @Serializable
 data class WatchEvent(
     val type: String = "PUT",
--- a/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
@@ -20,6 +20,7 @@
 import kotlinx.io.bytestring.ByteString
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.JsonElement
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.KeyValueStore
 import org.acaciaflow.coordination.port.LeaseIdentity
@@ -37,10 +38,11 @@
 import org.acaciaflow.protocol.store.LeaseKeepAliveResponse
 import org.acaciaflow.protocol.store.RangeRequest
 import org.acaciaflow.protocol.store.RangeResponse
+import org.acaciaflow.protocol.store.ReceivedRange
+import org.acaciaflow.protocol.store.ReceivedWatch
 import org.acaciaflow.protocol.store.TransactionRequest
 import org.acaciaflow.protocol.store.TransactionResponse
 import org.acaciaflow.protocol.store.WatchRequest
-import org.acaciaflow.protocol.store.WatchResponse
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.transport.observation.Meters
 import java.io.IOException
@@ -70,9 +72,12 @@
         prefix: StoreKey,
         limit: Int,
     ): StoreResult<PersistentList<StoredValue>> =
-        range(EtcdJson.listRequest(prefix, limit)).map { response ->
-            response.kvs.map(EtcdJson::decodeValue).toPersistentList()
-        }
+        call(
+            EtcdJson.RANGE_PATH,
+            RangeRequest.serializer(),
+            EtcdJson.listRequest(prefix, limit),
+            ReceivedRange.serializer(),
+        ).map { response -> response.kvs.mapNotNull { readable(EtcdJson.decodePair(it), it) }.toPersistentList() }
 
     override suspend fun swap(
         key: StoreKey,
@@ -118,23 +123,26 @@
     override fun watch(prefix: StoreKey): Flow<StoredValue> =
         callbackFlow {
             callCounter.increment()
-            val request = EtcdJson.json.encodeToString(WatchRequest.serializer(), EtcdJson.watchRequest(prefix))
+            val body = EtcdJson.json.encodeToString(WatchRequest.serializer(), EtcdJson.watchRequest(prefix))
             val lines =
-                RecordParser.newDelimited("\n") { line -> decodeEvents(line).forEach { trySend(it) } }
+                RecordParser
+                    .newDelimited("\n") { line -> decodeEvents(line).forEach { trySend(it) } }
+                    .maxRecordSize(MAXIMUM_LINE_BYTES)
+                    .exceptionHandler { close() }
             val options =
                 RequestOptions()
                     .setMethod(HttpMethod.POST)
                     .setHost(address.ip)
                     .setPort(address.port)
                     .setURI(EtcdJson.WATCH_PATH)
-            watchClient
-                .request(options)
-                .compose { it.send(Buffer.buffer(request)) }
+            val request = watchClient.request(options)
+            request
+                .compose { it.send(Buffer.buffer(body)) }
                 .onFailure { close() }
                 .onSuccess { response ->
                     response.handler(lines).endHandler { close() }.exceptionHandler { close() }
                 }
-            awaitClose { }
+            awaitClose { request.onSuccess { it.reset() } }
         }
 
     private suspend fun range(request: RangeRequest): StoreResult<RangeResponse> =
@@ -215,13 +223,25 @@
     private fun decodeEvents(line: Buffer): List<StoredValue> =
         try {
             EtcdJson.json
-                .decodeForeign(WatchResponse.serializer(), line.toString())
+                .decodeForeign(ReceivedWatch.serializer(), line.toString())
                 .result.events
-                .map { EtcdJson.decodeValue(it.kv) }
+                .mapNotNull { readable(EtcdJson.decodeEvent(it), it) }
         } catch (_: SerializationException) {
+            observations.event(Event.StoredValueUnreadable(excerptOf(line.toString())))
             emptyList()
         }
 
+    /** Returns [decoded]; reports [source] if it could not be decoded. */
+    private fun readable(
+        decoded: StoredValue?,
+        source: JsonElement,
+    ): StoredValue? {
+        if (decoded == null) observations.event(Event.StoredValueUnreadable(excerptOf(source.toString())))
+        return decoded
+    }
+
+    private fun excerptOf(text: String): String = text.take(MAXIMUM_EXCERPT)
+
     private fun <Value, Mapped> StoreResult<Value>.map(transform: (Value) -> Mapped): StoreResult<Mapped> =
         when (this) {
             is StoreResult.Failure -> this
@@ -241,6 +261,8 @@
 
     private companion object {
         val CALL_TIMEOUT: Duration = 2.seconds
+        const val MAXIMUM_LINE_BYTES = 8 * 1024 * 1024
+        const val MAXIMUM_EXCERPT = 120
         const val HTTP_OK = 200
         const val HTTP_SERVICE_UNAVAILABLE = 503
     }
