Use the hosts of a list beside one that cannot be decoded

What callers would see: new sidecars get no work and hosts that leave still get it, for as long as one host on the platform's list lacks a field; and all sidecars lose their links at the next reconnect when the platform answers an error with a list in its body.

Cause: the list was decoded as a whole or not at all, and the status of the answer was not looked at.

Hosts are now decoded one by one; the number of those left out is reported as HOSTS_UNREADABLE (AF1511) whenever it changes. Only an answer with status 200 is a list. A host that is left out keeps its link until it breaks.

HttpHostListTest, before: no host of one sound and six faulty ones was read, and three of four errors were taken for an empty list.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -174,6 +174,11 @@
 
     data object HostListUnavailable : Event(EventKind.HOST_LIST_UNAVAILABLE)
 
+    /** The number of hosts on the list that cannot be decoded has changed to [count]; the other hosts are used. */
+    data class HostsUnreadable(
+        val count: Int,
+    ) : Event(EventKind.HOSTS_UNREADABLE)
+
     data class CrashSuspected(
         val digest: RequestDigest,
     ) : Event(EventKind.CRASH_SUSPECTED)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/hosts/HttpHostList.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/hosts/HttpHostList.kt
@@ -5,14 +5,12 @@
 import io.vertx.ext.web.client.WebClient
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
+import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.HostList
 import org.acaciaflow.coordination.port.ListedHost
-import org.acaciaflow.protocol.http.HostListDocument
-import org.acaciaflow.protocol.http.toHosts
-import org.acaciaflow.protocol.json.decodeForeign
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.protocol.http.decodeHostList
 import org.acaciaflow.state.identity.HostAddress
 import java.io.IOException
 import java.util.concurrent.TimeoutException
@@ -23,9 +21,13 @@
 internal class HttpHostList(
     vertx: Vertx,
     private val address: HostAddress,
+    private val observations: Observations,
 ) : HostList {
     private val client = WebClient.create(vertx)
-    private val json = Json { ignoreUnknownKeys = true }
+
+    /** The number of hosts that the last list had and that could not be decoded. */
+    @Volatile
+    private var unreadable = 0
 
     override suspend fun read(): PersistentList<ListedHost>? =
         try {
@@ -35,10 +37,7 @@
                     .timeout(CALL_TIMEOUT.inWholeMilliseconds)
                     .send()
                     .coAwait()
-            json
-                .decodeForeign(HostListDocument.serializer(), response.bodyAsString().orEmpty())
-                .toHosts()
-                .toPersistentList()
+            if (response.statusCode() == HTTP_OK) decode(response.bodyAsString().orEmpty()) else null
         } catch (_: SerializationException) {
             null
         } catch (_: VertxException) {
@@ -49,7 +48,15 @@
             null
         }
 
+    private fun decode(text: String): PersistentList<ListedHost> {
+        val list = decodeHostList(text)
+        if (list.unreadable != unreadable) observations.event(Event.HostsUnreadable(list.unreadable))
+        unreadable = list.unreadable
+        return list.hosts
+    }
+
     private companion object {
+        const val HTTP_OK = 200
         const val PATH = "/hosts"
         val CALL_TIMEOUT: Duration = 2.seconds
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
@@ -58,7 +58,7 @@
         )
     val core = createCore(settings, self, tables, ports, wakeUp, random)
     val runner = createLinkRunner(settings, self, runtime, directory, tables, updater, wakeUp)
-    val hosts = HttpHostList(runtime.vertx, settings.hostList)
+    val hosts = HttpHostList(runtime.vertx, settings.hostList, runtime.observations)
     return GatewayDaemon(
         settings = settings,
         self = self,
--- /dev/null
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/hosts/HttpHostListTest.kt
@@ -0,0 +1,63 @@
+package org.acaciaflow.transport.hosts
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.coAwait
+import org.acaciaflow.coordination.port.ListedHost
+import org.acaciaflow.state.identity.DataCentre
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.transport.observation.MeteredObservations
+
+class HttpHostListTest : AnnotationSpec() {
+    private val vertx = Vertx.vertx()
+    private val registry = SimpleMeterRegistry()
+    private val observations = MeteredObservations(registry)
+
+    @AfterAll
+    suspend fun close() {
+        vertx.close().coAwait()
+    }
+
+    /** Guards against one faulty host that makes the whole list unreadable, so that all later changes are missed. */
+    @Test
+    suspend fun `hosts beside a faulty one are read`() {
+        val faulty =
+            listOf(
+                """{"sidecar":"10.0.0.1:7000"}""",
+                """{"sidecar":7,"dataCentre":{}}""",
+                """{"sidecar":"nowhere","dataCentre":"north"}""",
+                """{"sidecar":"10.0.0.1:7000","dataCentre":"north","leaving":"perhaps"}""",
+                "null",
+                "17",
+            )
+
+        val hosts =
+            read(200, """{"hosts":[${faulty.joinToString()},{"sidecar":"10.0.0.2:7000","dataCentre":"north"}]}""")
+
+        hosts shouldBe listOf(ListedHost(HostAddress("10.0.0.2", 7000), DataCentre("north"), leaving = false))
+        registry.counter("acaciaflow.events", "kind", "hosts_unreadable").count() shouldBe 1.0
+    }
+
+    /** Guards against an error of the platform that is taken for an empty list, so that all links are given up. */
+    @Test
+    suspend fun `an answer with another status than 200 is no list`() {
+        listOf(204, 404, 500, 503).map { read(it, """{"hosts":[]}""") } shouldBe List(4) { null }
+    }
+
+    private suspend fun read(
+        status: Int,
+        body: String,
+    ): List<ListedHost>? {
+        val server =
+            vertx
+                .createHttpServer()
+                .requestHandler { it.response().setStatusCode(status).end(body) }
+                .listen(0, "127.0.0.1")
+                .coAwait()
+        val hosts = HttpHostList(vertx, HostAddress("127.0.0.1", server.actualPort()), observations).read()
+        server.close().coAwait()
+        return hosts
+    }
+}
