Do not clear a crash suspect by a document that cannot be decoded

What callers would see: a request that crashes engines is refused no more and takes down further engines.

Cause: StoredSuspectRecords returned null both for a suspect that was cleared and for a document that cannot be decoded, and a change with null lifts the quarantine in every gateway that watches.

Decoding now tells the three cases apart by a sealed type, and a malformed document changes nothing. A document whose crashes cannot be parsed counts as malformed. A compare-and-swap still replaces a malformed document.

StoredSuspectRecordsTest, before: three malformed documents and one that clears gave four clearings.

--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/suspect/StoredSuspectRecords.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/suspect/StoredSuspectRecords.kt
@@ -41,7 +41,7 @@
                     is StoreResult.Failure -> return read
                     is StoreResult.Success -> read.value
                 }
-            val next = change(current?.let { decode(it.value) })
+            val next = change(current?.let { decode(it.value).suspectOrNull })
             val expected = current?.revision ?: KeyValueStore.ABSENT
             when (val swapped = store.swap(StoreLayout.suspect(digest), expected, encode(next))) {
                 is StoreResult.Success -> if (swapped.value is SwapOutcome.Swapped) return StoreResult.Success(next)
@@ -58,11 +58,17 @@
         }
 
     override fun changes(): Flow<SuspectChange> =
-        store.watch(StoreLayout.SUSPECTS).mapNotNull { SuspectChange(digestOf(it), decode(it.value)) }
+        store.watch(StoreLayout.SUSPECTS).mapNotNull { value ->
+            when (val document = decode(value.value)) {
+                DecodedSuspect.Malformed -> null
+                DecodedSuspect.Cleared -> SuspectChange(digestOf(value), null)
+                is DecodedSuspect.Suspected -> SuspectChange(digestOf(value), document.suspect)
+            }
+        }
 
     private fun suspectsOf(values: List<StoredValue>): PersistentMap<RequestDigest, CrashSuspect> =
         values
-            .mapNotNull { value -> decode(value.value)?.let { digestOf(value) to it } }
+            .mapNotNull { value -> decode(value.value).suspectOrNull?.let { digestOf(value) to it } }
             .toMap()
             .toPersistentMap()
 
@@ -74,17 +80,38 @@
         return Json.encodeToString(SuspectDocument.serializer(), document).encodeToByteString()
     }
 
-    /** Decodes a suspect; null when it was cleared or the document is malformed. */
-    private fun decode(value: ByteString): CrashSuspect? =
+    private fun decode(value: ByteString): DecodedSuspect =
         try {
-            val document = Json.decodeForeign(SuspectDocument.serializer(), value.decodeToString())
-            val crashes = document.crashes.mapNotNull { it.toIdentity() }.toPersistentSet()
-            val at = Instant.fromEpochMilliseconds(document.lastCrashAt)
-            if (crashes.isEmpty()) null else CrashSuspect(crashes, at)
+            decode(Json.decodeForeign(SuspectDocument.serializer(), value.decodeToString()))
         } catch (_: IllegalArgumentException) {
-            null
+            DecodedSuspect.Malformed
         }
 
+    private fun decode(document: SuspectDocument): DecodedSuspect {
+        if (document.crashes.isEmpty()) return DecodedSuspect.Cleared
+        val crashes = document.crashes.mapNotNull { it.toIdentity() }.toPersistentSet()
+        if (crashes.isEmpty()) return DecodedSuspect.Malformed
+        return DecodedSuspect.Suspected(CrashSuspect(crashes, Instant.fromEpochMilliseconds(document.lastCrashAt)))
+    }
+
+    /** The result of decoding the document of a suspect. */
+    private sealed interface DecodedSuspect {
+        val suspectOrNull: CrashSuspect?
+            get() =
+                when (this) {
+                    Cleared, Malformed -> null
+                    is Suspected -> suspect
+                }
+
+        data object Malformed : DecodedSuspect
+
+        data object Cleared : DecodedSuspect
+
+        data class Suspected(
+            val suspect: CrashSuspect,
+        ) : DecodedSuspect
+    }
+
     private companion object {
         const val MAXIMUM_SWAP_ATTEMPTS = 5
         const val MAXIMUM_LISTED = 10_000
