Poll the crash suspects beside watching them

What callers would see: requests that crashed engines elsewhere are sent on by a gateway that does not know of them, for as long as its process runs.

Cause: CrashSuspectRegistry listed the suspects only when its watch ended. A watch that stays open and silent, or that missed an event before it began, was never noticed.

CrashSuspectRegistryTest, before: a suspect that was written while the watch was silent was unknown after 10 s (and there was no second list). After: known. 1 of 1 run each. Not covered: a suspect that was cleared while the watch was silent stays suspected until ten minutes after its last crash.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/suspect/CrashSuspectRegistry.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/suspect/CrashSuspectRegistry.kt
@@ -21,9 +21,10 @@
     private val table: SharedTable<CrashSuspects>,
     private val observations: Observations,
 ) {
-    /** Starts a loop of [supervisor] that watches the store. */
+    /** Starts loops of [supervisor] that watch the store, and poll it in case the watch misses a change. */
     fun start(supervisor: LoopSupervisor) {
         supervisor.startLoop("suspect-watch") { watch() }
+        supervisor.startLoop("suspect-poll") { poll() }
     }
 
     /** Returns how a request with this digest may run as of [now]. */
@@ -75,6 +76,13 @@
         }
     }
 
+    private suspend fun poll() {
+        while (true) {
+            delay(POLL_INTERVAL)
+            reload()
+        }
+    }
+
     private suspend fun reload() {
         when (val listed = records.list()) {
             is StoreResult.Success -> table.update { CrashSuspects(it.suspects.putAll(listed.value)) }
@@ -93,6 +101,7 @@
     }
 
     private companion object {
+        val POLL_INTERVAL: Duration = 10.seconds
         val WATCH_RETRY_DELAY: Duration = 1.seconds
     }
 }
