Request each newer configuration revision from peers on its own

What callers would see: while the store is away, a sidecar or gateway of the product's own front stays on an old configuration although its peers have a newer one.

Cause: LinkContext remembered the highest revision that it had requested from any peer and requested only higher ones. A peer that reports a revision far ahead and does not deliver it, or a request that is lost with its link, made all others void for the life of the process.

ConfigurationPullPolicy, a pure function of the requests and the time, requests each revision above its own on its own, and again after two seconds.

LinkContextTest, before: no request for revision 9 after a peer had reported 1000; after: requested.

--- a/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
@@ -10,6 +10,7 @@
     val number: Int,
 ) {
     CONFIGURATION(10),
+    CONFIGURATION_PULLS(12),
     ROUTING(15),
     TIME_LIMITS(16),
     ENGINE(20),
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
@@ -57,7 +57,7 @@
             clock = clock,
         )
     val core = createCore(settings, self, tables, ports, wakeUp, random)
-    val runner = createLinkRunner(settings, self, runtime, directory, tables, updater, wakeUp)
+    val runner = createLinkRunner(settings, self, runtime, directory, tables, updater, wakeUp, clock)
     val hosts = HttpHostList(runtime.vertx, settings.hostList, runtime.observations)
     return GatewayDaemon(
         settings = settings,
@@ -104,6 +104,7 @@
     tables: GatewayTables,
     updater: ConfigurationUpdater,
     wakeUp: WakeUp,
+    clock: Clock,
 ): SidecarLinkRunner =
     SidecarLinkRunner(
         self = self,
@@ -111,7 +112,7 @@
         selector = runtime.selector,
         directory = directory,
         tables = tables,
-        context = LinkContext(tables.configuration, updater, runtime.observations),
+        context = LinkContext(tables.configuration, updater, runtime.observations, clock),
         wakeUp = wakeUp,
         observations = runtime.observations,
         scope = runtime.workers.scope,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemonFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/SidecarDaemonFactory.kt
@@ -35,7 +35,7 @@
     val supervisor = BackendSupervisor(tables, caller, runtime.observations)
     val admission = AttemptAdmission(self, tables)
     val exchanges = ExchangeQueue(SidecarExchange(admission, caller, supervisor), runtime.observations)
-    val links = createLinkServer(settings, self, runtime, tables, updater, admission, exchanges)
+    val links = createLinkServer(settings, self, runtime, tables, updater, admission, exchanges, clock)
     val reconciler = if (settings.isModelEngine) createReconciler(settings, runtime, store, tables) else null
     return SidecarDaemon(
         settings = settings,
@@ -74,6 +74,7 @@
     updater: ConfigurationUpdater,
     admission: AttemptAdmission,
     exchanges: ExchangeQueue,
+    clock: Clock,
 ): LinkServer =
     LinkServer(
         self = self,
@@ -81,7 +82,7 @@
         pool = settings.pool,
         selector = runtime.selector,
         tables = tables,
-        context = LinkContext(tables.configuration, updater, runtime.observations),
+        context = LinkContext(tables.configuration, updater, runtime.observations, clock),
         admission = admission,
         exchanges = exchanges,
         observations = runtime.observations,
