Read the plans of engines beside one that cannot be decoded

What callers would see: no engine of a pool changes its role or model any more, for as long as the plan has one state that cannot be decoded, for example a role of a newer release; and no edit could mend it.

Cause: StoredPlanRecords decoded the states of all engines as a whole or not at all, and both the sidecars and PlanEditor read the plan first.

States are now decoded one by one. PoolPlan names the sidecars whose state is unreadable: they take no step and report the failure, as before; the others follow their plans. An edit of the unreadable engine replaces its state; an edit of another engine fails, since writing the plan would drop it.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/plan/EngineReconciler.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/plan/EngineReconciler.kt
@@ -7,6 +7,7 @@
 import org.acaciaflow.coordination.port.OrderOutcome
 import org.acaciaflow.coordination.port.PlanKey
 import org.acaciaflow.coordination.port.PlanRecords
+import org.acaciaflow.coordination.port.StoreFailure
 import org.acaciaflow.coordination.port.StoreResult
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.plan.EngineState
@@ -46,18 +47,20 @@
     /** Emits whenever the plan may have changed. */
     fun planChanges(): Flow<Unit> = plans.changes(key)
 
+    /** Reads the plan; null if it, or its state of this engine, cannot be read. */
     private suspend fun readPlan(): PoolPlan? =
         when (val read = plans.read(key)) {
-            is StoreResult.Success -> {
-                read.value
-            }
-
-            is StoreResult.Failure -> {
-                observations.storeFailed(read.reason)
-                null
-            }
+            is StoreResult.Success ->
+                read.value.takeUnless { self in it.unreadable }
+                    ?: unreadable(StoreFailure.MALFORMED_ANSWER)
+            is StoreResult.Failure -> unreadable(read.reason)
         }
 
+    private fun unreadable(reason: StoreFailure): PoolPlan? {
+        observations.storeFailed(reason)
+        return null
+    }
+
     /** Sends the order for [desired] if a fresh read of the plan still has it as the desired state. */
     private suspend fun order(desired: EngineState) {
         val latest = readPlan() ?: return
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/plan/PlanEditor.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/plan/PlanEditor.kt
@@ -12,7 +12,11 @@
 class PlanEditor(
     private val plans: PlanRecords,
 ) {
-    /** Sets the desired state of the engine behind [sidecar]. */
+    /**
+     * Sets the desired state of the engine behind [sidecar].
+     *
+     * Fails while the plan has a state of another engine that cannot be decoded, since writing the plan would drop it.
+     */
     suspend fun assign(
         key: PlanKey,
         sidecar: HostAddress,
@@ -24,6 +28,7 @@
                     is StoreResult.Failure -> return PlanEdit.StoreFailed(read.reason)
                     is StoreResult.Success -> read.value
                 }
+            if ((plan.unreadable - sidecar).isNotEmpty()) return PlanEdit.StoreFailed(StoreFailure.MALFORMED_ANSWER)
             val next = plan.copy(engines = plan.engines.put(sidecar, desired))
             when (val swapped = plans.swap(key, next)) {
                 is StoreResult.Failure -> {
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/plan/StoredPlanRecords.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/plan/StoredPlanRecords.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.map
 import kotlinx.io.bytestring.ByteString
@@ -9,6 +10,7 @@
 import kotlinx.io.bytestring.encodeToByteString
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
 import org.acaciaflow.coordination.port.KeyValueStore
 import org.acaciaflow.coordination.port.PlanKey
 import org.acaciaflow.coordination.port.PlanRecords
@@ -61,7 +63,7 @@
     private fun decode(value: StoredValue?): StoreResult<PoolPlan> {
         if (value == null) return StoreResult.Success(PoolPlan.NONE)
         return try {
-            val document = Json.decodeForeign(PlanDocument.serializer(), value.value.decodeToString())
+            val document = Json.decodeForeign(ReceivedPlan.serializer(), value.value.decodeToString())
             StoreResult.Success(planOf(document, value.revision))
         } catch (_: IllegalArgumentException) {
             StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
@@ -69,15 +71,23 @@
     }
 
     private fun planOf(
-        document: PlanDocument,
+        document: ReceivedPlan,
         revision: Long,
     ): PoolPlan {
-        val engines =
-            document.engines.mapNotNull { (sidecar, state) ->
-                parseHostAddress(sidecar)?.let { it to state.toState() }
-            }
-        return PoolPlan(revision, engines.toMap().toPersistentMap())
+        val states =
+            document.engines
+                .mapNotNull { (sidecar, state) -> parseHostAddress(sidecar)?.let { it to stateOrNull(state) } }
+                .toMap()
+        val readable = states.mapNotNull { (sidecar, state) -> state?.let { sidecar to it } }.toMap()
+        return PoolPlan(revision, readable.toPersistentMap(), (states.keys - readable.keys).toPersistentSet())
     }
+
+    private fun stateOrNull(state: JsonElement): EngineState? =
+        try {
+            Json.decodeFromJsonElement(EngineStateDocument.serializer(), state).toState()
+        } catch (_: IllegalArgumentException) {
+            null
+        }
 }
 
 /** JSON form of the plan of one pool in one data centre; [engines] is keyed by sidecar address. */
@@ -86,6 +96,12 @@
     val engines: Map<String, EngineStateDocument>,
 )
 
+/** A [PlanDocument] whose states are decoded one by one, since any of them may be malformed. */
+@Serializable
+internal data class ReceivedPlan(
+    val engines: Map<String, JsonElement>,
+)
+
 /** JSON form of the state of an engine. */
 @Serializable
 data class EngineStateDocument(
