--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -144,6 +144,11 @@
         val revision: Long,
     ) : Event(EventKind.STORE_CHANGE_MISSED)
 
+    /** A value or message from the store could not be decoded and was left out; [excerpt] is its beginning. */
+    data class StoredValueUnreadable(
+        val excerpt: String,
+    ) : Event(EventKind.STORED_VALUE_UNREADABLE)
+
     data class RoutingAdopted(
         val version: Long,
         val former: Long,
@@ -195,6 +200,11 @@
 
     data object HostListUnavailable : Event(EventKind.HOST_LIST_UNAVAILABLE)
 
+    /** The number of hosts on the list that cannot be decoded has changed to [count]; the other hosts are used. */
+    data class HostsUnreadable(
+        val count: Int,
+    ) : Event(EventKind.HOSTS_UNREADABLE)
+
     data class CrashSuspected(
         val digest: RequestDigest,
     ) : Event(EventKind.CRASH_SUSPECTED)
--- a/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.transport.peer
 
 import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.ktor.network.selector.SelectorManager
 import io.micrometer.prometheusmetrics.PrometheusConfig
@@ -12,7 +13,9 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.decodeToString
 import kotlinx.io.bytestring.encodeToByteString
@@ -32,8 +35,13 @@
 import org.acaciaflow.state.peer.Peer
 import org.acaciaflow.state.route.RoutingConfiguration
 import org.acaciaflow.transport.observation.MeteredObservations
+import java.io.IOException
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.concurrent.thread
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -71,6 +79,98 @@
             selector.close()
         }
 
+    /** Guards against a gateway that asks one peer again and again, which reports a version that it cannot deliver. */
+    @Test
+    fun `a newer configuration is fetched although other peers report higher versions that they do not deliver`() =
+        runBlocking {
+            val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+            val selector = SelectorManager(Dispatchers.IO)
+            val newerPeer = freeAddress()
+            val olderTables = createRelayTables()
+            val newerTables = createRelayTables()
+            RoutingUpdater(VersionDocuments, newerTables.routing, observations)
+                .offer("9".encodeToByteString(), ConfigurationOrigin.STORE)
+            RoutingUpdater(VersionDocuments, olderTables.routing, observations)
+                .offer("5".encodeToByteString(), ConfigurationOrigin.STORE)
+            exchange(newerPeer, newerTables, selector, scope).start()
+            exchange(freeAddress(), olderTables, selector, scope).start()
+            val silentPeer = RawPeer(answer = null)
+            val faultyPeer = RawPeer("HTTP/1.1 400 Bad Request\r\n\r\n".encodeToByteArray())
+            val olderPeer = RawPeer(byteArrayOf(0, 0, 0, 1, '4'.code.toByte()))
+            val faulty = listOf(freeAddress(), silentPeer.address, faultyPeer.address, olderPeer.address)
+
+            val reports =
+                faulty.mapIndexed { index, address -> peerAt(address, version = 1_000L + index) } +
+                    peerAt(newerPeer, version = 9)
+            olderTables.peers.update { it.copy(live = it.live.putAll(reports.associateBy(Peer::address))) }
+
+            withTimeoutOrNull(10.seconds) { while (versionOf(olderTables) != 9L) delay(20.milliseconds) }
+            versionOf(olderTables) shouldBe 9
+            scope.cancel()
+            selector.close()
+            listOf(silentPeer, faultyPeer, olderPeer).forEach { it.close() }
+        }
+
+    /** Guards against peers that connect and read nothing, and hold a copy of the document and a connection each. */
+    @Test
+    fun `connections that read nothing are closed and hold little memory`() =
+        runBlocking {
+            val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+            val selector = SelectorManager(Dispatchers.IO)
+            val address = freeAddress()
+            val tables = createRelayTables()
+            val document = "9".padStart(LARGE_DOCUMENT_BYTES, '0')
+            RoutingUpdater(VersionDocuments, tables.routing, observations)
+                .offer(document.encodeToByteString(), ConfigurationOrigin.STORE)
+            exchange(address, tables, selector, scope).start()
+            val memoryBefore = usedMemory()
+
+            val readers = List(40) { connectSlowly(address) }
+            delay(500.milliseconds)
+            val memoryHeld = usedMemory() - memoryBefore
+            delay(3.seconds)
+            val wholeDocuments = readers.count { bytesUntilEnd(it) >= LARGE_DOCUMENT_BYTES }
+
+            wholeDocuments shouldBe 0
+            memoryHeld shouldBeLessThan 60L * 1024 * 1024
+            withContext(Dispatchers.IO) { bytesUntilEnd(connectSlowly(address)) } shouldBe LARGE_DOCUMENT_BYTES + 4
+            scope.cancel()
+            selector.close()
+        }
+
+    private fun usedMemory(): Long {
+        System.gc()
+        return Runtime.getRuntime().run { totalMemory() - freeMemory() }
+    }
+
+    private fun connectSlowly(address: HostAddress): Socket =
+        Socket().apply {
+            receiveBufferSize = 4096
+            connect(InetSocketAddress(address.ip, address.port))
+        }
+
+    private fun bytesUntilEnd(socket: Socket): Int =
+        socket.use {
+            it.soTimeout = 3_000
+            val buffer = ByteArray(65_536)
+            var total = 0
+            try {
+                while (true) {
+                    val count = it.getInputStream().read(buffer)
+                    if (count < 0) break
+                    total += count
+                }
+            } catch (_: IOException) {
+                // The peer has reset the connection.
+            }
+            total
+        }
+
+    private fun versionOf(tables: RelayTables): Long =
+        tables.routing
+            .snapshot()
+            .configuration.version
+
     private fun exchange(
         self: HostAddress,
         tables: RelayTables,
@@ -96,6 +196,7 @@
             observations,
             supervisor,
             scope,
+            Clock.System,
         )
     }
 
@@ -115,6 +216,39 @@
 
     private fun freeAddress(): HostAddress =
         ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { HostAddress("127.0.0.1", it.localPort) }
+
+    private companion object {
+        const val LARGE_DOCUMENT_BYTES = 7 * 1024 * 1024
+    }
+}
+
+/** A peer that writes [answer] to each connection, or nothing, and keeps the connection open. */
+private class RawPeer(
+    answer: ByteArray?,
+) : AutoCloseable {
+    private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val connections = ConcurrentLinkedQueue<Socket>()
+
+    val address = HostAddress("127.0.0.1", server.localPort)
+
+    init {
+        thread(isDaemon = true) {
+            try {
+                while (true) server.accept().also(connections::add).apply { answer?.let(getOutputStream()::write) }
+            } catch (_: IOException) {
+                // The test has closed the server.
+            }
+        }
+    }
+
+    override fun close() {
+        server.close()
+        connections.forEach { it.close() }
+    }
+
+    private companion object {
+        const val BACKLOG = 50
+    }
 }
 
 /** Decodes documents that consist only of a version number. */
