Do not write an error answer into a stream that has begun

Cause: AnswerDelivery chose by the head of each attempt alone. An answer that is no event stream was buffered and, when complete, begun and ended like a first one, whatever the caller had received.

Now only events continue an answer that has begun. Any other answer ends the attempt, and the stream goes on at another server within the bound on attempts, else it is aborted.

StreamResumeTest, an error of type text/plain and one of text/event-stream in the second attempt, for each byte at which the first one is cut: failed before at its first case (the caller got "data: error" and an end), passes for all after.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/AnswerDelivery.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/AnswerDelivery.kt
@@ -38,6 +38,9 @@
                 else -> null
             }
 
+    /** Returns true if an answer with [head] can be forwarded: only events can continue an answer that has begun. */
+    fun accepts(head: AnswerHead): Boolean = !progress.begun || framing.isEventStream(head)
+
     suspend fun head(head: AnswerHead): CallerWrite {
         if (!bufferWhole && framing.isEventStream(head)) {
             mode = DeliveryMode.Events(framing.newSplitter(), persistentListOf())
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/RepeatableAttempt.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/gateway/RepeatableAttempt.kt
@@ -42,17 +42,29 @@
         while (true) {
             val written =
                 when (val event = stream.next()) {
-                    is AttemptEvent.Head -> delivery.head(event.head)
-                    is AttemptEvent.Data -> delivery.data(event.bytes)
-                    AttemptEvent.End -> return ended(pending, delivery.end())
-                    is AttemptEvent.Refused -> return refused(pending, assignment, event.reason)
-                    is AttemptEvent.Broken -> return afterBroken(
-                        pending,
-                        assignment,
-                        delivery.progress,
-                        event.reason,
-                        now,
-                    )
+                    is AttemptEvent.Head -> {
+                        if (!delivery.accepts(event.head)) {
+                            stream.cancel()
+                            return retryOrFail(pending, assignment, delivery.progress, MayHaveRun.ANSWER_INCOMPLETE)
+                        }
+                        delivery.head(event.head)
+                    }
+
+                    is AttemptEvent.Data -> {
+                        delivery.data(event.bytes)
+                    }
+
+                    AttemptEvent.End -> {
+                        return ended(pending, delivery.end())
+                    }
+
+                    is AttemptEvent.Refused -> {
+                        return refused(pending, assignment, event.reason)
+                    }
+
+                    is AttemptEvent.Broken -> {
+                        return afterBroken(pending, assignment, delivery.progress, event.reason, now)
+                    }
                 }
             if (written == CallerWrite.CALLER_GONE) {
                 stream.cancel()
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/FakeCallerExchange.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/FakeCallerExchange.kt
@@ -34,7 +34,14 @@
 
     override fun onDisconnect(action: () -> Unit) = Unit
 
-    override suspend fun begin(head: AnswerHead): CallerWrite = CallerWrite.WRITTEN
+    /** The number of answer heads that the gateway sent. */
+    var heads = 0
+        private set
+
+    override suspend fun begin(head: AnswerHead): CallerWrite {
+        heads += 1
+        return CallerWrite.WRITTEN
+    }
 
     override suspend fun send(bytes: ByteString): CallerWrite {
         received += bytes.decodeToString()
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/StreamResumeTest.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/StreamResumeTest.kt
@@ -67,8 +67,28 @@
         whole.startsWith(exchange.received) shouldBe true
     }
 
+    /** Guards against an error's text in the middle of a stream, or a stream that it ends as if complete. */
+    @Test
+    fun `an error in place of the rest of a stream does not reach the caller`() {
+        val types = listOf("text/plain", "text/event-stream")
+        for (type in types) {
+            for (cut in 0 until whole.length) {
+                val exchange = serve(listOf(cut), TruncatingConnections(listOf(cut), failure = errorOf(type)))
+
+                withClue("$type, cut at $cut") {
+                    exchange.received shouldBe whole
+                    exchange.heads shouldBe 1
+                    exchange.completed shouldBe true
+                }
+            }
+        }
+    }
+
     /** Serves one call; attempt n, counted from 0, breaks after `cuts[n]` bytes of the remaining stream. */
-    private fun serve(cuts: List<Int>): FakeCallerExchange {
+    private fun serve(
+        cuts: List<Int>,
+        connections: TruncatingConnections = TruncatingConnections(cuts),
+    ): FakeCallerExchange {
         val exchange = FakeCallerExchange(claim = "", target = "/v1/completions")
         runTest {
             val clock =
@@ -78,7 +98,6 @@
             val random = Random(SEED)
             val store = FakeKeyValueStore(this, random, faultRate = 0.0)
             val sidecars = FakeSidecars(this, random, faultRate = 0.0)
-            val connections = TruncatingConnections(cuts)
             FakeGateway(0, 1, this, store, connections, sidecars::registerIn, clock, random).accept(exchange)
             delay(SERVING_MILLISECONDS)
             coroutineContext.cancelChildren()
@@ -86,8 +105,17 @@
         return exchange
     }
 
+    private fun errorOf(type: String): List<AttemptEvent> =
+        listOf(
+            AttemptEvent.Head(AnswerHead(status = 500, persistentListOf(HeaderField("Content-Type", type)))),
+            AttemptEvent.Data("data: error\n\n".encodeToByteString()),
+            AttemptEvent.End,
+        )
+
+    /** Attempts are cut off at [cuts]; the one after the first gets [failure], if any. */
     private inner class TruncatingConnections(
         private val cuts: List<Int>,
+        private val failure: List<AttemptEvent>? = null,
     ) : SidecarConnections {
         private var attempts = 0
 
@@ -98,6 +126,7 @@
             val text = events.drop(order.resumeFromToken).joinToString("") + "data: [DONE]\n\n"
             val cut = cuts.getOrNull(attempts)
             attempts += 1
+            if (failure != null && attempts == 2) return TruncatedStream(failure)
             return TruncatedStream(parts(text, cut))
         }
 
