Do not end a resumed stream that brought no event

Cause: an event stream without events was taken for incomplete only if the caller had received nothing, by tracker.progress.begun. An answer that goes on with a stream was complete without any event.

Now each attempt must bring an event, comments aside. What follows is as for a stream that breaks off: another server, else an abort.

Ruled out: the end of a stream whose last event had just been sent. An attempt after it brings no event either, and can't be told from a crash; such a stream is now aborted. It takes a break between the last event and the end.

ResumedStreamTest, services with and without engines, no event and a comment alone: failed before ("abc" with a proper end in place of "abcdefgh"), 8 of 8 pass after; RequestRelayTest, StreamProgressTest, BoundedAnswerTest, CrashingPartTest, AtMostOnceTest, AnswerMemoryTest and StreamResumeTest pass.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -137,8 +137,8 @@
                 }
 
                 AttemptEvent.End -> {
-                    // An answer without length ends with its connection, so a crash at its start looks like its end.
-                    val incomplete = !delivery.endsAtEventBoundary || !tracker.progress.begun
+                    // An answer without length ends with its connection, so a crash before its events looks like its end.
+                    val incomplete = !delivery.endsAtEventBoundary || !delivery.hasEvents
                     if (incomplete) return RunOutcome.Broken(MayHaveRun.ANSWER_INCOMPLETE)
                     return outcomeOf(delivery.end(), head.status)
                 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
@@ -33,6 +33,10 @@
     val endsAtEventBoundary: Boolean
         get() = splitter.incompleteSize == 0
 
+    /** True once this attempt sent an event, comments aside. */
+    var hasEvents = false
+        private set
+
     /** Forwards the events that [bytes] complete and buffers the rest. */
     suspend fun forward(bytes: ByteString): Forwarded {
         val events = splitter.split(bytes)
@@ -45,6 +49,7 @@
         val last = events.lastOrNull { it.identity != null }?.identity
         val identified = events.all { it.isComment || it.isEndMark || it.identity != null }
         if (last != null) resuming = false
+        if (events.any { !it.isComment }) hasEvents = true
         tracker.update {
             it.copy(
                 begunAt = it.begunAt ?: clock.now(),
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ResumedStreamTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ResumedStreamTest.kt
@@ -87,6 +87,24 @@
             result.caller.aborted shouldBe true
         }
 
+    /** Guards against a stream that ends as complete although a server crashed before it went on with it. */
+    @Test
+    fun `an answer without events instead of the rest of a stream does not end it on all services`() =
+        forAllServices { service ->
+            val broken = Reaction.Paces(listOf("a", "b", "c"), 150.milliseconds, endless = false, breaks = true)
+            val empty = Reaction.Paces(listOf(), 5.milliseconds, endless = false)
+            val comment = Reaction.Paces(listOf("."), 5.milliseconds, endless = false)
+            for (rest in listOf(empty, comment)) {
+                val resumed = service.play(listOf(broken, rest, Reaction.Streams(breakAt = null)))
+                val aborted = service.play(listOf(broken, rest, rest))
+
+                resumed.caller.text.filter { it.isLetter() } shouldBe "abcdefgh"
+                resumed.caller.ended shouldBe true
+                aborted.caller.aborted shouldBe true
+                aborted.caller.ended shouldBe false
+            }
+        }
+
     /** Guards against the joined answers of two runs on a plain route whose service sends events. */
     @Test
     fun `an event stream on a plain route is aborted when it breaks`() =
