Send no new work to a server that says in an answer that it is leaving

Callers would have seen nothing, but the platform's rule on drains was broken: a backend server that leaves says so in all its answers, and the gateway did not read that. It stopped sending only once the store said so, or never, for a server that does not report in the store.

The platform module decodes the notice from the head of an answer, after the answer has been classified as one of the addressed server; an answer of another request or of another lifetime is not believed. BackendAvailability marks the lifetime as leaving, in the set that keeps lifetimes seen draining, so that neither a later entry, a report of a peer nor a reload undoes it, peers are told, and a new lifetime at the address gets work. The first sight is logged as AF1213 with the request. An unreadable notice is ignored, counted, and logged once a lifetime.

SendPermission is the one function that says whether work may be sent. It is asked before a run or prefill is prepared and again by the transport once its connection is there, since the notice may come in between. What it denies was not sent: it counts neither as an attempt nor against the server. A decode engine that is denied is replaced by another one for the same KV cache; the same now holds for one that refuses the connection, after which the KV cache was forgotten and the prompt prefilled anew. An engine that could not fetch the KV cache and is leaving no longer gets the prompt itself. KV cache that a leaving engine has just made is still fetched, since that engine serves on for a while.

Notices in the answers to the release of KV cache are not read.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -146,6 +146,19 @@
         val fault: DocumentFault,
     ) : Event(EventKind.BACKEND_ENTRY_UNREADABLE)
 
+    /** [life] is known to be leaving for the first time; it gets no new work. */
+    data class BackendLeaving(
+        val life: BackendLife,
+        val origin: LeavingOrigin,
+    ) : Event(EventKind.BACKEND_LEAVING)
+
+    /** The answer of [life] to [requestId] had an unreadable notice, which begins with [text]. */
+    data class BackendNoticeUnreadable(
+        val life: BackendLife,
+        val requestId: String,
+        val text: String,
+    ) : Event(EventKind.BACKEND_NOTICE_UNREADABLE)
+
     data class PeerHeard(
         val gateway: HostAddress,
         val configurationVersion: Long,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
@@ -4,7 +4,8 @@
 import org.acaciaflow.coordination.crash.CrashRecorder
 import org.acaciaflow.coordination.engine.PromptCaches
 import org.acaciaflow.coordination.event.Event
-import org.acaciaflow.coordination.fleet.FleetChanges
+import org.acaciaflow.coordination.event.LeavingOrigin
+import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.load.RemoteLoads
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.relay.RelayTables
@@ -26,6 +27,7 @@
     private val observations: Observations,
 ) {
     private val crashGossip = CrashGossip(tables.crashes, CrashRecorder(tables.crashes, observations))
+    private val availability = BackendAvailability(tables.fleet, tables.notices, observations)
     private var sequence = 0L
 
     /** Builds the next report as of [now]; the prompts in it are left out of later reports. */
@@ -133,9 +135,8 @@
         report: PeerReport,
         lives: Map<Int, BackendLife>,
     ) {
-        val leaving = tables.fleet.snapshot().leaving
-        val added = report.leaving.mapNotNull { lives[it] }.filterNot { it in leaving }
-        if (added.isNotEmpty()) tables.fleet.update { added.fold(it, FleetChanges::leaving) }
+        val origin = LeavingOrigin.Report(report.sender)
+        report.leaving.mapNotNull { lives[it] }.forEach { availability.leaving(it, origin) }
     }
 
     private fun applyReads(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
@@ -34,6 +34,9 @@
     /** A decision about one request was made. */
     fun decided(decision: Decision)
 
+    /** A notice in a backend server's answer could not be read and was ignored. */
+    fun noticeUnreadable()
+
     fun storeFailed(reason: StoreFailure)
 
     /** A frame that belongs to no attempt in progress was dropped. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -3,7 +3,9 @@
 import org.acaciaflow.coordination.buffer.BufferLimits
 import org.acaciaflow.coordination.buffer.BufferReservation
 import org.acaciaflow.coordination.crash.CrashRecorder
+import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.fleet.FleetChanges
+import org.acaciaflow.coordination.fleet.SendPermission
 import org.acaciaflow.coordination.gateway.StreamFraming
 import org.acaciaflow.coordination.gateway.sendWhole
 import org.acaciaflow.coordination.load.LoadLedger
@@ -27,6 +29,7 @@
 /** Sends a request to one backend server and relays its answer to the caller. */
 internal class BackendRun(
     private val tables: RelayTables,
+    private val availability: BackendAvailability,
     private val crashes: CrashRecorder,
     private val connections: BackendConnections,
     private val framing: StreamFraming,
@@ -35,7 +38,7 @@
     private val clock: Clock,
 ) {
     /**
-     * Executes [order], whose first result is predicted to take [work].
+     * Executes [order], whose first result is predicted to take [work], unless its server may get no new work.
      *
      * Records the load and the outcome in the shared tables.
      */
@@ -46,6 +49,10 @@
         stallTimeouts: StallTimeouts,
         tracker: RelayProgressTracker,
     ): RunOutcome {
+        when (val permission = availability.permissionFor(order.backend)) {
+            is SendPermission.Denied -> return RunOutcome.NotExecuted(permission.reason)
+            SendPermission.Granted -> Unit
+        }
         val life = order.backend.life
         val job = jobs.next()
         tables.load.update { LoadLedger.sent(it, life, job, work, tokensOf(request), clock.now()) }
@@ -196,7 +203,7 @@
             when (outcome) {
                 is RunOutcome.Delivered -> RunVerdict.SUCCEEDED
                 RunOutcome.CallerGone -> return
-                is RunOutcome.NotExecuted -> verdictOf(life, outcome.reason)
+                is RunOutcome.NotExecuted -> verdictOf(life, outcome.reason) ?: return
                 is RunOutcome.Broken -> RunVerdict.FAILED
                 is RunOutcome.Failed -> RunVerdict.FAILED
             }
@@ -242,10 +249,12 @@
         return now - firstResultAt < START_PERIOD
     }
 
+    /** Returns the verdict on a server that did not execute a request; null when nothing was sent to it. */
     private fun verdictOf(
         life: BackendLife,
         reason: AttemptRefusal,
-    ): RunVerdict {
+    ): RunVerdict? {
+        if (reason in SendPermission.DENIALS) return null
         if (reason == AttemptRefusal.OTHER_LIFE) tables.fleet.update { FleetChanges.rejected(it, life) }
         return if (reason == AttemptRefusal.CONNECTION_REFUSED) RunVerdict.UNREACHABLE else RunVerdict.REFUSED
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -57,6 +57,7 @@
             when (step) {
                 is EngineStep.Finished -> return step.conclusion
                 is EngineStep.Retry -> reason = step.reason
+                EngineStep.NotSent -> reason = RetryReason.ATTEMPT_REFUSED
             }
         }
     }
@@ -81,8 +82,7 @@
                 recordFailedPrefill(
                     tracker,
                     path.prefillEngine,
-                    counted =
-                        outcome.reason != AttemptRefusal.CONNECTION_REFUSED,
+                    counted = !isNotSent(outcome.reason),
                 )
                 observations.decided(Decision.Ran(request, path.prefillEngine, outcome.toString(), clock.now()))
                 EngineStep.Retry(RetryReason.ATTEMPT_REFUSED)
@@ -96,6 +96,7 @@
         }
     }
 
+    /** Decodes from [source]; as long as it could not be sent, another engine is chosen for the same KV cache. */
     private suspend fun decode(
         request: RelayedRequest,
         prompt: Prompt,
@@ -103,6 +104,20 @@
         path: EnginePath.RemotePrefill,
         source: CacheSource,
         tracker: RelayProgressTracker,
+    ): EngineStep {
+        while (true) {
+            val step = decodeOnce(request, prompt, properties, path, source, tracker)
+            if (step != EngineStep.NotSent) return step
+        }
+    }
+
+    private suspend fun decodeOnce(
+        request: RelayedRequest,
+        prompt: Prompt,
+        properties: EngineProperties,
+        path: EnginePath.RemotePrefill,
+        source: CacheSource,
+        tracker: RelayProgressTracker,
     ): EngineStep {
         val now = clock.now()
         if (now >= request.deadline) {
@@ -120,11 +135,25 @@
             if (!retryLimiter.tryAcquire(request, tracker.progress, step.reason, clock.now())) {
                 return EngineStep.Finished(noAttemptLeft(tracker.progress))
             }
-            return send(request, prompt, properties, chosen, null, path, tracker)
+            return localPrefillAfterFetch(request, prompt, properties, chosen, path, tracker)
         }
         return step
     }
 
+    /** Prefills at [engine] itself after it could not fetch the KV cache; plans anew if it may get no new work. */
+    private suspend fun localPrefillAfterFetch(
+        request: RelayedRequest,
+        prompt: Prompt,
+        properties: EngineProperties,
+        engine: BackendEntry,
+        path: EnginePath,
+        tracker: RelayProgressTracker,
+    ): EngineStep =
+        when (val step = send(request, prompt, properties, engine, null, path, tracker)) {
+            EngineStep.NotSent -> EngineStep.Retry(RetryReason.ATTEMPT_REFUSED)
+            is EngineStep.Finished, is EngineStep.Retry -> step
+        }
+
     private suspend fun send(
         request: RelayedRequest,
         prompt: Prompt,
@@ -157,6 +186,7 @@
             return EngineStep.Retry(RetryReason.CACHE_UNAVAILABLE)
         }
         recordAttempt(tracker, engine, outcome)
+        if (outcome is RunOutcome.NotExecuted && isNotSent(outcome.reason)) return EngineStep.NotSent
         return nextStep(request, outcome, tracker)
     }
 
@@ -238,6 +268,9 @@
         data class Retry(
             val reason: RetryReason,
         ) : EngineStep
+
+        /** Nothing was sent; KV cache that was to be fetched is still held for the request. */
+        data object NotSent : EngineStep
     }
 
     private companion object {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.relay
 
+import org.acaciaflow.coordination.fleet.SendPermission
 import org.acaciaflow.coordination.plain.PlainSelection
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.retry.RetryReason
@@ -103,18 +104,22 @@
     }
 }
 
-/** Records an attempt at [backend], which excludes it from further attempts; a refused connection is not counted. */
+/** Records an attempt at [backend], which excludes it from further attempts; one that was not sent is not counted. */
 internal fun recordAttempt(
     tracker: RelayProgressTracker,
     backend: BackendEntry,
     outcome: RunOutcome,
 ) {
-    val notConnected = outcome is RunOutcome.NotExecuted && outcome.reason == AttemptRefusal.CONNECTION_REFUSED
+    val notSent = outcome is RunOutcome.NotExecuted && isNotSent(outcome.reason)
     tracker.update { progress ->
         progress.copy(
-            reached = if (notConnected) progress.reached else progress.reached.add(backend.life),
-            countedAttempts = if (notConnected) progress.countedAttempts else progress.countedAttempts + 1,
+            reached = if (notSent) progress.reached else progress.reached.add(backend.life),
+            countedAttempts = if (notSent) progress.countedAttempts else progress.countedAttempts + 1,
             excluded = progress.excluded.add(backend.life),
         )
     }
 }
+
+/** Returns true if [reason] means that nothing of the request was sent to the server. */
+internal fun isNotSent(reason: AttemptRefusal): Boolean =
+    reason == AttemptRefusal.CONNECTION_REFUSED || reason in SendPermission.DENIALS
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
@@ -4,7 +4,9 @@
 import org.acaciaflow.coordination.engine.EnginePath
 import org.acaciaflow.coordination.engine.PromptCaches
 import org.acaciaflow.coordination.engine.RateEstimator
+import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.fleet.FleetChanges
+import org.acaciaflow.coordination.fleet.SendPermission
 import org.acaciaflow.coordination.load.LoadLedger
 import org.acaciaflow.coordination.port.BackendConnections
 import org.acaciaflow.coordination.port.CacheSource
@@ -27,12 +29,13 @@
 /** Runs prefills on prefill engines and records which prompt parts engines have processed. */
 internal class PrefillRun(
     private val tables: RelayTables,
+    private val availability: BackendAvailability,
     private val connections: BackendConnections,
     private val jobs: JobIdentityAllocator,
     private val clock: Clock,
 ) {
     /**
-     * Prefills the prompt of [request] on the prefill engine of [path].
+     * Prefills the prompt of [request] on the prefill engine of [path], unless it may get no new work.
      *
      * Records the load and the outcome in the shared tables.
      */
@@ -43,6 +46,10 @@
         prompt: Prompt,
         properties: EngineProperties,
     ): PrefillOutcome {
+        when (val permission = availability.permissionFor(order.backend)) {
+            is SendPermission.Denied -> return PrefillOutcome.Refused(permission.reason)
+            SendPermission.Granted -> Unit
+        }
         val life = order.backend.life
         val job = jobs.next()
         val sentAt = clock.now()
@@ -55,8 +62,9 @@
                 withTimeoutOrNull(timeout) { connections.prefill(order, request.body) }
                     ?: PrefillOutcome.Broken(MayHaveRun.STREAM_STALLED)
             val now = clock.now()
-            val verdict = verdictOf(life, outcome)
-            tables.reliability.update { ReliabilityPolicy.recorded(it, life, verdict, now) }
+            verdictOf(life, outcome)?.let { verdict ->
+                tables.reliability.update { ReliabilityPolicy.recorded(it, life, verdict, now) }
+            }
             if (outcome is PrefillOutcome.Ready) {
                 recordDelay(request, path, now - sentAt)
                 if (wasIdle) updateRate(request, order.backend.role, path.work, now - sentAt)
@@ -113,10 +121,11 @@
         tables.rates.update { RateEstimator.withSample(it, request.pool, role, predicted, prefillTime) }
     }
 
+    /** Returns the verdict on [life] after [outcome]; null when nothing was sent to it. */
     private fun verdictOf(
         life: BackendLife,
         outcome: PrefillOutcome,
-    ): RunVerdict =
+    ): RunVerdict? =
         when (outcome) {
             is PrefillOutcome.Ready -> {
                 RunVerdict.SUCCEEDED
@@ -128,7 +137,11 @@
 
             is PrefillOutcome.Refused -> {
                 if (outcome.reason == AttemptRefusal.OTHER_LIFE) tables.fleet.update { FleetChanges.rejected(it, life) }
-                if (outcome.reason == AttemptRefusal.CONNECTION_REFUSED) RunVerdict.UNREACHABLE else RunVerdict.REFUSED
+                when (outcome.reason) {
+                    in SendPermission.DENIALS -> null
+                    AttemptRefusal.CONNECTION_REFUSED -> RunVerdict.UNREACHABLE
+                    else -> RunVerdict.REFUSED
+                }
             }
         }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -4,6 +4,7 @@
 import org.acaciaflow.coordination.buffer.BufferLimits
 import org.acaciaflow.coordination.buffer.bufferLimitsOf
 import org.acaciaflow.coordination.crash.CrashRecorder
+import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.gateway.StreamFraming
 import org.acaciaflow.coordination.port.BackendConnections
 import org.acaciaflow.coordination.port.CallerDialect
@@ -36,8 +37,9 @@
     val candidates = Candidates(tables, dataCentre)
     val retryLimiter = RetryLimiter(tables, candidates, bounds, ports.observations)
     val jobIdentities = JobIdentityAllocator()
-    val backendRun = createBackendRun(tables, jobIdentities, ports)
-    val prefillRun = PrefillRun(tables, ports.connections, jobIdentities, ports.clock)
+    val availability = BackendAvailability(tables.fleet, tables.notices, ports.observations)
+    val backendRun = createBackendRun(tables, availability, jobIdentities, ports)
+    val prefillRun = PrefillRun(tables, availability, ports.connections, jobIdentities, ports.clock)
     return RequestRelay(
         dialect = ports.dialect,
         initialConfiguration = InitialConfigurationWait(tables.routing, startedAt = ports.clock.now()),
@@ -54,11 +56,13 @@
 
 private fun createBackendRun(
     tables: RelayTables,
+    availability: BackendAvailability,
     jobs: JobIdentityAllocator,
     ports: RelayPorts,
 ): BackendRun =
     BackendRun(
         tables = tables,
+        availability = availability,
         crashes = CrashRecorder(tables.crashes, ports.observations),
         connections = ports.connections,
         framing = ports.framing,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
@@ -16,6 +16,7 @@
 import org.acaciaflow.state.load.FleetLoad
 import org.acaciaflow.state.load.MeanPrefill
 import org.acaciaflow.state.lock.LockOrder
+import org.acaciaflow.state.notice.BackendNotices
 import org.acaciaflow.state.peer.Peers
 import org.acaciaflow.state.prompt.PromptCache
 import org.acaciaflow.state.reliability.ReliabilityRecord
@@ -31,6 +32,7 @@
     internal val timeLimits: SharedTable<PersistentMap<RouteName, Duration>>,
     internal val turns: SharedTable<PersistentList<PendingTurn>>,
     val fleet: SharedTable<Fleet>,
+    val notices: SharedTable<BackendNotices>,
     val reliability: SharedTable<PersistentMap<BackendLife, ReliabilityRecord>>,
     val meanPrefills: SharedTable<PersistentMap<RouteName, MeanPrefill>>,
     val caches: SharedTable<PersistentMap<BackendLife, PromptCache>>,
@@ -51,6 +53,7 @@
         timeLimits = createSharedTable(LockOrder.TIME_LIMITS, persistentMapOf()),
         turns = createSharedTable(LockOrder.REQUEST_TURNS, persistentListOf()),
         fleet = createSharedTable(LockOrder.FLEET, Fleet.NONE),
+        notices = createSharedTable(LockOrder.BACKEND_NOTICES, BackendNotices.NONE),
         reliability = createSharedTable(LockOrder.RELIABILITY, persistentMapOf()),
         meanPrefills = createSharedTable(LockOrder.MEAN_PREFILLS, persistentMapOf()),
         caches = createSharedTable(LockOrder.PROMPT_CACHES, persistentMapOf()),
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeObservations.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeObservations.kt
@@ -13,6 +13,8 @@
 internal class FakeObservations : Observations {
     val decisions = mutableListOf<Decision>()
     val events = mutableListOf<Event>()
+    var unreadableNotices = 0
+        private set
 
     override fun event(event: Event) {
         events += event
@@ -39,6 +41,10 @@
         decisions += decision
     }
 
+    override fun noticeUnreadable() {
+        unreadableNotices += 1
+    }
+
     override fun storeFailed(reason: StoreFailure) = Unit
 
     override fun strayFrameDropped() = Unit
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/PlatformNamesTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/PlatformNamesTest.kt
@@ -17,6 +17,7 @@
             "kv-txn",
             "ACACIAFLOW_NODE_FILE",
             "Not-Executed",
+            "Server-Leaving",
             "op/config",
         )
 
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/ServiceServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/ServiceServer.kt
@@ -15,6 +15,13 @@
     /** The requests that have reached this server. */
     val requests = AtomicInteger()
 
+    /** The status of the next answers, and what they carry besides the usual headers. */
+    @Volatile
+    var status = 200
+
+    @Volatile
+    var headers: List<Pair<String, String>> = emptyList()
+
     init {
         server.executor = threads
         server.createContext("/") { exchange ->
@@ -22,7 +29,8 @@
             requests.incrementAndGet()
             exchange.responseHeaders.add("Request-Id", exchange.requestHeaders.getFirst("Request-Id"))
             exchange.responseHeaders.add("Server-Stamp", "stamp.$instance")
-            exchange.sendResponseHeaders(200, BODY.size.toLong())
+            headers.forEach { (name, value) -> exchange.responseHeaders.add(name, value) }
+            exchange.sendResponseHeaders(status, BODY.size.toLong())
             exchange.responseBody.use { it.write(BODY) }
         }
         server.start()
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/BackendDialect.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/BackendDialect.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.coordination.port.CacheSource
+import org.acaciaflow.coordination.port.LeavingNotice
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.state.refusal.AttemptRefusal
@@ -26,6 +27,9 @@
         head: AnswerHead,
     ): AnswerVerdict
 
+    /** Reads what the server that wrote [head] says of its departure; not for an answer of another request. */
+    fun leavingNotice(head: AnswerHead): LeavingNotice
+
     /** Interprets the complete answer to a [prefillHead] call. */
     fun prefillOutcome(
         order: RunOrder,
@@ -56,3 +60,12 @@
     /** It reports success but lacks the backend server's signature. */
     data object Unsigned : AnswerVerdict
 }
+
+/** True if the answer is one of the server that was addressed, so that its notices concern that server. */
+val AnswerVerdict.isOfAddressedServer: Boolean
+    get() =
+        when (this) {
+            AnswerVerdict.Genuine -> true
+            is AnswerVerdict.NotExecuted -> reason != AttemptRefusal.OTHER_LIFE
+            AnswerVerdict.OfOtherRequest, AnswerVerdict.Unsigned -> false
+        }
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/NoOpObservations.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/NoOpObservations.kt
@@ -33,6 +33,8 @@
 
     override fun decided(decision: Decision) = Unit
 
+    override fun noticeUnreadable() = Unit
+
     override fun storeFailed(reason: StoreFailure) = Unit
 
     override fun strayFrameDropped() = Unit
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/AttemptRefusal.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/AttemptRefusal.kt
@@ -1,12 +1,17 @@
 package org.acaciaflow.state.refusal
 
-/** Why a sidecar rejected an attempt. The attempt will never start, so the request may be sent to another server. */
+/**
+ * Why an attempt was not executed: a sidecar or backend server rejected it, or the gateway itself did not send it.
+ *
+ * The attempt will never start, so the request may be sent to another server.
+ */
 enum class AttemptRefusal(
     val code: String,
 ) {
     AT_CAPACITY("at-capacity"),
     LEAVING("leaving"),
     OTHER_LIFE("other-life"),
+    REPLACED("replaced"),
     TOMBSTONED("tombstoned"),
     STALE_ATTEMPT("stale-attempt"),
     REPEATED_ATTEMPT("repeated-attempt"),
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -11,6 +11,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.coordination.fleet.BackendAvailability
+import org.acaciaflow.coordination.fleet.SendPermission
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BackendConnections
@@ -38,6 +40,7 @@
 internal class DirectConnections(
     vertx: Vertx,
     private val dialect: BackendDialect,
+    private val availability: BackendAvailability,
     private val calls: HttpCalls,
     private val scope: CoroutineScope,
 ) : BackendConnections {
@@ -55,11 +58,10 @@
         body: WholeBody,
     ): AttemptStream {
         val head = dialect.runHead(order)
-        val request =
-            connect(order.backend.address, head) ?: return FinishedStream(
-                AttemptEvent.Refused(AttemptRefusal.CONNECTION_REFUSED),
-            )
-        return DirectStream(order, CallPurpose.RUN, dialect, send(request, head, body))
+        return when (val sent = connectAndSend(order, head, body)) {
+            is Sending.NotSent -> FinishedStream(AttemptEvent.Refused(sent.reason))
+            is Sending.Sent -> DirectStream(order, CallPurpose.RUN, dialect, availability, sent.request)
+        }
     }
 
     override suspend fun prefill(
@@ -68,8 +70,11 @@
     ): PrefillOutcome {
         val head = dialect.prefillHead(order)
         val request =
-            connect(order.backend.address, head) ?: return PrefillOutcome.Refused(AttemptRefusal.CONNECTION_REFUSED)
-        val stream = DirectStream(order, CallPurpose.PREFILL, dialect, send(request, head, body))
+            when (val sent = connectAndSend(order, head, body)) {
+                is Sending.NotSent -> return PrefillOutcome.Refused(sent.reason)
+                is Sending.Sent -> sent.request
+            }
+        val stream = DirectStream(order, CallPurpose.PREFILL, dialect, availability, request)
         try {
             return when (val first = stream.next()) {
                 is AttemptEvent.Head -> prefillOutcome(order, first.head, stream.readWhole(PREFILL_ANSWER_BYTES))
@@ -97,6 +102,26 @@
             BoundedBody.Broken -> PrefillOutcome.Broken(MayHaveRun.BACKEND_CRASHED)
         }
 
+    /** Connects and sends the request, unless the server may get no new work by the time that it is connected. */
+    private suspend fun connectAndSend(
+        order: RunOrder,
+        head: CallHead,
+        body: WholeBody,
+    ): Sending {
+        val request =
+            connect(order.backend.address, head) ?: return Sending.NotSent(AttemptRefusal.CONNECTION_REFUSED)
+        return when (val permission = availability.permissionFor(order.backend)) {
+            SendPermission.Granted -> {
+                Sending.Sent(send(request, head, body))
+            }
+
+            is SendPermission.Denied -> {
+                request.connection().close()
+                Sending.NotSent(permission.reason)
+            }
+        }
+    }
+
     /** Connects to the backend server; null when the connection failed and nothing was sent. */
     private suspend fun connect(
         address: HostAddress,
@@ -132,6 +157,16 @@
         return request
     }
 
+    private sealed interface Sending {
+        data class Sent(
+            val request: HttpClientRequest,
+        ) : Sending
+
+        data class NotSent(
+            val reason: AttemptRefusal,
+        ) : Sending
+    }
+
     private companion object {
         const val PREFILL_ANSWER_BYTES = 64 * 1024 // a short document
         const val HEADER_BYTES = 64 * 1024
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -3,6 +3,7 @@
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import kotlinx.coroutines.withTimeoutOrNull
+import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BodyPart
@@ -10,6 +11,7 @@
 import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.protocol.dialect.CallPurpose
+import org.acaciaflow.protocol.dialect.isOfAddressedServer
 import org.acaciaflow.protocol.http.HopByHopHeaders
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
@@ -26,6 +28,7 @@
     private val order: RunOrder,
     private val purpose: CallPurpose,
     private val dialect: BackendDialect,
+    private val availability: BackendAvailability,
     private val request: HttpClientRequest,
 ) : AttemptStream {
     private val opened = request.response().map { response -> OpenedAnswer(response, BodyChannel(response.pause())) }
@@ -82,6 +85,7 @@
         val fields = answer.response.headers().toFields()
         val head = AnswerHead(answer.response.statusCode(), HopByHopHeaders.strip(fields))
         val verdict = dialect.classifyAnswer(order, purpose, head)
+        if (verdict.isOfAddressedServer) availability.noticed(order, dialect.leavingNotice(head))
         foreign = verdict == AnswerVerdict.OfOtherRequest || verdict == AnswerVerdict.Unsigned
         val event = eventFor(verdict) ?: return AttemptEvent.Head(head)
         if (event is AttemptEvent.Refused) drain(answer.body)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
@@ -26,6 +26,7 @@
     private val decisions: DecisionLog = DecisionLog(),
 ) : Observations {
     private val strayFrames = registry.counter(Meters.STRAY_FRAMES)
+    private val unreadableNotices = registry.counter(Meters.NOTICES_UNREADABLE)
 
     // A registry lookup costs more than an increment, so meters are cached.
     private val counters = ConcurrentHashMap<CounterKey, Counter>()
@@ -63,6 +64,8 @@
     /** Starts a loop of [supervisor] that writes queued decision lines to the log. */
     fun start(supervisor: LoopSupervisor) = decisions.start(supervisor)
 
+    override fun noticeUnreadable() = unreadableNotices.increment()
+
     override fun storeFailed(reason: StoreFailure) = count(Meters.STORE_FAILURES, "reason", reason.code)
 
     override fun strayFrameDropped() = strayFrames.increment()
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
@@ -16,6 +16,8 @@
     const val STORE_REVISION = "acaciaflow.store.revision"
     const val CONFIGURATION_VERSION = "acaciaflow.configuration.version"
     const val STRAY_FRAMES = "acaciaflow.frames.stray"
+    const val BACKENDS_LEAVING = "acaciaflow.backends.leaving"
+    const val NOTICES_UNREADABLE = "acaciaflow.backends.notices.unreadable"
 
     val ALL =
         listOf(
@@ -33,5 +35,7 @@
             STORE_REVISION,
             CONFIGURATION_VERSION,
             STRAY_FRAMES,
+            BACKENDS_LEAVING,
+            NOTICES_UNREADABLE,
         )
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.transport.process
 
 import kotlinx.io.bytestring.encodeToByteString
+import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.peer.GatewayIdentity
 import org.acaciaflow.coordination.peer.LoadExchange
 import org.acaciaflow.coordination.peer.PeerGossip
@@ -22,6 +23,7 @@
 import org.acaciaflow.transport.http.BodyLimits
 import org.acaciaflow.transport.http.CallerServer
 import org.acaciaflow.transport.http.FrontEnd
+import org.acaciaflow.transport.observation.registerFleetGauges
 import org.acaciaflow.transport.observation.registerStoreGauges
 import org.acaciaflow.transport.peer.ConfigurationExchange
 import org.acaciaflow.transport.peer.PeerExchange
@@ -39,11 +41,13 @@
 ): Daemon {
     val runtime = createSingleLoopRuntime(clock)
     val tables = createRelayTables()
+    registerFleetGauges(runtime.registry, tables.fleet)
     registerStoreGauges(runtime.registry, tables.store, tables.routing, clock)
     val calls = VertxHttpCalls(runtime.vertx, SHORT_ANSWER_BYTES)
     val store = adapters.openStore(VertxHttpCalls(runtime.vertx, STORE_ANSWER_BYTES))
     val stop = StopSignal()
-    val connections = DirectConnections(runtime.vertx, adapters.backends, calls, runtime.workers.scope)
+    val availability = BackendAvailability(tables.fleet, tables.notices, runtime.observations)
+    val connections = DirectConnections(runtime.vertx, adapters.backends, availability, calls, runtime.workers.scope)
     val ports =
         RelayPorts(
             connections = connections,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -42,7 +42,13 @@
     private val releases = CoroutineScope(Dispatchers.Default)
     private val emptyBody = checkNotNull(wholeBodyOf(EmptyBody))
     private val connections =
-        DirectConnections(vertx, TestDialect, VertxHttpCalls(vertx, maximumBytes = 64 * 1024), releases)
+        DirectConnections(
+            vertx,
+            TestDialect,
+            createBackendAvailability(),
+            VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
+            releases,
+        )
 
     @AfterAll
     fun close() =
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestDialect.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestDialect.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.coordination.port.CacheSource
+import org.acaciaflow.coordination.port.LeavingNotice
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.protocol.dialect.AnswerVerdict
@@ -35,6 +36,12 @@
         }
     }
 
+    override fun leavingNotice(head: AnswerHead): LeavingNotice =
+        when (head.headers.any { it.name.equals("leaving", ignoreCase = true) }) {
+            true -> LeavingNotice.Leaving
+            false -> LeavingNotice.Absent
+        }
+
     override fun prefillOutcome(
         order: RunOrder,
         head: AnswerHead,
