--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -7,6 +7,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.coordination.fleet.BackendAvailability
+import org.acaciaflow.coordination.fleet.SendPermission
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BackendConnections
@@ -21,6 +23,7 @@
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
+import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.transport.http.BoundedBody
 import org.acaciaflow.transport.http.connect
 import kotlin.time.Duration
@@ -31,6 +34,7 @@
 internal class DirectConnections(
     vertx: Vertx,
     private val dialect: BackendDialect,
+    private val availability: BackendAvailability,
     private val calls: HttpCalls,
     private val scope: CoroutineScope,
 ) : BackendConnections {
@@ -48,11 +52,10 @@
         body: WholeBody,
     ): AttemptStream {
         val head = dialect.runHead(order)
-        val request =
-            client.connect(order.backend.address, head) ?: return FinishedStream(
-                AttemptEvent.Refused(AttemptRefusal.CONNECTION_REFUSED),
-            )
-        return sendAttempt(order, CallPurpose.RUN, dialect, request, head, body)
+        return when (val sent = connectAndSend(order, CallPurpose.RUN, head, body)) {
+            is Sending.NotSent -> FinishedStream(AttemptEvent.Refused(sent.reason))
+            is Sending.Sent -> sent.stream
+        }
     }
 
     override suspend fun prefill(
@@ -60,10 +63,11 @@
         body: WholeBody,
     ): PrefillOutcome {
         val head = dialect.prefillHead(order)
-        val request =
-            client.connect(order.backend.address, head)
-                ?: return PrefillOutcome.Refused(AttemptRefusal.CONNECTION_REFUSED)
-        val stream = sendAttempt(order, CallPurpose.PREFILL, dialect, request, head, body)
+        val stream =
+            when (val sent = connectAndSend(order, CallPurpose.PREFILL, head, body)) {
+                is Sending.NotSent -> return PrefillOutcome.Refused(sent.reason)
+                is Sending.Sent -> sent.stream
+            }
         try {
             return when (val first = stream.next()) {
                 is AttemptEvent.Head -> prefillOutcome(order, first.head, stream.readWhole(PREFILL_ANSWER_BYTES))
@@ -91,6 +95,37 @@
             BoundedBody.Broken -> PrefillOutcome.Broken(MayHaveRun.BACKEND_CRASHED)
         }
 
+    /** Connects and sends the request, unless the server may get no new work by the time that it is connected. */
+    private suspend fun connectAndSend(
+        order: RunOrder,
+        purpose: CallPurpose,
+        head: CallHead,
+        body: WholeBody,
+    ): Sending {
+        val request =
+            client.connect(order.backend.address, head) ?: return Sending.NotSent(AttemptRefusal.CONNECTION_REFUSED)
+        return when (val permission = availability.permissionFor(order.backend)) {
+            SendPermission.Granted -> {
+                Sending.Sent(sendAttempt(order, purpose, dialect, availability, request, head, body))
+            }
+
+            is SendPermission.Denied -> {
+                request.connection().close()
+                Sending.NotSent(permission.reason)
+            }
+        }
+    }
+
+    private sealed interface Sending {
+        data class Sent(
+            val stream: DirectStream,
+        ) : Sending
+
+        data class NotSent(
+            val reason: AttemptRefusal,
+        ) : Sending
+    }
+
     private companion object {
         const val PREFILL_ANSWER_BYTES = 64 * 1024 // a short document
         const val HEADER_BYTES = 64 * 1024
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import kotlinx.coroutines.withTimeoutOrNull
+import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BodyPart
@@ -12,6 +13,7 @@
 import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.protocol.dialect.CallPurpose
+import org.acaciaflow.protocol.dialect.isOfAddressedServer
 import org.acaciaflow.protocol.http.HopByHopHeaders
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
@@ -30,6 +32,7 @@
     private val order: RunOrder,
     private val purpose: CallPurpose,
     private val dialect: BackendDialect,
+    private val availability: BackendAvailability,
     private val request: HttpClientRequest,
 ) : AttemptStream {
     private val opened = request.response().map(::openAnswer)
@@ -77,6 +80,7 @@
         val channel = BodyChannel(response.pause())
         val head = AnswerHead(response.statusCode(), HopByHopHeaders.strip(response.headers().toFields()))
         val verdict = dialect.classifyAnswer(order, purpose, head)
+        if (verdict.isOfAddressedServer) availability.noticed(order, dialect.leavingNotice(head))
         val isForeign = verdict == AnswerVerdict.OfOtherRequest || verdict == AnswerVerdict.Unsigned
         return OpenedAnswer(head, verdict, channel, closed = if (isForeign) request.connection().close() else null)
     }
@@ -121,11 +125,12 @@
     order: RunOrder,
     purpose: CallPurpose,
     dialect: BackendDialect,
+    availability: BackendAvailability,
     request: HttpClientRequest,
     head: CallHead,
     body: WholeBody,
 ): DirectStream {
-    val stream = DirectStream(order, purpose, dialect, request)
+    val stream = DirectStream(order, purpose, dialect, availability, request)
     head.headers.filterNot { it.name.equals("content-length", ignoreCase = true) }.forEach {
         request.headers().add(it.name, it.value)
     }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -48,7 +48,13 @@
     private val releases = CoroutineScope(Dispatchers.Default)
     private val emptyBody = checkNotNull(wholeBodyOf(EmptyBody))
     private val connections =
-        DirectConnections(vertx, TestDialect, VertxHttpCalls(vertx, maximumBytes = 64 * 1024), releases)
+        DirectConnections(
+            vertx,
+            TestDialect,
+            createBackendAvailability(),
+            VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
+            releases,
+        )
 
     @AfterAll
     fun close() =
@@ -134,8 +140,10 @@
                         .setHost(backend.address.ip)
                         .setPort(backend.address.port)
                 val request = heldUpAfterSend(vertx.createHttpClient().request(options).coAwait())
+                val head = TestDialect.runHead(order)
+                val availability = createBackendAvailability()
                 val stream =
-                    sendAttempt(order, CallPurpose.RUN, TestDialect, request, TestDialect.runHead(order), emptyBody)
+                    sendAttempt(order, CallPurpose.RUN, TestDialect, availability, request, head, emptyBody)
 
                 bodyOf(stream) shouldBe ("body of request-1" to AttemptEvent.End)
             }
