Pin that a broken head is no answer

Tried: heads of answers with a length, in chunks and without either, cut at each byte, followed by the end of the connection; as runs (the head bears the type of event streams), prefills, short calls over VertxHttpCalls, and as calls and probes of a sidecar. All were broken, lost or unreachable. An answer without length whose connection is reset is broken too. In all of them nothing was passed on.

Not decidable: an answer without length that ends early while its connection closes in order. The contract counts it as whole. For event streams an event must have come and be complete.

--- a/transport/src/test/kotlin/org/acaciaflow/transport/backend/VertxBackendCallerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/backend/VertxBackendCallerTest.kt
@@ -4,12 +4,28 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.runBlocking
+import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.coordination.port.AnswerSink
+import org.acaciaflow.coordination.port.AttemptOrder
 import org.acaciaflow.coordination.port.BackendHealth
+import org.acaciaflow.coordination.port.BackendResult
+import org.acaciaflow.coordination.port.BodyPart
+import org.acaciaflow.coordination.port.CallBody
+import org.acaciaflow.state.identity.AttemptIdentity
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.identity.ProcessIdentity
+import org.acaciaflow.state.work.AnswerHead
+import org.acaciaflow.state.work.CallHead
+import org.acaciaflow.state.work.Rank
+import org.acaciaflow.state.work.RequestDigest
 import org.acaciaflow.transport.direct.RawBackend
 import java.io.OutputStream
+import kotlin.time.Duration.Companion.seconds
 
 class VertxBackendCallerTest : AnnotationSpec() {
     private val vertx = Vertx.vertx()
@@ -43,4 +59,59 @@
             }
         }
     }
+
+    /** Guards against a head that breaks off and is taken for a whole answer with an empty or short body. */
+    @Test
+    fun `a head that stops anywhere and whose connection closes is no answer of a sidecar's server`() {
+        val framings = listOf("Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", "")
+        for (framing in framings) {
+            val whole = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n$framing\r\n"
+            for (cut in 1 until whole.length) {
+                val backend =
+                    RawBackend { output, _, _ ->
+                        write(output, whole.take(cut))
+                        output.close()
+                    }
+                backend.use {
+                    val caller = VertxBackendCaller(vertx, backend.address, "/health", connections = 2)
+
+                    withClue("cut at $cut of '$framing'") {
+                        runBlocking { caller.call(ORDER, EmptyBody, NoAnswer) }
+                            .shouldBeInstanceOf<BackendResult.Broken>()
+                        runBlocking { caller.probe() } shouldBe BackendHealth.Unreachable
+                    }
+                }
+            }
+        }
+    }
+
+    private object EmptyBody : CallBody {
+        override val buffered = ByteString()
+        override val whole = true
+
+        override suspend fun next(): BodyPart = BodyPart.End
+    }
+
+    /** Fails if any part of an answer is passed on. */
+    private object NoAnswer : AnswerSink {
+        override suspend fun head(head: AnswerHead) = error("answer head passed on: $head")
+
+        override suspend fun data(bytes: ByteString) = error("answer data passed on: $bytes")
+    }
+
+    private companion object {
+        val SIDECAR = ProcessIdentity(HostAddress("127.0.0.1", 1), 1)
+        val ORDER =
+            AttemptOrder(
+                attempt = AttemptIdentity(SIDECAR, 1),
+                sidecar = SIDECAR,
+                call = CallHead("POST", "/", persistentListOf()),
+                rank = Rank.STANDARD,
+                atMostOnce = false,
+                alone = false,
+                digest = RequestDigest("digest"),
+                resumeFromToken = 0,
+                timeLeft = 5.seconds,
+            )
+    }
 }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -30,6 +30,7 @@
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.coordination.port.wholeBodyOf
 import org.acaciaflow.protocol.dialect.CallPurpose
+import org.acaciaflow.protocol.dialect.HttpResult
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
@@ -295,15 +296,59 @@
         }
     }
 
+    /** Guards against a head that breaks off and is taken for a whole answer with an empty or short body. */
+    @Test
+    fun `a head that stops anywhere and whose connection closes is no answer`() {
+        val framings = listOf("Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", "")
+        for (framing in framings) {
+            val whole = "HTTP/1.1 200 OK\r\nRequest-Id: request-1\r\nContent-Type: text/event-stream\r\n$framing\r\n"
+            for (cut in 1 until whole.length) {
+                val backend =
+                    RawBackend { output, _, _ ->
+                        write(output, whole.take(cut))
+                        output.close()
+                    }
+                shouldBeCutOff("cut at $cut of '$framing'", backend, alsoAsOtherCalls = true)
+            }
+        }
+    }
+
+    /** Guards against an answer that ends with its connection and is taken for whole although it was reset. */
+    @Test
+    fun `an answer without length whose connection is reset never ends as complete`() {
+        val backend =
+            RawBackend { output, id, _ ->
+                write(output, "HTTP/1.1 200 OK\r\nRequest-Id: $id\r\n\r\nhalf")
+                Thread.sleep(100)
+                resetConnections()
+            }
+
+        shouldBeCutOff("reset", backend)
+    }
+
     private fun shouldBeCutOff(
         clue: String,
         backend: RawBackend,
+        alsoAsOtherCalls: Boolean = false,
     ) = backend.use {
         runBlocking {
             withClue(clue) {
                 val (_, end) = withTimeout(5.seconds) { read(backend, "request-1") }
 
                 end.shouldBeInstanceOf<AttemptEvent.Broken>()
+                if (alsoAsOtherCalls) {
+                    connections
+                        .prefill(orderFor(backend, "request-1"), emptyBody)
+                        .shouldBeInstanceOf<PrefillOutcome.Broken>()
+                    VertxHttpCalls(vertx, maximumBytes = 1024)
+                        .call(
+                            backend.address,
+                            CallHead("GET", "/", persistentListOf()),
+                            ByteString(),
+                            2.seconds,
+                        ) shouldBe
+                        HttpResult.ConnectionLost
+                }
                 backend.poured.get() shouldBeLessThan POURED_LIMIT
             }
         }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/RawBackend.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/RawBackend.kt
@@ -65,6 +65,13 @@
         }
     }
 
+    /** Resets all connections instead of closing them in order. */
+    fun resetConnections() =
+        sockets.forEach {
+            it.setSoLinger(true, 0)
+            it.close()
+        }
+
     override fun close() {
         server.close()
         sockets.forEach { it.close() }
