Give each call of a sidecar a connection of its own

Cause: the protocol between sidecar and backend has no identity in answers, and connections were reused for calls that may run again. At-most-once calls already had a new connection each, for another reason.

Now all calls have. Probes keep their own small pool. Extra bytes after a whole answer end with the connection.

Weighed: an identity that backends repeat would keep reuse, but all backends of the product would have to be changed. The cost of a connection on the same host was not measured; to be measured under load.

VertxBackendCallerTest, three calls to a server that repeats the first answer of each connection: before "answer 1" three times, after 1, 2 and 3.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/backend/VertxBackendCaller.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/backend/VertxBackendCaller.kt
@@ -48,14 +48,19 @@
     private val probePath: String,
     connections: Int,
 ) : BackendCaller {
-    private val client: HttpClient =
+    private val probeClient: HttpClient =
         vertx.createHttpClient(
             HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds.toInt()),
-            PoolOptions().setHttp1MaxSize(connections + PROBE_CONNECTIONS),
+            PoolOptions().setHttp1MaxSize(PROBE_CONNECTIONS),
         )
 
-    /** Opens a new connection for each at-most-once call: the backend may close a reused one while a call is sent. */
-    private val singleUseClient: HttpClient =
+    /**
+     * Opens a new connection for each call.
+     *
+     * Answers carry no identity, so on a reused connection a late copy of an earlier answer would be taken for the
+     * answer to the next call. The backend may also close a reused connection while a call is sent.
+     */
+    private val callClient: HttpClient =
         vertx.createHttpClient(
             HttpClientOptions()
                 .setConnectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
@@ -87,7 +92,7 @@
 
     private suspend fun fetchHealth(): BackendHealth? {
         val answered =
-            client
+            probeClient
                 .request(requestOptions(HttpMethod.GET, probePath))
                 .compose { it.send() }
                 .compose { answer -> answer.body().map { answer } }
@@ -107,8 +112,7 @@
 
     private suspend fun connect(order: AttemptOrder): AsyncResult<HttpClientRequest> {
         val options = requestOptions(HttpMethod.valueOf(order.call.method), order.call.target)
-        val selectedClient = if (order.atMostOnce) singleUseClient else client
-        return selectedClient.request(options).awaitResult()
+        return callClient.request(options).awaitResult()
     }
 
     private fun requestOptions(
--- a/transport/src/test/kotlin/org/acaciaflow/transport/backend/VertxBackendCallerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/backend/VertxBackendCallerTest.kt
@@ -10,6 +10,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.runBlocking
 import kotlinx.io.bytestring.ByteString
+import kotlinx.io.bytestring.decodeToString
 import org.acaciaflow.coordination.port.AnswerSink
 import org.acaciaflow.coordination.port.AttemptOrder
 import org.acaciaflow.coordination.port.BackendHealth
@@ -25,6 +26,7 @@
 import org.acaciaflow.state.work.RequestDigest
 import org.acaciaflow.transport.direct.RawBackend
 import java.io.OutputStream
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.seconds
 
 class VertxBackendCallerTest : AnnotationSpec() {
@@ -85,6 +87,38 @@
         }
     }
 
+    /** Guards against an earlier answer, written once more, that a caller gets in place of its own. */
+    @Test
+    fun `an answer written once more does not answer the next call`() {
+        val earlier = ConcurrentHashMap<OutputStream, String>()
+        val backend =
+            RawBackend { output, _, number ->
+                val body = earlier.computeIfAbsent(output) { "answer $number" }
+                write(output, "HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n$body")
+            }
+
+        backend.use {
+            val caller = VertxBackendCaller(vertx, backend.address, "/health", connections = 2)
+            val sink = CollectedAnswers()
+            runBlocking {
+                repeat(3) { caller.call(ORDER, EmptyBody, sink) shouldBe BackendResult.Completed }
+            }
+
+            sink.bodies shouldBe listOf("answer 1", "answer 2", "answer 3")
+        }
+    }
+
+    /** Keeps the bodies of all answers, each of one part. */
+    private class CollectedAnswers : AnswerSink {
+        val bodies = mutableListOf<String>()
+
+        override suspend fun head(head: AnswerHead) = Unit
+
+        override suspend fun data(bytes: ByteString) {
+            bodies += bytes.decodeToString()
+        }
+    }
+
     private object EmptyBody : CallBody {
         override val buffered = ByteString()
         override val whole = true
