Follow the store's changes although the reads of all keys fail

A lifetime that was seen draining in an entry that arrives late stays drained: FleetChangesTest demands both directions in any order of arrival again.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/FleetChanges.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/FleetChanges.kt
@@ -19,9 +19,9 @@
         revision: Long,
     ): Fleet {
         val instance = entry.life.instance
-        if (isOlder(fleet, instance, revision)) return fleet
-        val known = fleet.entries[instance]
         val leaving = if (entry.draining) fleet.leaving.add(entry.life) else fleet.leaving
+        if (isOlder(fleet, instance, revision)) return fleet.copy(leaving = leaving)
+        val known = fleet.entries[instance]
         return fleet.copy(
             entries = fleet.entries.put(instance, entry),
             revisions = fleet.revisions.put(instance, revision),
@@ -30,6 +30,27 @@
         )
     }
 
+    /** Removes the backend server [instance], whose entry as written at [revision] can't be decoded. */
+    fun unreadable(
+        fleet: Fleet,
+        instance: String,
+        revision: Long,
+    ): Fleet {
+        if (isOlder(fleet, instance, revision)) return fleet
+        val rest = removed(fleet, instance)
+        return rest.copy(revisions = rest.revisions.put(instance, revision))
+    }
+
+    /** True if the entry of [instance] as written at [revision] has been applied and is not marked as lapsed. */
+    fun isApplied(
+        fleet: Fleet,
+        instance: String,
+        revision: Long,
+    ): Boolean {
+        val life = fleet.entries[instance]?.life
+        return fleet.revisions[instance] == revision && (life == null || life !in fleet.lapsed)
+    }
+
     /** True if the entry of [instance] was written after [revision]. */
     fun isOlder(
         fleet: Fleet,
@@ -53,11 +74,11 @@
         fleet: Fleet,
         instance: String,
     ): Fleet {
-        val known = fleet.entries[instance] ?: return fleet
+        val known = fleet.entries[instance]
         return fleet.copy(
             entries = fleet.entries.remove(instance),
             revisions = fleet.revisions.remove(instance),
-            lapsed = fleet.lapsed.remove(known.life),
+            lapsed = if (known == null) fleet.lapsed else fleet.lapsed.remove(known.life),
         )
     }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
@@ -34,7 +34,7 @@
 ) {
     /** Applies one change, or one key of a page. */
     fun apply(change: StoreChange) {
-        if (isOutdated(change)) return
+        if (isApplied(change)) return
         when (change) {
             is StoreItem.Written -> applyWrite(change.value)
             is StoreItem.Unreadable -> applyUnreadable(change)
@@ -52,12 +52,11 @@
         if (item.revision in known + 1..followed) observations.event(Event.StoreChangeMissed(item.key, item.revision))
     }
 
-    /** True for a change of a server's entry that was written again since, as a page may show before the watch does. */
-    private fun isOutdated(change: StoreChange): Boolean =
-        when (val kind = documents.kindOf(change.key)) {
-            is StoredKeyKind.Backend -> FleetChanges.isOlder(fleet.snapshot(), kind.instance, change.revision)
-            is StoredKeyKind.Gateway, StoredKeyKind.Configuration, StoredKeyKind.Other -> false
-        }
+    /** True for a server's entry that the fleet shows already; reading all keys again mostly finds such. */
+    private fun isApplied(change: StoreChange): Boolean {
+        val kind = documents.kindOf(change.key) as? StoredKeyKind.Backend ?: return false
+        return FleetChanges.isApplied(fleet.snapshot(), kind.instance, change.revision)
+    }
 
     private fun applyWrite(stored: StoredValue) {
         when (val kind = documents.kindOf(stored.key)) {
@@ -73,7 +72,7 @@
         observations.event(Event.StoreItemUnreadable(item.key, item.revision, item.fault))
         knowledge.update { StoreFreshness.unreadable(it, "${item.key.path}: ${item.fault.detail}") }
         when (val kind = documents.kindOf(item.key)) {
-            is StoredKeyKind.Backend -> fleet.update { FleetChanges.removed(it, kind.instance) }
+            is StoredKeyKind.Backend -> fleet.update { FleetChanges.unreadable(it, kind.instance, item.revision) }
             is StoredKeyKind.Gateway -> applyGateway(kind.address, present = true)
             StoredKeyKind.Configuration, StoredKeyKind.Other -> Unit
         }
@@ -81,7 +80,7 @@
 
     private fun applyRemoval(change: StoreChange.Removed) {
         when (val kind = documents.kindOf(change.key)) {
-            is StoredKeyKind.Backend -> handleMissing(kind.instance)
+            is StoredKeyKind.Backend -> removeUnlessNewer(kind.instance, change.revision)
             is StoredKeyKind.Gateway -> applyGateway(kind.address, present = false)
             StoredKeyKind.Configuration, StoredKeyKind.Other -> Unit
         }
@@ -95,21 +94,34 @@
             is Decoded.Invalid -> {
                 observations.event(Event.BackendEntryUnreadable(instance, stored.revision, decoded.fault))
                 knowledge.update { StoreFreshness.unreadable(it, "${stored.key.path}: ${decoded.fault.detail}") }
-                fleet.update { FleetChanges.removed(it, instance) }
+                fleet.update { FleetChanges.unreadable(it, instance, stored.revision) }
             }
 
             is Decoded.Valid -> {
                 val former = fleet.snapshot().entries[instance]
                 fleet.update { FleetChanges.registered(it, decoded.value, stored.revision) }
-                if (former != decoded.value) {
+                val current = fleet.snapshot().entries[instance]
+                if (former != current) {
                     observations.event(Event.BackendRegistered(decoded.value, stored.revision))
                 }
             }
         }
     }
 
+    /** Removes a server, unless its entry was written again after [revision], as a page may show before the watch. */
+    private fun removeUnlessNewer(
+        instance: String,
+        revision: Long,
+    ) {
+        if (!FleetChanges.isOlder(fleet.snapshot(), instance, revision)) handleMissing(instance)
+    }
+
     private fun handleMissing(instance: String) {
-        val known = fleet.snapshot().entries[instance] ?: return
+        val known = fleet.snapshot().entries[instance]
+        if (known == null) {
+            fleet.update { FleetChanges.removed(it, instance) }
+            return
+        }
         val now = clock.now()
         val doubtful = StoreFreshness.isInDoubt(knowledge.snapshot(), now)
         observations.event(Event.BackendMissing(known.life, doubtful))
@@ -143,12 +155,11 @@
 
     private fun removeAbsentServers(present: List<StoredKeyKind.Backend>) {
         val instances = present.map { it.instance }.toSet()
-        val absent =
-            fleet
-                .snapshot()
-                .entries.keys
-                .filterNot { it in instances }
-        absent.forEach { handleMissing(it) }
+        fleet
+            .snapshot()
+            .revisions.keys
+            .filterNot { it in instances }
+            .forEach { handleMissing(it) }
     }
 
     private fun removeAbsentGateways(present: List<StoredKeyKind.Gateway>) {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreReadPolicy.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreReadPolicy.kt
@@ -12,19 +12,19 @@
      * The next step after the [failures]th failure in a row of a watch.
      *
      * The same question brings the same answer as long as the store keeps its history, so it is asked again only where
-     * the answer may have been lost on the way.
+     * the answer may have been lost on the way, or the store could not take the call. A store may also go on refusing
+     * watches while it answers reads.
      */
     fun afterFailedWatch(
         reason: StoreFailure,
         failures: Int,
     ): AfterFailedWatch =
         when (reason) {
-            StoreFailure.MALFORMED_ANSWER, StoreFailure.ANSWER_TOO_LARGE -> AfterFailedWatch.READ_ALL_KEYS
+            StoreFailure.MALFORMED_ANSWER, StoreFailure.ANSWER_TOO_LARGE, StoreFailure.TIMED_OUT ->
+                AfterFailedWatch.READ_ALL_KEYS
 
-            StoreFailure.TIMED_OUT, StoreFailure.ANSWER_LOST ->
-                if (failures < LOST_ANSWERS) AfterFailedWatch.ASK_AGAIN else AfterFailedWatch.READ_ALL_KEYS
-
-            StoreFailure.UNREACHABLE, StoreFailure.REJECTED -> AfterFailedWatch.ASK_AGAIN
+            StoreFailure.ANSWER_LOST, StoreFailure.UNREACHABLE, StoreFailure.REJECTED ->
+                if (failures < FAILED_WATCHES) AfterFailedWatch.ASK_AGAIN else AfterFailedWatch.READ_ALL_KEYS
         }
 
     /** The next step after the [failures]th failure in a row of reading a page. */
@@ -33,12 +33,12 @@
         failures: Int,
     ): AfterFailedPage =
         when (reason) {
-            StoreFailure.UNREACHABLE, StoreFailure.REJECTED -> AfterFailedPage.STOP
+            StoreFailure.UNREACHABLE, StoreFailure.REJECTED -> AfterFailedPage.UNAVAILABLE
 
             StoreFailure.TIMED_OUT, StoreFailure.ANSWER_LOST ->
-                if (failures < LOST_ANSWERS) AfterFailedPage.ASK_AGAIN else AfterFailedPage.STOP
+                if (failures < LOST_PAGES) AfterFailedPage.ASK_AGAIN else AfterFailedPage.UNAVAILABLE
 
-            StoreFailure.MALFORMED_ANSWER, StoreFailure.ANSWER_TOO_LARGE -> AfterFailedPage.SKIP_SECTION
+            StoreFailure.MALFORMED_ANSWER, StoreFailure.ANSWER_TOO_LARGE -> AfterFailedPage.UNREADABLE
         }
 
     /**
@@ -73,7 +73,8 @@
         return pause * (1 - SPREAD / 2 + SPREAD * random.nextDouble())
     }
 
-    private const val LOST_ANSWERS = 2
+    private const val FAILED_WATCHES = 2
+    private const val LOST_PAGES = 2
     private const val MAXIMUM_DOUBLINGS = 10
     private const val SPREAD = 0.4
     private val READ_INTERVAL: Duration = 30.seconds
@@ -94,9 +95,9 @@
 enum class AfterFailedPage {
     ASK_AGAIN,
 
-    /** Gives up this section, whose answer can't be decoded, and reads the others. */
-    SKIP_SECTION,
+    /** Gives up the read, since this section can't be decoded. */
+    UNREADABLE,
 
-    /** Gives up the whole read, since the store doesn't answer. */
-    STOP,
+    /** Gives up the read, since the store doesn't answer. */
+    UNAVAILABLE,
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreReader.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreReader.kt
@@ -26,8 +26,8 @@
                     onFailure(answer.reason)
                     when (StoreReadPolicy.afterFailedPage(answer.reason, failures)) {
                         AfterFailedPage.ASK_AGAIN -> Unit
-                        AfterFailedPage.SKIP_SECTION -> return SectionRead.Unreadable(answer.reason)
-                        AfterFailedPage.STOP -> return SectionRead.Unavailable
+                        AfterFailedPage.UNREADABLE -> return SectionRead.Unreadable(answer.reason)
+                        AfterFailedPage.UNAVAILABLE -> return SectionRead.Unavailable
                     }
                 }
 
@@ -38,13 +38,21 @@
                     keys = keys.addAll(page.items.map { it.key })
                     // Pages are not read atomically; changes after the first page's revision cover the others.
                     revision = revision ?: page.revision
-                    after = page.next ?: return SectionRead.Complete(keys, revision)
+                    val next = page.next ?: return SectionRead.Complete(keys, revision)
+                    if (!isAfter(next, after)) return SectionRead.Unreadable(StoreFailure.MALFORMED_ANSWER)
+                    after = next
                 }
             }
         }
     }
 }
 
+/** True if [next] lies after [former]; a page that doesn't advance would be read for good. */
+private fun isAfter(
+    next: StoreKey,
+    former: StoreKey?,
+): Boolean = former == null || next.path > former.path
+
 /** Outcome of reading a section. */
 internal sealed interface SectionRead {
     /** The section had exactly [keys] as of [revision] or later. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -1,5 +1,7 @@
 package org.acaciaflow.coordination.store
 
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.coroutines.delay
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.fleet.FleetChanges
@@ -7,9 +9,11 @@
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreChanges
 import org.acaciaflow.coordination.port.StoreFailure
+import org.acaciaflow.coordination.port.StoreKey
 import org.acaciaflow.coordination.port.StorePage
 import org.acaciaflow.coordination.port.StoreResult
 import org.acaciaflow.coordination.port.StoredDocuments
+import org.acaciaflow.coordination.port.StoredKeyKind
 import org.acaciaflow.coordination.routing.RoutingUpdater
 import org.acaciaflow.state.fleet.Fleet
 import org.acaciaflow.state.identity.HostAddress
@@ -32,7 +36,7 @@
 class StoreWatcher(
     self: HostAddress,
     private val feed: ChangeFeed,
-    documents: StoredDocuments,
+    private val documents: StoredDocuments,
     routing: RoutingUpdater,
     private val fleet: SharedTable<Fleet>,
     peers: SharedTable<Peers>,
@@ -44,36 +48,62 @@
     @Volatile
     private var staleReportedAt: Instant? = null
 
-    /** True once the first snapshot of the store has been applied. */
     @Volatile
-    var synchronized: Boolean = false
-        private set
+    private var sectionsRead: PersistentSet<StoreKey> = persistentSetOf()
+
+    /** True once the configuration and the servers have each been read whole; other gateways are also heard directly. */
+    val synchronized: Boolean
+        get() = feed.sections.filterNot { documents.kindOf(it) is StoredKeyKind.Gateway }.all { it in sectionsRead }
 
     private val applier =
         StoreChangeApplier(self, documents, routing, fleet, peers, knowledge, observations, clock)
 
     private val reader = StoreReader(feed, onFailure = ::backOff, onPage = ::applyPage)
 
-    /** Follows the store until cancelled; reads all keys again when it has lost its place among the changes. */
+    /**
+     * Follows the store until cancelled, and reads all keys again when that is due or the place among the changes is lost.
+     *
+     * A read that fails does not end the watch: changes are followed from the former place meanwhile.
+     */
     suspend fun run() {
-        var readsInARow = 0
+        var place: Place? = null
+        var reads = 0
         while (true) {
-            delay(StoreReadPolicy.pauseBefore(readsInARow, random))
-            when (val read = readAll()) {
-                FullRead.Unavailable -> Unit
-                FullRead.Unreadable -> readsInARow += 1
-                is FullRead.Done -> readsInARow = readsAfter(follow(read), readsInARow)
+            delay(StoreReadPolicy.pauseBefore(reads, random))
+            val read = readAll()
+            val start = placeAfter(read, place)
+            if (start == null) {
+                if (read.available) reads += 1
+            } else {
+                val followed = follow(start)
+                reads = readsAfter(followed, reads)
+                place = followed.place
             }
         }
     }
 
+    /** Where to go on after [read]; an incomplete read leaves a former place that is not lost as it is. */
+    private fun placeAfter(
+        read: FullRead,
+        former: Place?,
+    ): Place? {
+        val nextReadAt = clock.now() + StoreReadPolicy.readInterval(read.complete, random)
+        val isKept = former != null && (read.revision == null || (!read.complete && !former.lost))
+        return when {
+            isKept -> former?.copy(nextReadAt = nextReadAt)
+            read.revision == null -> null
+            else -> Place(read.revision, nextReadAt, lost = false)
+        }
+    }
+
     private fun readsAfter(
-        end: EndOfFollowing,
+        followed: Followed,
         reads: Int,
     ): Int =
-        when (end) {
-            EndOfFollowing.ReadDue -> 0
-            is EndOfFollowing.PlaceLost -> if (end.followed) 1 else reads + 1
+        when {
+            !followed.place.lost -> 0
+            followed.changed -> 1
+            else -> reads + 1
         }
 
     /** Logs at [now] that the knowledge of the store is stale, once a [STALE_REPORT_INTERVAL] while it is. */
@@ -95,7 +125,7 @@
         if (fleet.snapshot().lapsed.isNotEmpty()) fleet.update { FleetChanges.lapsedRemoved(it, latest) }
     }
 
-    /** Reads and applies all sections, except those that can't be decoded. */
+    /** Reads and applies the sections in turn; one that can't be decoded does not hold back the others. */
     private suspend fun readAll(): FullRead {
         var revision: Long? = null
         var complete = true
@@ -104,6 +134,7 @@
                 is SectionRead.Complete -> {
                     applier.removeAbsent(section, read.keys)
                     revision = minOf(revision ?: read.revision, read.revision)
+                    sectionsRead = sectionsRead.add(section)
                 }
 
                 is SectionRead.Unreadable -> {
@@ -112,48 +143,52 @@
                 }
 
                 SectionRead.Unavailable -> {
-                    return FullRead.Unavailable
+                    return FullRead(revision, complete = false, available = false)
                 }
             }
         }
-        val known = revision ?: return FullRead.Unreadable
-        val now = clock.now()
-        knowledge.update { StoreFreshness.read(it, known, now) }
-        synchronized = true
-        return FullRead.Done(known, nextReadAt = now + StoreReadPolicy.readInterval(complete, random))
+        if (complete) revision?.let { known -> knowledge.update { StoreFreshness.read(it, known, clock.now()) } }
+        return FullRead(revision, complete, available = true)
     }
 
-    /** Applies the changes since [read] until all keys must be read again. */
-    private suspend fun follow(read: FullRead.Done): EndOfFollowing {
-        var revision = read.revision
+    /** Applies the changes after [start] until all keys must be read again. */
+    private suspend fun follow(start: Place): Followed {
+        var place = start.copy(lost = false)
         var failures = 0
-        while (clock.now() < read.nextReadAt) {
-            when (val result = feed.changes(revision, WATCH_WAIT)) {
+        while (clock.now() < place.nextReadAt) {
+            when (val result = feed.changes(place.revision, WATCH_WAIT)) {
                 is StoreResult.Failure -> {
                     failures += 1
                     backOff(result.reason)
                     when (StoreReadPolicy.afterFailedWatch(result.reason, failures)) {
                         AfterFailedWatch.ASK_AGAIN -> Unit
-                        AfterFailedWatch.READ_ALL_KEYS -> {
-                            observations.event(Event.StoreAnswerUnreadable(revision, result.reason))
-                            return EndOfFollowing.PlaceLost(followed = revision > read.revision)
-                        }
+                        AfterFailedWatch.READ_ALL_KEYS -> return lost(
+                            place,
+                            start,
+                            Event.StoreAnswerUnreadable(place.revision, result.reason),
+                        )
                     }
                 }
 
                 is StoreResult.Success -> {
                     failures = 0
                     markAvailable()
-                    val next = revisionAfter(result.value, revision)
-                    if (next == null) {
-                        observations.event(Event.StoreHistoryLost(revision))
-                        return EndOfFollowing.PlaceLost(followed = revision > read.revision)
-                    }
-                    revision = next
+                    val next = revisionAfter(result.value, place.revision)
+                    if (next == null) return lost(place, start, Event.StoreHistoryLost(place.revision))
+                    place = place.copy(revision = next)
                 }
             }
         }
-        return EndOfFollowing.ReadDue
+        return Followed(place, changed = true)
+    }
+
+    private fun lost(
+        place: Place,
+        start: Place,
+        event: Event,
+    ): Followed {
+        observations.event(event)
+        return Followed(place.copy(lost = true), changed = place.revision > start.revision)
     }
 
     /** Applies [changes] after [revision]; returns the revision to go on from, or null if all keys must be read. */
@@ -199,26 +234,25 @@
         delay(RETRY_DELAY + RETRY_JITTER * random.nextDouble())
     }
 
-    private sealed interface FullRead {
-        /** Everything that could be decoded is applied; later changes follow [revision] until [nextReadAt]. */
-        data class Done(
-            val revision: Long,
-            val nextReadAt: Instant,
-        ) : FullRead
-
-        data object Unreadable : FullRead
+    /** Outcome of a read; [revision] is the lowest of the sections that were read, null if there was none. */
+    private data class FullRead(
+        val revision: Long?,
+        val complete: Boolean,
+        val available: Boolean,
+    )
 
-        data object Unavailable : FullRead
-    }
+    /** All changes up to [revision] are applied; [lost] if those after it could not be had. */
+    private data class Place(
+        val revision: Long,
+        val nextReadAt: Instant,
+        val lost: Boolean,
+    )
 
-    private sealed interface EndOfFollowing {
-        data object ReadDue : EndOfFollowing
-
-        /** The next changes can't be had; [followed] if any were applied before. */
-        data class PlaceLost(
-            val followed: Boolean,
-        ) : EndOfFollowing
-    }
+    /** Where following ended, and whether it brought any change. */
+    private data class Followed(
+        val place: Place,
+        val changed: Boolean,
+    )
 
     private companion object {
         val STALE_REPORT_INTERVAL: Duration = 60.seconds
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreReaderTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreReaderTest.kt
@@ -55,6 +55,15 @@
             reader(rejecting).read(section) shouldBe SectionRead.Unavailable
         }
 
+    /** Guards against a page that doesn't advance and makes a gateway read it for good without a pause. */
+    @Test
+    fun `a page that does not lie after the former one ends its section`() =
+        runTest {
+            val feed = PagedFeed(page("b", 5, more = true), page("b", 5, more = true))
+
+            reader(feed).read(section) shouldBe SectionRead.Unreadable(StoreFailure.MALFORMED_ANSWER)
+        }
+
     private fun reader(feed: ChangeFeed) = StoreReader(feed, onFailure = {}, onPage = {})
 
     private fun page(
--- a/transport/src/main/kotlin/org/acaciaflow/transport/backend/VertxBackendCaller.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/backend/VertxBackendCaller.kt
@@ -51,23 +51,13 @@
     private val probePath: String,
     connections: Int,
 ) : BackendCaller {
-    private val probeClient: HttpClient =
-        vertx.createHttpClient(
-            HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds.toInt()),
-<<<<<<< HEAD
-            PoolOptions().setHttp1MaxSize(connections),
-=======
-            PoolOptions().setHttp1MaxSize(PROBE_CONNECTIONS),
->>>>>>> ca4153d2bb636ea37cd2e416600dbe13f536bbb9
-        )
-
     /**
      * Opens a new connection for each call.
      *
      * Answers carry no identity, so on a reused connection a late copy of an earlier answer would be taken for the
      * answer to the next call. The backend may also close a reused connection while a call is sent.
      */
-    private val callClient: HttpClient =
+    private val client: HttpClient =
         vertx.createHttpClient(
             HttpClientOptions()
                 .setConnectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
@@ -82,9 +72,8 @@
         body: CallBody,
         sink: AnswerSink,
     ): BackendResult {
-        val selectedClient = if (order.atMostOnce) singleUseClient else client
         val request =
-            selectedClient.connect(backend, order.call)
+            client.connect(backend, order.call)
                 ?: return BackendResult.NotStarted(AttemptRefusal.CONNECTION_REFUSED)
         return try {
             exchange(request, order, body, sink)
@@ -97,26 +86,11 @@
         }
     }
 
-<<<<<<< HEAD
     override suspend fun probe(): BackendHealth {
         val head = CallHead("GET", probePath, persistentListOf())
         val result = probes.call(backend, head, ByteString(), PROBE_TIMEOUT)
         val answer = (result as? HttpResult.Answered)?.head?.takeIf { it.status == HTTP_OK }
         return if (answer == null) BackendHealth.Unreachable else toHealth(answer.headers)
-=======
-    override suspend fun probe(): BackendHealth =
-        withTimeoutOrNull(PROBE_TIMEOUT) { fetchHealth() } ?: BackendHealth.Unreachable
-
-    private suspend fun fetchHealth(): BackendHealth? {
-        val answered =
-            probeClient
-                .request(requestOptions(HttpMethod.GET, probePath))
-                .compose { it.send() }
-                .compose { answer -> answer.body().map { answer } }
-                .awaitResult()
-        if (answered.failed()) return null
-        return answered.result().takeIf { it.statusCode() == HTTP_OK }?.let(::toHealth)
->>>>>>> ca4153d2bb636ea37cd2e416600dbe13f536bbb9
     }
 
     private fun toHealth(fields: List<HeaderField>): BackendHealth {
@@ -128,25 +102,8 @@
         )
     }
 
-<<<<<<< HEAD
     private fun List<HeaderField>.valueOf(name: String): String? =
         firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
-=======
-    private suspend fun connect(order: AttemptOrder): AsyncResult<HttpClientRequest> {
-        val options = requestOptions(HttpMethod.valueOf(order.call.method), order.call.target)
-        return callClient.request(options).awaitResult()
-    }
-
-    private fun requestOptions(
-        method: HttpMethod,
-        target: String,
-    ): RequestOptions =
-        RequestOptions()
-            .setMethod(method)
-            .setHost(backend.ip)
-            .setPort(backend.port)
-            .setURI(target)
->>>>>>> ca4153d2bb636ea37cd2e416600dbe13f536bbb9
 
     private suspend fun exchange(
         request: HttpClientRequest,
