--- a/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
@@ -111,6 +111,30 @@
             listOf(silentPeer, faultyPeer, olderPeer).forEach { it.close() }
         }
 
+    /** Guards against fetches from a silent peer that leave their connections open. */
+    @Test
+    fun `a fetch that times out closes its connection`() =
+        runBlocking {
+            val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+            val selector = SelectorManager(Dispatchers.IO)
+            val tables = createRelayTables()
+            val silentPeer = RawPeer(answer = null)
+            exchange(freeAddress(), tables, selector, scope).start()
+
+            val report = peerAt(silentPeer.address, version = 1_000)
+            tables.peers.update { it.copy(live = it.live.put(report.address, report)) }
+            val closed =
+                withTimeoutOrNull(10.seconds) {
+                    while (silentPeer.firstConnection == null) delay(20.milliseconds)
+                    withContext(Dispatchers.IO) { silentPeer.firstConnection?.getInputStream()?.read() }
+                }
+
+            closed shouldBe -1
+            scope.cancel()
+            selector.close()
+            silentPeer.close()
+        }
+
     /** Guards against peers that connect and read nothing, and hold a copy of the document and a connection each. */
     @Test
     fun `connections that read nothing are closed and hold little memory`() =
@@ -231,6 +255,9 @@
 
     val address = HostAddress("127.0.0.1", server.localPort)
 
+    val firstConnection: Socket?
+        get() = connections.peek()?.apply { soTimeout = 5_000 }
+
     init {
         thread(isDaemon = true) {
             try {
