Refuse a target that would not go on as it came

Cause: the HTTP server reads a target as ISO 8859-1, the HTTP client writes it as UTF-8.

Before, "/" 0xF1 arrived as "/" 0xC3 0xB1 with status 200.

Why it works: RFC 3986 has no such bytes in a target, so a target that is not visible ASCII is refused as target-malformed before its body is read; what remains has the same bytes in both character sets.

--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
@@ -74,7 +74,7 @@
             when (refusal) {
                 NotRun.UNKNOWN_CALL -> NOT_FOUND
 
-                NotRun.IDENTITY_MISSING, NotRun.IDENTITY_UNREADABLE -> BAD_REQUEST
+                NotRun.IDENTITY_MISSING, NotRun.IDENTITY_UNREADABLE, NotRun.TARGET_MALFORMED -> BAD_REQUEST
 
                 NotRun.BODY_TOO_LARGE -> CONTENT_TOO_LARGE
 
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
@@ -13,6 +13,7 @@
     CALLER_GONE("caller-gone"),
     CRASH_SUSPECT("crash-suspect"),
     IDENTITY_UNREADABLE("identity-unreadable"),
+    TARGET_MALFORMED("target-malformed"),
     NO_BACKEND("no-backend"),
     BACKENDS_REFUSED("backends-refused"),
     LATE_ALREADY("late-already"),
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
@@ -106,16 +106,22 @@
         val limits = frontEnd.bodyLimits()
         val declared = request.getHeader("content-length")?.toLongOrNull() ?: 0
         val isDeclaredTooLarge = declared > limits.maximumBytes
-        val start = if (isDeclaredTooLarge) BodyStart.UNREAD else readStart(channel, limits.bufferedBytes)
+        val isTargetMalformed = !isVisibleAscii(request.uri())
+        val isRefused = isDeclaredTooLarge || isTargetMalformed
+        val start = if (isRefused) BodyStart.UNREAD else readStart(channel, limits.bufferedBytes)
         val body = VertxCallBody(channel, start, limits.maximumBytes)
         val exchange = VertxCallerExchange(request, headOf(request), body, closed, frontEnd)
         when {
             start.broken -> observations.refused(NotRun.CALLER_GONE)
+            isTargetMalformed -> refuse(exchange, NotRun.TARGET_MALFORMED)
             isDeclaredTooLarge || start.bytes.size > limits.maximumBytes -> refuse(exchange, limits.excess)
             else -> acceptor.accept(exchange)
         }
     }
 
+    /** False for a target that the HTTP client, which encodes targets as UTF-8, would not send as it came. */
+    private fun isVisibleAscii(target: String): Boolean = target.all { it in '!'..'~' }
+
     private fun abort(
         request: HttpServerRequest,
         failure: Throwable,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/RawBackend.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/RawBackend.kt
@@ -27,6 +27,9 @@
 
     /** The ids of all requests received. */
     val received = CopyOnWriteArrayList<String>()
+
+    /** The heads of all requests received; each character stands for one byte. */
+    val heads = CopyOnWriteArrayList<String>()
     val connections = AtomicInteger()
 
     /** The bytes that [pour] could write before the connection closed. */
@@ -93,6 +96,7 @@
             if (next < 0) return null
             head.append(next.toChar())
         }
+        heads += head.toString()
         val line = head.lines().firstOrNull { it.startsWith("Request-Id:", ignoreCase = true) }
         return line.orEmpty().substringAfter(':').trim()
     }
