Give a server that says when to come back no requests before

Callers were refused more often than need be, and the platform's rule on budgets was broken: a backend server that turns a request away with 503 may say for how many seconds it wants nothing, and the gateway did not read that, so requests went on reaching it.

The platform module decodes whole seconds up to an hour, on a 503 with the mark that the request was not executed. Everything else is ignored, counted, and logged once a lifetime. RestPolicy keeps the time in an immutable table, by lifetime: it counts from the head, is extended by a longer word and never shortened. A random share of the time, at most a second, is added, so that gateways turned away together return apart. Then one request of this gateway tries the server; only its answer ends the rest, since others may have been on their way when the rest began. A trial that is refused, or not answered within a second, lets the next one try. SendPermission decides all of it and is asked when candidates are listed, before a run or prefill, and once connected.

A request whose servers all rest waits if the first one is back with the target time of its route left, and returns spread over 50 ms, later for each level of less urgency; otherwise it is refused at once as backends-resting, with the earliest return. A server that is only out of free connections counts as back sooner than one that rests. AF1215, a gauge and /status show rests.

LeavingServerTest with rests not applied by SendPermission: 40 of 40 requests reached the resting server. In that state 12 of the 19 tests of RestingBackendTest and BackendAvailabilityTest failed (7 of 7 and 5 of 12). Of 390 gateways turned away together for 10 s, 42 return in the busiest tenth of a second, each with one request. Calls that still have time to wait at the end of its rest are meant to; the test now counts for one second, in which no call has that time (0 of 20; that the calls that reached it had waited is inferred, not traced).

Left: requests that wait return in the order of urgency, but not of teams or sizes; peers are not told of rests; the cost of the decision was not measured.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -159,6 +159,13 @@
         val text: String,
     ) : Event(EventKind.BACKEND_NOTICE_UNREADABLE)
 
+    /** [life] turned [requestId] away and wants no requests for [duration]; not repeated while the rest is extended. */
+    data class BackendResting(
+        val life: BackendLife,
+        val requestId: String,
+        val duration: Duration,
+    ) : Event(EventKind.BACKEND_RESTING)
+
     data class PeerHeard(
         val gateway: HostAddress,
         val configurationVersion: Long,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/BackendAvailability.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/BackendAvailability.kt
@@ -5,22 +5,46 @@
 import org.acaciaflow.coordination.event.LeavingOrigin
 import org.acaciaflow.coordination.port.LeavingNotice
 import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.coordination.port.RestNotice
 import org.acaciaflow.coordination.port.RunOrder
-import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.fleet.Fleet
 import org.acaciaflow.state.notice.BackendNotices
 import org.acaciaflow.state.table.SharedTable
 import org.acaciaflow.state.table.Transition
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Instant
 
 /** Applies the notices in backend servers' answers, and decides from them what may still be sent. */
 class BackendAvailability(
     private val fleet: SharedTable<Fleet>,
     private val notices: SharedTable<BackendNotices>,
     private val observations: Observations,
+    private val clock: Clock,
+    private val random: Random,
 ) {
-    /** Decides whether new work may be sent to [backend] now. */
-    fun permissionFor(backend: BackendEntry): SendPermission = SendPermission.of(fleet.snapshot(), backend)
+    /** Decides whether [order] may be sent now; a request that tries a server after its rest holds off all others. */
+    fun permissionFor(order: RunOrder): SendPermission {
+        val now = clock.now()
+        val life = order.backend.life
+        val current = fleet.snapshot()
+        val permission = SendPermission.of(current, notices.snapshot(), order.backend, order.requestId, now)
+        if (permission != SendPermission.GrantedAsTrial) return permission
+        return notices.transition { known ->
+            val latest = SendPermission.of(current, known, order.backend, order.requestId, now)
+            when (latest) {
+                SendPermission.GrantedAsTrial -> {
+                    Transition(RestPolicy.tried(known, life, order.requestId, now), latest)
+                }
+
+                SendPermission.Granted, is SendPermission.Denied -> {
+                    Transition(known, latest)
+                }
+            }
+        }
+    }
 
     /** Applies [notice], which is in the head of the answer to [order]. */
     fun noticed(
@@ -35,16 +59,48 @@
         }
     }
 
-    /** Marks [life] as leaving because of [origin]; logged the first time. */
-    fun leaving(
+    /** Applies [notice], which is in the head of the answer to [order]; [refused] if the answer is a refusal. */
+    fun noticed(
+        order: RunOrder,
+        notice: RestNotice,
+        refused: Boolean,
+    ) {
+        val life = order.backend.life
+        when (notice) {
+            RestNotice.Absent -> answered(life, order.requestId, refused)
+            is RestNotice.Resting -> resting(life, order.requestId, notice.duration)
+            is RestNotice.Unreadable -> unreadable(life, order.requestId, notice.text)
+        }
+    }
+
+    private fun answered(
         life: BackendLife,
-        origin: LeavingOrigin,
+        requestId: String,
+        refused: Boolean,
     ) {
-        if (life in fleet.snapshot().leaving) return
-        val added = fleet.transition { Transition(FleetChanges.leaving(it, life), life !in it.leaving) }
-        if (added) observations.event(Event.BackendLeaving(life, origin))
+        if (life !in notices.snapshot().rests) return
+        notices.update { RestPolicy.answered(it, life, requestId, refused) }
+    }
+
+    private fun resting(
+        life: BackendLife,
+        requestId: String,
+        duration: Duration,
+    ) {
+        val now = clock.now()
+        val begun =
+            notices.transition { known ->
+                val wasResting = (known.rests[life]?.until ?: Instant.DISTANT_PAST) > now
+                Transition(RestPolicy.rested(known, life, duration, now, random), !wasResting)
+            }
+        if (begun) observations.event(Event.BackendResting(life, requestId, duration))
     }
 
+    private fun leaving(
+        life: BackendLife,
+        origin: LeavingOrigin,
+    ) = markLeaving(fleet, observations, life, origin)
+
     private fun unreadable(
         life: BackendLife,
         requestId: String,
@@ -66,3 +122,15 @@
         if (added) observations.event(Event.BackendNoticeUnreadable(life, requestId, text))
     }
 }
+
+/** Marks [life] in [fleet] as leaving because of [origin]; logged the first time. */
+internal fun markLeaving(
+    fleet: SharedTable<Fleet>,
+    observations: Observations,
+    life: BackendLife,
+    origin: LeavingOrigin,
+) {
+    if (life in fleet.snapshot().leaving) return
+    val added = fleet.transition { Transition(FleetChanges.leaving(it, life), life !in it.leaving) }
+    if (added) observations.event(Event.BackendLeaving(life, origin))
+}
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
@@ -5,7 +5,7 @@
 import org.acaciaflow.coordination.engine.PromptCaches
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.event.LeavingOrigin
-import org.acaciaflow.coordination.fleet.BackendAvailability
+import org.acaciaflow.coordination.fleet.markLeaving
 import org.acaciaflow.coordination.load.RemoteLoads
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.relay.RelayTables
@@ -27,7 +27,6 @@
     private val observations: Observations,
 ) {
     private val crashGossip = CrashGossip(tables.crashes, CrashRecorder(tables.crashes, observations))
-    private val availability = BackendAvailability(tables.fleet, tables.notices, observations)
     private var sequence = 0L
 
     /** Builds the next report as of [now]; the prompts in it are left out of later reports. */
@@ -136,7 +135,7 @@
         lives: Map<Int, BackendLife>,
     ) {
         val origin = LeavingOrigin.Report(report.sender)
-        report.leaving.mapNotNull { lives[it] }.forEach { availability.leaving(it, origin) }
+        report.leaving.mapNotNull { lives[it] }.forEach { markLeaving(tables.fleet, observations, it, origin) }
     }
 
     private fun applyReads(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -49,9 +49,9 @@
         stallTimeouts: StallTimeouts,
         tracker: RelayProgressTracker,
     ): RunOutcome {
-        when (val permission = availability.permissionFor(order.backend)) {
+        when (val permission = availability.permissionFor(order)) {
             is SendPermission.Denied -> return RunOutcome.NotExecuted(permission.reason)
-            SendPermission.Granted -> Unit
+            SendPermission.Granted, SendPermission.GrantedAsTrial -> Unit
         }
         val life = order.backend.life
         val job = jobs.next()
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Candidates.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Candidates.kt
@@ -2,7 +2,11 @@
 
 import org.acaciaflow.coordination.engine.EngineView
 import org.acaciaflow.coordination.engine.RateEstimator
+import org.acaciaflow.coordination.fleet.RestPolicy
+import org.acaciaflow.coordination.fleet.RestStanding
+import org.acaciaflow.coordination.fleet.SendPermission
 import org.acaciaflow.coordination.reliability.ReliabilityPolicy
+import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.identity.DataCentre
@@ -24,14 +28,40 @@
         progress: RelayProgress,
         now: Instant,
     ): List<BackendEntry> {
+        val fleet = tables.fleet.snapshot()
+        val notices = tables.notices.snapshot()
         val usable =
-            tables.fleet
-                .snapshot()
+            fleet
                 .usableIn(request.pool)
                 .filter { mayAttempt(request, progress, it) }
+                .filter {
+                    SendPermission.of(fleet, notices, it, request.facts.requestId, now) !is SendPermission.Denied
+                }
         return withFreeConnections(request, usable.filter { isResponsive(it.life, now) }.ifEmpty { usable })
     }
 
+    /**
+     * Returns when the first server that [request] may still be sent to ends its rest, as of [now].
+     *
+     * Null if there is none, or if one that does not rest may be free again sooner. Prefill engines are left out, since
+     * they alone can't serve a request.
+     */
+    fun earliestReturn(
+        request: RelayedRequest,
+        progress: RelayProgress,
+        now: Instant,
+    ): Instant? {
+        val notices = tables.notices.snapshot()
+        val standings =
+            tables.fleet
+                .snapshot()
+                .usableIn(request.pool)
+                .filter { it.role != EngineRole.PREFILL && mayAttempt(request, progress, it) }
+                .map { RestPolicy.standing(notices, it.life, request.facts.requestId, now) }
+        val resting = standings.filterIsInstance<RestStanding.Resting>()
+        return if (resting.size < standings.size) null else resting.minOfOrNull { it.until }
+    }
+
     /** Returns false while this or another gateway finds [life] unreachable or silent. */
     private fun isResponsive(
         life: BackendLife,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Conclusions.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Conclusions.kt
@@ -17,6 +17,16 @@
     }
 }
 
+/** Returns the conclusion of a request whose servers all rest, the first of them for another [left]. */
+internal fun allResting(
+    progress: RelayProgress,
+    left: Duration,
+): Conclusion =
+    when (val mayHaveRun = progress.mayHaveRun) {
+        null -> Conclusion.NotExecuted(NotRun.BACKENDS_RESTING, retryAfter = left)
+        else -> uncertain(progress, mayHaveRun)
+    }
+
 /** Returns the conclusion of a request whose quarantine for crashes goes on for [left]. */
 internal fun quarantined(
     progress: RelayProgress,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -21,6 +21,7 @@
     private val candidates: Candidates,
     private val admission: GenerationAdmission,
     private val quarantine: QuarantineCheck,
+    private val restWait: RestWait,
     private val retryLimiter: RetryLimiter,
     private val prefillRun: PrefillRun,
     private val backendRun: BackendRun,
@@ -41,9 +42,11 @@
             if (now >= request.deadline) return timedOut(tracker.progress)
             quarantine.conclusion(request, tracker.progress, now)?.let { return it }
             val view = candidates.view(candidates.of(request, tracker.progress, now), properties, request)
-            val path =
-                EnginePlanner.choose(view, prompt, request.route, now, random)
-                    ?: return noAttemptLeft(tracker.progress)
+            val path = EnginePlanner.choose(view, prompt, request.route, now, random)
+            if (path == null) {
+                restWait.waitOrConclude(request, tracker.progress, now)?.let { return it }
+                continue
+            }
             if (tracker.progress == RelayProgress.INITIAL) {
                 val refusal = admission.refusalAtArrival(request, prompt, view, path, now)
                 if (refusal != null) return refusal
@@ -82,14 +85,14 @@
                 recordFailedPrefill(
                     tracker,
                     path.prefillEngine,
-                    counted = !isNotSent(outcome.reason),
+                    outcome.reason,
                 )
                 observations.decided(Decision.Ran(request, path.prefillEngine, outcome.toString(), clock.now()))
                 EngineStep.Retry(RetryReason.ATTEMPT_REFUSED)
             }
 
             is PrefillOutcome.Broken -> {
-                recordFailedPrefill(tracker, path.prefillEngine, counted = true)
+                recordFailedPrefill(tracker, path.prefillEngine, reason = null)
                 observations.decided(Decision.Ran(request, path.prefillEngine, outcome.toString(), clock.now()))
                 EngineStep.Retry(RetryReason.ANSWER_INCOMPLETE)
             }
@@ -126,7 +129,11 @@
         }
         val view = candidates.view(candidates.of(request, tracker.progress, now), properties, request)
         val chosen = EnginePlanner.chooseDecodeEngine(view, prompt, now, random)
-        if (chosen == null || !retryLimiter.tryAcquire(request, tracker.progress, RetryReason.ATTEMPT_REFUSED, now)) {
+        if (chosen == null) {
+            prefillRun.release(source)
+            return EngineStep.Retry(RetryReason.ATTEMPT_REFUSED)
+        }
+        if (!retryLimiter.tryAcquire(request, tracker.progress, RetryReason.ATTEMPT_REFUSED, now)) {
             prefillRun.release(source)
             return EngineStep.Finished(noAttemptLeft(tracker.progress))
         }
@@ -248,11 +255,13 @@
     private fun recordFailedPrefill(
         tracker: RelayProgressTracker,
         prefillEngine: BackendEntry,
-        counted: Boolean,
+        reason: AttemptRefusal?,
     ) {
+        val counted = reason == null || !isNotSent(reason)
+        val rests = reason == AttemptRefusal.RESTING
         tracker.update { progress ->
             progress.copy(
-                excluded = progress.excluded.add(prefillEngine.life),
+                excluded = if (rests) progress.excluded else progress.excluded.add(prefillEngine.life),
                 prefillCalls = progress.prefillCalls + 1,
                 countedAttempts = if (counted) progress.countedAttempts + 1 else progress.countedAttempts,
             )
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -19,6 +19,7 @@
     private val tables: RelayTables,
     private val candidates: Candidates,
     private val quarantine: QuarantineCheck,
+    private val restWait: RestWait,
     private val retryLimiter: RetryLimiter,
     private val backendRun: BackendRun,
     private val ownDataCentre: DataCentre,
@@ -37,7 +38,11 @@
             if (now >= request.deadline) return timedOut(tracker.progress)
             quarantine.conclusion(request, tracker.progress, now)?.let { return it }
             val usable = candidates.of(request, tracker.progress, now)
-            val chosen = choose(usable, now) ?: return noAttemptLeft(tracker.progress)
+            val chosen = choose(usable, now)
+            if (chosen == null) {
+                restWait.waitOrConclude(request, tracker.progress, now)?.let { return it }
+                continue
+            }
             if (!retryLimiter.tryAcquire(request, tracker.progress, reason, now)) return noAttemptLeft(tracker.progress)
             val outcome = send(request, chosen, tracker)
             val mayRetryFailure = mayRetryFailure(request, tracker, outcome)
@@ -104,7 +109,11 @@
     }
 }
 
-/** Records an attempt at [backend], which excludes it from further attempts; one that was not sent is not counted. */
+/**
+ * Records an attempt at [backend], which excludes it from further attempts unless it rests.
+ *
+ * An attempt that was not sent is not counted.
+ */
 internal fun recordAttempt(
     tracker: RelayProgressTracker,
     backend: BackendEntry,
@@ -115,11 +124,15 @@
         progress.copy(
             reached = if (notSent) progress.reached else progress.reached.add(backend.life),
             countedAttempts = if (notSent) progress.countedAttempts else progress.countedAttempts + 1,
-            excluded = progress.excluded.add(backend.life),
+            excluded = if (isResting(outcome)) progress.excluded else progress.excluded.add(backend.life),
         )
     }
 }
 
+/** Returns true if nothing was sent because the server rests, so that it may be sent to later. */
+private fun isResting(outcome: RunOutcome): Boolean =
+    outcome is RunOutcome.NotExecuted && outcome.reason == AttemptRefusal.RESTING
+
 /** Returns true if [reason] means that nothing of the request was sent to the server. */
 internal fun isNotSent(reason: AttemptRefusal): Boolean =
     reason == AttemptRefusal.CONNECTION_REFUSED || reason in SendPermission.DENIALS
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
@@ -46,9 +46,9 @@
         prompt: Prompt,
         properties: EngineProperties,
     ): PrefillOutcome {
-        when (val permission = availability.permissionFor(order.backend)) {
+        when (val permission = availability.permissionFor(order)) {
             is SendPermission.Denied -> return PrefillOutcome.Refused(permission.reason)
-            SendPermission.Granted -> Unit
+            SendPermission.Granted, SendPermission.GrantedAsTrial -> Unit
         }
         val life = order.backend.life
         val job = jobs.next()
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -37,7 +37,7 @@
     val candidates = Candidates(tables, dataCentre)
     val retryLimiter = RetryLimiter(tables, candidates, bounds, ports.observations)
     val jobIdentities = JobIdentityAllocator()
-    val availability = BackendAvailability(tables.fleet, tables.notices, ports.observations)
+    val availability = BackendAvailability(tables.fleet, tables.notices, ports.observations, ports.clock, ports.random)
     val backendRun = createBackendRun(tables, availability, jobIdentities, ports)
     val prefillRun = PrefillRun(tables, availability, ports.connections, jobIdentities, ports.clock)
     return RequestRelay(
@@ -83,6 +83,7 @@
         tables = tables,
         candidates = candidates,
         quarantine = QuarantineCheck(tables),
+        restWait = RestWait(candidates, ports.random),
         retryLimiter = retryLimiter,
         backendRun = backendRun,
         ownDataCentre = dataCentre,
@@ -104,6 +105,7 @@
         candidates = candidates,
         admission = GenerationAdmission(tables, ports.observations),
         quarantine = QuarantineCheck(tables),
+        restWait = RestWait(candidates, ports.random),
         retryLimiter = retryLimiter,
         prefillRun = prefillRun,
         backendRun = backendRun,
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RestWait.kt
@@ -0,0 +1,64 @@
+package org.acaciaflow.coordination.relay
+
+import kotlinx.coroutines.delay
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/** What a request does for which no backend server is available. */
+internal sealed interface NoCandidateStep {
+    /** It chooses again at [until]. */
+    data class Wait(
+        val until: Instant,
+    ) : NoCandidateStep
+
+    data class Conclude(
+        val conclusion: Conclusion,
+    ) : NoCandidateStep
+}
+
+/** Lets requests wait for servers that rest, as long as that leaves them enough time. */
+internal class RestWait(
+    private val candidates: Candidates,
+    private val random: Random,
+) {
+    /** Waits if [request] may still be served in time after the rest of a server; returns the conclusion if not. */
+    suspend fun waitOrConclude(
+        request: RelayedRequest,
+        progress: RelayProgress,
+        now: Instant,
+    ): Conclusion? =
+        when (val step = decide(request, progress, candidates.earliestReturn(request, progress, now), now, random)) {
+            is NoCandidateStep.Conclude -> {
+                step.conclusion
+            }
+
+            is NoCandidateStep.Wait -> {
+                delay(step.until - now)
+                null
+            }
+        }
+
+    companion object {
+        /**
+         * Decides at [now] what [request] does when the first of its servers returns at [earliest]; null if none will.
+         *
+         * Requests return spread over a time, the urgent ones first.
+         */
+        fun decide(
+            request: RelayedRequest,
+            progress: RelayProgress,
+            earliest: Instant?,
+            now: Instant,
+            random: Random,
+        ): NoCandidateStep {
+            if (earliest == null) return NoCandidateStep.Conclude(noAttemptLeft(progress))
+            val until = earliest + RETURN_SPREAD * (request.route.urgency + random.nextDouble())
+            if (until + request.route.target <= request.deadline) return NoCandidateStep.Wait(until)
+            return NoCandidateStep.Conclude(allResting(progress, left = earliest - now))
+        }
+
+        private val RETURN_SPREAD: Duration = 50.milliseconds
+    }
+}
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/LeavingServerTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/LeavingServerTest.kt
@@ -5,9 +5,9 @@
 import io.kotest.matchers.string.shouldContain
 
 /**
- * Runs a gateway in a separate process before servers of which one says in its answers that it is leaving.
+ * Runs a gateway in a separate process before servers of which one says in its answers that it wants no requests.
  *
- * Each test guards against requests that reach a server after the gateway has passed on such an answer.
+ * Each test guards against requests that reach such a server after its answer, or against a server that gets none again.
  */
 class LeavingServerTest : AnnotationSpec() {
     private lateinit var store: StoreServer
@@ -79,6 +79,33 @@
         (leaving.requests.get() > before) shouldBe true
     }
 
+    @Test
+    fun `a server that asks for time gets no requests until it is over`() {
+        leaving.status = 503
+        leaving.headers = listOf(NOT_EXECUTED, "Retry-After" to "3")
+        callUntilReached()
+        leaving.headers = listOf(NOT_EXECUTED)
+        staying.status = 503
+        staying.headers = listOf(NOT_EXECUTED)
+        val before = leaving.requests.get()
+        val end = System.nanoTime() + REFUSED_AT_ONCE_NANOSECONDS
+        var refused = 0
+
+        while (System.nanoTime() < end) {
+            call() shouldBe 503
+            refused += 1
+        }
+
+        println("reached the resting server: ${leaving.requests.get() - before} of $refused")
+        leaving.requests.get() - before shouldBe 0
+        leaving.status = 200
+        leaving.headers = emptyList()
+        Thread.sleep(REST_MILLISECONDS)
+        call() shouldBe OK
+        gateway.log() shouldContain "AF1215 BackendResting(life=BackendLife(instance=i-leaving"
+        gateway.log() shouldContain "reason=backends-resting"
+    }
+
     @Test
     fun `a server that says something unreadable of its leaving goes on getting requests`() {
         leaving.headers = listOf("Server-Leaving" to "0")
@@ -114,6 +141,8 @@
         const val OK = 200
         const val CALLS = 40
         const val APPLY_MILLISECONDS = 2_100L
+        const val REFUSED_AT_ONCE_NANOSECONDS = 1_000_000_000L // later calls have time to wait for the server
+        const val REST_MILLISECONDS = 3_800L // the time that the server asks for and the spread of returns
         val LEAVING = "Server-Leaving" to "1"
         val NOT_EXECUTED = "Not-Executed" to "1"
         const val CONFIGURATION =
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/BackendDialect.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/BackendDialect.kt
@@ -4,6 +4,7 @@
 import org.acaciaflow.coordination.port.CacheSource
 import org.acaciaflow.coordination.port.LeavingNotice
 import org.acaciaflow.coordination.port.PrefillOutcome
+import org.acaciaflow.coordination.port.RestNotice
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.work.AnswerHead
@@ -30,6 +31,9 @@
     /** Reads what the server that wrote [head] says of its departure; not for an answer of another request. */
     fun leavingNotice(head: AnswerHead): LeavingNotice
 
+    /** Reads from [head] for how long its server wants no requests; not for an answer of another request. */
+    fun restNotice(head: AnswerHead): RestNotice
+
     /** Interprets the complete answer to a [prefillHead] call. */
     fun prefillOutcome(
         order: RunOrder,
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
@@ -86,6 +86,7 @@
                 NotRun.CALLER_GONE,
                 NotRun.NO_BACKEND,
                 NotRun.BACKENDS_REFUSED,
+                NotRun.BACKENDS_RESTING,
                 NotRun.LATE_ALREADY,
                 NotRun.ROOM_RESERVED,
                 NotRun.STOPPING,
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/AttemptRefusal.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/AttemptRefusal.kt
@@ -12,6 +12,7 @@
     LEAVING("leaving"),
     OTHER_LIFE("other-life"),
     REPLACED("replaced"),
+    RESTING("resting"),
     TOMBSTONED("tombstoned"),
     STALE_ATTEMPT("stale-attempt"),
     REPEATED_ATTEMPT("repeated-attempt"),
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
@@ -15,6 +15,7 @@
     IDENTITY_UNREADABLE("identity-unreadable"),
     NO_BACKEND("no-backend"),
     BACKENDS_REFUSED("backends-refused"),
+    BACKENDS_RESTING("backends-resting"),
     LATE_ALREADY("late-already"),
     ROOM_RESERVED("room-reserved"),
     STOPPING("stopping"),
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -110,8 +110,8 @@
     ): Sending {
         val request =
             connect(order.backend.address, head) ?: return Sending.NotSent(AttemptRefusal.CONNECTION_REFUSED)
-        return when (val permission = availability.permissionFor(order.backend)) {
-            SendPermission.Granted -> {
+        return when (val permission = availability.permissionFor(order)) {
+            SendPermission.Granted, SendPermission.GrantedAsTrial -> {
                 Sending.Sent(send(request, head, body))
             }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -85,7 +85,10 @@
         val fields = answer.response.headers().toFields()
         val head = AnswerHead(answer.response.statusCode(), HopByHopHeaders.strip(fields))
         val verdict = dialect.classifyAnswer(order, purpose, head)
-        if (verdict.isOfAddressedServer) availability.noticed(order, dialect.leavingNotice(head))
+        if (verdict.isOfAddressedServer) {
+            availability.noticed(order, dialect.leavingNotice(head))
+            availability.noticed(order, dialect.restNotice(head), refused = verdict is AnswerVerdict.NotExecuted)
+        }
         foreign = verdict == AnswerVerdict.OfOtherRequest || verdict == AnswerVerdict.Unsigned
         val event = eventFor(verdict) ?: return AttemptEvent.Head(head)
         if (event is AttemptEvent.Refused) drain(answer.body)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
@@ -17,6 +17,7 @@
     const val CONFIGURATION_VERSION = "acaciaflow.configuration.version"
     const val STRAY_FRAMES = "acaciaflow.frames.stray"
     const val BACKENDS_LEAVING = "acaciaflow.backends.leaving"
+    const val BACKENDS_RESTING = "acaciaflow.backends.resting"
     const val NOTICES_UNREADABLE = "acaciaflow.backends.notices.unreadable"
 
     val ALL =
@@ -36,6 +37,7 @@
             CONFIGURATION_VERSION,
             STRAY_FRAMES,
             BACKENDS_LEAVING,
+            BACKENDS_RESTING,
             NOTICES_UNREADABLE,
         )
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -41,12 +41,12 @@
 ): Daemon {
     val runtime = createSingleLoopRuntime(clock)
     val tables = createRelayTables()
-    registerFleetGauges(runtime.registry, tables.fleet)
+    registerFleetGauges(runtime.registry, tables.fleet, tables.notices, clock)
     registerStoreGauges(runtime.registry, tables.store, tables.routing, clock)
     val calls = VertxHttpCalls(runtime.vertx, SHORT_ANSWER_BYTES)
     val store = adapters.openStore(VertxHttpCalls(runtime.vertx, STORE_ANSWER_BYTES))
     val stop = StopSignal()
-    val availability = BackendAvailability(tables.fleet, tables.notices, runtime.observations)
+    val availability = BackendAvailability(tables.fleet, tables.notices, runtime.observations, clock, random)
     val connections = DirectConnections(runtime.vertx, adapters.backends, availability, calls, runtime.workers.scope)
     val ports =
         RelayPorts(
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayStatus.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayStatus.kt
@@ -12,6 +12,7 @@
 import org.acaciaflow.state.fleet.Fleet
 import org.acaciaflow.state.identity.ProcessIdentity
 import org.acaciaflow.state.loop.LoopState
+import org.acaciaflow.state.notice.BackendNotices
 import kotlin.time.Instant
 
 /** Describes a gateway's view of the fleet as JSON. */
@@ -23,6 +24,7 @@
         now: Instant,
     ): String {
         val fleet = tables.fleet.snapshot()
+        val notices = tables.notices.snapshot()
         val load = tables.load.snapshot()
         val records = tables.reliability.snapshot()
         val peers = tables.peers.snapshot()
@@ -41,7 +43,7 @@
                         put("instance", entry.life.instance)
                         put("pool", entry.pool.name)
                         put("role", entry.role.name)
-                        put("availability", availabilityOf(fleet, entry))
+                        put("availability", availabilityOf(fleet, notices, entry, now))
                         put("failure-share", records[entry.life]?.failureShare ?: 0.0)
                         put("own-jobs", load.ownAt(entry.life).jobs.size)
                         put("backlog-ms", load.backlogAt(entry.life, now).inWholeMilliseconds)
@@ -65,11 +67,14 @@
 
     private fun availabilityOf(
         fleet: Fleet,
+        notices: BackendNotices,
         entry: BackendEntry,
+        now: Instant,
     ): String =
         when {
             entry.draining || entry.life in fleet.leaving -> "leaving"
             entry.life in fleet.rejected -> "replaced"
+            (notices.rests[entry.life]?.until ?: now) > now -> "resting"
             entry.life in fleet.lapsed -> "entry-missing"
             else -> "serving"
         }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestDialect.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestDialect.kt
@@ -5,6 +5,7 @@
 import org.acaciaflow.coordination.port.CacheSource
 import org.acaciaflow.coordination.port.LeavingNotice
 import org.acaciaflow.coordination.port.PrefillOutcome
+import org.acaciaflow.coordination.port.RestNotice
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
@@ -42,6 +43,8 @@
             false -> LeavingNotice.Absent
         }
 
+    override fun restNotice(head: AnswerHead): RestNotice = RestNotice.Absent
+
     override fun prefillOutcome(
         order: RunOrder,
         head: AnswerHead,
