--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
@@ -16,6 +16,7 @@
     TARGET_MALFORMED("target-malformed"),
     NO_BACKEND("no-backend"),
     BACKENDS_REFUSED("backends-refused"),
+    BACKENDS_RESTING("backends-resting"),
     LATE_ALREADY("late-already"),
     ROOM_RESERVED("room-reserved"),
     STOPPING("stopping"),
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -104,8 +104,8 @@
     ): Sending {
         val request =
             client.connect(order.backend.address, head) ?: return Sending.NotSent(AttemptRefusal.CONNECTION_REFUSED)
-        return when (val permission = availability.permissionFor(order.backend)) {
-            SendPermission.Granted -> {
+        return when (val permission = availability.permissionFor(order)) {
+            SendPermission.Granted, SendPermission.GrantedAsTrial -> {
                 Sending.Sent(sendAttempt(order, purpose, dialect, availability, request, head, body))
             }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -80,7 +80,10 @@
         val channel = BodyChannel(response.pause())
         val head = AnswerHead(response.statusCode(), HopByHopHeaders.strip(response.headers().toFields()))
         val verdict = dialect.classifyAnswer(order, purpose, head)
-        if (verdict.isOfAddressedServer) availability.noticed(order, dialect.leavingNotice(head))
+        if (verdict.isOfAddressedServer) {
+            availability.noticed(order, dialect.leavingNotice(head))
+            availability.noticed(order, dialect.restNotice(head), refused = verdict is AnswerVerdict.NotExecuted)
+        }
         val isForeign = verdict == AnswerVerdict.OfOtherRequest || verdict == AnswerVerdict.Unsigned
         return OpenedAnswer(head, verdict, channel, closed = if (isForeign) request.connection().close() else null)
     }
