Recover from an outage of the store without the pauses of repeated reads

Reading the change again: a read that the store refuses made the pause before the next one grow to a second, so that a gateway noticed the end of an outage later than before, and each failed attempt was logged. Pauses now grow only for reads that the store answers, and a series of attempts that all fail is logged once. StoreFollowingTest got a store that refuses reads of keys for 40 s and one that refuses watches, in a real process.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -76,7 +76,7 @@
                 if (read.available) reads += 1
             } else {
                 val followed = follow(start)
-                reads = readsAfter(followed, reads)
+                reads = if (read.available) readsAfter(followed, reads) else 0
                 place = followed.place
             }
         }
@@ -88,10 +88,9 @@
         former: Place?,
     ): Place? {
         val nextReadAt = clock.now() + StoreReadPolicy.readInterval(read.complete, random)
-        val isKept = former != null && (read.revision == null || (!read.complete && !former.lost))
         return when {
-            isKept -> former?.copy(nextReadAt = nextReadAt)
-            read.revision == null -> null
+            read.revision == null -> former?.copy(nextReadAt = nextReadAt)
+            former != null && !former.lost && !read.complete -> former.copy(nextReadAt = nextReadAt)
             else -> Place(read.revision, nextReadAt, lost = false)
         }
     }
@@ -187,7 +186,7 @@
         start: Place,
         event: Event,
     ): Followed {
-        observations.event(event)
+        if (!start.lost) observations.event(event) // once for a series of attempts that all fail
         return Followed(place.copy(lost = true), changed = place.revision > start.revision)
     }
 
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/StoreFollowingTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/StoreFollowingTest.kt
@@ -71,6 +71,21 @@
         followsChanges()
     }
 
+    @Test
+    fun `a change is in force within two seconds although reads of all keys have been refused for a while`() {
+        store.refusesReads = true
+        Thread.sleep(READ_DUE_MILLISECONDS)
+
+        followsChanges()
+    }
+
+    @Test
+    fun `a change is in force within two seconds although watches are refused`() {
+        store.refusesWatches = true
+
+        followsChanges()
+    }
+
     /** Adds a route and lets one server drain; checks that both are in force two seconds after the store's answer. */
     private fun followsChanges() {
         Thread.sleep(CALM_MILLISECONDS)
@@ -111,6 +126,7 @@
         const val OVERWRITE_MILLISECONDS = 1_500L
         const val CALM_MILLISECONDS = 3_000L
         const val APPLY_MILLISECONDS = 2_100L // the bounds of the platform for changes and for drains are two seconds
+        const val READ_DUE_MILLISECONDS = 40_000L // longer than the time between two reads of all keys
         const val READ_COUNT_MILLISECONDS = 5_000L
         const val MOST_READS = 25
     }
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/StoreServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/StoreServer.kt
@@ -29,6 +29,14 @@
     @Volatile
     var forgets = false
 
+    /** While true, reads of keys are refused; watches are answered. */
+    @Volatile
+    var refusesReads = false
+
+    /** While true, watches are refused; reads of keys are answered. */
+    @Volatile
+    var refusesWatches = false
+
     val reads = AtomicInteger()
     val port: Int get() = server.address.port
 
@@ -116,7 +124,7 @@
         query: Map<String, String>,
     ) {
         reads.incrementAndGet()
-        answer(exchange, 200, pageOf(query))
+        if (refusesReads) answer(exchange, 503, "{}") else answer(exchange, 200, pageOf(query))
     }
 
     @Synchronized
@@ -140,6 +148,7 @@
         exchange: HttpExchange,
         query: Map<String, String>,
     ) {
+        if (refusesWatches) return answer(exchange, 503, "{}")
         val after = query.getValue("after").toLong()
         when (val changes = awaitChanges(after, query["prefix"].orEmpty(), query.getValue("wait_ms").toLong())) {
             null -> answer(exchange, 410, "{}")
