--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -51,7 +51,7 @@
     @Volatile
     private var sectionsRead: PersistentSet<StoreKey> = persistentSetOf()
 
-    /** True once the configuration and the servers have each been read whole; other gateways are also heard directly. */
+    /** True once the configuration and the servers have each been read whole; gateways also hear each other directly. */
     val synchronized: Boolean
         get() = feed.sections.filterNot { documents.kindOf(it) is StoredKeyKind.Gateway }.all { it in sectionsRead }
 
@@ -61,9 +61,9 @@
     private val reader = StoreReader(feed, onFailure = ::backOff, onPage = ::applyPage)
 
     /**
-     * Follows the store until cancelled, and reads all keys again when that is due or the place among the changes is lost.
+     * Follows the store until cancelled.
      *
-     * A read that fails does not end the watch: changes are followed from the former place meanwhile.
+     * All keys are read again when that is due, or when the place among the changes is lost. A read that fails does not end the watch: changes are followed from the former place meanwhile.
      */
     suspend fun run() {
         var place: Place? = null
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/RepeatedRefusalServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/RepeatedRefusalServer.kt
@@ -37,7 +37,8 @@
     /** The entry of this server in the store. */
     val entry: String
         get() =
-            """{"service":"register","address":"127.0.0.1:${server.localPort}","zone":"suba","version":"v1","slots":8,""" +
+            """{"service":"register","address":"127.0.0.1:${server.localPort}","zone":"suba","version":"v1",""" +
+                """"slots":8,""" +
                 """"state":"ready","cold_remaining_ms":0,"born":1764000000000,"sequence":1}"""
 
     override fun close() {
@@ -53,7 +54,8 @@
                     val requestId = readRequest(it.getInputStream()) ?: return
                     executed += requestId
                     val refusal = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n${refusalFields}Content-Length: 0\r\n\r\n"
-                    val head = "HTTP/1.1 200 OK\r\nRequest-Id: $requestId\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\n"
+                    val fields = "Request-Id: $requestId\r\nServer-Stamp: s\r\nContent-Length: 2\r\n"
+                    val head = "HTTP/1.1 200 OK\r\n$fields\r\n"
                     it.getOutputStream().write("$refusal${head}ok".toByteArray())
                 }
             }
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/ServiceServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/ServiceServer.kt
@@ -41,8 +41,8 @@
         state: String = "ready",
         startedAt: Long = STARTED_AT,
     ): String =
-        """{"service":"register","address":"127.0.0.1:${server.address.port}","zone":"suba","version":"v1","slots":8,""" +
-            """"state":"$state","cold_remaining_ms":0,"born":$startedAt,"sequence":1}"""
+        """{"service":"register","address":"127.0.0.1:${server.address.port}","zone":"suba","version":"v1",""" +
+            """"slots":8,"state":"$state","cold_remaining_ms":0,"born":$startedAt,"sequence":1}"""
 
     override fun close() {
         server.stop(0)
--- a/state/src/main/kotlin/org/acaciaflow/state/fleet/Fleet.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/fleet/Fleet.kt
@@ -11,8 +11,8 @@
  * The registered backend servers, by instance name.
  *
  * A server in [leaving] was seen draining and gets no new work, whatever its later entries say. A server in [lapsed]
- * lost its entry at that time, during a store outage, and stays in use. For a server in [rejected], another instance responded at its
- * address. [revisions] has the store's revision of each entry, by instance name.
+ * lost its entry at that time, during a store outage, and stays in use. For a server in [rejected], another instance
+ * responded at its address. [revisions] has the store's revision of each entry, by instance name.
  */
 data class Fleet(
     val entries: PersistentMap<String, BackendEntry>,
