--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/BackendAvailability.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/BackendAvailability.kt
@@ -54,7 +54,7 @@
         val life = order.backend.life
         when (notice) {
             LeavingNotice.Absent -> Unit
-            LeavingNotice.Leaving -> leaving(life, LeavingOrigin.Answer(order.requestId))
+            LeavingNotice.Leaving -> markLeaving(fleet, observations, life, LeavingOrigin.Answer(order.requestId))
             is LeavingNotice.Unreadable -> unreadable(life, order.requestId, notice.text)
         }
     }
@@ -96,11 +96,6 @@
         if (begun) observations.event(Event.BackendResting(life, requestId, duration))
     }
 
-    private fun leaving(
-        life: BackendLife,
-        origin: LeavingOrigin,
-    ) = markLeaving(fleet, observations, life, origin)
-
     private fun unreadable(
         life: BackendLife,
         requestId: String,
