Log which connection carries a request, and whose answer comes in its place

Each sending now logs its connection, how many requests it carried and whether one had the same id (line connected); an answer of another request logs its ids and whether the connection carried that request before (line foreign-answer, AF1216, a counter by owner). No decision changes.

--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
@@ -0,0 +1,50 @@
+package org.acaciaflow.coordination.connection
+
+import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.port.CallPurpose
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.coordination.relay.Decision
+import org.acaciaflow.state.connection.ConnectionHistory
+import kotlin.time.Instant
+
+/** Records which connection carries which request, and the answers on it that belong to other requests. */
+class ConnectionObserver(
+    private val observations: Observations,
+) {
+    /** [order] is sent at [now] on a connection that has carried [history] before. */
+    fun sending(
+        order: RunOrder,
+        purpose: CallPurpose,
+        history: ConnectionHistory,
+        now: Instant,
+    ) = observations.decided(Decision.Connected(order.requestId, order.backend, purpose, history, now))
+
+    /** An answer with the ids [answerIds] arrived at [now] in place of the answer to [order]. */
+    fun foreignAnswer(
+        order: RunOrder,
+        history: ConnectionHistory,
+        answerIds: List<String>,
+        now: Instant,
+    ) {
+        val owner = AnswerOwner.of(history, answerIds)
+        val shownIds = answerIds.joinToString(limit = SHOWN_IDS) { it.take(SHOWN_CHARACTERS) }
+        observations.foreignAnswer(owner)
+        observations.decided(
+            Decision.ForeignAnswer(
+                order.requestId,
+                order.backend,
+                history,
+                owner,
+                shownIds,
+                now,
+            ),
+        )
+        observations.event(Event.BackendAnswerForeign(order.backend.life, history.number, order.requestId, owner))
+    }
+
+    private companion object {
+        const val SHOWN_IDS = 2
+        const val SHOWN_CHARACTERS = 40
+    }
+}
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.coordination.event
 
 import org.acaciaflow.coordination.configuration.ConfigurationFault
+import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.port.DocumentFault
 import org.acaciaflow.coordination.port.StoreFailure
 import org.acaciaflow.coordination.port.StoreKey
@@ -197,6 +198,14 @@
         val duration: Duration,
     ) : Event(EventKind.BACKEND_RESTING)
 
+    /** Connection [connection] to [life] brought an answer of [owner] in place of the answer to [requestId]. */
+    data class BackendAnswerForeign(
+        val life: BackendLife,
+        val connection: Long,
+        val requestId: String,
+        val owner: AnswerOwner,
+    ) : Event(EventKind.BACKEND_ANSWER_FOREIGN)
+
     data class PeerHeard(
         val gateway: HostAddress,
         val configurationVersion: Long,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.port
 
+import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.coordination.retry.RetryReason
@@ -37,6 +38,9 @@
     /** A notice in a backend server's answer could not be read and was ignored. */
     fun noticeUnreadable()
 
+    /** An answer of [owner] arrived on a connection in place of the answer to the request in progress. */
+    fun foreignAnswer(owner: AnswerOwner)
+
     fun storeFailed(reason: StoreFailure)
 
     /** A frame that belongs to no attempt in progress was dropped. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
@@ -1,6 +1,9 @@
 package org.acaciaflow.coordination.relay
 
+import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.engine.EnginePath
+import org.acaciaflow.coordination.port.CallPurpose
+import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.load.FleetLoad
 import org.acaciaflow.state.refusal.Refusal
@@ -36,6 +39,25 @@
             get() = request.facts.requestId
     }
 
+    /** The request is sent to [backend] for [purpose] on a connection that has carried [history] before. */
+    data class Connected(
+        override val requestId: String,
+        val backend: BackendEntry,
+        val purpose: CallPurpose,
+        val history: ConnectionHistory,
+        override val at: Instant,
+    ) : Decision
+
+    /** The connection of a request brought an answer of [owner], which has the ids [answerIds], in place of its own. */
+    data class ForeignAnswer(
+        override val requestId: String,
+        val backend: BackendEntry,
+        val history: ConnectionHistory,
+        val owner: AnswerOwner,
+        val answerIds: String,
+        override val at: Instant,
+    ) : Decision
+
     /** An attempt at [backend] ended with [outcome]. */
     data class Ran(
         val request: RelayedRequest,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeObservations.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeObservations.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.relay
 
+import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreFailure
@@ -41,6 +42,8 @@
         decisions += decision
     }
 
+    override fun foreignAnswer(owner: AnswerOwner) = Unit
+
     override fun noticeUnreadable() {
         unreadableNotices += 1
     }
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/BackendDialect.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/BackendDialect.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.coordination.port.CacheSource
+import org.acaciaflow.coordination.port.CallPurpose
 import org.acaciaflow.coordination.port.LeavingNotice
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RestNotice
@@ -28,6 +29,9 @@
         head: AnswerHead,
     ): AnswerVerdict
 
+    /** The request ids that an answer with [head] carries; the answer to one request has exactly one. */
+    fun answerIds(head: AnswerHead): List<String>
+
     /** Reads what the server that wrote [head] says of its departure; not for an answer of another request. */
     fun leavingNotice(head: AnswerHead): LeavingNotice
 
@@ -42,12 +46,6 @@
     ): PrefillOutcome
 }
 
-/** The purpose of a call to a backend server. */
-enum class CallPurpose {
-    RUN,
-    PREFILL,
-}
-
 /** The classification of an answer. */
 sealed interface AnswerVerdict {
     /** It is the answer to the request, and the request was executed. */
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/NoOpObservations.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/NoOpObservations.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.protocol.execution
 
+import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreFailure
@@ -35,6 +36,8 @@
 
     override fun noticeUnreadable() = Unit
 
+    override fun foreignAnswer(owner: AnswerOwner) = Unit
+
     override fun storeFailed(reason: StoreFailure) = Unit
 
     override fun strayFrameDropped() = Unit
--- a/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
@@ -34,6 +34,7 @@
     RETRY_BUDGET(70),
     RETRY_WINDOWS(72),
     EXCHANGES(80),
+    BACKEND_CONNECTIONS(85),
     LINKS(90),
     STREAMS(100),
     LOOPS(110),
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
@@ -0,0 +1,43 @@
+package org.acaciaflow.transport.direct
+
+import org.acaciaflow.coordination.connection.ConnectionObserver
+import org.acaciaflow.coordination.fleet.BackendAvailability
+import org.acaciaflow.coordination.port.CallPurpose
+import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.protocol.dialect.AnswerVerdict
+import org.acaciaflow.protocol.dialect.BackendDialect
+import org.acaciaflow.protocol.dialect.isOfAddressedServer
+import org.acaciaflow.state.connection.ConnectionHistory
+import org.acaciaflow.state.work.AnswerHead
+import kotlin.time.Instant
+
+/** A request sent to a backend server on a connection that has carried [history] before. */
+internal data class SentCall(
+    val order: RunOrder,
+    val purpose: CallPurpose,
+    val history: ConnectionHistory,
+)
+
+/** Interprets the heads of backend servers' answers, and applies what they tell about the servers. */
+internal class AnswerReader(
+    private val dialect: BackendDialect,
+    private val availability: BackendAvailability,
+    private val observer: ConnectionObserver,
+) {
+    /** Classifies the answer with [head] that arrived at [now] after [call]. */
+    fun read(
+        call: SentCall,
+        head: AnswerHead,
+        now: Instant,
+    ): AnswerVerdict {
+        val verdict = dialect.classifyAnswer(call.order, call.purpose, head)
+        if (verdict == AnswerVerdict.OfOtherRequest) {
+            observer.foreignAnswer(call.order, call.history, dialect.answerIds(head), now)
+        }
+        if (verdict.isOfAddressedServer) {
+            availability.noticed(call.order, dialect.leavingNotice(head))
+            availability.noticed(call.order, dialect.restNotice(head), refused = verdict is AnswerVerdict.NotExecuted)
+        }
+        return verdict
+    }
+}
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -7,18 +7,19 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.fleet.SendPermission
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BackendConnections
 import org.acaciaflow.coordination.port.CacheSource
+import org.acaciaflow.coordination.port.CallPurpose
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.coordination.port.WholeBody
 import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
-import org.acaciaflow.protocol.dialect.CallPurpose
 import org.acaciaflow.protocol.dialect.HttpCalls
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
@@ -26,6 +27,7 @@
 import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.transport.http.BoundedBody
 import org.acaciaflow.transport.http.connect
+import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -35,9 +37,13 @@
     vertx: Vertx,
     private val dialect: BackendDialect,
     private val availability: BackendAvailability,
+    private val observer: ConnectionObserver,
     private val calls: HttpCalls,
     private val scope: CoroutineScope,
+    private val clock: Clock,
 ) : BackendConnections {
+    private val open = OpenConnections.create()
+    private val answers = AnswerReader(dialect, availability, observer)
     private val client: HttpClient =
         vertx.createHttpClient(
             HttpClientOptions()
@@ -106,7 +112,9 @@
             client.connect(order.backend.address, head) ?: return Sending.NotSent(AttemptRefusal.CONNECTION_REFUSED)
         return when (val permission = availability.permissionFor(order)) {
             SendPermission.Granted, SendPermission.GrantedAsTrial -> {
-                Sending.Sent(sendAttempt(order, purpose, dialect, availability, request, head, body))
+                val history = open.carry(request.connection(), order.requestId)
+                observer.sending(order, purpose, history, clock.now())
+                Sending.Sent(sendAttempt(SentCall(order, purpose, history), answers, request, head, body, clock))
             }
 
             is SendPermission.Denied -> {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -4,16 +4,11 @@
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import kotlinx.coroutines.withTimeoutOrNull
-import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BodyPart
-import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.coordination.port.WholeBody
 import org.acaciaflow.protocol.dialect.AnswerVerdict
-import org.acaciaflow.protocol.dialect.BackendDialect
-import org.acaciaflow.protocol.dialect.CallPurpose
-import org.acaciaflow.protocol.dialect.isOfAddressedServer
 import org.acaciaflow.protocol.http.HopByHopHeaders
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
@@ -24,16 +19,16 @@
 import org.acaciaflow.transport.http.readWhole
 import org.acaciaflow.transport.http.toBuffer
 import org.acaciaflow.transport.http.toFields
+import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Reads the answer to a request that was sent to a backend server. */
 internal class DirectStream(
-    private val order: RunOrder,
-    private val purpose: CallPurpose,
-    private val dialect: BackendDialect,
-    private val availability: BackendAvailability,
+    private val call: SentCall,
+    private val answers: AnswerReader,
     private val request: HttpClientRequest,
+    private val clock: Clock,
 ) : AttemptStream {
     private val opened = request.response().map(::openAnswer)
     private var body: BodyChannel? = null
@@ -79,11 +74,7 @@
     private fun openAnswer(response: HttpClientResponse): OpenedAnswer {
         val channel = BodyChannel(response.pause())
         val head = AnswerHead(response.statusCode(), HopByHopHeaders.strip(response.headers().toFields()))
-        val verdict = dialect.classifyAnswer(order, purpose, head)
-        if (verdict.isOfAddressedServer) {
-            availability.noticed(order, dialect.leavingNotice(head))
-            availability.noticed(order, dialect.restNotice(head), refused = verdict is AnswerVerdict.NotExecuted)
-        }
+        val verdict = answers.read(call, head, clock.now())
         val isForeign = verdict == AnswerVerdict.OfOtherRequest || verdict == AnswerVerdict.Unsigned
         return OpenedAnswer(head, verdict, channel, closed = if (isForeign) request.connection().close() else null)
     }
@@ -125,15 +116,14 @@
  * The stream is created first: an answer that arrives before it is lost, or loses its body.
  */
 internal fun sendAttempt(
-    order: RunOrder,
-    purpose: CallPurpose,
-    dialect: BackendDialect,
-    availability: BackendAvailability,
+    call: SentCall,
+    answers: AnswerReader,
     request: HttpClientRequest,
     head: CallHead,
     body: WholeBody,
+    clock: Clock,
 ): DirectStream {
-    val stream = DirectStream(order, purpose, dialect, availability, request)
+    val stream = DirectStream(call, answers, request, clock)
     head.headers.filterNot { it.name.equals("content-length", ignoreCase = true) }.forEach {
         request.headers().add(it.name, it.value)
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -3,6 +3,7 @@
 import org.acaciaflow.coordination.relay.Conclusion
 import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.coordination.relay.RelayedRequest
+import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.load.FleetLoad
 import org.acaciaflow.state.prompt.promptPartKeyText
@@ -16,6 +17,8 @@
         when (decision) {
             is Decision.Sent -> sent(decision)
             is Decision.Declined -> declined(decision)
+            is Decision.Connected -> connected(decision)
+            is Decision.ForeignAnswer -> foreignAnswer(decision)
             is Decision.Ran -> ran(decision)
             is Decision.Refused -> refused(decision)
             is Decision.Concluded -> concluded(decision)
@@ -52,6 +55,18 @@
             " own-jobs=${load.ownAt(life).jobs.size} peer-load-age-ms=${load.remoteAge(now).inWholeMilliseconds}"
     }
 
+    private fun connected(decision: Decision.Connected): String =
+        commonFields("connected", decision) + " backend=${decision.backend.life.instance}" +
+            " purpose=${decision.purpose.name.lowercase()}" + connectionFields(decision.history) +
+            " repeated=${decision.history.hasCarried(decision.requestId)}"
+
+    private fun foreignAnswer(decision: Decision.ForeignAnswer): String =
+        commonFields("foreign-answer", decision) + " backend=${decision.backend.life.instance}" +
+            connectionFields(decision.history) + " owner=${decision.owner.code} ids=\"${decision.answerIds}\""
+
+    private fun connectionFields(history: ConnectionHistory): String =
+        " connection=${history.number} carried=${history.carried.size}"
+
     private fun ran(decision: Decision.Ran): String =
         commonFields("ran", decision) + " backend=${decision.backend.life.instance} outcome=\"${decision.outcome}\"" +
             " shared-parts=${sharedParts(decision.request)}"
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
+import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.event.EventLevel
 import org.acaciaflow.coordination.port.LoopSupervisor
@@ -66,6 +67,8 @@
 
     override fun noticeUnreadable() = unreadableNotices.increment()
 
+    override fun foreignAnswer(owner: AnswerOwner) = count(Meters.ANSWERS_FOREIGN, "owner", owner.code)
+
     override fun storeFailed(reason: StoreFailure) = count(Meters.STORE_FAILURES, "reason", reason.code)
 
     override fun strayFrameDropped() = strayFrames.increment()
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
@@ -18,6 +18,7 @@
     const val STRAY_FRAMES = "acaciaflow.frames.stray"
     const val BACKENDS_LEAVING = "acaciaflow.backends.leaving"
     const val BACKENDS_RESTING = "acaciaflow.backends.resting"
+    const val ANSWERS_FOREIGN = "acaciaflow.backends.answers.foreign"
     const val NOTICES_UNREADABLE = "acaciaflow.backends.notices.unreadable"
 
     val ALL =
@@ -39,5 +40,6 @@
             BACKENDS_LEAVING,
             BACKENDS_RESTING,
             NOTICES_UNREADABLE,
+            ANSWERS_FOREIGN,
         )
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.transport.process
 
 import kotlinx.io.bytestring.encodeToByteString
+import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.peer.GatewayIdentity
 import org.acaciaflow.coordination.peer.LoadExchange
@@ -47,7 +48,16 @@
     val store = adapters.openStore(VertxHttpCalls(runtime.vertx, STORE_ANSWER_BYTES))
     val stop = StopSignal()
     val availability = BackendAvailability(tables.fleet, tables.notices, runtime.observations, clock, random)
-    val connections = DirectConnections(runtime.vertx, adapters.backends, availability, calls, runtime.workers.scope)
+    val connections =
+        DirectConnections(
+            runtime.vertx,
+            adapters.backends,
+            availability,
+            ConnectionObserver(runtime.observations),
+            calls,
+            runtime.workers.scope,
+            clock,
+        )
     val ports =
         RelayPorts(
             connections = connections,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -22,16 +22,18 @@
 import kotlinx.coroutines.withTimeout
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.decodeToString
+import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BodyPart
 import org.acaciaflow.coordination.port.CallBody
+import org.acaciaflow.coordination.port.CallPurpose
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.coordination.port.wholeBodyOf
-import org.acaciaflow.protocol.dialect.CallPurpose
 import org.acaciaflow.protocol.dialect.HttpResult
 import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.connection.newConnectionHistory
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.identity.DataCentre
@@ -53,8 +55,10 @@
             vertx,
             TestDialect,
             createBackendAvailability(),
+            createConnectionObserver(),
             VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
             releases,
+            createSteadyClock(),
         )
 
     @AfterAll
@@ -142,9 +146,9 @@
                         .setPort(backend.address.port)
                 val request = heldUpAfterSend(vertx.createHttpClient().request(options).coAwait())
                 val head = TestDialect.runHead(order)
-                val availability = createBackendAvailability()
-                val stream =
-                    sendAttempt(order, CallPurpose.RUN, TestDialect, availability, request, head, emptyBody)
+                val call = SentCall(order, CallPurpose.RUN, newConnectionHistory(number = 1))
+                val answers = AnswerReader(TestDialect, createBackendAvailability(), createConnectionObserver())
+                val stream = sendAttempt(call, answers, request, head, emptyBody, createSteadyClock())
 
                 bodyOf(stream) shouldBe ("body of request-1" to AttemptEvent.End)
             }
@@ -433,10 +437,10 @@
         source = null,
     )
 
-    private fun answer(requestId: String): String {
-        val body = "body of $requestId"
-        return "HTTP/1.1 200 OK\r\nRequest-Id: $requestId\r\nContent-Length: ${body.length}\r\n\r\n$body"
-    }
+    private fun answer(
+        requestId: String,
+        body: String = "body of $requestId",
+    ): String = "HTTP/1.1 200 OK\r\nRequest-Id: $requestId\r\nContent-Length: ${body.length}\r\n\r\n$body"
 
     private object EmptyBody : CallBody {
         override val buffered = ByteString()
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/LeavingNoticesTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/LeavingNoticesTest.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.coordination.fleet.FleetChanges
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.BodyPart
@@ -42,8 +43,10 @@
             vertx,
             TestDialect,
             createBackendAvailability(tables),
+            createConnectionObserver(),
             VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
             CoroutineScope(Dispatchers.Default),
+            createSteadyClock(),
         )
 
     @BeforeEach
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestDialect.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestDialect.kt
@@ -3,13 +3,13 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.coordination.port.CacheSource
+import org.acaciaflow.coordination.port.CallPurpose
 import org.acaciaflow.coordination.port.LeavingNotice
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RestNotice
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
-import org.acaciaflow.protocol.dialect.CallPurpose
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.CallHead
@@ -37,6 +37,9 @@
         }
     }
 
+    override fun answerIds(head: AnswerHead): List<String> =
+        head.headers.filter { it.name.equals("request-id", ignoreCase = true) }.map { it.value }
+
     override fun leavingNotice(head: AnswerHead): LeavingNotice =
         when (head.headers.any { it.name.equals("leaving", ignoreCase = true) }) {
             true -> LeavingNotice.Leaving
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
@@ -12,16 +12,17 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.runBlocking
+import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.CallAcceptor
+import org.acaciaflow.coordination.port.CallPurpose
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.coordination.port.wholeBodyOf
 import org.acaciaflow.coordination.relay.StopSignal
 import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
-import org.acaciaflow.protocol.dialect.CallPurpose
 import org.acaciaflow.protocol.http.RefusalAnswer
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.fleet.BackendEntry
@@ -37,6 +38,7 @@
 import org.acaciaflow.transport.direct.TestDialect
 import org.acaciaflow.transport.direct.VertxHttpCalls
 import org.acaciaflow.transport.direct.createBackendAvailability
+import org.acaciaflow.transport.direct.createConnectionObserver
 import org.acaciaflow.transport.observation.MeteredObservations
 import java.net.Socket
 import kotlin.random.Random
@@ -51,12 +53,14 @@
             vertx,
             PassingDialect,
             createBackendAvailability(),
+            createConnectionObserver(),
             VertxHttpCalls(
                 vertx,
                 maximumBytes =
                     64 * 1024,
             ),
             callScope,
+            createSteadyClock(),
         )
 
     @AfterAll
--- a/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
@@ -2,10 +2,13 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.engine.EnginePath
+import org.acaciaflow.coordination.port.CallPurpose
 import org.acaciaflow.coordination.relay.Conclusion
 import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.coordination.relay.RelayProgress
+import org.acaciaflow.state.connection.newConnectionHistory
 import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.transport.rehearsal.SampleRequest
 import java.nio.file.Files
@@ -17,6 +20,7 @@
     private val at = Instant.fromEpochSeconds(1_780_000_000)
     private val request = SampleRequest.at(at)
     private val backend = SampleRequest.BACKEND
+    private val history = newConnectionHistory(number = 7).carrying("r0")
     private val path = EnginePath.LocalPrefill(backend, work = 4.milliseconds, predicted = 10.milliseconds)
 
     @Test
@@ -25,6 +29,8 @@
         val lines =
             listOf(
                 Decision.Sent(request, backend, 10.milliseconds, SampleRequest.LOAD, at),
+                Decision.Connected("r1", backend, CallPurpose.RUN, history, at),
+                Decision.ForeignAnswer("r1", backend, history, AnswerOwner.EARLIER_REQUEST, "r0", at),
                 Decision.Ran(request, backend, "Broken(reason=BACKEND_CRASHED)", at),
                 Decision.Declined(request, path, NotRun.LATE_ALREADY, SampleRequest.LOAD, at),
                 Decision.Concluded(
