--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/RepeatedRefusalTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/RepeatedRefusalTest.kt
@@ -18,7 +18,14 @@
     }
 
     private fun playCalls(refusalFields: String) {
-        val servers = listOf("i-first", "i-second").map { RepeatedRefusalServer(it, refusalFields) }
+        val servers =
+            listOf("i-first", "i-second").map { instance ->
+                ScriptedServer(instance) { arrival, _ ->
+                    listOf(
+                        refusal(refusalFields) + answerText(arrival.requestId, 200),
+                    )
+                }
+            }
         val store = StoreServer()
         store.put("op/config", CONFIGURATION)
         servers.forEach { store.put("servers/${it.instance}", it.entry) }
@@ -39,15 +46,12 @@
         }
     }
 
+    private fun refusal(fields: String): String =
+        "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n${fields}Content-Length: 0\r\n\r\n"
+
     private companion object {
         const val CALLS = 24
         const val SERVICE_UNAVAILABLE = 503
-        const val CONFIGURATION =
-            """{"version":1,"routes":[{"name":"claims","host":"127.0.0.1","prefix":"/claims/",""" +
-                """"kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":200,"priority":1,""" +
-                """"service":"register","max_attempts":2,"sticky":false,"resumable":false}],""" +
-                """"services":[{"name":"register","health_path":"/healthz","max_conns":110,"protocol":"h1",""" +
-                """"tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,""" +
-                """"header_timeout_ms":3000,"idle_timeout_ms":15000}}"""
+        val CONFIGURATION = claimsConfiguration("non_idempotent")
     }
 }
--- /dev/null
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/RepeatedRequestIdTest.kt
@@ -0,0 +1,86 @@
+package org.acaciaflow.daemon
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+
+/**
+ * Runs a gateway in a separate process before a backend server that answers a request twice.
+ *
+ * The second answer comes when the next request of its connection is in, before the true answer to that one. Each caller
+ * sends its request once more, with the same id.
+ */
+class RepeatedRequestIdTest : AnnotationSpec() {
+    /** Guards against a success that reaches a caller although the server has failed that sending of its request. */
+    @Test
+    fun `a late success of an earlier sending is not the answer to the next sending with its id`() {
+        for (kind in listOf("idempotent", "non_idempotent", "streaming")) {
+            val statuses = playTwice(kind, first = FAILURE, late = SUCCESS, second = FAILURE)
+
+            withClue(kind) { statuses.count { it == SUCCESS } shouldBe 0 }
+        }
+    }
+
+    /** Guards against a caller that is told "not run" although the server has run that sending of its request. */
+    @Test
+    fun `a late refusal of an earlier sending is not the answer to the next sending with its id`() {
+        for (kind in listOf("non_idempotent", "streaming")) {
+            val statuses = playTwice(kind, first = REFUSAL, late = REFUSAL, second = SUCCESS)
+
+            withClue(kind) { statuses.count { it == REFUSAL } shouldBe 0 }
+        }
+    }
+
+    /**
+     * Sends each of several requests twice and returns the statuses of the second sendings.
+     *
+     * The server answers the first sending with [first], then with [late], and the second one with [second].
+     */
+    private fun playTwice(
+        kind: String,
+        first: Int,
+        late: Int,
+        second: Int,
+    ): List<Int> {
+        val server =
+            ScriptedServer("i-first") { arrival, earlier ->
+                val answeredOnce = earlier.lastOrNull()?.takeIf { it.sending == 1 }
+                val lateAnswers = listOfNotNull(answeredOnce?.let { answer(it, late) })
+                lateAnswers + answer(arrival, if (arrival.sending == 1) first else second)
+            }
+        val store = StoreServer()
+        store.put("op/config", claimsConfiguration(kind))
+        store.put("servers/${server.instance}", server.entry)
+        val gateway = GatewayProcess(store.port)
+        try {
+            gateway.awaitReady()
+            val statuses =
+                List(CALLS) {
+                    gateway.call("/claims/$it", "id-$it")
+                    gateway.call("/claims/$it", "id-$it")
+                }
+            println(
+                "$kind, first $first, late $late, then $second: second sendings got ${statuses.groupingBy {
+                    it
+                }.eachCount()}",
+            )
+            return statuses
+        } finally {
+            gateway.close()
+            server.close()
+            store.close()
+        }
+    }
+
+    private fun answer(
+        arrival: Arrival,
+        status: Int,
+    ): String = answerText(arrival.requestId, status, if (status == REFUSAL) "Not-Executed: 1\r\n" else "")
+
+    private companion object {
+        const val CALLS = 24
+        const val SUCCESS = 200
+        const val FAILURE = 500
+        const val REFUSAL = 503
+    }
+}
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/RepeatedRefusalServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/ScriptedServer.kt
@@ -8,20 +8,27 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.Executors
 
+/** A request that reached a [ScriptedServer], the [sending]th one with its id there. */
+internal data class Arrival(
+    val requestId: String,
+    val sending: Int,
+)
+
 /**
- * A faulty backend server that registers as [instance]: before each answer it writes an earlier refusal once more.
+ * A backend server that registers as [instance] and whose answers are written by [script].
  *
- * [refusalFields] are the header lines of that refusal.
+ * The script gets a request and those that its connection carried before; it returns the bytes to write, with a pause
+ * between one element and the next.
  */
-internal class RepeatedRefusalServer(
+internal class ScriptedServer(
     val instance: String,
-    private val refusalFields: String,
+    private val script: (Arrival, List<Arrival>) -> List<String>,
 ) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
     private val threads = Executors.newCachedThreadPool { Thread(it, instance).apply { isDaemon = true } }
     private val sockets = CopyOnWriteArrayList<Socket>()
 
-    /** The ids of all requests that this server has run. */
+    /** The ids of all requests that this server has read. */
     val executed = CopyOnWriteArrayList<String>()
 
     init {
@@ -48,15 +55,18 @@
     }
 
     private fun serve(socket: Socket) {
+        val earlier = mutableListOf<Arrival>()
         try {
             socket.use {
                 while (true) {
                     val requestId = readRequest(it.getInputStream()) ?: return
                     executed += requestId
-                    val refusal = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n${refusalFields}Content-Length: 0\r\n\r\n"
-                    val fields = "Request-Id: $requestId\r\nServer-Stamp: s\r\nContent-Length: 2\r\n"
-                    val head = "HTTP/1.1 200 OK\r\n$fields\r\n"
-                    it.getOutputStream().write("$refusal${head}ok".toByteArray())
+                    val arrival = Arrival(requestId, executed.count { id -> id == requestId })
+                    script(arrival, earlier.toList()).forEachIndexed { index, text ->
+                        if (index > 0) Thread.sleep(PAUSE_MILLISECONDS)
+                        it.getOutputStream().write(text.toByteArray())
+                    }
+                    earlier += arrival
                 }
             }
         } catch (_: IOException) {
@@ -89,5 +99,15 @@
 
     private companion object {
         const val BACKLOG = 64
+        const val PAUSE_MILLISECONDS = 80L
     }
 }
+
+/** The text of an answer to [requestId] with [status] and [fields], whose body is [body]. */
+internal fun answerText(
+    requestId: String,
+    status: Int,
+    fields: String = "",
+    body: String = "ok",
+): String =
+    "HTTP/1.1 $status Answer\r\nRequest-Id: $requestId\r\nServer-Stamp: stamp\r\n${fields}Content-Length: ${body.length}\r\n\r\n$body"
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.collections.shouldNotContain
 import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -111,6 +112,52 @@
         }
     }
 
+    /** Guards against an answer to an earlier sending of a request that is taken for the answer to a later one. */
+    @Test
+    fun `a late answer to a prefill is not the answer to the run of the same request`() {
+        val backend =
+            RawBackend { output, id, number ->
+                if (number == 2) {
+                    write(output, answer(id, "late copy"))
+                    Thread.sleep(50)
+                }
+                write(output, answer(id))
+            }
+
+        backend.use {
+            runBlocking {
+                connections.prefill(orderFor(backend, "request-1"), emptyBody)
+
+                read(backend, "request-1").first shouldBe "body of request-1"
+            }
+        }
+    }
+
+    /** Guards against an answer to an earlier sending of a request that is taken for the answer to a later one. */
+    @Test
+    fun `a connection carries each id once, and other requests share it`() {
+        RawBackend { output, id, _ -> write(output, answer(id)) }.use { backend ->
+            runBlocking {
+                repeat(60) { read(backend, "request-${it % 20}").first shouldBe "body of request-${it % 20}" }
+            }
+
+            for (carried in backend.receivedByConnection) carried.toSet().size shouldBe carried.size
+            backend.connections.get() shouldBeLessThan 60
+        }
+    }
+
+    /** Guards against memory that grows with the age of a connection. */
+    @Test
+    fun `a connection that has carried many requests is replaced`() {
+        RawBackend { output, id, _ -> write(output, answer(id)) }.use { backend ->
+            runBlocking {
+                repeat(600) { read(backend, "request-$it").first shouldBe "body of request-$it" }
+            }
+
+            for (carried in backend.receivedByConnection) carried.size shouldBeLessThan 300
+        }
+    }
+
     /** Guards against a request that gets the connection of an answer of another request, and breaks with it. */
     @Test
     fun `the connection of another request's answer is not used again`() {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/RawBackend.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/RawBackend.kt
@@ -32,6 +32,9 @@
     val heads = CopyOnWriteArrayList<String>()
     val connections = AtomicInteger()
 
+    /** The ids of the requests received on each connection, in the order in which the connections were opened. */
+    val receivedByConnection = CopyOnWriteArrayList<CopyOnWriteArrayList<String>>()
+
     /** The bytes that [pour] could write before the connection closed. */
     val poured = AtomicLong()
     val address = HostAddress("127.0.0.1", server.localPort)
@@ -42,7 +45,8 @@
                 val socket = runCatching { server.accept() }.getOrNull() ?: break
                 connections.incrementAndGet()
                 sockets += socket
-                threads.execute { serve(socket) }
+                val carried = CopyOnWriteArrayList<String>().also(receivedByConnection::add)
+                threads.execute { serve(socket, carried) }
             }
         }
     }
@@ -81,12 +85,16 @@
         threads.shutdownNow()
     }
 
-    private fun serve(socket: Socket) {
+    private fun serve(
+        socket: Socket,
+        carried: MutableList<String>,
+    ) {
         try {
             socket.use {
                 while (true) {
                     val requestId = readRequest(it.getInputStream()) ?: return
                     received += requestId
+                    carried += requestId
                     script(it.getOutputStream(), requestId, requests.incrementAndGet())
                 }
             }
