Never send the same id twice on one connection to a backend server

Callers got a success where the server had failed that run (MIXED), or were told 'not run' though it ran. Cause: an answer names its request, not the sending that it belongs to. A kept connection that has carried a sending of an id may still bring a late answer to it, and the gateway took that for the answer to the next sending of the id on the same connection: a caller's repeat, a run after a refused run with KV cache, or a run after a prefill.

A connection now remembers the ids that it has carried. One that has carried a request's id is closed and the request goes out on another, so an answer can only belong to the one sending of its id there.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
@@ -20,6 +20,9 @@
         now: Instant,
     ) = observations.decided(Decision.Connected(order.requestId, order.backend, purpose, history, now))
 
+    /** A kept connection is closed for [reason] instead of carrying a request. */
+    fun closed(reason: ConnectionCloseReason) = observations.connectionClosed(reason)
+
     /** An answer with the ids [answerIds] arrived at [now] in place of the answer to [order]. */
     fun foreignAnswer(
         order: RunOrder,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.coordination.port
 
 import org.acaciaflow.coordination.connection.AnswerOwner
+import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.coordination.retry.RetryReason
@@ -41,6 +42,9 @@
     /** An answer of [owner] arrived on a connection in place of the answer to the request in progress. */
     fun foreignAnswer(owner: AnswerOwner)
 
+    /** A kept connection to a backend server was closed for [reason] instead of carrying a request. */
+    fun connectionClosed(reason: ConnectionCloseReason)
+
     fun storeFailed(reason: StoreFailure)
 
     /** A frame that belongs to no attempt in progress was dropped. */
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeObservations.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeObservations.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.coordination.relay
 
 import org.acaciaflow.coordination.connection.AnswerOwner
+import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreFailure
@@ -44,6 +45,8 @@
 
     override fun foreignAnswer(owner: AnswerOwner) = Unit
 
+    override fun connectionClosed(reason: ConnectionCloseReason) = Unit
+
     override fun noticeUnreadable() {
         unreadableNotices += 1
     }
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/NoOpObservations.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/NoOpObservations.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.protocol.execution
 
 import org.acaciaflow.coordination.connection.AnswerOwner
+import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreFailure
@@ -38,6 +39,8 @@
 
     override fun foreignAnswer(owner: AnswerOwner) = Unit
 
+    override fun connectionClosed(reason: ConnectionCloseReason) = Unit
+
     override fun storeFailed(reason: StoreFailure) = Unit
 
     override fun strayFrameDropped() = Unit
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.PoolOptions
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -21,11 +22,13 @@
 import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.protocol.dialect.HttpCalls
+import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.transport.http.BoundedBody
+import org.acaciaflow.transport.http.awaitResult
 import org.acaciaflow.transport.http.connect
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -108,13 +111,13 @@
         head: CallHead,
         body: WholeBody,
     ): Sending {
-        val request =
-            client.connect(order.backend.address, head) ?: return Sending.NotSent(AttemptRefusal.CONNECTION_REFUSED)
+        val connected = connect(order, head) ?: return Sending.NotSent(AttemptRefusal.CONNECTION_REFUSED)
+        val request = connected.request
         return when (val permission = availability.permissionFor(order)) {
             SendPermission.Granted, SendPermission.GrantedAsTrial -> {
-                val history = open.carry(request.connection(), order.requestId)
-                observer.sending(order, purpose, history, clock.now())
-                Sending.Sent(sendAttempt(SentCall(order, purpose, history), answers, request, head, body, clock))
+                observer.sending(order, purpose, connected.history, clock.now())
+                val call = SentCall(order, purpose, connected.history)
+                Sending.Sent(sendAttempt(call, answers, request, head, body, clock))
             }
 
             is SendPermission.Denied -> {
@@ -124,6 +127,31 @@
         }
     }
 
+    /** Returns the unsent request on a connection that may carry it; null when the server can't be reached. */
+    private suspend fun connect(
+        order: RunOrder,
+        head: CallHead,
+    ): Connected? {
+        while (true) {
+            val request = client.connect(order.backend.address, head) ?: return null
+            when (val claim = open.claim(request.connection(), order.requestId)) {
+                is Claim.Granted -> {
+                    return Connected(request, claim.history)
+                }
+
+                is Claim.Denied -> {
+                    observer.closed(claim.reason)
+                    request.connection().close().awaitResult() // so that the pool can't return it again
+                }
+            }
+        }
+    }
+
+    private class Connected(
+        val request: HttpClientRequest,
+        val history: ConnectionHistory,
+    )
+
     private sealed interface Sending {
         data class Sent(
             val stream: DirectStream,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
@@ -3,6 +3,9 @@
 import io.vertx.core.http.HttpConnection
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
+import org.acaciaflow.coordination.connection.ConnectionCloseReason
+import org.acaciaflow.coordination.connection.ConnectionReuse
+import org.acaciaflow.coordination.connection.ReuseDecision
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.connection.newConnectionHistory
 import org.acaciaflow.state.lock.LockOrder
@@ -10,25 +13,45 @@
 import org.acaciaflow.state.table.Transition
 import org.acaciaflow.state.table.createSharedTable
 
+/** Whether a connection may carry a request. */
+internal sealed interface Claim {
+    /** It may; it has carried [history] before. */
+    data class Granted(
+        val history: ConnectionHistory,
+    ) : Claim
+
+    /** It may not, and is to be closed. */
+    data class Denied(
+        val reason: ConnectionCloseReason,
+    ) : Claim
+}
+
 /** The open connections to backend servers, and what each has carried. */
 internal class OpenConnections private constructor(
     private val table: SharedTable<Connections>,
 ) {
-    /** Returns the history of [connection] without the request [requestId], which it now carries. */
-    fun carry(
+    /** Decides whether [connection] may carry the request [requestId]; if so, it counts as sent on it. */
+    fun claim(
         connection: HttpConnection,
         requestId: String,
-    ): ConnectionHistory {
-        val (history, isNew) =
+    ): Claim {
+        var isNew = false
+        val claim =
             table.transition { known ->
                 val former = known.histories[connection]
+                isNew = former == null
                 val history = former ?: newConnectionHistory(known.opened + 1)
-                val opened = if (former == null) known.opened + 1 else known.opened
-                val histories = known.histories.put(connection, history.carrying(requestId))
-                Transition(Connections(opened, histories), history to (former == null))
+                when (val decision = ConnectionReuse.decide(history, requestId)) {
+                    ReuseDecision.Use ->
+                        Transition(
+                            known.carrying(connection, history, requestId),
+                            Claim.Granted(history),
+                        )
+                    is ReuseDecision.Close -> Transition(known, Claim.Denied(decision.reason))
+                }
             }
         if (isNew) connection.closeHandler { forget(connection) }
-        return history
+        return claim
     }
 
     private fun forget(connection: HttpConnection) {
@@ -39,7 +62,17 @@
     private data class Connections(
         val opened: Long,
         val histories: PersistentMap<HttpConnection, ConnectionHistory>,
-    )
+    ) {
+        fun carrying(
+            connection: HttpConnection,
+            history: ConnectionHistory,
+            requestId: String,
+        ): Connections =
+            Connections(
+                opened = maxOf(opened, history.number),
+                histories = histories.put(connection, history.carrying(requestId)),
+            )
+    }
 
     companion object {
         /** Creates the table of a gateway that has opened no connection. */
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
 import org.acaciaflow.coordination.connection.AnswerOwner
+import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.event.EventLevel
 import org.acaciaflow.coordination.port.LoopSupervisor
@@ -69,6 +70,9 @@
 
     override fun foreignAnswer(owner: AnswerOwner) = count(Meters.ANSWERS_FOREIGN, "owner", owner.code)
 
+    override fun connectionClosed(reason: ConnectionCloseReason) =
+        count(Meters.CONNECTIONS_CLOSED, "reason", reason.code)
+
     override fun storeFailed(reason: StoreFailure) = count(Meters.STORE_FAILURES, "reason", reason.code)
 
     override fun strayFrameDropped() = strayFrames.increment()
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
@@ -19,6 +19,7 @@
     const val BACKENDS_LEAVING = "acaciaflow.backends.leaving"
     const val BACKENDS_RESTING = "acaciaflow.backends.resting"
     const val ANSWERS_FOREIGN = "acaciaflow.backends.answers.foreign"
+    const val CONNECTIONS_CLOSED = "acaciaflow.backends.connections.closed"
     const val NOTICES_UNREADABLE = "acaciaflow.backends.notices.unreadable"
 
     val ALL =
@@ -41,5 +42,6 @@
             BACKENDS_RESTING,
             NOTICES_UNREADABLE,
             ANSWERS_FOREIGN,
+            CONNECTIONS_CLOSED,
         )
 }
