Skip late answers to earlier requests, and read on for the true one

Beside a server that answers twice, callers of requests that may run once got 502, though the server had run them and its true answer lay behind the late one: Vert.x takes the first answer that arrives for the one to the request in progress, and the connection was closed with the rest.

Since a connection carries each id once, an answer with the id of another request that it has carried is late and not the one waited for. Any other foreign answer closes the connection as before.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
@@ -23,26 +23,50 @@
     /** A kept connection is closed for [reason] instead of carrying a request. */
     fun closed(reason: ConnectionCloseReason) = observations.connectionClosed(reason)
 
-    /** An answer with the ids [answerIds] arrived at [now] in place of the answer to [order]. */
+    /** An answer with the ids [answerIds] arrived at [now] in place of the answer to [order], which is given up. */
     fun foreignAnswer(
         order: RunOrder,
         history: ConnectionHistory,
         answerIds: List<String>,
         now: Instant,
+    ) {
+        record(order, history, answerIds, now, isSkipped = false)
+        reportServer(order, history, answerIds)
+    }
+
+    /** An answer with the ids [answerIds] arrived at [now] before the answer to [order], and was skipped. */
+    fun skipped(
+        order: RunOrder,
+        history: ConnectionHistory,
+        answerIds: List<String>,
+        now: Instant,
+        isFirst: Boolean,
+    ) {
+        record(order, history, answerIds, now, isSkipped = true)
+        if (isFirst) reportServer(order, history, answerIds)
+    }
+
+    private fun record(
+        order: RunOrder,
+        history: ConnectionHistory,
+        answerIds: List<String>,
+        now: Instant,
+        isSkipped: Boolean,
     ) {
         val owner = AnswerOwner.of(history, answerIds)
         val shownIds = answerIds.joinToString(limit = SHOWN_IDS) { it.take(SHOWN_CHARACTERS) }
         observations.foreignAnswer(owner)
         observations.decided(
-            Decision.ForeignAnswer(
-                order.requestId,
-                order.backend,
-                history,
-                owner,
-                shownIds,
-                now,
-            ),
+            Decision.ForeignAnswer(order.requestId, order.backend, history, owner, shownIds, isSkipped, now),
         )
+    }
+
+    private fun reportServer(
+        order: RunOrder,
+        history: ConnectionHistory,
+        answerIds: List<String>,
+    ) {
+        val owner = AnswerOwner.of(history, answerIds)
         observations.event(Event.BackendAnswerForeign(order.backend.life, history.number, order.requestId, owner))
     }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
@@ -48,13 +48,18 @@
         override val at: Instant,
     ) : Decision
 
-    /** The connection of a request brought an answer of [owner], which has the ids [answerIds], in place of its own. */
+    /**
+     * The connection of a request brought an answer of [owner], which has the ids [answerIds], in place of its own.
+     *
+     * The request is given up unless the answer was [skipped].
+     */
     data class ForeignAnswer(
         override val requestId: String,
         val backend: BackendEntry,
         val history: ConnectionHistory,
         val owner: AnswerOwner,
         val answerIds: String,
+        val skipped: Boolean,
         override val at: Instant,
     ) : Decision
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -117,6 +117,7 @@
             SendPermission.Granted, SendPermission.GrantedAsTrial -> {
                 observer.sending(order, purpose, connected.history, clock.now())
                 val call = SentCall(order, purpose, connected.history)
+                LateAnswerFilter.of(request.connection(), dialect, observer, clock).expect(call)
                 Sending.Sent(sendAttempt(call, answers, request, head, body, clock))
             }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -62,7 +62,8 @@
 
     private fun foreignAnswer(decision: Decision.ForeignAnswer): String =
         commonFields("foreign-answer", decision) + " backend=${decision.backend.life.instance}" +
-            connectionFields(decision.history) + " owner=${decision.owner.code} ids=\"${decision.answerIds}\""
+            connectionFields(decision.history) + " owner=${decision.owner.code} skipped=${decision.skipped}" +
+            " ids=\"${decision.answerIds}\""
 
     private fun connectionFields(history: ConnectionHistory): String =
         " connection=${history.number} carried=${history.carried.size}"
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/RawBackend.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/RawBackend.kt
@@ -51,6 +51,10 @@
         }
     }
 
+    /** The id of the request that the connection of [requestId] carried just before it; null if there is none. */
+    fun earlierOnConnection(requestId: String): String? =
+        receivedByConnection.firstNotNullOfOrNull { carried -> carried.getOrNull(carried.indexOf(requestId) - 1) }
+
     /** Writes [text] to [output] at once. */
     fun write(
         output: OutputStream,
