Say in one type whether a connection may carry a request

Claim repeated ReuseDecision; the decision now has the history that the connection had before. Behaviour is unchanged.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionReuse.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionReuse.kt
@@ -17,7 +17,7 @@
         when {
             history.hasCarried(requestId) -> ReuseDecision.Close(ConnectionCloseReason.REQUEST_REPEATED)
             history.carried.size >= MAXIMUM_REQUESTS -> ReuseDecision.Close(ConnectionCloseReason.REQUESTS_EXHAUSTED)
-            else -> ReuseDecision.Use
+            else -> ReuseDecision.Use(history)
         }
 
     /** The requests that a connection carries at most, which bounds the memory for its history. */
@@ -26,7 +26,10 @@
 
 /** Whether a kept connection may carry a request. */
 sealed interface ReuseDecision {
-    data object Use : ReuseDecision
+    /** The connection carries it; [history] is what it carried before. */
+    data class Use(
+        val history: ConnectionHistory,
+    ) : ReuseDecision
 
     /** The connection is closed, and the request is sent on another one. */
     data class Close(
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/ConnectionReuseTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/ConnectionReuseTest.kt
@@ -9,8 +9,10 @@
 
     @Test
     fun `a connection may carry requests with ids that it has not carried`() {
-        ConnectionReuse.decide(fresh, "request-1") shouldBe ReuseDecision.Use
-        ConnectionReuse.decide(fresh.carrying("request-1"), "request-2") shouldBe ReuseDecision.Use
+        ConnectionReuse.decide(fresh, "request-1") shouldBe ReuseDecision.Use(fresh)
+
+        val used = fresh.carrying("request-1")
+        ConnectionReuse.decide(used, "request-2") shouldBe ReuseDecision.Use(used)
     }
 
     /** Guards against an answer to an earlier sending of a request that is taken for the answer to a later one. */
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.coordination.connection.ConnectionObserver
+import org.acaciaflow.coordination.connection.ReuseDecision
 import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.fleet.SendPermission
 import org.acaciaflow.coordination.port.AttemptEvent
@@ -135,13 +136,13 @@
     ): Connected? {
         while (true) {
             val request = client.connect(order.backend.address, head) ?: return null
-            when (val claim = open.claim(request.connection(), order.requestId)) {
-                is Claim.Granted -> {
-                    return Connected(request, claim.history)
+            when (val decision = open.claim(request.connection(), order.requestId)) {
+                is ReuseDecision.Use -> {
+                    return Connected(request, decision.history)
                 }
 
-                is Claim.Denied -> {
-                    observer.closed(claim.reason)
+                is ReuseDecision.Close -> {
+                    observer.closed(decision.reason)
                     request.connection().close().awaitResult() // so that the pool can't return it again
                 }
             }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
@@ -3,7 +3,6 @@
 import io.vertx.core.http.HttpConnection
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
-import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionReuse
 import org.acaciaflow.coordination.connection.ReuseDecision
 import org.acaciaflow.state.connection.ConnectionHistory
@@ -13,19 +12,6 @@
 import org.acaciaflow.state.table.Transition
 import org.acaciaflow.state.table.createSharedTable
 
-/** Whether a connection may carry a request. */
-internal sealed interface Claim {
-    /** It may; it has carried [history] before. */
-    data class Granted(
-        val history: ConnectionHistory,
-    ) : Claim
-
-    /** It may not, and is to be closed. */
-    data class Denied(
-        val reason: ConnectionCloseReason,
-    ) : Claim
-}
-
 /** The open connections to backend servers, and what each has carried. */
 internal class OpenConnections private constructor(
     private val table: SharedTable<Connections>,
@@ -34,24 +20,18 @@
     fun claim(
         connection: HttpConnection,
         requestId: String,
-    ): Claim {
-        var isNew = false
-        val claim =
+    ): ReuseDecision {
+        val decision =
             table.transition { known ->
-                val former = known.histories[connection]
-                isNew = former == null
-                val history = former ?: newConnectionHistory(known.opened + 1)
+                val history = known.histories[connection] ?: newConnectionHistory(known.opened + 1)
                 when (val decision = ConnectionReuse.decide(history, requestId)) {
-                    ReuseDecision.Use ->
-                        Transition(
-                            known.carrying(connection, history, requestId),
-                            Claim.Granted(history),
-                        )
-                    is ReuseDecision.Close -> Transition(known, Claim.Denied(decision.reason))
+                    is ReuseDecision.Use -> Transition(known.carrying(connection, history, requestId), decision)
+                    is ReuseDecision.Close -> Transition(known, decision)
                 }
             }
+        val isNew = decision is ReuseDecision.Use && decision.history.carried.isEmpty()
         if (isNew) connection.closeHandler { forget(connection) }
-        return claim
+        return decision
     }
 
     private fun forget(connection: HttpConnection) {
