Open a connection for each probe of a sidecar's engine

A probe's answer names no call. On the kept connection, a late copy of an earlier answer was taken for the answer to the next probe: an engine that answered 503 counted as alive, and one that had changed its role and life as it was before (the life decides whether a request has crashed the engine). VertxHttpCalls now opens a connection for each call unless it is told to keep them; a sidecar probes once a second and after a broken call, on its own machine. Releases of caches, whose answers nobody reads, and the store keep theirs.

The test failed before: of three probes (alive, alive in another role, 503) the second got the first's answer and the third the second's.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
@@ -23,17 +23,24 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Makes short HTTP calls over keep-alive connections.
+ * Makes short HTTP calls.
+ *
+ * With [keepAlive], several calls share a connection, and a late copy of an earlier answer can be taken for the answer
+ * to a call. That is for answers that tell themselves which call they answer, and for those that nobody reads; all
+ * other calls need a connection each. Bytes that arrive while no call is in progress close a connection.
  *
  * A call that times out, or whose answer has more than [maximumBytes], closes its connection.
  */
 internal class VertxHttpCalls(
     vertx: Vertx,
     private val maximumBytes: Int,
+    keepAlive: Boolean = false,
 ) : HttpCalls {
     private val client: HttpClient =
         vertx.createHttpClient(
-            HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds.toInt()),
+            HttpClientOptions()
+                .setConnectTimeout(CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
+                .setKeepAlive(keepAlive),
             PoolOptions().setHttp1MaxSize(CONNECTIONS),
         )
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -44,8 +44,8 @@
     val tables = createRelayTables()
     registerFleetGauges(runtime.registry, tables.fleet, tables.notices, clock)
     registerStoreGauges(runtime.registry, tables.store, tables.routing, clock)
-    val calls = VertxHttpCalls(runtime.vertx, SHORT_ANSWER_BYTES)
-    val store = adapters.openStore(VertxHttpCalls(runtime.vertx, STORE_ANSWER_BYTES))
+    val calls = VertxHttpCalls(runtime.vertx, SHORT_ANSWER_BYTES, keepAlive = true)
+    val store = adapters.openStore(VertxHttpCalls(runtime.vertx, STORE_ANSWER_BYTES, keepAlive = true))
     val stop = StopSignal()
     val availability = BackendAvailability(tables.fleet, tables.notices, runtime.observations, clock, random)
     val connections =
--- a/transport/src/test/kotlin/org/acaciaflow/transport/backend/VertxBackendCallerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/backend/VertxBackendCallerTest.kt
@@ -17,6 +17,7 @@
 import org.acaciaflow.coordination.port.BackendResult
 import org.acaciaflow.coordination.port.BodyPart
 import org.acaciaflow.coordination.port.CallBody
+import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.identity.AttemptIdentity
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.identity.ProcessIdentity
@@ -25,6 +26,8 @@
 import org.acaciaflow.state.work.Rank
 import org.acaciaflow.state.work.RequestDigest
 import org.acaciaflow.transport.direct.RawBackend
+import org.acaciaflow.transport.direct.answerBytes
+import org.acaciaflow.transport.direct.repeatingBackend
 import java.io.OutputStream
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.seconds
@@ -108,6 +111,30 @@
         }
     }
 
+    /** Guards against an engine that counts as alive, or in its former role, after a late copy of an earlier answer. */
+    @Test
+    fun `a late copy of a probe's answer does not answer the next probe`() {
+        val backend =
+            repeatingBackend(
+                answerBytes(200, "", "X-Engine-Role: prefill", "X-Engine-Life: first"),
+                answerBytes(200, "", "X-Engine-Role: decode", "X-Engine-Life: second"),
+                answerBytes(503),
+            )
+
+        backend.use {
+            val caller = VertxBackendCaller(vertx, backend.address, "/health", connections = 2)
+
+            val probes = runBlocking { List(3) { caller.probe() } }
+
+            probes shouldBe
+                listOf(
+                    BackendHealth.Alive("first", EngineRole.PREFILL, waitingPromptTokens = 0),
+                    BackendHealth.Alive("second", EngineRole.DECODE, waitingPromptTokens = 0),
+                    BackendHealth.Unreachable,
+                )
+        }
+    }
+
     /** Keeps the bodies of all answers, each of one part. */
     private class CollectedAnswers : AnswerSink {
         val bodies = mutableListOf<String>()
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/VertxHttpCallsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/VertxHttpCallsTest.kt
@@ -8,8 +8,10 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.io.bytestring.ByteString
+import kotlinx.io.bytestring.decodeToString
 import org.acaciaflow.protocol.dialect.HttpResult
 import org.acaciaflow.state.work.CallHead
 import java.util.concurrent.atomic.AtomicBoolean
@@ -19,7 +21,7 @@
 
 class VertxHttpCallsTest : AnnotationSpec() {
     private val vertx = Vertx.vertx()
-    private val calls = VertxHttpCalls(vertx, maximumBytes = MAXIMUM_BYTES)
+    private val calls = VertxHttpCalls(vertx, MAXIMUM_BYTES, keepAlive = true)
 
     @AfterAll
     fun close() =
@@ -63,6 +65,32 @@
         }
     }
 
+    /** Guards against an answer, written once more while no call is in progress, that the next call gets. */
+    @Test
+    fun `a second answer that arrives before the next call is sent answers no call`() {
+        for (pause in listOf(Duration.ZERO, 30.milliseconds)) {
+            val backend =
+                RawBackend { output, _, number ->
+                    write(output, answerBytes(200, "answer $number"))
+                    Thread.sleep(pause.inWholeMilliseconds)
+                    write(output, answerBytes(200, "copy $number"))
+                }
+            backend.use {
+                val bodies =
+                    runBlocking {
+                        List(10) {
+                            val answer = call(backend).shouldBeInstanceOf<HttpResult.Answered>()
+                            delay(100.milliseconds)
+                            answer.body.decodeToString()
+                        }
+                    }
+
+                println("pause $pause: ${backend.connections.get()} connections for 10 calls")
+                bodies shouldBe List(10) { "answer ${it + 1}" }
+            }
+        }
+    }
+
     /** A server whose answers declare [declared] bytes and have [sent] before the connection closes. */
     private fun backendWithBody(
         declared: Int,
