Open a connection for each order to an engine and each read of its report

An engine's answers name no order. With a late copy of an earlier answer on the kept connection, an order that the engine refused with 409 counted as accepted, and a report of an earlier version counted as the present one. The same held for the list of hosts and for grants of weights. These calls come once a second or less, so each opens its own connection.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/engine/HttpEngineControl.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/engine/HttpEngineControl.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.VertxException
 import io.vertx.core.buffer.Buffer
 import io.vertx.ext.web.client.WebClient
+import io.vertx.ext.web.client.WebClientOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -28,7 +29,8 @@
     vertx: Vertx,
     private val engine: HostAddress,
 ) : EngineControl {
-    private val client = WebClient.create(vertx)
+    /** Opens a connection for each call: nothing in an answer tells it from a late copy of an earlier one. */
+    private val client = WebClient.create(vertx, WebClientOptions().setKeepAlive(false))
     private val json = Json { ignoreUnknownKeys = true }
 
     override suspend fun read(): EngineReading = withFallback({ fetchState() }, EngineReading.Unreachable)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/hosts/HttpHostList.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/hosts/HttpHostList.kt
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx
 import io.vertx.core.VertxException
 import io.vertx.ext.web.client.WebClient
+import io.vertx.ext.web.client.WebClientOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.serialization.SerializationException
@@ -23,7 +24,8 @@
     private val address: HostAddress,
     private val observations: Observations,
 ) : HostList {
-    private val client = WebClient.create(vertx)
+    /** Opens a connection for each call: nothing in an answer tells it from a late copy of an earlier one. */
+    private val client = WebClient.create(vertx, WebClientOptions().setKeepAlive(false))
 
     /** The number of hosts that the last list had and that could not be decoded. */
     @Volatile
--- a/transport/src/main/kotlin/org/acaciaflow/transport/weights/HttpWeightStore.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/weights/HttpWeightStore.kt
@@ -5,6 +5,7 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.ext.web.client.HttpResponse
 import io.vertx.ext.web.client.WebClient
+import io.vertx.ext.web.client.WebClientOptions
 import io.vertx.kotlin.coroutines.coAwait
 import org.acaciaflow.coordination.port.WeightLoad
 import org.acaciaflow.coordination.port.WeightStore
@@ -23,7 +24,8 @@
     vertx: Vertx,
     private val address: HostAddress,
 ) : WeightStore {
-    private val client = WebClient.create(vertx)
+    /** Opens a connection for each call: nothing in an answer tells it from a late copy of an earlier one. */
+    private val client = WebClient.create(vertx, WebClientOptions().setKeepAlive(false))
 
     override suspend fun requestLoad(
         model: String,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/hosts/HttpHostListTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/hosts/HttpHostListTest.kt
@@ -8,6 +8,8 @@
 import org.acaciaflow.coordination.port.ListedHost
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.transport.direct.answerBytes
+import org.acaciaflow.transport.direct.repeatingBackend
 import org.acaciaflow.transport.observation.MeteredObservations
 
 class HttpHostListTest : AnnotationSpec() {
@@ -46,6 +48,19 @@
         listOf(204, 404, 500, 503).map { read(it, """{"hosts":[]}""") } shouldBe List(4) { null }
     }
 
+    /** Guards against links to hosts that have gone, after a late copy of an earlier list. */
+    @Test
+    suspend fun `a late copy of a list does not answer the next read`() {
+        val lists = (1..3).map { """{"hosts":[{"sidecar":"10.0.0.$it:7000","dataCentre":"north"}]}""" }
+        repeatingBackend(*lists.map { answerBytes(200, it) }.toTypedArray()).use { server ->
+            val list = HttpHostList(vertx, server.address, observations)
+
+            val hosts = List(3) { list.read()?.map { host -> host.sidecar.ip } }
+
+            hosts shouldBe listOf(listOf("10.0.0.1"), listOf("10.0.0.2"), listOf("10.0.0.3"))
+        }
+    }
+
     private suspend fun read(
         status: Int,
         body: String,
