Take no late answer of the platform's store for the answer to another call

Pages, writes, leases and watches shared kept connections, and an answer names no call. A late copy of another answer was taken for a page (a section then lacks all its keys), for a write or for a renewal. Only watches keep their connections now. Their answers tell which changes they hold: one that does not reach the revision asked after, has changes up to it, or is no answer to a watch is of another call, and closes its connection. All other calls open a connection each: three pages every half minute and a renewal every five seconds. Calls to the store are priced, connections to it are not.

RepeatedStoreAnswerTest runs a gateway before a store whose answers all come twice.

--- a/daemon/src/main/kotlin/org/acaciaflow/daemon/PlatformAdapters.kt
+++ b/daemon/src/main/kotlin/org/acaciaflow/daemon/PlatformAdapters.kt
@@ -18,8 +18,8 @@
         documents = PlatformDocuments,
         rehearsal = PlatformRehearsal,
         registrationKey = PlatformDocuments.gatewayKey(settings.peers.toString()),
-        openStore = { calls ->
-            val store = PlatformStore(settings.store, calls)
+        openStore = { clients ->
+            val store = PlatformStore(settings.store, clients.kept, clients.single)
             PlatformStorePorts(changes = store, writes = store)
         },
     )
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/HttpCalls.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/HttpCalls.kt
@@ -8,12 +8,17 @@
 
 /** An HTTP client for short calls whose bodies fit in memory. */
 interface HttpCalls {
-    /** Sends a request to [address] and waits at most [timeout] for the complete answer. */
+    /**
+     * Sends a request to [address] and waits at most [timeout] for the complete answer.
+     *
+     * An answer that [isAnswer] rejects belongs to another call; its connection is closed.
+     */
     suspend fun call(
         address: HostAddress,
         head: CallHead,
         body: ByteString,
         timeout: Duration,
+        isAnswer: (HttpResult.Answered) -> Boolean = { true },
     ): HttpResult
 }
 
@@ -24,6 +29,9 @@
         val body: ByteString,
     ) : HttpResult
 
+    /** An answer arrived that belongs to another call; whether this call was executed is not known. */
+    data object OfOtherCall : HttpResult
+
     /** The connection could not be established, so nothing was sent. */
     data object Unreachable : HttpResult
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
@@ -49,15 +49,20 @@
         head: CallHead,
         body: ByteString,
         timeout: Duration,
-    ): HttpResult = withTimeoutOrNull(timeout) { attempt(address, head, body) } ?: HttpResult.TimedOut
+        isAnswer: (HttpResult.Answered) -> Boolean,
+    ): HttpResult = withTimeoutOrNull(timeout) { attempt(address, head, body, isAnswer) } ?: HttpResult.TimedOut
 
     private suspend fun attempt(
         address: HostAddress,
         head: CallHead,
         body: ByteString,
+        isAnswer: (HttpResult.Answered) -> Boolean,
     ): HttpResult {
         val request = client.connect(address, head) ?: return HttpResult.Unreachable
-        return exchange(request, head, body)
+        val result = exchange(request, head, body)
+        if (result !is HttpResult.Answered || isAnswer(result)) return result
+        request.connection().close().awaitResult() // so that the next call can't get it from the pool
+        return HttpResult.OfOtherCall
     }
 
     private suspend fun exchange(
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayAdapters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayAdapters.kt
@@ -18,7 +18,13 @@
     val documents: StoredDocuments,
     val rehearsal: RehearsalScript,
     val registrationKey: StoreKey,
-    val openStore: (HttpCalls) -> PlatformStorePorts,
+    val openStore: (PlatformStoreClients) -> PlatformStorePorts,
+)
+
+/** HTTP clients for a gateway's calls to the store: [kept] keeps its connections, [single] opens one for each call. */
+data class PlatformStoreClients(
+    val kept: HttpCalls,
+    val single: HttpCalls,
 )
 
 /** A gateway's read and write access to the platform's store. */
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -45,7 +45,13 @@
     registerFleetGauges(runtime.registry, tables.fleet, tables.notices, clock)
     registerStoreGauges(runtime.registry, tables.store, tables.routing, clock)
     val calls = VertxHttpCalls(runtime.vertx, SHORT_ANSWER_BYTES, keepAlive = true)
-    val store = adapters.openStore(VertxHttpCalls(runtime.vertx, STORE_ANSWER_BYTES, keepAlive = true))
+    val store =
+        adapters.openStore(
+            PlatformStoreClients(
+                kept = VertxHttpCalls(runtime.vertx, STORE_ANSWER_BYTES, keepAlive = true),
+                single = VertxHttpCalls(runtime.vertx, STORE_ANSWER_BYTES),
+            ),
+        )
     val stop = StopSignal()
     val availability = BackendAvailability(tables.fleet, tables.notices, runtime.observations, clock, random)
     val connections =
