Round Retry-After up to whole seconds

Callers that were told to wait 2.9 s came back after 2 s and were refused again. Cause: the delay was cut to whole seconds. It is rounded up now, and stays at least one second.

RefusalAnswerTest failed before: 1 and 2 in place of 2 and 3 seconds for delays of 1 s and 1 ns, and of 2.9 s.

--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
@@ -13,6 +13,7 @@
 import org.acaciaflow.state.refusal.ThisCallNotRun
 import org.acaciaflow.state.work.HeaderField
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** The HTTP answer that reports a refusal to a caller. */
 data class RefusalAnswer(
@@ -50,9 +51,11 @@
             }
         }
 
-        /** Retry-After in whole seconds, at least one, because old devices don't parse fractions. */
+        /** Retry-After in whole seconds, rounded up, at least one, because old devices don't parse fractions. */
         private fun retryAfterField(retryAfter: Duration?): HeaderField {
-            val seconds = retryAfter?.inWholeSeconds?.coerceAtLeast(1) ?: 1
+            val delay = (retryAfter ?: Duration.ZERO).coerceAtLeast(1.seconds)
+            val whole = delay.inWholeSeconds
+            val seconds = if (delay > whole.seconds) whole + 1 else whole
             return HeaderField("Retry-After", seconds.toString())
         }
 
