Release KV cache after each refusal of a decode engine

KV cache of a remote prefill stayed at its engine when the decode engine refused the attempt for another reason than CACHE_UNAVAILABLE and AT_CAPACITY, as OTHER_LIFE: the request was planned anew, with a prefill of its own. It is now released after each refusal of a request that was sent.

A refused connection, which the row names, is not affected: the cache is kept for the next decode engine and released when there is none. A test pins that; it passed before.

RequestRelayTest, "KV cache of a prefill is released if the decode engine says that another life was meant", failed before: nothing was released.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -187,8 +187,10 @@
             prefillRun.recordLocalPrefill(request, engine, work, tracker.progress, now)
         }
         observations.decided(Decision.Ran(request, engine, outcome.toString(), clock.now()))
-        if (source != null && outcome is RunOutcome.NotExecuted && isCacheRefusal(outcome.reason)) {
+        if (source != null && outcome is RunOutcome.NotExecuted && !isNotSent(outcome.reason)) {
             prefillRun.release(source)
+        }
+        if (source != null && outcome is RunOutcome.NotExecuted && isCacheRefusal(outcome.reason)) {
             tracker.update { it.copy(reached = it.reached.add(engine.life), countedAttempts = it.countedAttempts + 1) }
             return EngineStep.Retry(RetryReason.CACHE_UNAVAILABLE)
         }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestRelayTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestRelayTest.kt
@@ -184,6 +184,36 @@
             connections.released shouldHaveSize 1
         }
 
+    /** Guards against KV cache that stays at a prefill engine since each decode engine refuses the connection. */
+    @Test
+    fun `KV cache of a prefill is released if no decode engine can be connected to`() =
+        runTest {
+            val refused = Reaction.Refuses(AttemptRefusal.CONNECTION_REFUSED)
+            val connections = ScriptedConnections(MutableList(10) { refused })
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL), engines, connections, prompt(5000)).accept(caller)
+
+            connections.orders.count { it.source != null } shouldBe 2
+            connections.released shouldHaveSize 1
+        }
+
+    /** Guards against KV cache that stays at a prefill engine after a refusal for a reason beside the cache. */
+    @Test
+    fun `KV cache of a prefill is released if the decode engine says that another life was meant`() =
+        runTest {
+            val connections =
+                ScriptedConnections(
+                    mutableListOf(Reaction.Refuses(AttemptRefusal.OTHER_LIFE), Reaction.Streams(breakAt = null)),
+                )
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL), engines, connections, prompt(5000)).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+            connections.released shouldHaveSize 1
+        }
+
     @Test
     fun `a call is refused for a missing configuration, not as unknown, while no configuration is known`() =
         runTest {
