Let the time after which a peer is silent grow with the number of peers

Reports are spaced by 30 ms a peer, 11.7 s at 390 gateways, but a peer was silent after 3 s. So most peers were removed and added again with each report, and their loads were left out in between.

ReportTiming decides both times from the number of receivers: a peer is silent after three missing reports, and after 3 s at the least, which is as before up to 33 gateways. The price: at 390 gateways a peer that has ended without notice is kept for 35 s, with the loads of its last report.

PeerGossipTest, "a peer among 390 is not silent before three of its reports are missing", failed before: the peer was removed.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
@@ -82,14 +82,11 @@
         crashGossip.receive(report, now)
     }
 
-    /** Removes the peers whose last report is older than [PEER_TIMEOUT] as of [now]. */
+    /** Removes the peers whose last report is older than [ReportTiming.silenceLimit] as of [now]. */
     fun removeSilentPeers(now: Instant) {
-        val silent =
-            tables.peers
-                .snapshot()
-                .live
-                .filterValues { now - it.lastReportAt > PEER_TIMEOUT }
-                .keys
+        val peers = tables.peers.snapshot()
+        val limit = ReportTiming.silenceLimit(peers.known.size)
+        val silent = peers.live.filterValues { now - it.lastReportAt > limit }.keys
         for (address in silent) {
             tables.load.update { RemoteLoads.removed(it, address) }
             tables.peers.update { it.copy(live = it.live.remove(address)) }
@@ -201,7 +198,6 @@
 
     private companion object {
         val SUSPICION_PERIOD: Duration = 600.milliseconds // renewed by the next reports while the suspicion lasts
-        val PEER_TIMEOUT: Duration = 3.seconds
         val REORDERING_PERIOD: Duration = 1.seconds // late copies of datagrams arrive within it
     }
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/PeerGossipTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/PeerGossipTest.kt
@@ -70,11 +70,30 @@
         receiver.versionOf(sender) shouldBe -1
     }
 
+    /** Guards against peers that are taken for silent between two reports, since many peers make reports rare. */
+    @Test
+    fun `a peer among 390 is not silent before three of its reports are missing`() {
+        val receiver = Receiver()
+        receiver.register((0 until 390).map { HostAddress("10.1.${it / 250}.${it % 250}", 7000) })
+        val sender = identity(startedAt = 1_000)
+        receiver.hear(sender, reports = 1, from = start)
+
+        receiver.gossip.removeSilentPeers(start + 35.seconds)
+        receiver.versionOf(sender) shouldBe -1
+
+        receiver.gossip.removeSilentPeers(start + 36.seconds)
+        receiver.versionOf(sender) shouldBe null
+    }
+
     private inner class Receiver {
         private val tables = createRelayTables()
         private val identity = identity(startedAt = 1).copy(address = HostAddress("10.0.0.9", 7000))
         val gossip = PeerGossip(identity, tables, LoadExchange(identity, tables), FakeObservations())
 
+        fun register(addresses: List<HostAddress>) {
+            tables.peers.update { it.copy(registered = it.registered.addAll(addresses)) }
+        }
+
         fun hear(
             sender: GatewayIdentity,
             reports: Int,
--- a/state/src/main/kotlin/org/acaciaflow/state/peer/Peers.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/peer/Peers.kt
@@ -16,9 +16,13 @@
     val registered: PersistentSet<HostAddress>,
     val live: PersistentMap<HostAddress, Peer>,
 ) {
+    /** The addresses of all other gateways, registered or live. */
+    val known: Set<HostAddress>
+        get() = registered + live.keys
+
     /** The number of other gateways that take requests, as far as known. */
     val servingCount: Int
-        get() = (registered + live.keys).count { live[it]?.stopping != true }
+        get() = known.count { live[it]?.stopping != true }
 
     companion object {
         val NONE = Peers(persistentSetOf(), persistentMapOf())
--- a/transport/src/main/kotlin/org/acaciaflow/transport/peer/PeerExchange.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/peer/PeerExchange.kt
@@ -12,6 +12,7 @@
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.peer.LoadExchange
 import org.acaciaflow.coordination.peer.PeerGossip
+import org.acaciaflow.coordination.peer.ReportTiming
 import org.acaciaflow.coordination.port.LoopSupervisor
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.protocol.peer.DecodedDatagram
@@ -68,9 +69,8 @@
 
     private suspend fun sendReports(socket: BoundDatagramSocket) {
         while (true) {
-            val known = peers.snapshot()
-            val others = known.registered + known.live.keys + seeds
-            delay(maxOf(MINIMUM_INTERVAL, INTERVAL_PER_PEER * others.size))
+            val others = peers.snapshot().known + seeds
+            delay(ReportTiming.interval(others.size))
             gossip.removeSilentPeers(clock.now())
             val bytes = PeerCodec.encode(gossip.report(stopping, clock.now()))
             others.forEach { sendTo(socket, it, bytes) }
@@ -111,7 +111,5 @@
     private companion object {
         val MINIMUM_LOAD_INTERVAL: Duration = 90.milliseconds // shorter than most prefills
         val LOAD_INTERVAL_PER_MESSAGE: Duration = 8.milliseconds // bounds the messages sent per second
-        val MINIMUM_INTERVAL: Duration = 250.milliseconds
-        val INTERVAL_PER_PEER: Duration = 30.milliseconds // bounds the bytes sent per second for any number of peers
     }
 }
