--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -65,7 +65,11 @@
         val current = reading
         when {
             current is Reading.Skipping -> skip(context, current.since, message)
-            current is Reading.Awaiting && message is HttpResponse && !isInterim(message) -> begin(context, current, message)
+            current is Reading.Awaiting &&
+                message is HttpResponse &&
+                !isInterim(
+                    message,
+                ) -> begin(context, current, message)
             else -> context.fireChannelRead(message)
         }
     }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/LateAnswerFilterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/LateAnswerFilterTest.kt
@@ -7,8 +7,6 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Vertx
-import io.vertx.core.http.HttpMethod
-import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.collections.immutable.persistentListOf
