Tell a late answer of the etcd store from the answer to the next call

EtcdKeyValueStore keeps connections, and compared nothing in an answer with its call: a late copy of a write's 200 was taken for the next write's, on which "at most once" rests, and a read got another key's value, or "absent" from a write's answer. A swap now reads its key in the same transaction, after the write, so that a success names key, value (which names the attempt) and revision; a read compares the key, a renewal the lease. An answer of another call closes its connection and counts as malformed; execution records then read what is stored. The stand-in's store carries out the steps of a transaction in order; the tests of that module were not run.

EtcdKeyValueStoreTest failed before: the second write, refused by the store, counted as written at revision 5; the read of b returned a.

--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/store/EtcdJson.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/store/EtcdJson.kt
@@ -64,7 +64,17 @@
         limit: Int,
     ): RangeRequest = RangeRequest(encodeKey(prefix), encodeRangeEnd(prefix), limit.toString())
 
-    /** A compare-and-swap: writes [key] if it is at revision [expected], and reads it otherwise. */
+    /** Returns true if [response] can answer a read of [key]; that the key is absent names no key. */
+    fun answersRead(
+        key: StoreKey,
+        response: RangeResponse,
+    ): Boolean = response.responses.isEmpty() && response.kvs.all { it.key == encodeKey(key) }
+
+    /**
+     * A compare-and-swap: writes [key] if it is at revision [expected], and reads it in any case.
+     *
+     * What was read tells the answer from a late copy of an earlier one.
+     */
     fun swapRequest(
         key: StoreKey,
         expected: Long,
@@ -76,11 +86,26 @@
         val put = PutRequest(encodedKey, encodeValue(value), lease?.toString())
         return TransactionRequest(
             compare = listOf(compare),
-            success = listOf(RequestOperation(put = put)),
+            success = listOf(RequestOperation(put = put), RequestOperation(range = RangeRequest(encodedKey))),
             failure = listOf(RequestOperation(range = RangeRequest(encodedKey))),
         )
     }
 
+    /** Returns true if [response] can answer the swap of [key] at [expected] to [value]. */
+    fun answersSwap(
+        key: StoreKey,
+        expected: Long,
+        value: ByteString,
+        response: TransactionResponse,
+    ): Boolean {
+        val found = response.responses.firstNotNullOfOrNull { it.range }?.kvs ?: return false
+        if (found.any { it.key != encodeKey(key) }) return false
+        val isAtExpected = (found.firstOrNull()?.modRevision ?: ABSENT_REVISION) == expected.toString()
+        return !isAtExpected && (!response.succeeded || found.firstOrNull()?.value == encodeValue(value))
+    }
+
+    private const val ABSENT_REVISION = "0"
+
     /** A request that watches the keys below [prefix]. */
     fun watchRequest(prefix: StoreKey): WatchRequest =
         WatchRequest(WatchCreate(encodeKey(prefix), encodeRangeEnd(prefix)))
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/store/EtcdMessages.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/store/EtcdMessages.kt
@@ -16,11 +16,13 @@
     val limit: String? = null,
 )
 
+/** The answer to a [RangeRequest]. Only answers to transactions have [responses]. */
 @Serializable
 data class RangeResponse(
     val header: ResponseHeader = ResponseHeader(),
     val kvs: List<KeyValue> = emptyList(),
     val more: Boolean = false,
+    val responses: List<JsonElement> = emptyList(),
 )
 
 /** A [RangeResponse] whose pairs are decoded one by one, since any of them may be malformed. */
--- a/standin/src/main/kotlin/org/acaciaflow/standin/store/StoreStandin.kt
+++ b/standin/src/main/kotlin/org/acaciaflow/standin/store/StoreStandin.kt
@@ -107,8 +107,11 @@
         val succeeded =
             request.compare.all { (table.entries[decode(it.key)]?.revision ?: 0L) == it.modRevision.toLong() }
         val operations = if (succeeded) request.success else request.failure
-        val responses = operations.map { operation -> ResponseOperation(operation.range?.let(::rangeResponse)) }
-        operations.mapNotNull { it.put }.forEach { put(decode(it.key), it.value, it.lease?.toLong()) }
+        val responses =
+            operations.map { operation ->
+                operation.put?.let { put(decode(it.key), it.value, it.lease?.toLong()) }
+                ResponseOperation(operation.range?.let(::rangeResponse))
+            }
         return EtcdJson.json.encodeToString(
             TransactionResponse.serializer(),
             TransactionResponse(header(), succeeded, responses),
--- a/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
@@ -2,22 +2,20 @@
 
 import io.micrometer.core.instrument.MeterRegistry
 import io.vertx.core.Vertx
-import io.vertx.core.VertxException
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.RequestOptions
 import io.vertx.core.parsetools.RecordParser
-import io.vertx.ext.web.client.HttpResponse
-import io.vertx.ext.web.client.WebClient
-import io.vertx.ext.web.client.WebClientOptions
-import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.channels.awaitClose
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.callbackFlow
 import kotlinx.io.bytestring.ByteString
+import kotlinx.io.bytestring.decodeToString
+import kotlinx.io.bytestring.encodeToByteString
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.JsonElement
@@ -30,6 +28,7 @@
 import org.acaciaflow.coordination.port.StoreResult
 import org.acaciaflow.coordination.port.StoredValue
 import org.acaciaflow.coordination.port.SwapOutcome
+import org.acaciaflow.protocol.dialect.HttpResult
 import org.acaciaflow.protocol.json.decodeForeign
 import org.acaciaflow.protocol.store.EtcdJson
 import org.acaciaflow.protocol.store.LeaseGrantRequest
@@ -44,15 +43,20 @@
 import org.acaciaflow.protocol.store.TransactionResponse
 import org.acaciaflow.protocol.store.WatchRequest
 import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.work.CallHead
+import org.acaciaflow.state.work.HeaderField
+import org.acaciaflow.transport.direct.VertxHttpCalls
 import org.acaciaflow.transport.observation.Meters
-import java.io.IOException
-import java.net.ConnectException
-import java.util.concurrent.TimeoutException
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Client of the platform's key-value store, which serves the etcd v3 JSON API over HTTP. */
+/**
+ * Client of the platform's key-value store, which serves the etcd v3 JSON API over HTTP.
+ *
+ * Connections are kept. The answer to a read or a write names its key, so that one of another call is told apart; its
+ * connection is closed.
+ */
 internal class EtcdKeyValueStore(
     vertx: Vertx,
     private val address: HostAddress,
@@ -60,13 +64,18 @@
     private val observations: Observations,
 ) : KeyValueStore {
     private val available = AtomicBoolean(true)
-    private val client =
-        WebClient.create(vertx, WebClientOptions().setConnectTimeout(CALL_TIMEOUT.inWholeMilliseconds.toInt()))
+    private val calls = VertxHttpCalls(vertx, MAXIMUM_ANSWER_BYTES, keepAlive = true)
     private val watchClient = vertx.createHttpClient(HttpClientOptions())
     private val callCounter = registry.counter(Meters.STORE_CALLS)
 
     override suspend fun read(key: StoreKey): StoreResult<StoredValue?> =
-        range(EtcdJson.readRequest(key)).map { response -> response.kvs.firstOrNull()?.let(EtcdJson::decodeValue) }
+        call(
+            EtcdJson.RANGE_PATH,
+            RangeRequest.serializer(),
+            EtcdJson.readRequest(key),
+            RangeResponse.serializer(),
+        ) { EtcdJson.answersRead(key, it) }
+            .map { response -> response.kvs.firstOrNull()?.let(EtcdJson::decodeValue) }
 
     override suspend fun list(
         prefix: StoreKey,
@@ -92,7 +101,7 @@
                 TransactionRequest.serializer(),
                 request,
                 TransactionResponse.serializer(),
-            )
+            ) { EtcdJson.answersSwap(key, expected, value, it) }
         return response.map(::swapOutcome)
     }
 
@@ -116,7 +125,7 @@
                 LeaseKeepAliveRequest.serializer(),
                 request,
                 LeaseKeepAliveResponse.serializer(),
-            )
+            ) { it.result.identity == request.identity }
         return response.map { it.result.timeToLive.toLong() > 0 }
     }
 
@@ -145,19 +154,24 @@
             awaitClose { request.onSuccess { it.reset() } }
         }
 
-    private suspend fun range(request: RangeRequest): StoreResult<RangeResponse> =
-        call(EtcdJson.RANGE_PATH, RangeRequest.serializer(), request, RangeResponse.serializer())
-
+    /** Calls the store; an answer that [isAnswer] rejects is of another call, and counts as malformed. */
     private suspend fun <Request, Response> call(
         path: String,
         requestType: KSerializer<Request>,
         request: Request,
         responseType: KSerializer<Response>,
+        isAnswer: (Response) -> Boolean = { true },
     ): StoreResult<Response> {
         callCounter.increment()
-        val result = post(path, requestType, request, responseType)
-        reportAvailability(result)
-        return result
+        val body = EtcdJson.json.encodeToString(requestType, request).encodeToByteString()
+        val result =
+            calls.call(address, CallHead("POST", path, CONTENT_TYPE), body, CALL_TIMEOUT) { answer ->
+                when (val decoded = decode(answer, responseType)) {
+                    is StoreResult.Success -> isAnswer(decoded.value)
+                    is StoreResult.Failure -> decoded.reason != StoreFailure.MALFORMED_ANSWER
+                }
+            }
+        return resultOf(result, responseType).also(::reportAvailability)
     }
 
     private fun reportAvailability(result: StoreResult<*>) {
@@ -170,41 +184,28 @@
         }
     }
 
-    private suspend fun <Request, Response> post(
-        path: String,
-        requestType: KSerializer<Request>,
-        request: Request,
+    private fun <Response> resultOf(
+        result: HttpResult,
         responseType: KSerializer<Response>,
-    ): StoreResult<Response> {
-        val body = Buffer.buffer(EtcdJson.json.encodeToString(requestType, request))
-        return try {
-            val response =
-                client
-                    .post(address.port, address.ip, path)
-                    .timeout(CALL_TIMEOUT.inWholeMilliseconds)
-                    .putHeader("content-type", "application/json")
-                    .sendBuffer(body)
-                    .coAwait()
-            decode(response, responseType)
-        } catch (_: ConnectException) {
-            StoreResult.Failure(StoreFailure.UNREACHABLE)
-        } catch (_: TimeoutException) {
-            StoreResult.Failure(StoreFailure.TIMED_OUT)
-        } catch (_: VertxException) {
-            StoreResult.Failure(StoreFailure.ANSWER_LOST)
-        } catch (_: IOException) {
-            StoreResult.Failure(StoreFailure.ANSWER_LOST)
+    ): StoreResult<Response> =
+        when (result) {
+            is HttpResult.Answered -> decode(result, responseType)
+            HttpResult.OfOtherCall -> StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
+            HttpResult.Unreachable -> StoreResult.Failure(StoreFailure.UNREACHABLE)
+            HttpResult.TimedOut -> StoreResult.Failure(StoreFailure.TIMED_OUT)
+            HttpResult.ConnectionLost -> StoreResult.Failure(StoreFailure.ANSWER_LOST)
+            HttpResult.AnswerTooLarge -> StoreResult.Failure(StoreFailure.ANSWER_TOO_LARGE)
         }
-    }
 
     private fun <Response> decode(
-        response: HttpResponse<Buffer>,
+        answer: HttpResult.Answered,
         responseType: KSerializer<Response>,
     ): StoreResult<Response> {
-        if (response.statusCode() == HTTP_SERVICE_UNAVAILABLE) return StoreResult.Failure(StoreFailure.REJECTED)
-        if (response.statusCode() != HTTP_OK) return StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
+        val status = answer.head.status
+        if (status == HTTP_SERVICE_UNAVAILABLE) return StoreResult.Failure(StoreFailure.REJECTED)
+        if (status != HTTP_OK) return StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
         return try {
-            StoreResult.Success(EtcdJson.json.decodeForeign(responseType, response.bodyAsString()))
+            StoreResult.Success(EtcdJson.json.decodeForeign(responseType, answer.body.decodeToString()))
         } catch (_: SerializationException) {
             StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
         }
@@ -261,6 +262,8 @@
 
     private companion object {
         val CALL_TIMEOUT: Duration = 2.seconds
+        val CONTENT_TYPE = persistentListOf(HeaderField("Content-Type", "application/json"))
+        const val MAXIMUM_ANSWER_BYTES = 256 * 1024 * 1024 // a list of stored answers
         const val MAXIMUM_LINE_BYTES = 8 * 1024 * 1024
         const val MAXIMUM_EXCERPT = 120
         const val HTTP_OK = 200
--- a/transport/src/test/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStoreTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStoreTest.kt
@@ -13,9 +13,15 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.bytestring.encodeToByteString
+import org.acaciaflow.coordination.port.KeyValueStore
+import org.acaciaflow.coordination.port.StoreFailure
 import org.acaciaflow.coordination.port.StoreKey
 import org.acaciaflow.coordination.port.StoreResult
+import org.acaciaflow.coordination.port.SwapOutcome
 import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.transport.direct.answerBytes
+import org.acaciaflow.transport.direct.repeatingBackend
 import org.acaciaflow.transport.observation.MeteredObservations
 import kotlin.io.encoding.Base64
 import kotlin.time.Duration.Companion.seconds
@@ -65,6 +71,51 @@
         unreadableCount() - countBefore shouldBe 2.0
     }
 
+    /** Guards against a write that counts as done, although the store refused it, after a late copy of an answer. */
+    @Test
+    suspend fun `a late copy of a write's answer does not answer the next write`() {
+        val answers = listOf(written("a", "5"), conflict(), written("c", "6"))
+        repeatingBackend(*answers.map { answerBytes(200, it) }.toTypedArray()).use { server ->
+            val store = EtcdKeyValueStore(vertx, server.address, registry, observations)
+
+            val swaps = listOf("a", "b", "c").map { store.swap(StoreKey(it), KeyValueStore.ABSENT, VALUE) }
+
+            swaps shouldBe
+                listOf(
+                    StoreResult.Success(SwapOutcome.Swapped(5)),
+                    StoreResult.Failure(StoreFailure.MALFORMED_ANSWER),
+                    StoreResult.Success(SwapOutcome.Swapped(6)),
+                )
+        }
+    }
+
+    /** Guards against a value of another key, or a key that counts as absent, after a late copy of an answer. */
+    @Test
+    suspend fun `a late copy of another answer does not answer a read`() {
+        for (earlier in listOf("""{"kvs":[${pair("a")}]}""", written("a", "5"))) {
+            val answers = listOf(earlier, """{"kvs":[${pair("b")}]}""", """{"kvs":[${pair("c")}]}""")
+            repeatingBackend(*answers.map { answerBytes(200, it) }.toTypedArray()).use { server ->
+                val store = EtcdKeyValueStore(vertx, server.address, registry, observations)
+                if ("kvs" in earlier.take(6)) store.read(StoreKey("a")) else store.swap(StoreKey("a"), 0, VALUE)
+
+                val reads = listOf("b", "c").map { store.read(StoreKey(it)) }
+
+                reads.first() shouldBe StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
+                (reads.last() as StoreResult.Success).value?.key shouldBe StoreKey("c")
+            }
+        }
+    }
+
+    private fun written(
+        key: String,
+        revision: String,
+    ): String {
+        val range = """{"response_range":{"kvs":[${pair(key, revision = revision)}]}}"""
+        return """{"header":{"revision":"$revision"},"succeeded":true,"responses":[{"response_put":{}},$range]}"""
+    }
+
+    private fun conflict() = """{"header":{"revision":"5"},"responses":[{"response_range":{}}]}"""
+
     private fun unreadableCount(): Double =
         registry.counter("acaciaflow.events", "kind", "stored_value_unreadable").count()
 
@@ -109,4 +160,8 @@
 
     private fun storeOf(server: HttpServer) =
         EtcdKeyValueStore(vertx, HostAddress("127.0.0.1", server.actualPort()), registry, observations)
+
+    private companion object {
+        val VALUE = "x".encodeToByteString()
+    }
 }
