--- a/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
@@ -2,22 +2,20 @@
 
 import io.micrometer.core.instrument.MeterRegistry
 import io.vertx.core.Vertx
-import io.vertx.core.VertxException
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.RequestOptions
 import io.vertx.core.parsetools.RecordParser
-import io.vertx.ext.web.client.HttpResponse
-import io.vertx.ext.web.client.WebClient
-import io.vertx.ext.web.client.WebClientOptions
-import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.channels.awaitClose
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.callbackFlow
 import kotlinx.io.bytestring.ByteString
+import kotlinx.io.bytestring.decodeToString
+import kotlinx.io.bytestring.encodeToByteString
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.JsonElement
@@ -30,6 +28,7 @@
 import org.acaciaflow.coordination.port.StoreResult
 import org.acaciaflow.coordination.port.StoredValue
 import org.acaciaflow.coordination.port.SwapOutcome
+import org.acaciaflow.protocol.dialect.HttpResult
 import org.acaciaflow.protocol.json.decodeForeign
 import org.acaciaflow.protocol.store.EtcdJson
 import org.acaciaflow.protocol.store.LeaseGrantRequest
@@ -44,10 +43,10 @@
 import org.acaciaflow.protocol.store.TransactionResponse
 import org.acaciaflow.protocol.store.WatchRequest
 import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.work.CallHead
+import org.acaciaflow.state.work.HeaderField
+import org.acaciaflow.transport.direct.VertxHttpCalls
 import org.acaciaflow.transport.observation.Meters
-import java.io.IOException
-import java.net.ConnectException
-import java.util.concurrent.TimeoutException
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -58,10 +57,10 @@
     private val address: HostAddress,
     registry: MeterRegistry,
     private val observations: Observations,
+    maximumAnswerBytes: Int = MAXIMUM_ANSWER_BYTES,
 ) : KeyValueStore {
     private val available = AtomicBoolean(true)
-    private val client =
-        WebClient.create(vertx, WebClientOptions().setConnectTimeout(CALL_TIMEOUT.inWholeMilliseconds.toInt()))
+    private val calls = VertxHttpCalls(vertx, maximumAnswerBytes)
     private val watchClient = vertx.createHttpClient(HttpClientOptions())
     private val callCounter = registry.counter(Meters.STORE_CALLS)
 
@@ -176,35 +175,25 @@
         request: Request,
         responseType: KSerializer<Response>,
     ): StoreResult<Response> {
-        val body = Buffer.buffer(EtcdJson.json.encodeToString(requestType, request))
-        return try {
-            val response =
-                client
-                    .post(address.port, address.ip, path)
-                    .timeout(CALL_TIMEOUT.inWholeMilliseconds)
-                    .putHeader("content-type", "application/json")
-                    .sendBuffer(body)
-                    .coAwait()
-            decode(response, responseType)
-        } catch (_: ConnectException) {
-            StoreResult.Failure(StoreFailure.UNREACHABLE)
-        } catch (_: TimeoutException) {
-            StoreResult.Failure(StoreFailure.TIMED_OUT)
-        } catch (_: VertxException) {
-            StoreResult.Failure(StoreFailure.ANSWER_LOST)
-        } catch (_: IOException) {
-            StoreResult.Failure(StoreFailure.ANSWER_LOST)
+        val head = CallHead("POST", path, JSON_HEADERS)
+        val body = EtcdJson.json.encodeToString(requestType, request).encodeToByteString()
+        return when (val result = calls.call(address, head, body, CALL_TIMEOUT)) {
+            is HttpResult.Answered -> decode(result, responseType)
+            HttpResult.Unreachable -> StoreResult.Failure(StoreFailure.UNREACHABLE)
+            HttpResult.TimedOut -> StoreResult.Failure(StoreFailure.TIMED_OUT)
+            HttpResult.ConnectionLost -> StoreResult.Failure(StoreFailure.ANSWER_LOST)
+            HttpResult.AnswerTooLarge -> StoreResult.Failure(StoreFailure.ANSWER_TOO_LARGE)
         }
     }
 
     private fun <Response> decode(
-        response: HttpResponse<Buffer>,
+        answer: HttpResult.Answered,
         responseType: KSerializer<Response>,
     ): StoreResult<Response> {
-        if (response.statusCode() == HTTP_SERVICE_UNAVAILABLE) return StoreResult.Failure(StoreFailure.REJECTED)
-        if (response.statusCode() != HTTP_OK) return StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
+        if (answer.head.status == HTTP_SERVICE_UNAVAILABLE) return StoreResult.Failure(StoreFailure.REJECTED)
+        if (answer.head.status != HTTP_OK) return StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
         return try {
-            StoreResult.Success(EtcdJson.json.decodeForeign(responseType, response.bodyAsString()))
+            StoreResult.Success(EtcdJson.json.decodeForeign(responseType, answer.body.decodeToString()))
         } catch (_: SerializationException) {
             StoreResult.Failure(StoreFailure.MALFORMED_ANSWER)
         }
@@ -261,6 +250,8 @@
 
     private companion object {
         val CALL_TIMEOUT: Duration = 2.seconds
+        val JSON_HEADERS = persistentListOf(HeaderField("content-type", "application/json"))
+        const val MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
         const val MAXIMUM_LINE_BYTES = 8 * 1024 * 1024
         const val MAXIMUM_EXCERPT = 120
         const val HTTP_OK = 200
--- a/transport/src/test/kotlin/org/acaciaflow/transport/hosts/HttpHostListTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/hosts/HttpHostListTest.kt
@@ -46,6 +46,13 @@
         listOf(204, 404, 500, 503).map { read(it, """{"hosts":[]}""") } shouldBe List(4) { null }
     }
 
+    /** Guards against an answer of any size that is read into memory until the process ends. */
+    @Test
+    suspend fun `an answer of more bytes than allowed is no list`() {
+        read(200, """{"hosts":[]}""".padEnd(MAXIMUM_BYTES)) shouldBe emptyList()
+        read(200, """{"hosts":[]}""".padEnd(MAXIMUM_BYTES + 1)) shouldBe null
+    }
+
     private suspend fun read(
         status: Int,
         body: String,
@@ -56,8 +63,13 @@
                 .requestHandler { it.response().setStatusCode(status).end(body) }
                 .listen(0, "127.0.0.1")
                 .coAwait()
-        val hosts = HttpHostList(vertx, HostAddress("127.0.0.1", server.actualPort()), observations).read()
+        val address = HostAddress("127.0.0.1", server.actualPort())
+        val hosts = HttpHostList(vertx, address, observations, MAXIMUM_BYTES).read()
         server.close().coAwait()
         return hosts
     }
+
+    private companion object {
+        const val MAXIMUM_BYTES = 64 * 1024
+    }
 }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStoreTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStoreTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.acaciaflow.coordination.port.StoreFailure
 import org.acaciaflow.coordination.port.StoreKey
 import org.acaciaflow.coordination.port.StoreResult
 import org.acaciaflow.state.identity.HostAddress
@@ -65,6 +66,16 @@
         unreadableCount() - countBefore shouldBe 2.0
     }
 
+    /** Guards against an answer of any size that is read into memory until the process ends. */
+    @Test
+    suspend fun `an answer of more bytes than allowed is not read`() {
+        val largest = storeOf(serve { "{}".padEnd(MAXIMUM_BYTES) })
+        val tooLarge = storeOf(serve { "{}".padEnd(MAXIMUM_BYTES + 1) })
+
+        largest.read(StoreKey("all")) shouldBe StoreResult.Success(null)
+        tooLarge.read(StoreKey("all")) shouldBe StoreResult.Failure(StoreFailure.ANSWER_TOO_LARGE)
+    }
+
     private fun unreadableCount(): Double =
         registry.counter("acaciaflow.events", "kind", "stored_value_unreadable").count()
 
@@ -108,5 +119,15 @@
     }
 
     private fun storeOf(server: HttpServer) =
-        EtcdKeyValueStore(vertx, HostAddress("127.0.0.1", server.actualPort()), registry, observations)
+        EtcdKeyValueStore(
+            vertx,
+            HostAddress("127.0.0.1", server.actualPort()),
+            registry,
+            observations,
+            MAXIMUM_BYTES,
+        )
+
+    private companion object {
+        const val MAXIMUM_BYTES = 64 * 1024
+    }
 }
