Mend three faults of links between gateways and sidecars

- A stream that was added while its link closed was never broken, so its attempt waited for ever.
A closed link takes no more streams: the attempt is refused as LINK_UNAVAILABLE.
- A second settlement of an attempt replaced the pending one, which then got no answer.
All that wait for an attempt get its answer; a cancelled one is removed.
- A connection whose first frame does not come stayed open.
It is closed after 4 s, as at the gateway's end.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/link/LinkServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/link/LinkServer.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.LoopSupervisor
@@ -26,6 +27,7 @@
 import org.acaciaflow.state.table.createSharedTable
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Accepts links from gateways on the sidecar's port. */
 internal class LinkServer(
@@ -66,7 +68,8 @@
         try {
             FrameConnection(socket).use { connection ->
                 connection.start(scope)
-                val first = connection.receive() as? ReceivedFrame.Frame ?: return
+                val first =
+                    withTimeoutOrNull(HELLO_TIMEOUT) { connection.receive() } as? ReceivedFrame.Frame ?: return
                 val hello = first.envelope.body as? FrameBody.Hello ?: return
                 val gateway = parseProcessIdentity(hello.process) ?: return
                 val link =
@@ -143,6 +146,7 @@
 
     private companion object {
         val NO_LINKS: PersistentSet<GatewayLink> = persistentSetOf()
+        val HELLO_TIMEOUT: Duration = 4.seconds
         val LOAD_CHECK_INTERVAL: Duration = 200.milliseconds
     }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/link/SidecarLink.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/link/SidecarLink.kt
@@ -1,6 +1,8 @@
 package org.acaciaflow.transport.link
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -34,9 +36,8 @@
     private val context: LinkContext,
     private val observations: Observations,
 ) {
-    private val streams = createSharedTable(LockOrder.STREAMS, persistentMapOf<WireAttempt, AnswerStream>())
-    private val pendingSettlements =
-        createSharedTable(LockOrder.LINKS, persistentMapOf<WireAttempt, CompletableDeferred<SettleAnswer>>())
+    private val streams = createSharedTable<LinkStreams>(LockOrder.STREAMS, LinkStreams.Open(persistentMapOf()))
+    private val pendingSettlements = createSharedTable(LockOrder.LINKS, NO_SETTLEMENTS)
 
     /** Sends an attempt; a coroutine in [scope] sends the rest of a long body as the flow-control window allows. */
     fun open(
@@ -46,10 +47,10 @@
     ): AttemptStream {
         val attempt = order.attempt.toWire()
         val stream = AnswerStream { connection.send(context.envelope(attempt, it)) }
-        streams.update { it.put(attempt, stream) }
+        if (!addStream(attempt, stream)) return RefusedStream(AttemptRefusal.LINK_UNAVAILABLE)
         val sent = connection.send(context.envelope(attempt, order.toFrame(body.buffered, body.whole)))
         if (!sent) {
-            streams.update { it.remove(attempt) }
+            streams.update { it.without(attempt) }
             return RefusedStream(AttemptRefusal.LINK_UNAVAILABLE)
         }
         if (!body.whole) scope.launch { sendRest(attempt, stream, body) }
@@ -64,11 +65,13 @@
     ): SettleAnswer {
         val wire = attempt.toWire()
         val answer = CompletableDeferred<SettleAnswer>()
-        pendingSettlements.update { it.put(wire, answer) }
+        pendingSettlements.update { it.put(wire, settlementsOf(it, wire).add(answer)) }
         connection.send(context.envelope(wire, FrameBody.Settle(process.toString())))
-        val received = withTimeoutOrNull(timeout) { answer.await() }
-        pendingSettlements.update { it.remove(wire) }
-        return received ?: SettleAnswer.Unreachable
+        try {
+            return withTimeoutOrNull(timeout) { answer.await() } ?: SettleAnswer.Unreachable
+        } finally {
+            pendingSettlements.update { withoutSettlement(it, wire, answer) }
+        }
     }
 
     /** Handles a frame of an attempt; false when the frame is of another kind. */
@@ -80,8 +83,17 @@
             is FrameBody.AnswerEnd -> removeStream(attempt)?.onEnd(body)
             is FrameBody.Refused -> removeStream(attempt)?.onRefused(body)
             is FrameBody.Broken -> removeStream(attempt)?.onBroken(body.reason)
-            is FrameBody.Credit -> streams.snapshot()[attempt]?.window?.grant(body.bytes)
-            is FrameBody.Settled -> pendingSettlements.snapshot()[attempt]?.complete(body.toAnswer())
+            is FrameBody.Credit ->
+                streams
+                    .snapshot()
+                    .byAttempt[attempt]
+                    ?.window
+                    ?.grant(body.bytes)
+            is FrameBody.Settled ->
+                settlementsOf(
+                    pendingSettlements.snapshot(),
+                    attempt,
+                ).forEach { it.complete(body.toAnswer()) }
             else -> return false
         }
         return true
@@ -89,16 +101,32 @@
 
     /** Fails all attempts in flight and all pending settlements, then closes the connection. */
     fun close() {
-        val open = streams.transition { Transition(NO_STREAMS, it) }
+        val open = streams.transition { Transition(LinkStreams.Closed, it.byAttempt) }
         open.values.forEach { it.onBroken(MayHaveRun.LINK_LOST) }
-        pendingSettlements.snapshot().values.forEach { it.complete(SettleAnswer.Unreachable) }
+        pendingSettlements
+            .snapshot()
+            .values
+            .flatten()
+            .forEach { it.complete(SettleAnswer.Unreachable) }
         connection.close()
     }
 
-    private fun stream(attempt: WireAttempt): AnswerStream? = countIfStray(streams.snapshot()[attempt])
+    /** Adds the stream of an attempt that is to be sent; false if the link has closed. */
+    private fun addStream(
+        attempt: WireAttempt,
+        stream: AnswerStream,
+    ): Boolean =
+        streams.transition { current ->
+            when (current) {
+                is LinkStreams.Open -> Transition(LinkStreams.Open(current.byAttempt.put(attempt, stream)), true)
+                LinkStreams.Closed -> Transition(current, false)
+            }
+        }
+
+    private fun stream(attempt: WireAttempt): AnswerStream? = countIfStray(streams.snapshot().byAttempt[attempt])
 
     private fun removeStream(attempt: WireAttempt): AnswerStream? =
-        countIfStray(streams.transition { Transition(it.remove(attempt), it[attempt]) })
+        countIfStray(streams.transition { Transition(it.without(attempt), it.byAttempt[attempt]) })
 
     private fun countIfStray(stream: AnswerStream?): AnswerStream? {
         if (stream == null) observations.strayFrameDropped()
@@ -132,6 +160,43 @@
     }
 
     private companion object {
-        val NO_STREAMS: PersistentMap<WireAttempt, AnswerStream> = persistentMapOf()
+        val NO_SETTLEMENTS: PendingSettlements = persistentMapOf()
+    }
+}
+
+/** The queries for outcomes that have no answer yet; several workers may ask for one attempt. */
+private typealias PendingSettlements = PersistentMap<WireAttempt, PersistentList<CompletableDeferred<SettleAnswer>>>
+
+private fun settlementsOf(
+    pending: PendingSettlements,
+    attempt: WireAttempt,
+): PersistentList<CompletableDeferred<SettleAnswer>> = pending[attempt] ?: persistentListOf()
+
+private fun withoutSettlement(
+    pending: PendingSettlements,
+    attempt: WireAttempt,
+    answer: CompletableDeferred<SettleAnswer>,
+): PendingSettlements {
+    val left = settlementsOf(pending, attempt).remove(answer)
+    return if (left.isEmpty()) pending.remove(attempt) else pending.put(attempt, left)
+}
+
+/** The attempts in flight on a link. */
+private sealed interface LinkStreams {
+    val byAttempt: PersistentMap<WireAttempt, AnswerStream>
+
+    fun without(attempt: WireAttempt): LinkStreams
+
+    data class Open(
+        override val byAttempt: PersistentMap<WireAttempt, AnswerStream>,
+    ) : LinkStreams {
+        override fun without(attempt: WireAttempt): LinkStreams = Open(byAttempt.remove(attempt))
+    }
+
+    /** The link has closed: no attempt may be added. */
+    data object Closed : LinkStreams {
+        override val byAttempt: PersistentMap<WireAttempt, AnswerStream> = persistentMapOf()
+
+        override fun without(attempt: WireAttempt): LinkStreams = this
     }
 }
