--- a/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
@@ -62,9 +62,10 @@
     private val address: HostAddress,
     registry: MeterRegistry,
     private val observations: Observations,
+    maximumAnswerBytes: Int = MAXIMUM_ANSWER_BYTES,
 ) : KeyValueStore {
     private val available = AtomicBoolean(true)
-    private val calls = VertxHttpCalls(vertx, MAXIMUM_ANSWER_BYTES, keepAlive = true)
+    private val calls = VertxHttpCalls(vertx, maximumAnswerBytes, keepAlive = true)
     private val watchClient = vertx.createHttpClient(HttpClientOptions())
     private val callCounter = registry.counter(Meters.STORE_CALLS)
 
@@ -263,7 +264,7 @@
     private companion object {
         val CALL_TIMEOUT: Duration = 2.seconds
         val CONTENT_TYPE = persistentListOf(HeaderField("Content-Type", "application/json"))
-        const val MAXIMUM_ANSWER_BYTES = 256 * 1024 * 1024 // a list of stored answers
+        const val MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024 // a list of stored answers
         const val MAXIMUM_LINE_BYTES = 8 * 1024 * 1024
         const val MAXIMUM_EXCERPT = 120
         const val HTTP_OK = 200
