Do not blame a sound prompt part for crashes that a new part explains

Cause: each part was judged by its own crashes alone. A sound part in use at three servers that crash within 0.3 s was blamed like the crashing one, and as it was not sent any more, nothing could clear it.

Change: a crash does not count against a part if a more suspect part, which is not in the request, was starting at that server: one that was never served and is at two crashes or more, and at more than the first part if that is new too. Peers are told of suspected parts that were served before their crashes. The crashes of whole requests count as before.

Evidence: two tests of CrashQuarantineTest and one of CrashGossipTest failed before ("expected false but was true"). 221 tests of state, protocol and coordination pass.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashQuarantine.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashQuarantine.kt
@@ -15,7 +15,7 @@
  *
  * A crash puts every request under suspicion that was starting at that server, and so do all their shared prompt parts.
  * What crashes servers is never served, so a subject that is served is clear of all crashes until then, and a part that
- * was never served is the more likely cause.
+ * was never served is the more likely cause. Crashes that such a part explains do not count against the others.
  */
 object CrashQuarantine {
     /** Records that the life with the code [lifeCode] crashed at time [at] while it started on [subject]. */
@@ -58,10 +58,18 @@
         now: Instant,
     ): Instant? =
         subjects
-            .mapNotNull { subject -> reports.bySubject[subject]?.let { quarantineEnd(reports, subject, it) } }
+            .mapNotNull { quarantineEnd(reports, it, subjects) }
             .filter { it > now }
             .maxOrNull()
 
+    /** Returns the parts at several crashes that were served before them, though not since. */
+    fun suspectsServedBefore(reports: CrashReports): List<CrashSubject.Part> =
+        reports.bySubject
+            .filterValues { it.unexplained.size >= NEW_PART_CRASH_LIMIT }
+            .keys
+            .filterIsInstance<CrashSubject.Part>()
+            .filter { it.key in reports.servedParts }
+
     /** Removes the subjects whose crashes are all too old to matter as of [now]. */
     fun pruned(
         reports: CrashReports,
@@ -72,16 +80,51 @@
         return reports.copy(bySubject = expired.fold(reports.bySubject) { rest, subject -> rest.remove(subject) })
     }
 
+    /** Returns when the quarantine of [subject] ends in a request with [subjects], or null if it is in none. */
     private fun quarantineEnd(
         reports: CrashReports,
         subject: CrashSubject,
-        record: CrashRecord,
+        subjects: List<CrashSubject>,
     ): Instant? {
-        val unexplained = record.unexplained
-        val period = quarantinePeriod(reports, subject, unexplained.size) ?: return null
-        return unexplained.max() + period
+        val unexplained = reports.bySubject[subject]?.unexplained ?: return null
+        if (quarantinePeriod(reports, subject, unexplained.size) == null) return null
+        val remaining = unexplained - livesCrashedByOthers(reports, subject, subjects)
+        val period = quarantinePeriod(reports, subject, remaining.size) ?: return null
+        return remaining.values.max() + period
     }
 
+    /** Returns the lives whose crashes are explained by a part that is more suspect and not in a request with [subjects]. */
+    private fun livesCrashedByOthers(
+        reports: CrashReports,
+        subject: CrashSubject,
+        subjects: List<CrashSubject>,
+    ): Set<Int> =
+        when (subject) {
+            // A request has parts of its own that were never served; a part of another request does not clear it.
+            is CrashSubject.Request -> {
+                emptySet()
+            }
+
+            is CrashSubject.Part -> {
+                val crashes = if (isNew(reports, subject)) crashCount(reports, subject) else 0
+                reports.bySubject
+                    .filterKeys { it !in subjects && it is CrashSubject.Part && isNew(reports, it) }
+                    .filterValues { it.unexplained.size > maxOf(crashes, NEW_PART_CRASH_LIMIT - 1) }
+                    .values
+                    .flatMap { it.unexplained.keys }
+                    .toSet()
+            }
+        }
+
+    private fun crashCount(
+        reports: CrashReports,
+        subject: CrashSubject,
+    ): Int =
+        reports.bySubject[subject]
+            ?.unexplained
+            .orEmpty()
+            .size
+
     /** Returns how long [subject] is refused after the last of [crashes] crashes, or null if it is not. */
     private fun quarantinePeriod(
         reports: CrashReports,
@@ -96,13 +139,13 @@
             is CrashSubject.Part -> {
                 when {
                     crashes >= PART_CRASH_LIMIT -> QUARANTINE_PERIOD
-                    crashes == PART_CRASH_LIMIT - 1 && isNew(reports, subject) -> TRIAL_PERIOD
+                    crashes >= NEW_PART_CRASH_LIMIT && isNew(reports, subject) -> TRIAL_PERIOD
                     else -> null
                 }
             }
         }
 
-    /** Returns true if this gateway serves requests but has served none with [part]. */
+    /** Returns true if parts are known to have been served, but not [part]. */
     private fun isNew(
         reports: CrashReports,
         part: CrashSubject.Part,
@@ -125,7 +168,8 @@
         record: CrashRecord,
         now: Instant,
     ): Boolean {
-        val lifetime = if (quarantineEnd(reports, subject, record) == null) SUSPICION_LIFETIME else QUARANTINE_LIFETIME
+        val wasQuarantined = quarantineEnd(reports, subject, listOf(subject)) != null
+        val lifetime = if (wasQuarantined) QUARANTINE_LIFETIME else SUSPICION_LIFETIME
         return record.crashes.values.all { now - it >= lifetime }
     }
 
@@ -137,9 +181,12 @@
 
     private const val REQUEST_CRASH_LIMIT = 2 // so that no third server crashes on the same request
     private const val PART_CRASH_LIMIT = 3 // a sound part can be at two crashes that others cause
+    private const val NEW_PART_CRASH_LIMIT = 2
     private const val MAXIMUM_SERVED_PARTS = 5_000
     private val TRIAL_PERIOD: Duration = 10.seconds // a new part is refused for this long after two crashes
     private val QUARANTINE_PERIOD: Duration = 120.seconds // callers resend such a request within minutes
     private val SUSPICION_LIFETIME: Duration = 120.seconds
-    private val QUARANTINE_LIFETIME: Duration = 10.minutes // meanwhile, one more crash renews the quarantine
+
+    /** No crash that matters is older; meanwhile, one more crash renews the quarantine. */
+    val QUARANTINE_LIFETIME: Duration = 10.minutes
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/CrashGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/CrashGossip.kt
@@ -33,15 +33,20 @@
         return (lasting + recent).take(MAXIMUM_ENTRIES).toPersistentList()
     }
 
-    /** Returns the subjects of recent crashes that were served since, as of [now]. */
-    fun reportedServed(now: Instant): PersistentList<ReportedServed> =
-        crashes
-            .snapshot()
-            .bySubject.entries
-            .filter { (_, record) -> record.unexplained.isEmpty() && now - record.crashes.values.max() < REPORT_PERIOD }
-            .map { (subject, record) -> ReportedServed(subject, now - record.servedAt) }
-            .take(MAXIMUM_ENTRIES)
-            .toPersistentList()
+    /** Returns the subjects of recent crashes that were served since, as of [now], and suspected parts served before. */
+    fun reportedServed(now: Instant): PersistentList<ReportedServed> {
+        val reports = crashes.snapshot()
+        val servedSince =
+            reports.bySubject
+                .filterValues { it.unexplained.isEmpty() && now - it.crashes.values.max() < REPORT_PERIOD }
+                .map { (subject, record) -> ReportedServed(subject, now - record.servedAt) }
+        val servedBefore =
+            CrashQuarantine
+                .suspectsServedBefore(
+                    reports,
+                ).map { ReportedServed(it, CrashQuarantine.QUARANTINE_LIFETIME) }
+        return (servedBefore + servedSince).take(MAXIMUM_ENTRIES).toPersistentList()
+    }
 
     /** Applies a report that arrived at [now]. */
     fun receive(
@@ -56,10 +61,7 @@
         subject: CrashSubject,
         record: CrashRecord,
         now: Instant,
-    ): List<ReportedCrash> =
-        record.crashes
-            .filterValues { it > record.servedAt }
-            .map { (lifeCode, at) -> ReportedCrash(subject, lifeCode, now - at) }
+    ): List<ReportedCrash> = record.unexplained.map { (lifeCode, at) -> ReportedCrash(subject, lifeCode, now - at) }
 
     private fun isRecent(crash: ReportedCrash): Boolean = crash.age < REPORT_PERIOD
 
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/crash/CrashQuarantineTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/crash/CrashQuarantineTest.kt
@@ -52,6 +52,44 @@
         isQuarantined(reports, part, now + 12.seconds) shouldBe false
     }
 
+    // Guards against refusing sound requests as long as a crashing part is refused that they do not have.
+    @Test
+    fun `a part that was served before is not blamed for the crashes of a new part beside it`() {
+        val sound = CrashSubject.Part(9)
+        var reports = CrashQuarantine.served(CrashReports.NONE, sound, now)
+        for (subject in listOf(part, sound)) reports = crashes(reports, subject, lives = 1..4, now + 1.seconds)
+
+        isQuarantined(reports, sound, now + 2.seconds) shouldBe false
+        isQuarantined(reports, listOf(sound, part), now + 2.seconds) shouldBe true
+    }
+
+    // Guards against clearing a part that goes on crashing servers without the new part that was at its first crashes.
+    @Test
+    fun `a part that was served before is blamed for crashes at which no new part was starting`() {
+        val served = CrashSubject.Part(9)
+        var reports = CrashQuarantine.served(CrashReports.NONE, served, now)
+        reports = crashes(reports, part, lives = 1..2, now + 1.seconds)
+        reports = crashes(reports, served, lives = 1..5, now + 1.seconds)
+
+        isQuarantined(reports, served, now + 2.seconds) shouldBe true
+    }
+
+    // Guards against clearing the crashing part because another new one was starting beside it.
+    @Test
+    fun `of two new parts the one at fewer crashes is not blamed, and both are if they are at equally many`() {
+        val other = CrashSubject.Part(9)
+        var reports = CrashQuarantine.served(CrashReports.NONE, CrashSubject.Part(10), now)
+        reports = crashes(reports, part, lives = 1..3, now + 1.seconds)
+        reports = crashes(reports, other, lives = 2..3, now + 1.seconds)
+        isQuarantined(reports, part, now + 2.seconds) shouldBe true
+        isQuarantined(reports, other, now + 2.seconds) shouldBe false
+
+        reports = crashes(reports, other, lives = 1..1, now + 1.seconds)
+
+        isQuarantined(reports, part, now + 2.seconds) shouldBe true
+        isQuarantined(reports, other, now + 2.seconds) shouldBe true
+    }
+
     @Test
     fun `a report of a crash that arrives after a later answer does not count`() {
         var reports = crashes(CrashReports.NONE, part, lives = 1..1, now)
@@ -104,5 +142,11 @@
         reports: CrashReports,
         subject: CrashSubject,
         at: Instant,
-    ) = CrashQuarantine.quarantinedUntil(reports, listOf(subject), at) != null
+    ) = isQuarantined(reports, listOf(subject), at)
+
+    private fun isQuarantined(
+        reports: CrashReports,
+        subjects: List<CrashSubject>,
+        at: Instant,
+    ) = CrashQuarantine.quarantinedUntil(reports, subjects, at) != null
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/CrashGossipTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/CrashGossipTest.kt
@@ -17,6 +17,7 @@
 class CrashGossipTest : AnnotationSpec() {
     private val now = Instant.fromEpochSeconds(1_000)
     private val part = CrashSubject.Part(8)
+    private val deadly = CrashSubject.Part(9)
 
     // Guards against a gateway that sends on requests with a crashing part since it was restarted.
     @Test
@@ -63,6 +64,23 @@
         seeing.isQuarantined(now + 2.seconds) shouldBe false
     }
 
+    // Guards against refusing a sound part, at gateways that have not served it, for the crashes of another part.
+    @Test
+    fun `a part that one gateway served before the crashes is not new to the others`() {
+        val serving = Gateway("10.0.0.1")
+        val other = Gateway("10.0.0.2")
+        serving.recorder.served(listOf(part), now)
+        val lives = (1..3).map { BackendLife("engine-$it", 1) }
+        for (gateway in listOf(serving, other)) {
+            lives.forEach { gateway.recorder.crashed(listOf(part, deadly), it, now + 1.seconds) }
+        }
+
+        other.gossip.receive(serving.gossip.report(stopping = false, now + 1.2.seconds), now + 1.2.seconds)
+
+        other.isQuarantined(now + 1.3.seconds) shouldBe false
+        other.isQuarantined(now + 1.3.seconds, deadly) shouldBe true
+    }
+
     private inner class Gateway(
         ip: String,
     ) {
@@ -73,7 +91,9 @@
         val recorder = CrashRecorder(tables.crashes, observations)
         val gossip = PeerGossip(identity, tables, LoadExchange(identity, tables), observations)
 
-        fun isQuarantined(at: Instant): Boolean =
-            CrashQuarantine.quarantinedUntil(tables.crashes.snapshot(), listOf(part), at) != null
+        fun isQuarantined(
+            at: Instant,
+            subject: CrashSubject = part,
+        ): Boolean = CrashQuarantine.quarantinedUntil(tables.crashes.snapshot(), listOf(subject), at) != null
     }
 }
--- a/state/src/main/kotlin/org/acaciaflow/state/crash/CrashReports.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/crash/CrashReports.kt
@@ -7,7 +7,8 @@
 /**
  * What is known of the subjects of requests that were starting at backend servers when these crashed.
  *
- * [servedParts] are the parts that this gateway has served, whether they are suspected of crashes or not.
+ * [servedParts] are the parts that this gateway has served, whether they are suspected of crashes or not, and suspected
+ * parts that its peers have served.
  */
 data class CrashReports(
     val bySubject: PersistentMap<CrashSubject, CrashRecord>,
@@ -28,9 +29,9 @@
     val crashes: PersistentMap<Int, Instant>,
     val servedAt: Instant,
 ) {
-    /** The times of the crashes that the subject may have caused. */
-    val unexplained: List<Instant>
-        get() = crashes.values.filter { it > servedAt }
+    /** The crashes after the subject was last served, which it may have caused. */
+    val unexplained: Map<Int, Instant>
+        get() = crashes.filterValues { it > servedAt }
 
     companion object {
         val NONE = CrashRecord(persistentMapOf(), Instant.DISTANT_PAST)
