--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/LateAnswerGatewayTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/LateAnswerGatewayTest.kt
@@ -34,7 +34,10 @@
         val running =
             List(servers) { number ->
                 ScriptedServer("i-$number") { arrival, earlier ->
-                    val late = earlier.lastOrNull()?.let { "HTTP/1.1 200 OK\r\nRequest-Id: ${it.requestId}\r\n$lateFraming" }
+                    val late =
+                        earlier.lastOrNull()?.let {
+                            "HTTP/1.1 200 OK\r\nRequest-Id: ${it.requestId}\r\n$lateFraming"
+                        }
                     listOf(late.orEmpty() + answerText(arrival.requestId, 200, ""))
                 }
             }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/LateAnswerFilterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/LateAnswerFilterTest.kt
@@ -8,7 +8,6 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
-import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
