--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -36,6 +36,7 @@
         while (true) {
             val now = clock.now()
             if (now >= request.deadline) return timedOut(tracker.progress)
+            if (request.exchange.disconnected) return Conclusion.CallerGone
             quarantine.conclusion(request, tracker.progress, now)?.let { return it }
             val usable = candidates.of(request, tracker.progress, now)
             val chosen = choose(usable, now)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -9,6 +9,7 @@
 import org.acaciaflow.coordination.port.BackendConnections
 import org.acaciaflow.coordination.port.CallerDialect
 import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.coordination.port.SocketReads
 import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.state.identity.DataCentre
 import kotlin.random.Random
@@ -23,6 +24,7 @@
     val clock: Clock,
     val random: Random,
     val scope: CoroutineScope,
+    val socketReads: SocketReads,
     val stop: StopSignal = StopSignal(),
     val bufferLimits: BufferLimits = bufferLimitsOf(Runtime.getRuntime().maxMemory()),
 )
@@ -44,7 +46,7 @@
         dialect = ports.dialect,
         initialConfiguration = InitialConfigurationWait(tables.routing, startedAt = ports.clock.now()),
         admission = RelayAdmission(tables, ports.stop),
-        turns = RequestTurns(tables.turns, ElapsedTimeEstimator(tables.timeLimits), ports.scope, ports.clock),
+        turns = createRequestTurns(tables, ports),
         retryLimiter = retryLimiter,
         plain = createPlainRelay(tables, candidates, retryLimiter, backendRun, dataCentre, ports),
         engine = createEngineRelay(tables, candidates, retryLimiter, prefillRun, backendRun, ports),
@@ -54,6 +56,14 @@
     )
 }
 
+private fun createRequestTurns(
+    tables: RelayTables,
+    ports: RelayPorts,
+): RequestTurns {
+    val elapsedTime = ElapsedTimeEstimator(tables.timeLimits)
+    return RequestTurns(tables.turns, elapsedTime, ports.socketReads, ports.scope, ports.clock)
+}
+
 private fun createBackendRun(
     tables: RelayTables,
     availability: BackendAvailability,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RequestTurns.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RequestTurns.kt
@@ -4,21 +4,23 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.yield
+import org.acaciaflow.coordination.port.SocketReads
 import org.acaciaflow.state.table.SharedTable
 import org.acaciaflow.state.table.Transition
 import kotlin.time.Clock
 import kotlin.time.Instant
 
 /**
- * Starts waiting requests one at a time, in the order of [TurnOrder], and lets other coroutines run in between.
+ * Starts waiting requests one at a time, in the order of [TurnOrder]; the sockets are read before each start.
  *
- * While the processor keeps up, a request starts at once. Under overload, for example after a process start, requests
- * that can still be answered in time start before those that are already late.
+ * So a request whose caller has left in the meantime is known as such and is not sent on, and answers in progress are
+ * relayed first. While the processor keeps up, a request starts after the next reads. Under overload, for example after
+ * a process start, requests that can still be answered in time start before those that are already late.
  */
 internal class RequestTurns(
     private val waiting: SharedTable<PersistentList<PendingTurn>>,
     private val elapsedTime: ElapsedTimeEstimator,
+    private val socketReads: SocketReads,
     private val scope: CoroutineScope,
     private val clock: Clock,
 ) {
@@ -38,9 +40,9 @@
     /** Starts waiting requests until none is left; the next request that arrives launches this loop again. */
     private suspend fun grantTurns() {
         while (true) {
+            socketReads.awaitNext()
             val next = waiting.transition { removeNext(it, clock.now()) } ?: return
             next.granted.complete(Unit)
-            yield()
         }
     }
 
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/BoundedAnswerTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/BoundedAnswerTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.yield
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.coordination.gateway.EventSplitter
 import org.acaciaflow.coordination.gateway.StreamEvent
@@ -57,7 +58,8 @@
             object : Clock {
                 override fun now(): Instant = Instant.fromEpochMilliseconds(1_000_000 + currentTime)
             }
-        val ports = RelayPorts(connections, FakeDialect(null), framing, FakeObservations(), clock, Random(3), this)
+        val ports =
+            RelayPorts(connections, FakeDialect(null), framing, FakeObservations(), clock, Random(3), this, { yield() })
         val tables = tablesWith(route, listOf(backend("one")))
         return createRequestRelay(tables, ports, OWN_DATA_CENTRE, RetryBounds(0.2, 1000.0, 10.seconds))
     }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestTurnsTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestTurnsTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.yield
 import org.acaciaflow.state.identity.RouteName
 import org.acaciaflow.state.route.RequestKind
 import kotlin.time.Clock
@@ -44,7 +45,7 @@
     fun `a request cancelled while it waits is never started`() =
         runTest {
             val tables = createRelayTables()
-            val turns = RequestTurns(tables.turns, ElapsedTimeEstimator(tables.timeLimits), this, clock)
+            val turns = RequestTurns(tables.turns, ElapsedTimeEstimator(tables.timeLimits), { yield() }, this, clock)
             val started = mutableListOf<String>()
 
             val calls =
@@ -74,7 +75,7 @@
 
     private suspend fun TestScope.startOrderOf(requests: List<RelayedRequest>): List<String> {
         val tables = createRelayTables()
-        val turns = RequestTurns(tables.turns, ElapsedTimeEstimator(tables.timeLimits), this, clock)
+        val turns = RequestTurns(tables.turns, ElapsedTimeEstimator(tables.timeLimits), { yield() }, this, clock)
         val started = mutableListOf<String>()
         val calls =
             requests.map { request ->
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TestRelay.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TestRelay.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.yield
 import org.acaciaflow.coordination.buffer.BufferLimits
 import org.acaciaflow.coordination.buffer.bufferLimitsOf
 import org.acaciaflow.coordination.port.BackendConnections
@@ -30,6 +31,7 @@
             virtualClock(),
             Random(3),
             this,
+            { yield() },
             stop,
             bufferLimits,
         )
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/DaemonRuntime.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/DaemonRuntime.kt
@@ -9,13 +9,15 @@
 import io.vertx.kotlin.coroutines.coAwait
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.Dispatchers
+import org.acaciaflow.coordination.port.SocketReads
 import org.acaciaflow.transport.observation.MeteredObservations
 import org.acaciaflow.transport.worker.WorkerPool
+import org.acaciaflow.transport.worker.createEventLoopReads
 import org.acaciaflow.transport.worker.createWorkerPool
 import kotlin.time.Clock
 
 /** The threads, sockets and meter registry of one daemon. */
-internal class DaemonRuntime(
+internal open class DaemonRuntime(
     val vertx: Vertx,
     val selector: SelectorManager,
     val registry: PrometheusMeterRegistry,
@@ -43,17 +45,29 @@
     )
 }
 
+/** A runtime with one event loop, whose reads of all sockets are [socketReads]. */
+internal class SingleLoopRuntime(
+    vertx: Vertx,
+    selector: SelectorManager,
+    registry: PrometheusMeterRegistry,
+    observations: MeteredObservations,
+    workers: WorkerPool,
+    val socketReads: SocketReads,
+) : DaemonRuntime(vertx, selector, registry, observations, workers)
+
 /** Creates a runtime with one event loop, which also runs the workers, for hosts with less than one processor. */
-internal fun createSingleLoopRuntime(clock: Clock): DaemonRuntime {
+internal fun createSingleLoopRuntime(clock: Clock): SingleLoopRuntime {
     val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     val observations = MeteredObservations(registry)
     val vertx = Vertx.vertx(vertxOptions(threads = 1))
-    return DaemonRuntime(
+    val context = vertx.orCreateContext
+    return SingleLoopRuntime(
         vertx = vertx,
         selector = SelectorManager(Dispatchers.IO.limitedParallelism(SELECTOR_THREADS)),
         registry = registry,
         observations = observations,
-        workers = createWorkerPool(vertx.orCreateContext.dispatcher(), observations, clock),
+        workers = createWorkerPool(context.dispatcher(), observations, clock),
+        socketReads = createEventLoopReads(context),
     )
 }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -67,6 +67,7 @@
             clock = clock,
             random = random,
             scope = runtime.workers.scope,
+            socketReads = runtime.socketReads,
             stop = stop,
         )
     val relay = createRequestRelay(tables, ports, settings.dataCentre, settings.retryBounds)
@@ -137,7 +138,7 @@
 
 private fun createRehearsal(
     adapters: EntryGatewayAdapters,
-    runtime: DaemonRuntime,
+    runtime: SingleLoopRuntime,
     connections: DirectConnections,
     calls: VertxHttpCalls,
     clock: Clock,
@@ -146,6 +147,7 @@
         RehearsalDependencies(
             vertx = runtime.vertx,
             scope = runtime.workers.scope,
+            socketReads = runtime.socketReads,
             script = adapters.rehearsal,
             callers = adapters.callers,
             refusals = adapters.refusals,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/rehearsal/Rehearsal.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/rehearsal/Rehearsal.kt
@@ -11,6 +11,7 @@
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.coordination.port.BackendConnections
 import org.acaciaflow.coordination.port.CallerDialect
+import org.acaciaflow.coordination.port.SocketReads
 import org.acaciaflow.coordination.relay.RelayPorts
 import org.acaciaflow.coordination.relay.createRelayTables
 import org.acaciaflow.coordination.relay.createRequestRelay
@@ -35,6 +36,7 @@
 internal data class RehearsalDependencies(
     val vertx: Vertx,
     val scope: CoroutineScope,
+    val socketReads: SocketReads,
     val script: RehearsalScript,
     val callers: CallerDialect,
     val refusals: RefusalEncoder,
@@ -81,6 +83,7 @@
                 dependencies.clock,
                 Random.Default,
                 dependencies.scope,
+                dependencies.socketReads,
             )
         val relay = createRequestRelay(tables, ports, RehearsalFleet.DATA_CENTRE, RetryBounds(1.0, 1.0, TIME_LIMIT))
         val frontEnd = FixedFrontEnd(dependencies.refusals, BODY_LIMIT.toLong(), BODY_LIMIT, ports.stop)
