--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/BackendAvailability.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/BackendAvailability.kt
@@ -10,6 +10,7 @@
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.fleet.Fleet
 import org.acaciaflow.state.notice.BackendNotices
+import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.table.SharedTable
 import org.acaciaflow.state.table.Transition
 import kotlin.random.Random
@@ -25,9 +26,14 @@
     private val clock: Clock,
     private val random: Random,
 ) {
-    /** Decides whether [order] may be sent now; a request that tries a server after its rest holds off all others. */
+    /**
+     * Decides whether [order] may be sent now; a request that tries a server after its rest holds off all others.
+     *
+     * Asked again once a connection is there: its deadline may have passed while the request waited for one.
+     */
     fun permissionFor(order: RunOrder): SendPermission {
         val now = clock.now()
+        if (now >= order.deadline) return SendPermission.Denied(AttemptRefusal.OVERDUE)
         val life = order.backend.life
         val current = fleet.snapshot()
         val permission = SendPermission.of(current, notices.snapshot(), order.backend, order.requestId, now)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/SendPermission.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/SendPermission.kt
@@ -20,7 +20,8 @@
 
     companion object {
         /** The reasons for which a gateway itself does not send an attempt that it has planned. */
-        val DENIALS = setOf(AttemptRefusal.LEAVING, AttemptRefusal.REPLACED, AttemptRefusal.RESTING)
+        val DENIALS =
+            setOf(AttemptRefusal.LEAVING, AttemptRefusal.REPLACED, AttemptRefusal.RESTING, AttemptRefusal.OVERDUE)
 
         /**
          * Decides whether the request [requestId] may be sent to [backend] at [now].
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/RunOrder.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/RunOrder.kt
@@ -4,19 +4,21 @@
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.work.CallHead
 import kotlin.time.Duration
+import kotlin.time.Instant
 
 /**
  * A gateway's order to a backend server to run a request.
  *
  * [call] holds only those of the caller's headers that may be forwarded. [timeLeft] is the time until the caller's
- * deadline. [resumeAfter] is the last event that the caller has. [source] is where the engine fetches the KV cache of
- * the prompt; null when there is none to fetch.
+ * [deadline] when the order is given. [resumeAfter] is the last event that the caller has. [source] is where the engine
+ * fetches the KV cache of the prompt; null when there is none to fetch.
  */
 data class RunOrder(
     val backend: BackendEntry,
     val call: CallHead,
     val requestId: String,
     val timeLeft: Duration,
+    val deadline: Instant,
     val urgency: Int,
     val resumeAfter: String?,
     val source: CacheSource?,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/NextStep.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/NextStep.kt
@@ -80,6 +80,7 @@
         call = request.facts.forwarded,
         requestId = request.facts.requestId,
         timeLeft = request.deadline - now,
+        deadline = request.deadline,
         urgency = request.route.urgency,
         resumeAfter = progress.lastEvent ?: request.facts.resumeAfter,
         source = source,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/BackendAvailabilityTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/BackendAvailabilityTest.kt
@@ -57,6 +57,16 @@
         gateway.permission() shouldBe SendPermission.Denied(AttemptRefusal.LEAVING)
     }
 
+    /** Guards against a request that waits for a connection past its deadline and is sent on all the same. */
+    @Test
+    fun `a request may not be sent from its deadline on`() {
+        val gateway = Gateway("10.0.0.1")
+        val order = orderFor("request-1").copy(deadline = now)
+
+        gateway.availability.permissionFor(order) shouldBe SendPermission.Denied(AttemptRefusal.OVERDUE)
+        gateway.availability.permissionFor(order.copy(deadline = now + 1.milliseconds)) shouldBe SendPermission.Granted
+    }
+
     @Test
     fun `unreadable notices are counted, logged once for each lifetime and otherwise ignored`() {
         val gateway = Gateway("10.0.0.1")
@@ -224,6 +234,7 @@
             call = CallHead("POST", "/", persistentListOf()),
             requestId = requestId,
             timeLeft = 1.seconds,
+            deadline = Instant.DISTANT_FUTURE,
             urgency = 0,
             resumeAfter = null,
             source = null,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/LeavingBackendTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/LeavingBackendTest.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
-import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.fleet.FleetChanges
 import org.acaciaflow.coordination.fleet.SendPermission
@@ -31,6 +30,7 @@
 import org.acaciaflow.state.route.RequestKind
 import org.acaciaflow.state.route.Route
 import kotlin.random.Random
+import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Guards against requests that reach a backend server after the head of an answer in which it says it is leaving. */
@@ -47,7 +47,7 @@
     @Test
     fun `a request whose server is seen leaving before it is sent goes to another one`() =
         runTest {
-            val fleet = NoticingFleet(route(RequestKind.AtMostOnce, maximumAttempts = 1), services)
+            val fleet = NoticingFleet(virtualClock(), route(RequestKind.AtMostOnce, maximumAttempts = 1), services)
             fleet.beforeSending = { order -> fleet.notice(order, LeavingNotice.Leaving) }
             val caller = FakeCaller()
 
@@ -61,7 +61,8 @@
     @Test
     fun `a decode engine seen leaving before it is sent to is replaced and the KV cache stays in use`() =
         runTest {
-            val fleet = NoticingFleet(route(RequestKind.Idempotent, ENGINE_POOL, maximumAttempts = 1), engines)
+            val fleet =
+                NoticingFleet(virtualClock(), route(RequestKind.Idempotent, ENGINE_POOL, maximumAttempts = 1), engines)
             fleet.beforeSending = { order -> if (order.source != null) fleet.notice(order, LeavingNotice.Leaving) }
             val caller = FakeCaller()
 
@@ -80,7 +81,7 @@
     @Test
     fun `an engine that says it is leaving when it cannot fetch the KV cache does not get the prompt itself`() =
         runTest {
-            val fleet = NoticingFleet(route(RequestKind.Idempotent, ENGINE_POOL), engines)
+            val fleet = NoticingFleet(virtualClock(), route(RequestKind.Idempotent, ENGINE_POOL), engines)
             fleet.reactions += Reaction.Refuses(AttemptRefusal.CACHE_UNAVAILABLE)
             fleet.afterHead = { order -> if (fleet.sent.size == 1) fleet.notice(order, LeavingNotice.Leaving) }
             val caller = FakeCaller()
@@ -95,7 +96,7 @@
     @Test
     fun `a prefill engine that says it is leaving gives its KV cache and gets no further prefill`() =
         runTest {
-            val fleet = NoticingFleet(route(RequestKind.Idempotent, ENGINE_POOL), engines)
+            val fleet = NoticingFleet(virtualClock(), route(RequestKind.Idempotent, ENGINE_POOL), engines)
             fleet.afterPrefill = { order -> fleet.notice(order, LeavingNotice.Leaving) }
             val relay = createTestRelay(fleet.tables, fleet, longPrompt)
             val callers = List(2) { FakeCaller("/calls/$it") }
@@ -110,7 +111,7 @@
     @Test
     fun `a prefill engine seen leaving before it is sent to gets no prefill`() =
         runTest {
-            val fleet = NoticingFleet(route(RequestKind.Idempotent, ENGINE_POOL), engines)
+            val fleet = NoticingFleet(virtualClock(), route(RequestKind.Idempotent, ENGINE_POOL), engines)
             fleet.beforePrefill = { order -> fleet.notice(order, LeavingNotice.Leaving) }
             val caller = FakeCaller()
 
@@ -126,7 +127,12 @@
     @Test
     fun `a stream in progress at a server that says it is leaving is delivered to its end`() =
         runTest {
-            val fleet = NoticingFleet(route(RequestKind.EventStream(resumable = true)), listOf(services.first()))
+            val fleet =
+                NoticingFleet(
+                    virtualClock(),
+                    route(RequestKind.EventStream(resumable = true)),
+                    listOf(services.first()),
+                )
             fleet.reactions += Reaction.Paces(List(8) { ('a' + it).toString() }, 50.milliseconds, endless = false)
             val caller = FakeCaller()
             val later = FakeCaller("/calls/2")
@@ -147,7 +153,7 @@
     @Test
     fun `a stream that breaks off at a leaving server goes on at another one`() =
         runTest {
-            val fleet = NoticingFleet(route(RequestKind.EventStream(resumable = true)), services)
+            val fleet = NoticingFleet(virtualClock(), route(RequestKind.EventStream(resumable = true)), services)
             fleet.reactions += listOf(Reaction.Streams(breakAt = 'd'), Reaction.Streams(breakAt = null))
             fleet.afterHead = { order -> if (fleet.sent.size == 1) fleet.notice(order, LeavingNotice.Leaving) }
             val caller = FakeCaller()
@@ -161,7 +167,7 @@
     @Test
     fun `a request whose servers are all leaving is refused at once as not run`() =
         runTest {
-            val fleet = NoticingFleet(route(RequestKind.Idempotent), services)
+            val fleet = NoticingFleet(virtualClock(), route(RequestKind.Idempotent), services)
             services.forEach { fleet.markLeaving(it) }
             val caller = FakeCaller()
             val startedAt = virtualClock().now()
@@ -177,7 +183,7 @@
     fun `a store that calls a leaving server ready does not bring it back, and a new lifetime gets work`() =
         runTest {
             val old = services.first()
-            val fleet = NoticingFleet(route(RequestKind.Idempotent), listOf(old))
+            val fleet = NoticingFleet(virtualClock(), route(RequestKind.Idempotent), listOf(old))
             val relay = createTestRelay(fleet.tables, fleet, null)
             fleet.markLeaving(old)
             fleet.tables.fleet.update { FleetChanges.removed(it, old.life.instance) }
@@ -198,6 +204,7 @@
 
 /** Scripted servers whose notices reach the tables of the relay at chosen moments. */
 private class NoticingFleet(
+    clock: Clock,
     route: Route,
     backends: List<BackendEntry>,
 ) : BackendConnections {
@@ -205,7 +212,7 @@
     val reactions = mutableListOf<Reaction>()
     val scripted = ScriptedConnections(reactions)
     private val availability =
-        BackendAvailability(tables.fleet, tables.notices, FakeObservations(), createSteadyClock(), Random(3))
+        BackendAvailability(tables.fleet, tables.notices, FakeObservations(), clock, Random(3))
     private var attempts = 0
 
     /** The servers that requests were sent to, and those they were not sent to after all. */
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/AttemptRefusal.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/AttemptRefusal.kt
@@ -13,6 +13,7 @@
     OTHER_LIFE("other-life"),
     REPLACED("replaced"),
     RESTING("resting"),
+    OVERDUE("overdue"),
     TOMBSTONED("tombstoned"),
     STALE_ATTEMPT("stale-attempt"),
     REPEATED_ATTEMPT("repeated-attempt"),
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -45,6 +45,7 @@
 import java.lang.reflect.Proxy
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 import kotlin.time.measureTime
 
 class DirectConnectionsTest : AnnotationSpec() {
@@ -479,6 +480,7 @@
         call = CallHead("POST", "/", persistentListOf()),
         requestId = requestId,
         timeLeft = 5.seconds,
+        deadline = Instant.DISTANT_FUTURE,
         urgency = 0,
         resumeAfter = null,
         source = null,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/LeavingNoticesTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/LeavingNoticesTest.kt
@@ -31,6 +31,7 @@
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.work.CallHead
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** Notices of backend servers that they are leaving, read from bytes on loopback connections. */
 class LeavingNoticesTest : AnnotationSpec() {
@@ -169,6 +170,7 @@
         call = CallHead("POST", "/", persistentListOf()),
         requestId = requestId,
         timeLeft = 5.seconds,
+        deadline = Instant.DISTANT_FUTURE,
         urgency = 0,
         resumeAfter = null,
         source = null,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
@@ -43,6 +43,7 @@
 import java.net.Socket
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** Sends raw heads through the callers' port to a raw backend server; each character stands for one byte. */
 class BytesOfHeadsTest : AnnotationSpec() {
@@ -258,6 +259,7 @@
                 call = call,
                 requestId = "request",
                 timeLeft = 5.seconds,
+                deadline = Instant.DISTANT_FUTURE,
                 urgency = 0,
                 resumeAfter = null,
                 source = null,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/DepartedCallersTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/DepartedCallersTest.kt
@@ -110,6 +110,19 @@
         }
     }
 
+    /** Guards against a request that waits for a connection past its deadline and is sent on all the same. */
+    @Test
+    suspend fun `a request whose deadline passes before its connection is there is not sent on`() {
+        val conditions = Conditions(heldAfterStart = 500.milliseconds, timeLimit = 300.milliseconds, isWarm = false)
+        for (kind in kinds) {
+            play(kind, conditions) { gateway ->
+                gateway.call("overdue").use { delay(500.milliseconds + SETTLING) }
+
+                withClue(kind) { gateway.sentOn("overdue").shouldBeEmpty() }
+            }
+        }
+    }
+
     /** Runs [scenario] with a gateway; if it is warm, it has an idle connection to its server for each caller. */
     private suspend fun play(
         kind: RequestKind,
