--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/LateAnswerFilterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/LateAnswerFilterTest.kt
@@ -41,6 +41,7 @@
 import java.io.OutputStream
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 import kotlin.time.measureTimedValue
 
 /** Late answers of all shapes before the true one, and connections that close while they are picked. */
@@ -416,6 +417,7 @@
         call = CallHead(method, "/", persistentListOf()),
         requestId = requestId,
         timeLeft = 5.seconds,
+        deadline = Instant.DISTANT_FUTURE,
         urgency = 0,
         resumeAfter = null,
         source = null,
