Share the orders and bodies of tests of direct connections

DirectConnectionsTest and LateAnswerFilterTest had the same 60 lines, and the latter read private fields; the number of open connections is a property now. The checks are the same.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -57,6 +57,10 @@
             PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_BACKEND),
         )
 
+    /** The number of open connections that have carried a request. */
+    val openConnections: Int
+        get() = open.count
+
     override suspend fun open(
         order: RunOrder,
         body: WholeBody,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
@@ -16,6 +16,10 @@
 internal class OpenConnections private constructor(
     private val table: SharedTable<Connections>,
 ) {
+    /** The number of open connections that have carried a request. */
+    val count: Int
+        get() = table.snapshot().histories.size
+
     /** Decides whether [connection] may carry the request [requestId]; if so, it counts as sent on it. */
     fun claim(
         connection: HttpConnection,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -22,36 +22,24 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import kotlinx.io.bytestring.ByteString
-import kotlinx.io.bytestring.decodeToString
 import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.coordination.port.AttemptEvent
-import org.acaciaflow.coordination.port.AttemptStream
-import org.acaciaflow.coordination.port.BodyPart
-import org.acaciaflow.coordination.port.CallBody
 import org.acaciaflow.coordination.port.CallPurpose
 import org.acaciaflow.coordination.port.PrefillOutcome
-import org.acaciaflow.coordination.port.RunOrder
-import org.acaciaflow.coordination.port.wholeBodyOf
 import org.acaciaflow.protocol.dialect.HttpResult
-import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.connection.newConnectionHistory
-import org.acaciaflow.state.fleet.BackendEntry
-import org.acaciaflow.state.fleet.BackendLife
-import org.acaciaflow.state.identity.DataCentre
-import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.CallHead
 import java.lang.reflect.Proxy
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 import kotlin.time.measureTime
 
 class DirectConnectionsTest : AnnotationSpec() {
     private val vertx = Vertx.vertx()
     private val releases = CoroutineScope(Dispatchers.Default)
-    private val emptyBody = checkNotNull(wholeBodyOf(EmptyBody))
+    private val emptyBody = emptyBody()
     private val connections =
         DirectConnections(
             vertx,
@@ -189,7 +177,7 @@
 
         backend.use {
             runBlocking {
-                connections.prefill(orderFor(backend, "request-1"), emptyBody)
+                connections.prefill(orderTo(backend.address, "request-1"), emptyBody)
 
                 read(backend, "request-1").first shouldBe "body of request-1"
             }
@@ -248,7 +236,7 @@
 
         backend.use {
             runBlocking {
-                val order = orderFor(backend, "request-1")
+                val order = orderTo(backend.address, "request-1")
                 val options =
                     RequestOptions()
                         .setMethod(HttpMethod.POST)
@@ -261,7 +249,7 @@
                 val stream =
                     sendAttempt(call, answers, lateAnswers = null, request, head, emptyBody, createSteadyClock())
 
-                bodyOf(stream) shouldBe ("body of request-1" to AttemptEvent.End)
+                readToEnd(stream) shouldBe ("body of request-1" to AttemptEvent.End)
             }
         }
     }
@@ -276,7 +264,7 @@
 
         backend.use {
             runBlocking {
-                val stream = connections.open(orderFor(backend, "request-1"), emptyBody)
+                val stream = connections.open(orderTo(backend.address, "request-1"), emptyBody)
                 stream.next()
                 delay(50.milliseconds)
                 val next = async { read(backend, "request-2") }
@@ -298,7 +286,7 @@
 
         backend.use {
             runBlocking {
-                connections.open(orderFor(backend, "request-1"), emptyBody).cancel()
+                connections.open(orderTo(backend.address, "request-1"), emptyBody).cancel()
 
                 read(backend, "request-2").first shouldBe "body of request-2"
             }
@@ -358,7 +346,8 @@
 
         backend.use {
             runBlocking {
-                val outcome = withTimeout(5.seconds) { connections.prefill(orderFor(backend, "request-1"), emptyBody) }
+                val outcome =
+                    withTimeout(5.seconds) { connections.prefill(orderTo(backend.address, "request-1"), emptyBody) }
 
                 outcome shouldBe PrefillOutcome.Broken(MayHaveRun.ANSWER_TOO_LARGE)
                 backend.poured.get() shouldBeLessThan POURED_LIMIT
@@ -461,7 +450,7 @@
                 end.shouldBeInstanceOf<AttemptEvent.Broken>()
                 if (alsoAsOtherCalls) {
                     connections
-                        .prefill(orderFor(backend, "request-1"), emptyBody)
+                        .prefill(orderTo(backend.address, "request-1"), emptyBody)
                         .shouldBeInstanceOf<PrefillOutcome.Broken>()
                     VertxHttpCalls(vertx, maximumBytes = 1024)
                         .call(
@@ -494,25 +483,7 @@
     private suspend fun read(
         backend: RawBackend,
         requestId: String,
-    ): Pair<String, AttemptEvent> {
-        val stream = connections.open(orderFor(backend, requestId), emptyBody)
-        return bodyOf(stream)
-    }
-
-    private suspend fun bodyOf(stream: AttemptStream): Pair<String, AttemptEvent> {
-        val body = StringBuilder()
-        try {
-            while (true) {
-                when (val event = stream.next()) {
-                    is AttemptEvent.Data -> body.append(event.bytes.decodeToString())
-                    is AttemptEvent.Head -> Unit
-                    is AttemptEvent.Broken, AttemptEvent.End, is AttemptEvent.Refused -> return body.toString() to event
-                }
-            }
-        } finally {
-            stream.cancel()
-        }
-    }
+    ): Pair<String, AttemptEvent> = readToEnd(connections.open(orderTo(backend.address, requestId), emptyBody))
 
     /** Returns [request], whose sending thread is held up as soon as the request is sent. */
     private fun heldUpAfterSend(request: HttpClientRequest): HttpClientRequest =
@@ -526,41 +497,11 @@
             }
         } as HttpClientRequest
 
-    private fun orderFor(
-        backend: RawBackend,
-        requestId: String,
-    ) = RunOrder(
-        backend =
-            BackendEntry(
-                life = BackendLife("backend", 1),
-                pool = PoolName("pool"),
-                address = backend.address,
-                dataCentre = DataCentre("north"),
-                slots = 8,
-                draining = false,
-                role = EngineRole.MIXED,
-            ),
-        call = CallHead("POST", "/", persistentListOf()),
-        requestId = requestId,
-        timeLeft = 5.seconds,
-        deadline = Instant.DISTANT_FUTURE,
-        urgency = 0,
-        resumeAfter = null,
-        source = null,
-    )
-
     private fun answer(
         requestId: String,
         body: String = "body of $requestId",
     ): String = "HTTP/1.1 200 OK\r\nRequest-Id: $requestId\r\nContent-Length: ${body.length}\r\n\r\n$body"
 
-    private object EmptyBody : CallBody {
-        override val buffered = ByteString()
-        override val whole = true
-
-        override suspend fun next(): BodyPart = BodyPart.End
-    }
-
     private companion object {
         const val ROUNDS = 200
         const val HELD_UP_MILLISECONDS = 200L
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/LateAnswerFilterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/LateAnswerFilterTest.kt
@@ -16,39 +16,28 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.io.bytestring.ByteString
-import kotlinx.io.bytestring.decodeToString
 import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.port.AttemptEvent
-import org.acaciaflow.coordination.port.BodyPart
-import org.acaciaflow.coordination.port.CallBody
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.RunOrder
-import org.acaciaflow.coordination.port.wholeBodyOf
 import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.protocol.dialect.BackendDialect
-import org.acaciaflow.state.backend.EngineRole
-import org.acaciaflow.state.fleet.BackendEntry
-import org.acaciaflow.state.fleet.BackendLife
-import org.acaciaflow.state.identity.DataCentre
-import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.refusal.MayHaveRun
-import org.acaciaflow.state.table.SharedTable
 import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.state.work.HeaderField
 import org.acaciaflow.transport.observation.MeteredObservations
 import java.io.OutputStream
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 import kotlin.time.measureTimedValue
 
 /** Late answers of all shapes before the true one, and connections that close while they are picked. */
 class LateAnswerFilterTest : AnnotationSpec() {
     private val vertx = Vertx.vertx()
     private val releases = CoroutineScope(Dispatchers.Default)
-    private val emptyBody = checkNotNull(wholeBodyOf(EmptyBody))
+    private val emptyBody = emptyBody()
     private val observations = MeteredObservations(PrometheusMeterRegistry(PrometheusConfig.DEFAULT))
     private val connections = connectionsWith(ConnectionObserver(observations))
 
@@ -203,14 +192,13 @@
                         val address =
                             org.acaciaflow.state.identity
                                 .HostAddress("127.0.0.1", refusing.localPort)
-                        endOf(own, orderFor(address, "request-$number", "POST"))
+                        endOf(own, orderTo(address, "request-$number"))
                     }.fold({ it.toString() }, { "exception " + it::class.simpleName })
                 }
             }
         refusing.close()
         Thread.sleep(500)
-        val field = DirectConnections::class.java.getDeclaredField("open").apply { isAccessible = true }
-        val left = historiesOf(field.get(own) as OpenConnections)
+        val left = own.openConnections
 
         println("closing server: ${results.groupingBy { it }.eachCount()}, $left histories left")
         results.count { it.startsWith("exception") } shouldBe 0
@@ -277,7 +265,7 @@
             }
         }.use { backend ->
             runBlocking {
-                val first = connections.open(orderFor(backend, "request-1"), emptyBody)
+                val first = connections.open(orderTo(backend.address, "request-1"), emptyBody)
                 first.next()
                 delay(300.milliseconds)
                 val second = async(Dispatchers.Default) { withTimeoutOrNull(5.seconds) { read(backend, "request-2") } }
@@ -309,7 +297,7 @@
             runBlocking {
                 read(backend, "request-1")
                 delay(50.milliseconds)
-                val stream = connections.open(orderFor(backend, "request-2"), emptyBody)
+                val stream = connections.open(orderTo(backend.address, "request-2"), emptyBody)
                 delay(100.milliseconds)
                 stream.cancel()
                 read(backend, "request-3") shouldBe ("body of request-3" to AttemptEvent.End)
@@ -346,13 +334,6 @@
             }
         }
 
-    private fun historiesOf(open: OpenConnections): Int {
-        val field = OpenConnections::class.java.getDeclaredField("table").apply { isAccessible = true }
-        val state = (field.get(open) as SharedTable<*>).snapshot()
-        val histories = state::class.java.getDeclaredField("histories").apply { isAccessible = true }
-        return (histories.get(state) as Map<*, *>).size
-    }
-
     private fun connectionsWith(observer: ConnectionObserver) =
         DirectConnections(
             vertx,
@@ -369,21 +350,7 @@
         requestId: String,
         method: String = "POST",
         through: DirectConnections = connections,
-    ): Pair<String, AttemptEvent> {
-        val stream = through.open(orderFor(backend, requestId, method), emptyBody)
-        val body = StringBuilder()
-        try {
-            while (true) {
-                when (val event = stream.next()) {
-                    is AttemptEvent.Data -> body.append(event.bytes.decodeToString())
-                    is AttemptEvent.Head -> Unit
-                    is AttemptEvent.Broken, AttemptEvent.End, is AttemptEvent.Refused -> return body.toString() to event
-                }
-            }
-        } finally {
-            stream.cancel()
-        }
-    }
+    ): Pair<String, AttemptEvent> = readToEnd(through.open(orderTo(backend.address, requestId, method), emptyBody))
 
     private suspend fun endOf(
         through: DirectConnections,
@@ -393,36 +360,6 @@
         return stream.next().also { stream.cancel() }
     }
 
-    private fun orderFor(
-        backend: RawBackend,
-        requestId: String,
-        method: String = "POST",
-    ) = orderFor(backend.address, requestId, method)
-
-    private fun orderFor(
-        address: org.acaciaflow.state.identity.HostAddress,
-        requestId: String,
-        method: String,
-    ) = RunOrder(
-        backend =
-            BackendEntry(
-                life = BackendLife("backend", 1),
-                pool = PoolName("pool"),
-                address = address,
-                dataCentre = DataCentre("north"),
-                slots = 8,
-                draining = false,
-                role = EngineRole.MIXED,
-            ),
-        call = CallHead(method, "/", persistentListOf()),
-        requestId = requestId,
-        timeLeft = 5.seconds,
-        deadline = Instant.DISTANT_FUTURE,
-        urgency = 0,
-        resumeAfter = null,
-        source = null,
-    )
-
     private fun head(requestId: String): String = "HTTP/1.1 200 OK\r\nRequest-Id: $requestId\r\n"
 
     private fun answer(
@@ -447,11 +384,4 @@
             if (isOn && decision is Decision.Connected) holdUp()
         }
     }
-
-    private object EmptyBody : CallBody {
-        override val buffered = ByteString()
-        override val whole = true
-
-        override suspend fun next(): BodyPart = BodyPart.End
-    }
 }
--- /dev/null
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
@@ -0,0 +1,73 @@
+package org.acaciaflow.transport.direct
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.io.bytestring.ByteString
+import kotlinx.io.bytestring.decodeToString
+import org.acaciaflow.coordination.port.AttemptEvent
+import org.acaciaflow.coordination.port.AttemptStream
+import org.acaciaflow.coordination.port.BodyPart
+import org.acaciaflow.coordination.port.CallBody
+import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.coordination.port.WholeBody
+import org.acaciaflow.coordination.port.wholeBodyOf
+import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.state.identity.DataCentre
+import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.work.CallHead
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Creates an order to run the request [requestId] at the server at [address]. */
+internal fun orderTo(
+    address: HostAddress,
+    requestId: String,
+    method: String = "POST",
+): RunOrder =
+    RunOrder(
+        backend =
+            BackendEntry(
+                life = BackendLife("backend", 1),
+                pool = PoolName("pool"),
+                address = address,
+                dataCentre = DataCentre("north"),
+                slots = 8,
+                draining = false,
+                role = EngineRole.MIXED,
+            ),
+        call = CallHead(method, "/", persistentListOf()),
+        requestId = requestId,
+        timeLeft = 5.seconds,
+        deadline = Instant.DISTANT_FUTURE,
+        urgency = 0,
+        resumeAfter = null,
+        source = null,
+    )
+
+/** Creates the body of a request that has none. */
+internal fun emptyBody(): WholeBody = checkNotNull(wholeBodyOf(EmptyBody))
+
+/** Reads [stream] to its end; returns the body and the event that ended it. */
+internal suspend fun readToEnd(stream: AttemptStream): Pair<String, AttemptEvent> {
+    val body = StringBuilder()
+    try {
+        while (true) {
+            when (val event = stream.next()) {
+                is AttemptEvent.Data -> body.append(event.bytes.decodeToString())
+                is AttemptEvent.Head -> Unit
+                is AttemptEvent.Broken, AttemptEvent.End, is AttemptEvent.Refused -> return body.toString() to event
+            }
+        }
+    } finally {
+        stream.cancel()
+    }
+}
+
+private object EmptyBody : CallBody {
+    override val buffered = ByteString()
+    override val whole = true
+
+    override suspend fun next(): BodyPart = BodyPart.End
+}
