Log what a connection brings beside the awaited answers, who closed it, and whose answer a caller got

An answer that came while no request was in progress made the HTTP client close the connection without a line; the end of a connection and the signature of an answer were not logged.

Change: AF1217 has the status and id of such an answer beside those of the request that the connection answered last, and the time between. `disconnected` names the reason for the end of each connection, `concluded` the server, connection and signature of the answer whose head the caller got, `foreign-answer` its status. A failed run is logged without its headers and body. One line more for a connection, none for a request.

UnrequestedAnswerTest pins the second answer (500, then 200 after 50 ms: both statuses are reported) and two reasons; the code before has no such event or line to test.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerOwner.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerOwner.kt
@@ -18,6 +18,17 @@
     ;
 
     companion object {
+        /** Returns the owner of an answer with the ids [answerIds] that arrived after [last] had been answered. */
+        fun of(
+            last: AnsweredRequest,
+            answerIds: List<String>,
+        ): AnswerOwner =
+            when (answerIds.distinct().singleOrNull()) {
+                null -> NOT_IDENTIFIED
+                last.requestId -> EARLIER_REQUEST
+                else -> UNKNOWN_REQUEST
+            }
+
         /** Returns the owner of an answer with the ids [answerIds], received on the connection with [history]. */
         fun of(
             history: ConnectionHistory,
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionCloseReason.kt
@@ -0,0 +1,30 @@
+package org.acaciaflow.coordination.connection
+
+/** Why a connection to a backend server was closed. */
+enum class ConnectionCloseReason(
+    val code: String,
+) {
+    /** It was to carry a request whose id it has carried. */
+    REQUEST_REPEATED("request-repeated"),
+
+    /** It has carried as many requests as one connection may. */
+    REQUESTS_EXHAUSTED("requests-exhausted"),
+
+    /** Its server may get no new work by the time that it was there. */
+    SENDING_DENIED("sending-denied"),
+
+    /** It brought an answer that is not the one to the request in progress. */
+    ANSWER_FOREIGN("answer-foreign"),
+
+    /** It brought an answer while no request was in progress. */
+    ANSWER_UNREQUESTED("answer-unrequested"),
+
+    /** It brought a late answer that could not be skipped. */
+    LATE_ANSWER_UNREADABLE("late-answer-unreadable"),
+
+    /** The request in progress was given up before its answer was complete. */
+    REQUEST_ABANDONED("request-abandoned"),
+
+    /** Its server closed it, or it was idle for too long. */
+    ENDED("ended"),
+}
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
@@ -6,9 +6,10 @@
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.state.connection.ConnectionHistory
+import org.acaciaflow.state.fleet.BackendLife
 import kotlin.time.Instant
 
-/** Records which connection carries which request, and the answers on it that belong to other requests. */
+/** Records which connection carries which request, the answers on it that belong to no request, and its end. */
 class ConnectionObserver(
     private val observations: Observations,
 ) {
@@ -20,58 +21,80 @@
         now: Instant,
     ) = observations.decided(Decision.Connected(order.requestId, order.backend, purpose, history, now))
 
-    /** A kept connection is closed for [reason] instead of carrying a request. */
-    fun closed(reason: ConnectionCloseReason) = observations.connectionClosed(reason)
+    /** The connection with [history] to [life] ended at [now]; the last request that it carried is [lastRequestId]. */
+    fun closed(
+        life: BackendLife,
+        history: ConnectionHistory,
+        lastRequestId: String,
+        reason: ConnectionCloseReason,
+        now: Instant,
+    ) {
+        observations.connectionClosed(reason)
+        observations.decided(Decision.Disconnected(lastRequestId, life, history, reason, now))
+    }
 
-    /** An answer with the ids [answerIds] arrived at [now] in place of the answer to [order], which is given up. */
+    /** [answer] arrived at [now] in place of the answer to [order], which is given up. */
     fun foreignAnswer(
         order: RunOrder,
         history: ConnectionHistory,
-        answerIds: List<String>,
+        answer: SurplusAnswer,
         now: Instant,
     ) {
-        record(order, history, answerIds, now, isSkipped = false)
-        reportServer(order, history, answerIds)
+        val owner = AnswerOwner.of(history, answer.requestIds)
+        record(order, history, answer, owner, now, isSkipped = false)
+        reportServer(order, history, owner)
     }
 
-    /** An answer with the ids [answerIds] arrived at [now] before the answer to [order], and was skipped. */
+    /** [answer] arrived at [now] before the answer to [order], and was skipped. */
     fun skipped(
         order: RunOrder,
         history: ConnectionHistory,
-        answerIds: List<String>,
+        answer: SurplusAnswer,
         now: Instant,
         isFirst: Boolean,
     ) {
-        record(order, history, answerIds, now, isSkipped = true)
-        if (isFirst) reportServer(order, history, answerIds)
+        val owner = AnswerOwner.of(history, answer.requestIds)
+        record(order, history, answer, owner, now, isSkipped = true)
+        if (isFirst) reportServer(order, history, owner)
+    }
+
+    /** [answer] arrived at [now], when no request was in progress and [last] had been answered. */
+    fun unrequested(
+        answer: SurplusAnswer,
+        last: AnsweredRequest,
+        now: Instant,
+    ) {
+        observations.foreignAnswer(AnswerOwner.of(last, answer.requestIds))
+        observations.event(
+            Event.BackendAnswerUnrequested(
+                life = last.life,
+                status = answer.status,
+                requestId = answer.shownIds,
+                lastStatus = last.status,
+                lastRequestId = last.requestId,
+                after = now - last.at,
+                connection = last.connection,
+            ),
+        )
     }
 
     private fun record(
         order: RunOrder,
         history: ConnectionHistory,
-        answerIds: List<String>,
+        answer: SurplusAnswer,
+        owner: AnswerOwner,
         now: Instant,
         isSkipped: Boolean,
     ) {
-        val owner = AnswerOwner.of(history, answerIds)
-        val shownIds = answerIds.joinToString(limit = SHOWN_IDS) { it.take(SHOWN_CHARACTERS) }
         observations.foreignAnswer(owner)
         observations.decided(
-            Decision.ForeignAnswer(order.requestId, order.backend, history, owner, shownIds, isSkipped, now),
+            Decision.ForeignAnswer(order.requestId, order.backend, history, owner, answer, isSkipped, now),
         )
     }
 
     private fun reportServer(
         order: RunOrder,
         history: ConnectionHistory,
-        answerIds: List<String>,
-    ) {
-        val owner = AnswerOwner.of(history, answerIds)
-        observations.event(Event.BackendAnswerForeign(order.backend.life, history.number, order.requestId, owner))
-    }
-
-    private companion object {
-        const val SHOWN_IDS = 2
-        const val SHOWN_CHARACTERS = 40
-    }
+        owner: AnswerOwner,
+    ) = observations.event(Event.BackendAnswerForeign(order.backend.life, history.number, order.requestId, owner))
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionReuse.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionReuse.kt
@@ -36,14 +36,3 @@
         val reason: ConnectionCloseReason,
     ) : ReuseDecision
 }
-
-/** Why a kept connection was closed instead of carrying a request. */
-enum class ConnectionCloseReason(
-    val code: String,
-) {
-    /** It has carried a request with the same id. */
-    REQUEST_REPEATED("request-repeated"),
-
-    /** It has carried as many requests as one connection may. */
-    REQUESTS_EXHAUSTED("requests-exhausted"),
-}
--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
@@ -0,0 +1,28 @@
+package org.acaciaflow.coordination.connection
+
+import org.acaciaflow.state.fleet.BackendLife
+import kotlin.time.Instant
+
+/** An answer that a connection brought beside the one to a request in progress, with the ids and status of its head. */
+data class SurplusAnswer(
+    val requestIds: List<String>,
+    val status: Int,
+) {
+    /** The ids, shortened for the log. */
+    val shownIds: String
+        get() = requestIds.joinToString(limit = SHOWN_IDS) { it.take(SHOWN_CHARACTERS) }
+
+    private companion object {
+        const val SHOWN_IDS = 2
+        const val SHOWN_CHARACTERS = 40
+    }
+}
+
+/** A request that [life] answered over the connection [connection]; the answer with [status] was complete at [at]. */
+data class AnsweredRequest(
+    val requestId: String,
+    val life: BackendLife,
+    val connection: Long,
+    val status: Int,
+    val at: Instant,
+)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -206,6 +206,16 @@
         val owner: AnswerOwner,
     ) : Event(EventKind.BACKEND_ANSWER_FOREIGN)
 
+    data class BackendAnswerUnrequested(
+        val life: BackendLife,
+        val status: Int,
+        val requestId: String,
+        val lastStatus: Int,
+        val lastRequestId: String,
+        val after: Duration,
+        val connection: Long,
+    ) : Event(EventKind.BACKEND_ANSWER_UNREQUESTED)
+
     data class PeerHeard(
         val gateway: HostAddress,
         val configurationVersion: Long,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/AttemptStream.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/AttemptStream.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.coordination.port
 
 import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.state.connection.AnswerOrigin
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
@@ -20,8 +21,10 @@
         val reason: AttemptRefusal,
     ) : AttemptEvent
 
+    /** The head of the answer; [origin] is null if the connection doesn't tell where it comes from. */
     data class Head(
         val head: AnswerHead,
+        val origin: AnswerOrigin? = null,
     ) : AttemptEvent
 
     data class Data(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
@@ -39,10 +39,10 @@
     /** A notice in a backend server's answer could not be read and was ignored. */
     fun noticeUnreadable()
 
-    /** An answer of [owner] arrived on a connection in place of the answer to the request in progress. */
+    /** An answer of [owner] arrived on a connection in place of another one, or while no request was in progress. */
     fun foreignAnswer(owner: AnswerOwner)
 
-    /** A kept connection to a backend server was closed for [reason] instead of carrying a request. */
+    /** A connection to a backend server ended for [reason]. */
     fun connectionClosed(reason: ConnectionCloseReason)
 
     fun storeFailed(reason: StoreFailure)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -20,7 +20,6 @@
 import org.acaciaflow.state.load.JobIdentity
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
-import org.acaciaflow.state.work.AnswerHead
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -98,9 +97,9 @@
             is AttemptEvent.Head -> {
                 tracker.update { it.copy(mayHaveRun = MayHaveRun.ANSWER_INCOMPLETE) }
                 if (framing.isEventStream(first.head)) {
-                    relayEvents(stream, first.head, request, life, job, watchdog, tracker, memory)
+                    relayEvents(stream, first, request, life, job, watchdog, tracker, memory)
                 } else {
-                    relayBuffered(stream, first.head, request, tracker, memory)
+                    relayBuffered(stream, first, request, tracker, memory)
                 }
             }
 
@@ -116,7 +115,7 @@
 
     private suspend fun relayEvents(
         stream: AttemptStream,
-        head: AnswerHead,
+        first: AttemptEvent.Head,
         request: RelayedRequest,
         life: BackendLife,
         job: JobIdentity,
@@ -124,7 +123,7 @@
         tracker: RelayProgressTracker,
         memory: BufferReservation,
     ): RunOutcome {
-        val delivery = EventDelivery(request.exchange, framing, tracker, head, memory, clock)
+        val delivery = EventDelivery(request.exchange, framing, tracker, first, memory, clock)
         var recordedAt = Instant.DISTANT_PAST
         while (true) {
             when (val event = stream.next()) {
@@ -147,7 +146,7 @@
                     // An answer without length ends with its connection, so a crash before its events looks like its end.
                     val incomplete = !delivery.endsAtEventBoundary || !delivery.hasEvents
                     if (incomplete) return RunOutcome.Broken(MayHaveRun.ANSWER_INCOMPLETE)
-                    return outcomeOf(delivery.end(), head.status)
+                    return outcomeOf(delivery.end(), first.head.status)
                 }
 
                 is AttemptEvent.Broken -> {
@@ -163,11 +162,12 @@
 
     private suspend fun relayBuffered(
         stream: AttemptStream,
-        head: AnswerHead,
+        first: AttemptEvent.Head,
         request: RelayedRequest,
         tracker: RelayProgressTracker,
         memory: BufferReservation,
     ): RunOutcome {
+        val head = first.head
         val buffer = BufferedAnswer(head, memory)
         while (true) {
             when (val event = stream.next()) {
@@ -178,8 +178,10 @@
             }
         }
         val answer = buffer.toStoredAnswer()
-        if (head.status >= FIRST_FAILURE_STATUS || tracker.progress.begun) return RunOutcome.Failed(answer)
-        tracker.update { it.copy(begunAt = clock.now(), resumable = false) }
+        if (head.status >= FIRST_FAILURE_STATUS || tracker.progress.begun) {
+            return RunOutcome.Failed(answer, first.origin)
+        }
+        tracker.update { it.copy(begunAt = clock.now(), origin = first.origin, resumable = false) }
         return outcomeOf(request.exchange.sendWhole(answer), head.status)
     }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Conclusions.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Conclusions.kt
@@ -63,10 +63,13 @@
 internal suspend fun forwardFailure(
     request: RelayedRequest,
     failed: RunOutcome.Failed,
-): Conclusion =
-    when (request.exchange.sendWhole(failed.answer)) {
+    tracker: RelayProgressTracker,
+): Conclusion {
+    tracker.update { it.copy(origin = failed.origin) }
+    return when (request.exchange.sendWhole(failed.answer)) {
         CallerWrite.WRITTEN -> Conclusion.Delivered(failed.answer.status)
         CallerWrite.CALLER_GONE -> Conclusion.CallerGone
     }
+}
 
 private val RETRY_AFTER: Duration = 250.milliseconds // the set of usable backend servers may have changed by then
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
@@ -1,10 +1,13 @@
 package org.acaciaflow.coordination.relay
 
 import org.acaciaflow.coordination.connection.AnswerOwner
+import org.acaciaflow.coordination.connection.ConnectionCloseReason
+import org.acaciaflow.coordination.connection.SurplusAnswer
 import org.acaciaflow.coordination.engine.EnginePath
 import org.acaciaflow.coordination.port.CallPurpose
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.load.FleetLoad
 import org.acaciaflow.state.refusal.Refusal
 import kotlin.time.Duration
@@ -48,8 +51,17 @@
         override val at: Instant,
     ) : Decision
 
+    /** The connection to [life] that carried [history] was closed for [reason]; [requestId] is the last that it carried. */
+    data class Disconnected(
+        override val requestId: String,
+        val life: BackendLife,
+        val history: ConnectionHistory,
+        val reason: ConnectionCloseReason,
+        override val at: Instant,
+    ) : Decision
+
     /**
-     * The connection of a request brought an answer of [owner], which has the ids [answerIds], in place of its own.
+     * The connection of a request brought [answer], which belongs to [owner], in place of its own.
      *
      * The request is given up unless the answer was [skipped].
      */
@@ -58,7 +70,7 @@
         val backend: BackendEntry,
         val history: ConnectionHistory,
         val owner: AnswerOwner,
-        val answerIds: String,
+        val answer: SurplusAnswer,
         val skipped: Boolean,
         override val at: Instant,
     ) : Decision
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -215,7 +215,7 @@
         ) {
             is NextStep.Finish -> EngineStep.Finished(step.conclusion)
             is NextStep.Retry -> EngineStep.Retry(step.reason)
-            is NextStep.ForwardFailure -> EngineStep.Finished(forwardFailure(request, step.failed))
+            is NextStep.ForwardFailure -> EngineStep.Finished(forwardFailure(request, step.failed, tracker))
         }
 
     private fun mayRetryFailure(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
@@ -5,10 +5,10 @@
 import org.acaciaflow.coordination.buffer.BufferReservation
 import org.acaciaflow.coordination.gateway.StreamEvent
 import org.acaciaflow.coordination.gateway.StreamFraming
+import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.port.CallerWrite
 import org.acaciaflow.state.bytes.concatenate
-import org.acaciaflow.state.work.AnswerHead
 import kotlin.time.Clock
 
 /**
@@ -20,7 +20,7 @@
     private val exchange: CallerExchange,
     framing: StreamFraming,
     private val tracker: RelayProgressTracker,
-    private val head: AnswerHead,
+    private val first: AttemptEvent.Head,
     private val memory: BufferReservation,
     private val clock: Clock,
 ) {
@@ -43,7 +43,11 @@
         if (splitter.incompleteSize > MAXIMUM_EVENT_BYTES) return Forwarded.EventTooLarge
         if (!memory.covers(splitter.incompleteSize.toLong())) return Forwarded.MemorySpent
         if (events.isEmpty()) return Forwarded.Written(progressed = false)
-        if (!tracker.progress.begun && exchange.begin(head) == CallerWrite.CALLER_GONE) return Forwarded.CallerGone
+        if (!tracker.progress.begun &&
+            exchange.begin(first.head) == CallerWrite.CALLER_GONE
+        ) {
+            return Forwarded.CallerGone
+        }
         val former = tracker.progress.lastEvent
         if (resuming && events.any { !continues(it, former) }) return Forwarded.OutOfOrder
         val last = events.lastOrNull { it.identity != null }?.identity
@@ -53,6 +57,7 @@
         tracker.update {
             it.copy(
                 begunAt = it.begunAt ?: clock.now(),
+                origin = it.origin ?: first.origin,
                 lastEvent = last ?: it.lastEvent,
                 resumable = it.resumable && identified,
             )
@@ -83,8 +88,12 @@
 
     /** Ends the caller's stream, after sending the head if no event was sent. */
     suspend fun end(): CallerWrite {
-        if (!tracker.progress.begun && exchange.begin(head) == CallerWrite.CALLER_GONE) return CallerWrite.CALLER_GONE
-        tracker.update { it.copy(begunAt = it.begunAt ?: clock.now()) }
+        if (!tracker.progress.begun &&
+            exchange.begin(first.head) == CallerWrite.CALLER_GONE
+        ) {
+            return CallerWrite.CALLER_GONE
+        }
+        tracker.update { it.copy(begunAt = it.begunAt ?: clock.now(), origin = it.origin ?: first.origin) }
         return exchange.end()
     }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -49,7 +49,7 @@
             val mayRetryFailure = mayRetryFailure(request, tracker, outcome)
             when (val step = nextStepAfter(outcome, request, tracker.progress, mayRetryFailure)) {
                 is NextStep.Finish -> return step.conclusion
-                is NextStep.ForwardFailure -> return forwardFailure(request, step.failed)
+                is NextStep.ForwardFailure -> return forwardFailure(request, step.failed, tracker)
                 is NextStep.Retry -> reason = step.reason
             }
         }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayProgress.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayProgress.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
+import org.acaciaflow.state.connection.AnswerOrigin
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.refusal.MayHaveRun
 import kotlin.time.Instant
@@ -13,8 +14,8 @@
  * sent to again. [countedAttempts] is the number of attempts subject to the retry limit; refused connections and
  * successful prefills are not counted. [prefillCalls] is the number of prefill attempts. [attemptInFlight] is true
  * while an attempt other than a prefill is in progress. [mayHaveRun] is set once a backend server may have started to
- * execute the request. [begunAt] is when the first part of the answer was sent to the caller, [lastEvent] the identity
- * of the last event sent to it. [resumable] is false once a part was sent after which no server can be asked to
+ * execute the request. [begunAt] is when the first part of the answer was sent to the caller, [origin] where the head
+ * that the caller got comes from, and [lastEvent] the identity of the last event sent to it. [resumable] is false once a part was sent after which no server can be asked to
  * continue: a part of a plain answer, or an event without an identity.
  */
 data class RelayProgress(
@@ -25,6 +26,7 @@
     val attemptInFlight: Boolean,
     val mayHaveRun: MayHaveRun?,
     val begunAt: Instant?,
+    val origin: AnswerOrigin?,
     val lastEvent: String?,
     val resumable: Boolean,
 ) {
@@ -41,6 +43,7 @@
                 attemptInFlight = false,
                 mayHaveRun = null,
                 begunAt = null,
+                origin = null,
                 lastEvent = null,
                 resumable = true,
             )
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RunOutcome.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RunOutcome.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.relay
 
+import org.acaciaflow.state.connection.AnswerOrigin
 import org.acaciaflow.state.record.StoredAnswer
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
@@ -26,5 +27,9 @@
     /** The answer was not forwarded: it is an error, or it cannot continue a stream that the caller is receiving. */
     data class Failed(
         val answer: StoredAnswer,
-    ) : RunOutcome
+        val origin: AnswerOrigin?,
+    ) : RunOutcome {
+        /** Leaves out the headers and the body, which may be large. */
+        override fun toString(): String = "Failed(status=${answer.status}, origin=$origin)"
+    }
 }
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/BackendDialect.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/BackendDialect.kt
@@ -32,6 +32,9 @@
     /** The request ids that an answer with [head] carries; the answer to one request has exactly one. */
     fun answerIds(head: AnswerHead): List<String>
 
+    /** What the server that wrote [head] signed its answer with; null if it is not signed. */
+    fun signature(head: AnswerHead): String?
+
     /** Reads what the server that wrote [head] says of its departure; not for an answer of another request. */
     fun leavingNotice(head: AnswerHead): LeavingNotice
 
--- /dev/null
+++ b/state/src/main/kotlin/org/acaciaflow/state/connection/AnswerOrigin.kt
@@ -0,0 +1,14 @@
+package org.acaciaflow.state.connection
+
+import org.acaciaflow.state.fleet.BackendLife
+
+/**
+ * Where an answer comes from: the server [life], over the connection [connection] of this process.
+ *
+ * [signature] is what the server signed its answer with; null if it has none.
+ */
+data class AnswerOrigin(
+    val life: BackendLife,
+    val connection: Long,
+    val signature: String?,
+)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
@@ -1,12 +1,14 @@
 package org.acaciaflow.transport.direct
 
 import org.acaciaflow.coordination.connection.ConnectionObserver
+import org.acaciaflow.coordination.connection.SurplusAnswer
 import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.port.CallPurpose
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.protocol.dialect.isOfAddressedServer
+import org.acaciaflow.state.connection.AnswerOrigin
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.work.AnswerHead
 import kotlin.time.Instant
@@ -32,7 +34,8 @@
     ): AnswerVerdict {
         val verdict = dialect.classifyAnswer(call.order, call.purpose, head)
         if (verdict == AnswerVerdict.OfOtherRequest) {
-            observer.foreignAnswer(call.order, call.history, dialect.answerIds(head), now)
+            val answer = SurplusAnswer(dialect.answerIds(head), head.status)
+            observer.foreignAnswer(call.order, call.history, answer, now)
         }
         if (verdict.isOfAddressedServer) {
             availability.noticed(call.order, dialect.leavingNotice(head))
@@ -40,4 +43,10 @@
         }
         return verdict
     }
+
+    /** Where the answer with [head] to [call] comes from. */
+    fun originOf(
+        call: SentCall,
+        head: AnswerHead,
+    ): AnswerOrigin = AnswerOrigin(call.order.backend.life, call.history.number, dialect.signature(head))
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.connection.ReuseDecision
 import org.acaciaflow.coordination.fleet.BackendAvailability
@@ -46,7 +47,7 @@
     private val scope: CoroutineScope,
     private val clock: Clock,
 ) : BackendConnections {
-    private val open = OpenConnections.create()
+    private val open = OpenConnections.create(observer, clock)
     private val answers = AnswerReader(dialect, availability, observer)
     private val client: HttpClient =
         vertx.createHttpClient(
@@ -123,11 +124,12 @@
                 observer.sending(order, purpose, connected.history, clock.now())
                 val call = SentCall(order, purpose, connected.history)
                 connected.lateAnswers.expect(call)
-                Sending.Sent(sendAttempt(call, answers, connected.lateAnswers, request, head, body, clock))
+                val carrier = CarrierConnection(request, open, connected.lateAnswers)
+                Sending.Sent(sendAttempt(call, answers, carrier, head, body, clock))
             }
 
             is SendPermission.Denied -> {
-                request.connection().close()
+                open.close(request.connection(), ConnectionCloseReason.SENDING_DENIED)
                 Sending.NotSent(permission.reason)
             }
         }
@@ -140,18 +142,18 @@
     ): Connected? {
         while (true) {
             val request = client.connect(order.backend.address, head) ?: return null
-            when (val decision = open.claim(request.connection(), order.requestId)) {
+            when (val decision = open.claim(request.connection(), order)) {
                 is ReuseDecision.Use -> {
-                    val lateAnswers = LateAnswerFilter.of(request.connection(), dialect, observer, clock)
+                    val lateAnswers = LateAnswerFilter.of(request.connection(), dialect, observer, open, clock)
                     if (lateAnswers != null) return Connected(request, decision.history, lateAnswers)
-                    open.forget(request.connection())
+                    open.ended(request.connection())
                     request.connection().close()
                     return null
                 }
 
                 is ReuseDecision.Close -> {
-                    observer.closed(decision.reason)
-                    request.connection().close().awaitResult() // so that the pool can't return it again
+                    // Waits, so that the pool can't return it again.
+                    open.close(request.connection(), decision.reason).awaitResult()
                 }
             }
         }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -1,7 +1,6 @@
 package org.acaciaflow.transport.direct
 
 import io.vertx.core.Future
-import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.port.AttemptEvent
@@ -27,11 +26,10 @@
 internal class DirectStream(
     private val call: SentCall,
     private val answers: AnswerReader,
-    private val lateAnswers: LateAnswerFilter?,
-    private val request: HttpClientRequest,
+    private val carrier: CarrierConnection,
     private val clock: Clock,
 ) : AttemptStream {
-    private val opened = request.response().map(::openAnswer)
+    private val opened = carrier.request.response().map(::openAnswer)
     private var body: BodyChannel? = null
 
     @Volatile
@@ -63,7 +61,7 @@
 
     /** Resets the request unless its answer is complete, so that the pool can't reuse the connection with unread data. */
     override fun cancel() {
-        if (!complete) request.reset()
+        if (!complete) carrier.abandonRequest()
     }
 
     /**
@@ -77,7 +75,7 @@
         val head = AnswerHead(response.statusCode(), HopByHopHeaders.strip(response.headers().toFields()))
         val verdict = answers.read(call, head, clock.now())
         val isForeign = verdict == AnswerVerdict.OfOtherRequest || verdict == AnswerVerdict.Unsigned
-        return OpenedAnswer(head, verdict, channel, closed = if (isForeign) request.connection().close() else null)
+        return OpenedAnswer(head, verdict, channel, closed = if (isForeign) carrier.closeAfterForeignAnswer() else null)
     }
 
     private suspend fun head(): AttemptEvent {
@@ -86,16 +84,15 @@
         val answer = opening.result()
         body = answer.body
         answer.closed?.awaitResult() // so that a retry can't get the connection from the pool
-        val event = eventFor(answer.verdict) ?: return AttemptEvent.Head(answer.head)
+        val event =
+            eventFor(answer.verdict) ?: return AttemptEvent.Head(answer.head, answers.originOf(call, answer.head))
         if (event is AttemptEvent.Refused) drain(answer.body)
         return event
     }
 
     /** A connection that brought late answers and then broke off is no sign of a crash. */
-    private fun reasonOfFailure(): MayHaveRun {
-        val isOutOfStep = lateAnswers?.hasSkipped == true
-        return if (isOutOfStep) MayHaveRun.ANSWER_OF_OTHER_REQUEST else MayHaveRun.BACKEND_CRASHED
-    }
+    private fun reasonOfFailure(): MayHaveRun =
+        if (carrier.hasSkipped) MayHaveRun.ANSWER_OF_OTHER_REQUEST else MayHaveRun.BACKEND_CRASHED
 
     /** Drains the body of a refusal if it is short and comes at once, so that the connection can be reused. */
     private suspend fun drain(channel: BodyChannel) {
@@ -125,13 +122,13 @@
 internal fun sendAttempt(
     call: SentCall,
     answers: AnswerReader,
-    lateAnswers: LateAnswerFilter?,
-    request: HttpClientRequest,
+    carrier: CarrierConnection,
     head: CallHead,
     body: WholeBody,
     clock: Clock,
 ): DirectStream {
-    val stream = DirectStream(call, answers, lateAnswers, request, clock)
+    val stream = DirectStream(call, answers, carrier, clock)
+    val request = carrier.request
     head.headers.filterNot { it.name.equals("content-length", ignoreCase = true) }.forEach {
         request.headers().add(it.name, it.value)
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -15,8 +15,11 @@
 import io.vertx.core.http.impl.HttpClientConnectionInternal
 import kotlinx.collections.immutable.toPersistentList
 import org.acaciaflow.coordination.connection.AnswerScreening
+import org.acaciaflow.coordination.connection.AnsweredRequest
+import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.connection.ScreeningDecision
+import org.acaciaflow.coordination.connection.SurplusAnswer
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.HeaderField
@@ -24,19 +27,22 @@
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 
 /**
- * Skips late answers to earlier requests of a connection, so that the answer behind them is read.
+ * Skips late answers to earlier requests of a connection, so that the answer behind them is read; reports those that
+ * arrive while no request is in progress.
  *
  * Vert.x takes the first answer that arrives for the one to the request in progress, so they are skipped before it.
  */
 internal class LateAnswerFilter private constructor(
     private val dialect: BackendDialect,
     private val observer: ConnectionObserver,
+    private val noteClosing: (ConnectionCloseReason) -> Unit,
     private val clock: Clock,
 ) : ChannelInboundHandlerAdapter() {
     @Volatile
-    private var reading: Reading = Reading.Other
+    private var reading: Reading = Reading.Nothing(last = null)
 
     /** False once a HEAD was sent, since Netty then may pair an answer with the wrong method and misjudge its end. */
     @Volatile
@@ -49,7 +55,7 @@
             when (val current = reading) {
                 is Reading.Awaiting -> current.skipped > 0
                 is Reading.Skipping -> true
-                Reading.Other -> false
+                is Reading.Answering, is Reading.Nothing -> false
             }
 
     /** Screens the answers that arrive from now on until the answer to [call] begins. */
@@ -62,33 +68,38 @@
         context: ChannelHandlerContext,
         message: Any,
     ) {
-        val current = reading
-        when {
-            current is Reading.Skipping -> skip(context, current.since, message)
-            current is Reading.Awaiting &&
-                message is HttpResponse &&
-                !isInterim(
-                    message,
-                ) -> begin(context, current, message)
-            else -> context.fireChannelRead(message)
+        when (val current = reading) {
+            is Reading.Awaiting -> await(context, current, message)
+            is Reading.Skipping -> skip(context, current.since, message)
+            is Reading.Answering -> answer(context, current, message)
+            is Reading.Nothing -> nothingAwaited(context, current, message)
         }
     }
 
+    private fun await(
+        context: ChannelHandlerContext,
+        awaiting: Reading.Awaiting,
+        message: Any,
+    ) {
+        val isHead = message is HttpResponse && !isInterim(message)
+        if (isHead) begin(context, awaiting, message) else context.fireChannelRead(message)
+    }
+
     private fun begin(
         context: ChannelHandlerContext,
         awaiting: Reading.Awaiting,
         response: HttpResponse,
     ) {
-        val answerIds = dialect.answerIds(headOf(response))
-        when (decide(awaiting, response, answerIds)) {
+        val head = headOf(response)
+        val answer = SurplusAnswer(dialect.answerIds(head), head.status)
+        when (decide(awaiting, response, answer.requestIds)) {
             ScreeningDecision.Pass -> {
-                reading = Reading.Other
-                context.fireChannelRead(response)
+                answer(context, Reading.Answering(awaiting.call, head.status), response)
             }
 
             ScreeningDecision.Skip -> {
                 val call = awaiting.call
-                observer.skipped(call.order, call.history, answerIds, clock.now(), isFirst = !reported)
+                observer.skipped(call.order, call.history, answer, clock.now(), isFirst = !reported)
                 reported = true
                 skip(context, awaiting.copy(skipped = awaiting.skipped + 1), response)
                 closeIfUnfinishedLater(context)
@@ -96,6 +107,38 @@
         }
     }
 
+    /** Passes on a part of the answer to the request in progress. */
+    private fun answer(
+        context: ChannelHandlerContext,
+        answering: Reading.Answering,
+        message: Any,
+    ) {
+        // The state changes first: the end of the answer may free the connection for the next request at once.
+        reading =
+            when (message) {
+                is LastHttpContent -> Reading.Nothing(answering.ended(clock.now()))
+                else -> answering
+            }
+        context.fireChannelRead(message)
+    }
+
+    /** Reports an answer that no request waits for; the HTTP client then closes the connection. */
+    private fun nothingAwaited(
+        context: ChannelHandlerContext,
+        nothing: Reading.Nothing,
+        message: Any,
+    ) {
+        val last = nothing.last
+        if (message is HttpResponse && last != null) {
+            val head = headOf(message)
+            val answer = SurplusAnswer(dialect.answerIds(head), head.status)
+            noteClosing(ConnectionCloseReason.ANSWER_UNREQUESTED)
+            observer.unrequested(answer, last, clock.now())
+            reading = Reading.Nothing(last = null)
+        }
+        context.fireChannelRead(message)
+    }
+
     private fun decide(
         awaiting: Reading.Awaiting,
         response: HttpResponse,
@@ -118,7 +161,7 @@
         val isMalformed = message !is HttpObject || message.decoderResult().isFailure
         reading = if (message is LastHttpContent) skipping else Reading.Skipping(skipping)
         ReferenceCountUtil.release(message)
-        if (isMalformed || skipping.skippedBytes > MAXIMUM_SKIPPED_BYTES) context.close()
+        if (isMalformed || skipping.skippedBytes > MAXIMUM_SKIPPED_BYTES) closeUnreadable(context)
     }
 
     /** Closes the connection unless the late answer ends soon: one that is cut short takes in the true answer. */
@@ -126,11 +169,16 @@
         val begun = (reading as? Reading.Skipping)?.since ?: return
         val check = {
             val since = (reading as? Reading.Skipping)?.since
-            if (since != null && since.call === begun.call && since.skipped == begun.skipped) context.close()
+            if (since != null && since.call === begun.call && since.skipped == begun.skipped) closeUnreadable(context)
         }
         context.executor().schedule(check, SKIP_TIMEOUT.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
+    private fun closeUnreadable(context: ChannelHandlerContext) {
+        noteClosing(ConnectionCloseReason.LATE_ANSWER_UNREADABLE)
+        context.close()
+    }
+
     /** Returns true if the answer itself is still to come; 101 is the last one on its connection. */
     private fun isInterim(response: HttpResponse): Boolean =
         response.status().codeClass() == HttpStatusClass.INFORMATIONAL &&
@@ -156,8 +204,19 @@
             val since: Awaiting,
         ) : Reading
 
-        /** An answer whose head was passed on, or nothing. */
-        data object Other : Reading
+        /** The rest of the answer to [call], whose head has [status]. */
+        data class Answering(
+            val call: SentCall,
+            val status: Int,
+        ) : Reading {
+            fun ended(now: Instant): AnsweredRequest =
+                AnsweredRequest(call.order.requestId, call.order.backend.life, call.history.number, status, now)
+        }
+
+        /** No answer is due; [last] is the one that ended last. */
+        data class Nothing(
+            val last: AnsweredRequest?,
+        ) : Reading
     }
 
     companion object {
@@ -166,13 +225,15 @@
             connection: HttpConnection,
             dialect: BackendDialect,
             observer: ConnectionObserver,
+            open: OpenConnections,
             clock: Clock,
         ): LateAnswerFilter? {
+            val noteClosing = { reason: ConnectionCloseReason -> open.closing(connection, reason) }
             val channel = (connection as HttpClientConnectionInternal).channelHandlerContext().channel()
             val pipeline = channel.pipeline()
             val filter =
                 pipeline.get(LateAnswerFilter::class.java)
-                    ?: LateAnswerFilter(dialect, observer, clock).also {
+                    ?: LateAnswerFilter(dialect, observer, noteClosing, clock).also {
                         try {
                             pipeline.addBefore(VERTX_HANDLER, "late-answer-filter", it)
                         } catch (_: NoSuchElementException) {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
@@ -1,67 +1,114 @@
 package org.acaciaflow.transport.direct
 
+import io.vertx.core.Future
 import io.vertx.core.http.HttpConnection
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
+import org.acaciaflow.coordination.connection.ConnectionCloseReason
+import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.connection.ConnectionReuse
 import org.acaciaflow.coordination.connection.ReuseDecision
+import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.connection.newConnectionHistory
+import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.lock.LockOrder
 import org.acaciaflow.state.table.SharedTable
 import org.acaciaflow.state.table.Transition
 import org.acaciaflow.state.table.createSharedTable
+import kotlin.time.Clock
 
-/** The open connections to backend servers, and what each has carried. */
+/** The open connections to backend servers, what each has carried, and why it is closed. */
 internal class OpenConnections private constructor(
     private val table: SharedTable<Connections>,
+    private val observer: ConnectionObserver,
+    private val clock: Clock,
 ) {
     /** The number of open connections that have carried a request. */
     val count: Int
-        get() = table.snapshot().histories.size
+        get() = table.snapshot().records.size
 
-    /** Decides whether [connection] may carry the request [requestId]; if so, it counts as sent on it. */
+    /** Decides whether [connection] may carry the request of [order]; if so, it counts as sent on it. */
     fun claim(
         connection: HttpConnection,
-        requestId: String,
+        order: RunOrder,
     ): ReuseDecision {
         val decision =
             table.transition { known ->
-                val history = known.histories[connection] ?: newConnectionHistory(known.opened + 1)
-                when (val decision = ConnectionReuse.decide(history, requestId)) {
-                    is ReuseDecision.Use -> Transition(known.carrying(connection, history, requestId), decision)
+                val history = known.records[connection]?.history ?: newConnectionHistory(known.opened + 1)
+                when (val decision = ConnectionReuse.decide(history, order.requestId)) {
+                    is ReuseDecision.Use -> Transition(known.carrying(connection, history, order), decision)
                     is ReuseDecision.Close -> Transition(known, decision)
                 }
             }
         val isNew = decision is ReuseDecision.Use && decision.history.carried.isEmpty()
-        if (isNew) connection.closeHandler { forget(connection) }
+        if (isNew) connection.closeHandler { ended(connection) }
         return decision
     }
 
-    /** Drops the history of [connection], which has closed. */
-    fun forget(connection: HttpConnection) {
-        table.update { it.copy(histories = it.histories.remove(connection)) }
+    /** Closes [connection] for [reason]. */
+    fun close(
+        connection: HttpConnection,
+        reason: ConnectionCloseReason,
+    ): Future<Void> {
+        closing(connection, reason)
+        return connection.close()
+    }
+
+    /** Notes that [connection] is about to be closed for [reason]; the first reason counts. */
+    fun closing(
+        connection: HttpConnection,
+        reason: ConnectionCloseReason,
+    ) {
+        table.update { known ->
+            val record = known.records[connection]
+            if (record == null || record.closing != null) return@update known
+            known.copy(records = known.records.put(connection, record.copy(closing = reason)))
+        }
+    }
+
+    /** Drops what is known of [connection], which has closed. */
+    fun ended(connection: HttpConnection) {
+        val record =
+            table.transition { known ->
+                Transition(known.copy(records = known.records.remove(connection)), known.records[connection])
+            } ?: return
+        val reason = record.closing ?: ConnectionCloseReason.ENDED
+        observer.closed(record.life, record.history, record.lastRequestId, reason, clock.now())
     }
 
     /** [opened] is the number of connections opened so far. */
     private data class Connections(
         val opened: Long,
-        val histories: PersistentMap<HttpConnection, ConnectionHistory>,
+        val records: PersistentMap<HttpConnection, ConnectionRecord>,
     ) {
         fun carrying(
             connection: HttpConnection,
             history: ConnectionHistory,
-            requestId: String,
-        ): Connections =
-            Connections(
-                opened = maxOf(opened, history.number),
-                histories = histories.put(connection, history.carrying(requestId)),
-            )
+            order: RunOrder,
+        ): Connections {
+            val record =
+                ConnectionRecord(order.backend.life, history.carrying(order.requestId), order.requestId, closing = null)
+            return Connections(maxOf(opened, history.number), records.put(connection, record))
+        }
     }
 
+    /** A connection to [life]; [closing] is set once this process is about to close it. */
+    private data class ConnectionRecord(
+        val life: BackendLife,
+        val history: ConnectionHistory,
+        val lastRequestId: String,
+        val closing: ConnectionCloseReason?,
+    )
+
     companion object {
         /** Creates the table of a gateway that has opened no connection. */
-        fun create(): OpenConnections =
-            OpenConnections(createSharedTable(LockOrder.BACKEND_CONNECTIONS, Connections(0, persistentHashMapOf())))
+        fun create(
+            observer: ConnectionObserver,
+            clock: Clock,
+        ): OpenConnections {
+            val table = createSharedTable(LockOrder.BACKEND_CONNECTIONS, Connections(0, persistentHashMapOf()))
+            return OpenConnections(table, observer, clock)
+        }
     }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -3,6 +3,7 @@
 import org.acaciaflow.coordination.relay.Conclusion
 import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.coordination.relay.RelayedRequest
+import org.acaciaflow.state.connection.AnswerOrigin
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.load.FleetLoad
@@ -19,6 +20,7 @@
             is Decision.Declined -> declined(decision)
             is Decision.Connected -> connected(decision)
             is Decision.ForeignAnswer -> foreignAnswer(decision)
+            is Decision.Disconnected -> disconnected(decision)
             is Decision.Ran -> ran(decision)
             is Decision.Refused -> refused(decision)
             is Decision.Concluded -> concluded(decision)
@@ -63,7 +65,11 @@
     private fun foreignAnswer(decision: Decision.ForeignAnswer): String =
         commonFields("foreign-answer", decision) + " backend=${decision.backend.life.instance}" +
             connectionFields(decision.history) + " owner=${decision.owner.code} skipped=${decision.skipped}" +
-            " ids=\"${decision.answerIds}\""
+            " status=${decision.answer.status} ids=\"${decision.answer.shownIds}\""
+
+    private fun disconnected(decision: Decision.Disconnected): String =
+        commonFields("disconnected", decision) + " backend=${decision.life.instance}" +
+            connectionFields(decision.history) + " reason=${decision.reason.code}"
 
     private fun connectionFields(history: ConnectionHistory): String =
         " connection=${history.number} carried=${history.carried.size}"
@@ -91,9 +97,14 @@
             " outcome=${outcomeOf(decision.conclusion)} elapsed-ms=${elapsed.inWholeMilliseconds}" +
             " first-ms=${first?.inWholeMilliseconds ?: -1}" +
             " sends=${decision.progress.countedAttempts} prefills=${decision.progress.prefillCalls}" +
-            " last-event=${decision.progress.lastEvent ?: "none"}"
+            " last-event=${decision.progress.lastEvent ?: "none"}" + originFields(decision.progress.origin)
     }
 
+    /** The server, connection and signature of the answer whose head the caller got. */
+    private fun originFields(origin: AnswerOrigin?): String =
+        " answered-by=${origin?.life?.instance ?: "none"} connection=${origin?.connection ?: "none"}" +
+            " signature=${origin?.signature ?: "none"}"
+
     private fun outcomeOf(conclusion: Conclusion): String =
         when (conclusion) {
             is Conclusion.Delivered -> "delivered status=${conclusion.status}"
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -246,8 +246,8 @@
                 val head = TestDialect.runHead(order)
                 val call = SentCall(order, CallPurpose.RUN, newConnectionHistory(number = 1))
                 val answers = AnswerReader(TestDialect, createBackendAvailability(), createConnectionObserver())
-                val stream =
-                    sendAttempt(call, answers, lateAnswers = null, request, head, emptyBody, createSteadyClock())
+                val carrier = CarrierConnection(request, open = null, lateAnswers = null)
+                val stream = sendAttempt(call, answers, carrier, head, emptyBody, createSteadyClock())
 
                 readToEnd(stream) shouldBe ("body of request-1" to AttemptEvent.End)
             }
--- /dev/null
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
@@ -0,0 +1,114 @@
+package org.acaciaflow.transport.direct
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.acaciaflow.coordination.clock.createSteadyClock
+import org.acaciaflow.coordination.connection.ConnectionCloseReason
+import org.acaciaflow.coordination.connection.ConnectionObserver
+import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.port.AttemptEvent
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.coordination.relay.Decision
+import org.acaciaflow.transport.observation.MeteredObservations
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What the log says of answers that no request waits for, and of the ends of connections. */
+class UnrequestedAnswerTest : AnnotationSpec() {
+    private val vertx = Vertx.vertx()
+    private val recorded = RecordedObservations()
+    private val connections =
+        DirectConnections(
+            vertx,
+            TestDialect,
+            createBackendAvailability(),
+            ConnectionObserver(recorded),
+            VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
+            CoroutineScope(Dispatchers.Default),
+            createSteadyClock(),
+        )
+
+    @AfterAll
+    fun close() =
+        runBlocking<Unit> {
+            vertx.close().coAwait()
+        }
+
+    /** Guards against a server that answers twice without a trace in the log of what it answered first. */
+    @Test
+    fun `a second answer after the first one is reported with the status of both`() {
+        val backend =
+            RawBackend { output, id, _ ->
+                write(output, answerBytes(500, "failed", "Request-Id: $id"))
+                Thread.sleep(50)
+                write(output, answerBytes(200, "ok", "Request-Id: $id"))
+            }
+        backend.use {
+            runBlocking {
+                readToEnd(connections.open(orderTo(backend.address, "request-1"), emptyBody())).second shouldBe
+                    AttemptEvent.End
+                delay(300.milliseconds)
+            }
+        }
+
+        val reported = recorded.events.filterIsInstance<Event.BackendAnswerUnrequested>().single()
+        println("reported: $reported")
+        listOf(reported.lastStatus, reported.status) shouldContainExactly listOf(500, 200)
+        listOf(reported.lastRequestId, reported.requestId) shouldContainExactly listOf("request-1", "request-1")
+        recorded.closeReasons() shouldContain ConnectionCloseReason.ANSWER_UNREQUESTED
+    }
+
+    /** Guards against a connection whose end leaves no trace, so that nobody can tell who closed it. */
+    @Test
+    fun `the end of a connection is reported with its reason`() {
+        val closing =
+            RawBackend { output, id, _ ->
+                write(output, answerBytes(200, "ok", "Request-Id: $id"))
+                output.close()
+            }
+        val silent = RawBackend { _, _, _ -> Thread.sleep(1000) }
+        runBlocking {
+            closing.use {
+                readToEnd(connections.open(orderTo(it.address, "request-2"), emptyBody()))
+                delay(200.milliseconds)
+            }
+            silent.use {
+                connections.open(orderTo(it.address, "request-3"), emptyBody()).cancel()
+                delay(200.milliseconds)
+            }
+        }
+
+        val reasons = recorded.disconnects().associate { it.requestId to it.reason }
+        reasons["request-2"] shouldBe ConnectionCloseReason.ENDED
+        reasons["request-3"] shouldBe ConnectionCloseReason.REQUEST_ABANDONED
+    }
+
+    private class RecordedObservations(
+        private val others: Observations = MeteredObservations(PrometheusMeterRegistry(PrometheusConfig.DEFAULT)),
+    ) : Observations by others {
+        val events = CopyOnWriteArrayList<Event>()
+        private val decisions = CopyOnWriteArrayList<Decision>()
+
+        override fun event(event: Event) {
+            events += event
+        }
+
+        override fun decided(decision: Decision) {
+            decisions += decision
+        }
+
+        fun disconnects(): List<Decision.Disconnected> = decisions.filterIsInstance<Decision.Disconnected>()
+
+        fun closeReasons(): List<ConnectionCloseReason> = disconnects().map { it.reason }
+    }
+}
--- a/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
@@ -3,6 +3,8 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import org.acaciaflow.coordination.connection.AnswerOwner
+import org.acaciaflow.coordination.connection.ConnectionCloseReason
+import org.acaciaflow.coordination.connection.SurplusAnswer
 import org.acaciaflow.coordination.engine.EnginePath
 import org.acaciaflow.coordination.port.CallPurpose
 import org.acaciaflow.coordination.relay.Conclusion
@@ -21,6 +23,7 @@
     private val request = SampleRequest.at(at)
     private val backend = SampleRequest.BACKEND
     private val history = newConnectionHistory(number = 7).carrying("r0")
+    private val lateAnswer = SurplusAnswer(listOf("r0"), status = 200)
     private val path = EnginePath.LocalPrefill(backend, work = 4.milliseconds, predicted = 10.milliseconds)
 
     @Test
@@ -30,7 +33,8 @@
             listOf(
                 Decision.Sent(request, backend, 10.milliseconds, SampleRequest.LOAD, at),
                 Decision.Connected("r1", backend, CallPurpose.RUN, history, at),
-                Decision.ForeignAnswer("r1", backend, history, AnswerOwner.EARLIER_REQUEST, "r0", true, at),
+                Decision.ForeignAnswer("r1", backend, history, AnswerOwner.EARLIER_REQUEST, lateAnswer, true, at),
+                Decision.Disconnected("r1", backend.life, history, ConnectionCloseReason.ENDED, at),
                 Decision.Ran(request, backend, "Broken(reason=BACKEND_CRASHED)", at),
                 Decision.Declined(request, path, NotRun.LATE_ALREADY, SampleRequest.LOAD, at),
                 Decision.Concluded(
