Give each request to a server that answers twice a connection of its own

What callers saw: beside a server that writes answers which nobody asked for, calls failed one after the other. Late answers with an id are skipped, but one without an id that comes where an answer is due can't be told apart, so its request is given up, and the next connection brings the next one.

Cause: connections to such a server were kept and used again like all others, although each may still owe a surplus answer.

Change: from its first surplus answer (late, foreign, or while no request is in progress) until it has written none for 30 s, a lifetime of a server gets a connection for each request (ConnectionIsolation; AF1218, gauge acaciaflow.backends.isolated). It is one policy for all kinds of surplus answers, and takes away whatever else needs a connection in use again. Sound servers keep their connections.

Tests of DirectConnections now give each server a lifetime of its own, as real servers have; their assertions are unchanged.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionCloseReason.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionCloseReason.kt
@@ -10,12 +10,18 @@
     /** It has carried as many requests as one connection may. */
     REQUESTS_EXHAUSTED("requests-exhausted"),
 
+    /** It has carried a request, and its server gets a connection for each one. */
+    SERVER_ISOLATED("server-isolated"),
+
     /** Its server may get no new work by the time that it was there. */
     SENDING_DENIED("sending-denied"),
 
     /** It brought an answer that is not the one to the request in progress. */
     ANSWER_FOREIGN("answer-foreign"),
 
+    /** It brought a success without a signature. */
+    ANSWER_UNSIGNED("answer-unsigned"),
+
     /** It brought an answer while no request was in progress. */
     ANSWER_UNREQUESTED("answer-unrequested"),
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
@@ -78,6 +78,10 @@
         )
     }
 
+    /** The server [life] gets a connection for each request from now on. */
+    fun isolated(life: BackendLife) =
+        observations.event(Event.BackendIsolated(life, ConnectionIsolation.ISOLATION_TIME))
+
     private fun record(
         order: RunOrder,
         history: ConnectionHistory,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -216,6 +216,11 @@
         val connection: Long,
     ) : Event(EventKind.BACKEND_ANSWER_UNREQUESTED)
 
+    data class BackendIsolated(
+        val life: BackendLife,
+        val duration: Duration,
+    ) : Event(EventKind.BACKEND_ISOLATED)
+
     data class PeerHeard(
         val gateway: HostAddress,
         val configurationVersion: Long,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/ConnectionReuseTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/ConnectionReuseTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
+import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.connection.newConnectionHistory
 
 class ConnectionReuseTest : AnnotationSpec() {
@@ -9,10 +10,10 @@
 
     @Test
     fun `a connection may carry requests with ids that it has not carried`() {
-        ConnectionReuse.decide(fresh, "request-1") shouldBe ReuseDecision.Use(fresh)
+        decide(fresh, "request-1") shouldBe ReuseDecision.Use(fresh)
 
         val used = fresh.carrying("request-1")
-        ConnectionReuse.decide(used, "request-2") shouldBe ReuseDecision.Use(used)
+        decide(used, "request-2") shouldBe ReuseDecision.Use(used)
     }
 
     /** Guards against an answer to an earlier sending of a request that is taken for the answer to a later one. */
@@ -23,7 +24,7 @@
                 fresh,
             ) { history, id -> history.carrying("request-$id") }
 
-        ConnectionReuse.decide(used, "request-1") shouldBe ReuseDecision.Close(ConnectionCloseReason.REQUEST_REPEATED)
+        decide(used, "request-1") shouldBe ReuseDecision.Close(ConnectionCloseReason.REQUEST_REPEATED)
     }
 
     /** Guards against memory that grows with the age of a connection. */
@@ -31,6 +32,21 @@
     fun `a connection carries a bounded number of requests`() {
         val used = (1..ConnectionReuse.MAXIMUM_REQUESTS).fold(fresh) { history, id -> history.carrying("request-$id") }
 
-        ConnectionReuse.decide(used, "request-0") shouldBe ReuseDecision.Close(ConnectionCloseReason.REQUESTS_EXHAUSTED)
+        decide(used, "request-0") shouldBe ReuseDecision.Close(ConnectionCloseReason.REQUESTS_EXHAUSTED)
     }
+
+    /** Guards against a surplus answer that comes in place of another one, from a server that has written some. */
+    @Test
+    fun `a connection to an isolated server carries one request`() {
+        decide(fresh, "request-1", isIsolated = true) shouldBe ReuseDecision.Use(fresh)
+
+        val used = fresh.carrying("request-1")
+        decide(used, "request-2", isIsolated = true) shouldBe ReuseDecision.Close(ConnectionCloseReason.SERVER_ISOLATED)
+    }
+
+    private fun decide(
+        history: ConnectionHistory,
+        requestId: String,
+        isIsolated: Boolean = false,
+    ): ReuseDecision = ConnectionReuse.decide(history, requestId, isIsolated)
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/CarrierConnection.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/CarrierConnection.kt
@@ -3,6 +3,7 @@
 import io.vertx.core.Future
 import io.vertx.core.http.HttpClientRequest
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
+import org.acaciaflow.state.fleet.BackendLife
 
 /** The connection that carries [request], with what is known of it in [open]. */
 internal class CarrierConnection(
@@ -14,10 +15,16 @@
     val hasSkipped: Boolean
         get() = lateAnswers?.hasSkipped == true
 
-    /** Closes the connection, which has brought an answer of another request. */
-    fun closeAfterForeignAnswer(): Future<Void> {
+    /** Closes the connection, on which [life] has written an answer of another request. */
+    fun closeAfterForeignAnswer(life: BackendLife): Future<Void> {
+        open?.surplusAnswered(life)
+        return close(ConnectionCloseReason.ANSWER_FOREIGN)
+    }
+
+    /** Closes the connection for [reason]. */
+    fun close(reason: ConnectionCloseReason): Future<Void> {
         val connection = request.connection()
-        return open?.close(connection, ConnectionCloseReason.ANSWER_FOREIGN) ?: connection.close()
+        return open?.close(connection, reason) ?: connection.close()
     }
 
     /** Closes the connection unless the whole answer has arrived. */
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -62,6 +62,10 @@
     val openConnections: Int
         get() = open.count
 
+    /** The number of servers that get a connection for each request. */
+    val isolatedServers: Int
+        get() = open.countIsolated()
+
     override suspend fun open(
         order: RunOrder,
         body: WholeBody,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -3,6 +3,7 @@
 import io.vertx.core.Future
 import io.vertx.core.http.HttpClientResponse
 import kotlinx.coroutines.withTimeoutOrNull
+import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BodyPart
@@ -74,10 +75,17 @@
         val channel = BodyChannel(response.pause())
         val head = AnswerHead(response.statusCode(), HopByHopHeaders.strip(response.headers().toFields()))
         val verdict = answers.read(call, head, clock.now())
-        val isForeign = verdict == AnswerVerdict.OfOtherRequest || verdict == AnswerVerdict.Unsigned
-        return OpenedAnswer(head, verdict, channel, closed = if (isForeign) carrier.closeAfterForeignAnswer() else null)
+        return OpenedAnswer(head, verdict, channel, closed = closeUnlessUsable(verdict))
     }
 
+    /** Closes the connection after an answer that can't be the one to this request. */
+    private fun closeUnlessUsable(verdict: AnswerVerdict): Future<Void>? =
+        when (verdict) {
+            AnswerVerdict.OfOtherRequest -> carrier.closeAfterForeignAnswer(call.order.backend.life)
+            AnswerVerdict.Unsigned -> carrier.close(ConnectionCloseReason.ANSWER_UNSIGNED)
+            AnswerVerdict.Genuine, is AnswerVerdict.NotExecuted -> null
+        }
+
     private suspend fun head(): AttemptEvent {
         val opening = opened.awaitResult()
         if (opening.failed()) return AttemptEvent.Broken(reasonOfFailure())
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -38,7 +38,8 @@
 internal class LateAnswerFilter private constructor(
     private val dialect: BackendDialect,
     private val observer: ConnectionObserver,
-    private val noteClosing: (ConnectionCloseReason) -> Unit,
+    private val connection: HttpConnection,
+    private val open: OpenConnections,
     private val clock: Clock,
 ) : ChannelInboundHandlerAdapter() {
     @Volatile
@@ -100,6 +101,7 @@
             ScreeningDecision.Skip -> {
                 val call = awaiting.call
                 observer.skipped(call.order, call.history, answer, clock.now(), isFirst = !reported)
+                open.surplusAnswered(call.order.backend.life)
                 reported = true
                 skip(context, awaiting.copy(skipped = awaiting.skipped + 1), response)
                 closeIfUnfinishedLater(context)
@@ -132,8 +134,9 @@
         if (message is HttpResponse && last != null) {
             val head = headOf(message)
             val answer = SurplusAnswer(dialect.answerIds(head), head.status)
-            noteClosing(ConnectionCloseReason.ANSWER_UNREQUESTED)
+            open.closing(connection, ConnectionCloseReason.ANSWER_UNREQUESTED)
             observer.unrequested(answer, last, clock.now())
+            open.surplusAnswered(last.life)
             reading = Reading.Nothing(last = null)
         }
         context.fireChannelRead(message)
@@ -175,7 +178,7 @@
     }
 
     private fun closeUnreadable(context: ChannelHandlerContext) {
-        noteClosing(ConnectionCloseReason.LATE_ANSWER_UNREADABLE)
+        open.closing(connection, ConnectionCloseReason.LATE_ANSWER_UNREADABLE)
         context.close()
     }
 
@@ -228,12 +231,11 @@
             open: OpenConnections,
             clock: Clock,
         ): LateAnswerFilter? {
-            val noteClosing = { reason: ConnectionCloseReason -> open.closing(connection, reason) }
             val channel = (connection as HttpClientConnectionInternal).channelHandlerContext().channel()
             val pipeline = channel.pipeline()
             val filter =
                 pipeline.get(LateAnswerFilter::class.java)
-                    ?: LateAnswerFilter(dialect, observer, noteClosing, clock).also {
+                    ?: LateAnswerFilter(dialect, observer, connection, open, clock).also {
                         try {
                             pipeline.addBefore(VERTX_HANDLER, "late-answer-filter", it)
                         } catch (_: NoSuchElementException) {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
@@ -5,11 +5,13 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
+import org.acaciaflow.coordination.connection.ConnectionIsolation
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.connection.ConnectionReuse
 import org.acaciaflow.coordination.connection.ReuseDecision
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.state.connection.ConnectionHistory
+import org.acaciaflow.state.connection.SurplusAnswers
 import org.acaciaflow.state.connection.newConnectionHistory
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.lock.LockOrder
@@ -18,7 +20,7 @@
 import org.acaciaflow.state.table.createSharedTable
 import kotlin.time.Clock
 
-/** The open connections to backend servers, what each has carried, and why it is closed. */
+/** The open connections to backend servers, what each has carried, why it is closed, and servers' surplus answers. */
 internal class OpenConnections private constructor(
     private val table: SharedTable<Connections>,
     private val observer: ConnectionObserver,
@@ -33,10 +35,12 @@
         connection: HttpConnection,
         order: RunOrder,
     ): ReuseDecision {
+        val now = clock.now()
         val decision =
             table.transition { known ->
                 val history = known.records[connection]?.history ?: newConnectionHistory(known.opened + 1)
-                when (val decision = ConnectionReuse.decide(history, order.requestId)) {
+                val isIsolated = ConnectionIsolation.isIsolated(known.surplus, order.backend.life, now)
+                when (val decision = ConnectionReuse.decide(history, order.requestId, isIsolated)) {
                     is ReuseDecision.Use -> Transition(known.carrying(connection, history, order), decision)
                     is ReuseDecision.Close -> Transition(known, decision)
                 }
@@ -46,6 +50,21 @@
         return decision
     }
 
+    /** Notes that [life] has written a surplus answer, so that its next requests get a connection each. */
+    fun surplusAnswered(life: BackendLife) {
+        val now = clock.now()
+        val isFirst =
+            table.transition { known ->
+                val wasIsolated = ConnectionIsolation.isIsolated(known.surplus, life, now)
+                val surplus = ConnectionIsolation.surplusSeen(known.surplus, life, now)
+                Transition(known.copy(surplus = surplus), !wasIsolated)
+            }
+        if (isFirst) observer.isolated(life)
+    }
+
+    /** The number of servers that get a connection for each request. */
+    fun countIsolated(): Int = ConnectionIsolation.countIsolated(table.snapshot().surplus, clock.now())
+
     /** Closes [connection] for [reason]. */
     fun close(
         connection: HttpConnection,
@@ -81,6 +100,7 @@
     private data class Connections(
         val opened: Long,
         val records: PersistentMap<HttpConnection, ConnectionRecord>,
+        val surplus: SurplusAnswers,
     ) {
         fun carrying(
             connection: HttpConnection,
@@ -89,7 +109,7 @@
         ): Connections {
             val record =
                 ConnectionRecord(order.backend.life, history.carrying(order.requestId), order.requestId, closing = null)
-            return Connections(maxOf(opened, history.number), records.put(connection, record))
+            return copy(opened = maxOf(opened, history.number), records = records.put(connection, record))
         }
     }
 
@@ -107,8 +127,10 @@
             observer: ConnectionObserver,
             clock: Clock,
         ): OpenConnections {
-            val table = createSharedTable(LockOrder.BACKEND_CONNECTIONS, Connections(0, persistentHashMapOf()))
+            val table = createSharedTable(LockOrder.BACKEND_CONNECTIONS, NONE)
             return OpenConnections(table, observer, clock)
         }
+
+        private val NONE = Connections(opened = 0, persistentHashMapOf(), SurplusAnswers.NONE)
     }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
@@ -18,6 +18,7 @@
     const val STRAY_FRAMES = "acaciaflow.frames.stray"
     const val BACKENDS_LEAVING = "acaciaflow.backends.leaving"
     const val BACKENDS_RESTING = "acaciaflow.backends.resting"
+    const val BACKENDS_ISOLATED = "acaciaflow.backends.isolated"
     const val ANSWERS_FOREIGN = "acaciaflow.backends.answers.foreign"
     const val CONNECTIONS_CLOSED = "acaciaflow.backends.connections.closed"
     const val NOTICES_UNREADABLE = "acaciaflow.backends.notices.unreadable"
@@ -40,6 +41,7 @@
             STRAY_FRAMES,
             BACKENDS_LEAVING,
             BACKENDS_RESTING,
+            BACKENDS_ISOLATED,
             NOTICES_UNREADABLE,
             ANSWERS_FOREIGN,
             CONNECTIONS_CLOSED,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -24,6 +24,7 @@
 import org.acaciaflow.transport.http.BodyLimits
 import org.acaciaflow.transport.http.CallerServer
 import org.acaciaflow.transport.http.FrontEnd
+import org.acaciaflow.transport.observation.registerConnectionGauge
 import org.acaciaflow.transport.observation.registerFleetGauges
 import org.acaciaflow.transport.observation.registerStoreGauges
 import org.acaciaflow.transport.peer.ConfigurationExchange
@@ -64,6 +65,7 @@
             runtime.workers.scope,
             clock,
         )
+    registerConnectionGauge(runtime.registry, connections)
     val ports =
         RelayPorts(
             connections = connections,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
@@ -29,7 +29,7 @@
     RunOrder(
         backend =
             BackendEntry(
-                life = BackendLife("backend", 1),
+                life = BackendLife("backend-${address.port}", 1),
                 pool = PoolName("pool"),
                 address = address,
                 dataCentre = DataCentre("north"),
