Read the sockets before a run is ended as stalled

Callers saw 502, STREAM_STALLED, though the server had answered in time: 1 of 24 calls of RepeatedRequestIdTest beside load 28, 1.24 s after its send, and a resumable stream was begun again elsewhere.

Cause: StallWatchdog judged by the clock alone. When the process has not run for a while, its timers are due before the answer that waits at the socket is read.

Change: a run that looks stalled is ended only if it still looks so after a pass of the event loop over all sockets (SocketReads). While a pass brings more of the answer another one follows, for 200 ms at most, since a long answer takes several. Ruled out: to count any byte as progress, which keeps a dripping stream alive.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -14,6 +14,7 @@
 import org.acaciaflow.coordination.port.BackendConnections
 import org.acaciaflow.coordination.port.CallerWrite
 import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.coordination.port.SocketReads
 import org.acaciaflow.coordination.reliability.ReliabilityPolicy
 import org.acaciaflow.coordination.reliability.RunVerdict
 import org.acaciaflow.state.fleet.BackendLife
@@ -35,6 +36,7 @@
     private val framing: StreamFraming,
     private val jobs: JobIdentityAllocator,
     private val bufferLimits: BufferLimits,
+    private val socketReads: SocketReads,
     private val clock: Clock,
 ) {
     /**
@@ -59,11 +61,11 @@
         tracker.update { it.copy(attemptInFlight = true) }
         try {
             val stream = connections.open(order, request.body)
-            val watchdog = StallWatchdog(tables, life, stallTimeouts, clock)
+            val watchdog = StallWatchdog(tables, life, stallTimeouts, socketReads, clock)
             val memory = BufferReservation(tables.answerBuffers, bufferLimits, life)
             val relayOutcome =
                 try {
-                    watchdog.during(stream) { relayAnswer(stream, request, life, job, watchdog, tracker, memory) }
+                    watchdog.during(stream) { relayAnswer(it, request, life, job, watchdog, tracker, memory) }
                 } finally {
                     memory.release()
                     stream.cancel()
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -78,6 +78,7 @@
         framing = ports.framing,
         jobs = jobs,
         bufferLimits = ports.bufferLimits,
+        socketReads = ports.socketReads,
         clock = ports.clock,
     )
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StallWatchdog.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StallWatchdog.kt
@@ -3,18 +3,26 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
+import org.acaciaflow.coordination.port.SocketReads
 import org.acaciaflow.state.fleet.BackendLife
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
-/** Aborts a run that makes no progress for longer than [stallTimeouts], so that it can be retried elsewhere. */
+/**
+ * Aborts a run that makes no progress for longer than [stallTimeouts], so that it can be retried elsewhere.
+ *
+ * The process may not have run for a while, so that data has arrived and is not read yet. The sockets are therefore read
+ * before a run is aborted.
+ */
 internal class StallWatchdog(
     private val tables: RelayTables,
     private val life: BackendLife,
     private val stallTimeouts: StallTimeouts,
+    private val socketReads: SocketReads,
     private val clock: Clock,
 ) {
     private val startedAt: Instant = clock.now()
@@ -22,6 +30,10 @@
     @Volatile
     private var lastProgressAt: Instant? = null
 
+    /** The number of events of the answer that were read, whether they are progress or not. */
+    @Volatile
+    private var eventsRead = 0L
+
     /** True once the run has been aborted. */
     @Volatile
     var stalled = false
@@ -32,16 +44,16 @@
         lastProgressAt = now
     }
 
-    /** Runs [block] and aborts [stream] if it stalls meanwhile. */
+    /** Runs [block] with [stream], which is watched, and aborts the stream if it stalls meanwhile. */
     suspend fun <Result> during(
         stream: AttemptStream,
-        block: suspend () -> Result,
+        block: suspend (AttemptStream) -> Result,
     ): Result {
-        if (stallTimeouts == StallTimeouts.UNBOUNDED) return block()
+        if (stallTimeouts == StallTimeouts.UNBOUNDED) return block(stream)
         return coroutineScope {
             val watching = launch { watch(stream) }
             try {
-                block()
+                block(WatchedStream(stream))
             } finally {
                 watching.cancel()
             }
@@ -49,11 +61,23 @@
     }
 
     private suspend fun watch(stream: AttemptStream) {
-        while (!isStalled(clock.now())) delay(CHECK_INTERVAL)
+        while (!isStalled(clock.now()) || !isStalledAfterReads()) delay(CHECK_INTERVAL)
         stalled = true
         stream.cancel()
     }
 
+    /** Reads the sockets, again while more of the answer is found, and returns true if the run still looks stalled. */
+    private suspend fun isStalledAfterReads(): Boolean {
+        val readUntil = clock.now() + LONGEST_READ
+        do {
+            val readBefore = eventsRead
+            socketReads.awaitNext()
+            val now = clock.now()
+            if (!isStalled(now)) return false
+        } while (eventsRead > readBefore && now < readUntil)
+        return true
+    }
+
     private fun isStalled(now: Instant): Boolean {
         val last = lastProgressAt
         val limit = if (last == null) stallTimeouts.firstData else stallTimeouts.betweenData
@@ -65,7 +89,14 @@
             .silence(now) > serverLimit
     }
 
+    private inner class WatchedStream(
+        private val stream: AttemptStream,
+    ) : AttemptStream by stream {
+        override suspend fun next(): AttemptEvent = stream.next().also { eventsRead += 1 }
+    }
+
     private companion object {
         val CHECK_INTERVAL: Duration = 200.milliseconds
+        val LONGEST_READ: Duration = 200.milliseconds // an answer that has arrived takes a few passes over the sockets
     }
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TestRelay.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TestRelay.kt
@@ -6,6 +6,7 @@
 import org.acaciaflow.coordination.buffer.BufferLimits
 import org.acaciaflow.coordination.buffer.bufferLimitsOf
 import org.acaciaflow.coordination.port.BackendConnections
+import org.acaciaflow.coordination.port.SocketReads
 import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.state.prompt.Prompt
 import kotlin.random.Random
@@ -21,6 +22,8 @@
     resumeAfter: String? = null,
     stop: StopSignal = StopSignal(),
     bufferLimits: BufferLimits = bufferLimitsOf(heapBytes = 1_000_000_000),
+    socketReads: SocketReads = SocketReads { yield() },
+    clock: Clock = virtualClock(),
 ): RequestRelay {
     val ports =
         RelayPorts(
@@ -28,10 +31,10 @@
             FakeDialect(prompt, resumeAfter),
             LetterFraming,
             FakeObservations(),
-            virtualClock(),
+            clock,
             Random(3),
             this,
-            { yield() },
+            socketReads,
             stop,
             bufferLimits,
         )
