Use the answer to a prefill that is read after its timer

Callers waited for a second prefill, and the KV cache of the first one was never fetched, when the gateway's process had not run for a while: the timer of the prefill was due before its answer at the socket was read. The server counted as failed for it.

Cause: PrefillRun gave up by the timer alone, as StallWatchdog did.

Change: resultWithin reads the sockets once more after the timer, and takes a result that this brings.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
@@ -1,6 +1,5 @@
 package org.acaciaflow.coordination.relay
 
-import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.engine.EnginePath
 import org.acaciaflow.coordination.engine.PromptCaches
 import org.acaciaflow.coordination.engine.RateEstimator
@@ -12,6 +11,7 @@
 import org.acaciaflow.coordination.port.CacheSource
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.coordination.port.SocketReads
 import org.acaciaflow.coordination.reliability.ReliabilityPolicy
 import org.acaciaflow.coordination.reliability.RunVerdict
 import org.acaciaflow.state.backend.EngineRole
@@ -32,6 +32,7 @@
     private val availability: BackendAvailability,
     private val connections: BackendConnections,
     private val jobs: JobIdentityAllocator,
+    private val socketReads: SocketReads,
     private val clock: Clock,
 ) {
     /**
@@ -59,7 +60,7 @@
         try {
             val timeout = StallTimeouts.forPrefill(path.predicted)
             val outcome =
-                withTimeoutOrNull(timeout) { connections.prefill(order, request.body) }
+                resultWithin(timeout, socketReads) { connections.prefill(order, request.body) }
                     ?: PrefillOutcome.Broken(MayHaveRun.STREAM_STALLED)
             val now = clock.now()
             verdictOf(life, outcome)?.let { verdict ->
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -41,7 +41,7 @@
     val jobIdentities = JobIdentityAllocator()
     val availability = BackendAvailability(tables.fleet, tables.notices, ports.observations, ports.clock, ports.random)
     val backendRun = createBackendRun(tables, availability, jobIdentities, ports)
-    val prefillRun = PrefillRun(tables, availability, ports.connections, jobIdentities, ports.clock)
+    val prefillRun = createPrefillRun(tables, availability, jobIdentities, ports)
     return RequestRelay(
         dialect = ports.dialect,
         initialConfiguration = InitialConfigurationWait(tables.routing, startedAt = ports.clock.now()),
@@ -82,6 +82,13 @@
         clock = ports.clock,
     )
 
+private fun createPrefillRun(
+    tables: RelayTables,
+    availability: BackendAvailability,
+    jobs: JobIdentityAllocator,
+    ports: RelayPorts,
+): PrefillRun = PrefillRun(tables, availability, ports.connections, jobs, ports.socketReads, ports.clock)
+
 private fun createPlainRelay(
     tables: RelayTables,
     candidates: Candidates,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/LateTimersTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/LateTimersTest.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.coordination.relay
 
 import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.persistentListOf
@@ -102,6 +103,23 @@
             process.readsAfterPause shouldBe 1
         }
 
+    // Guards against giving up a prefill whose answer arrived in time and was only not read yet.
+    @Test
+    fun `the answer to a prefill that is read after its timeout is used`() =
+        runTest {
+            val prefillEngines = listOf("prefill", "prefill-2").map { backend(it, ENGINE_POOL, EngineRole.PREFILL) }
+            val process = PausedProcess(this, passes = emptyList(), next = ScriptedConnections(mutableListOf()))
+            val caller = FakeCaller()
+            val tables = tablesWith(route(resumable, ENGINE_POOL), decodeEngines + prefillEngines)
+            launch { process.pause(after = 1.milliseconds, length = 1200.milliseconds) }
+
+            createTestRelay(tables, process, prompt(12_000), socketReads = process, clock = process).accept(caller)
+
+            process.prefills shouldHaveSize 1
+            process.prefillsGivenUp.shouldBeEmpty()
+            caller.text shouldBe "answer"
+        }
+
     private fun TestScope.relay(
         process: PausedProcess,
         route: Route,
@@ -127,8 +145,8 @@
 /**
  * The clock, sockets and first server of a process that does not run for a while.
  *
- * The answer of that server arrives during the pause, and each pass over the sockets reads one element of [passes].
- * Later attempts go to [next].
+ * The answer of that server arrives during the pause, and each pass over the sockets reads one element of [passes]. A
+ * prefill is answered by the first pass after the pause. Later attempts go to [next].
  */
 private class PausedProcess(
     private val scope: TestScope,
@@ -139,9 +157,12 @@
     Clock {
     private val unread = passes.toMutableList()
     private val read = Channel<AttemptEvent>(Channel.UNLIMITED)
+    private val prefillAnswers = Channel<PrefillOutcome>(Channel.UNLIMITED)
     private val running = scope.virtualClock()
     private var paused = Duration.ZERO
     val orders = mutableListOf<RunOrder>()
+    val prefills = mutableListOf<RunOrder>()
+    val prefillsGivenUp = mutableListOf<RunOrder>()
     var readsAfterPause = 0
         private set
 
@@ -158,6 +179,9 @@
     override suspend fun awaitNext() {
         if (paused > Duration.ZERO) readsAfterPause += 1
         if (paused > Duration.ZERO && unread.isNotEmpty()) unread.removeAt(0).forEach(read::trySend)
+        prefills.lastOrNull()?.let {
+            prefillAnswers.trySend(PrefillOutcome.Ready(CacheSource(it.backend.address, "handle"), tokens = 1))
+        }
         yield()
     }
 
@@ -166,7 +190,7 @@
         body: WholeBody,
     ): AttemptStream {
         orders += order
-        if (next != null && orders.size > 1) return next.open(order, body)
+        if (next != null && (orders.size > 1 || prefills.isNotEmpty())) return next.open(order, body)
         return object : AttemptStream {
             override suspend fun next(): AttemptEvent = read.receive()
 
@@ -179,7 +203,15 @@
     override suspend fun prefill(
         order: RunOrder,
         body: WholeBody,
-    ): PrefillOutcome = error("no prefill is expected")
+    ): PrefillOutcome {
+        prefills += order
+        var answered = false
+        try {
+            return prefillAnswers.receive().also { answered = true }
+        } finally {
+            if (!answered) prefillsGivenUp += order
+        }
+    }
 
     override fun release(cache: CacheSource) = Unit
 }
