Drop interim answers of backend servers instead of passing one on as the answer

Vert.x 5.0.7 knows 100 and 103 only; any other status of the 1xx class it takes for the whole answer (handleResponseBegin, read in its bytecode). The caller then got status 102 as its final answer, which it reads as an interim one, and the true answer came when no request was in progress. Not a way to a success for a failure: the status that is passed on is that of the 1xx answer.

LateAnswerFilter, which knew these answers as interim, drops them; malformed ones still reach Vert.x, which breaks the request off.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -82,8 +82,11 @@
         awaiting: Reading.Awaiting,
         message: Any,
     ) {
-        val isHead = message is HttpResponse && !isInterim(message)
-        if (isHead) begin(context, awaiting, message) else context.fireChannelRead(message)
+        when {
+            message is HttpResponse && !isInterim(message) -> begin(context, awaiting, message)
+            isMalformed(message) -> context.fireChannelRead(message)
+            else -> ReferenceCountUtil.release(message) // Vert.x takes most interim answers for the answer itself
+        }
     }
 
     private fun begin(
@@ -161,10 +164,9 @@
     ) {
         val size = if (message is HttpContent) message.content().readableBytes() else 0
         val skipping = since.copy(skippedBytes = since.skippedBytes + size)
-        val isMalformed = message !is HttpObject || message.decoderResult().isFailure
         reading = if (message is LastHttpContent) skipping else Reading.Skipping(skipping)
         ReferenceCountUtil.release(message)
-        if (isMalformed || skipping.skippedBytes > MAXIMUM_SKIPPED_BYTES) closeUnreadable(context)
+        if (isMalformed(message) || skipping.skippedBytes > MAXIMUM_SKIPPED_BYTES) closeUnreadable(context)
     }
 
     /** Closes the connection unless the late answer ends soon: one that is cut short takes in the true answer. */
@@ -182,6 +184,8 @@
         context.close()
     }
 
+    private fun isMalformed(message: Any): Boolean = message !is HttpObject || message.decoderResult().isFailure
+
     /** Returns true if the answer itself is still to come; 101 is the last one on its connection. */
     private fun isInterim(response: HttpResponse): Boolean =
         response.status().codeClass() == HttpStatusClass.INFORMATIONAL &&
