Resume an answer that is given up, so that its connection can carry the next request

Vert.x 5.0.7 doesn't close a connection at a reset when the whole answer has arrived. Unread parts beyond its queue keep the channel paused (doPause), and the pool passes that connection on: the answer to the next request on it is never read, and that request waits for its time limit. A caller that leaves a large answer, an answer over the memory or size limit and a refusal with a long body give answers up like this.

The parts are kept for a reader that may still wait for them, so a body is never shortened.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -60,9 +60,15 @@
         return channel.readWhole(limit).also { complete = it is BoundedBody.Whole }
     }
 
-    /** Resets the request unless its answer is complete, so that the pool can't reuse the connection with unread data. */
+    /**
+     * Resets the request unless its answer is complete, so that the pool can't reuse the connection with unread data.
+     *
+     * A reset leaves the connection open if the whole answer has arrived; unread, it would keep the connection paused.
+     */
     override fun cancel() {
-        if (!complete) carrier.abandonRequest()
+        if (complete) return
+        carrier.abandonRequest()
+        opened.onSuccess { it.body.letArrive() }
     }
 
     /**
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/BodyChannel.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/BodyChannel.kt
@@ -43,6 +43,11 @@
         stream.resume()
     }
 
+    /** Lets the rest of the stream arrive although nobody reads it, so that it no longer pauses its connection. */
+    fun letArrive() {
+        stream.resume()
+    }
+
     /** Ends the body with [BodyPart.Broken], which wakes a reader that waits in [next]. */
     fun abort() {
         parts.trySend(BodyPart.Broken)
