Name the owner of an unrequested answer by all that its connection carried

An answer that came while no request was in progress was compared with the request answered last only, so a late answer to one before it counted as unknown-request, which says that the connection never carried it: the very difference by which an operator tells a server that answers twice from mixed-up connections.

Before: a connection that carried request-4 and request-5 and then brought a second answer to request-4 reported unknown-request. After: earlier-request.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerOwner.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerOwner.kt
@@ -23,11 +23,7 @@
             last: AnsweredRequest,
             answerIds: List<String>,
         ): AnswerOwner =
-            when (answerIds.distinct().singleOrNull()) {
-                null -> NOT_IDENTIFIED
-                last.requestId -> EARLIER_REQUEST
-                else -> UNKNOWN_REQUEST
-            }
+            if (answerIds.distinct() == listOf(last.requestId)) EARLIER_REQUEST else of(last.history, answerIds)
 
         /** Returns the owner of an answer with the ids [answerIds], received on the connection with [history]. */
         fun of(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
@@ -73,7 +73,7 @@
                 lastStatus = last.status,
                 lastRequestId = last.requestId,
                 after = now - last.at,
-                connection = last.connection,
+                connection = last.history.number,
             ),
         )
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.connection
 
+import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.fleet.BackendLife
 import kotlin.time.Instant
 
@@ -18,11 +19,15 @@
     }
 }
 
-/** A request that [life] answered over the connection [connection]; the answer with [status] was complete at [at]. */
+/**
+ * A request that [life] answered over a connection that had carried [history] before it.
+ *
+ * The answer with [status] was complete at [at].
+ */
 data class AnsweredRequest(
     val requestId: String,
     val life: BackendLife,
-    val connection: Long,
+    val history: ConnectionHistory,
     val status: Int,
     val at: Instant,
 )
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -217,7 +217,7 @@
             val status: Int,
         ) : Reading {
             fun ended(now: Instant): AnsweredRequest =
-                AnsweredRequest(call.order.requestId, call.order.backend.life, call.history.number, status, now)
+                AnsweredRequest(call.order.requestId, call.order.backend.life, call.history, status, now)
         }
 
         /** No answer is due; [last] is the one that ended last. */
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.acaciaflow.coordination.clock.createSteadyClock
+import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.event.Event
@@ -38,6 +39,9 @@
             createSteadyClock(),
         )
 
+    @BeforeEach
+    fun forget() = recorded.clear()
+
     @AfterAll
     fun close() =
         runBlocking<Unit> {
@@ -93,12 +97,47 @@
         reasons["request-3"] shouldBe ConnectionCloseReason.REQUEST_ABANDONED
     }
 
+    /** Guards against a late answer to an earlier request that is reported as one that the connection never carried. */
+    @Test
+    fun `a second answer to a request before the last one is reported as one of an earlier request`() {
+        val backend =
+            RawBackend { output, id, _ ->
+                val earlier = earlierOnConnection(id)
+                write(output, answerBytes(200, "ok", "Request-Id: $id"))
+                Thread.sleep(50)
+                if (earlier != null) write(output, answerBytes(200, "ok", "Request-Id: $earlier"))
+            }
+        backend.use {
+            runBlocking {
+                for (id in listOf("request-4", "request-5")) {
+                    readToEnd(connections.open(orderTo(it.address, id), emptyBody()))
+                    delay(200.milliseconds)
+                }
+            }
+        }
+
+        backend.connections.get() shouldBe 1
+        recorded.owners shouldContainExactly listOf(AnswerOwner.EARLIER_REQUEST)
+    }
+
     private class RecordedObservations(
         private val others: Observations = MeteredObservations(PrometheusMeterRegistry(PrometheusConfig.DEFAULT)),
     ) : Observations by others {
         val events = CopyOnWriteArrayList<Event>()
         private val decisions = CopyOnWriteArrayList<Decision>()
 
+        val owners = CopyOnWriteArrayList<AnswerOwner>()
+
+        fun clear() {
+            events.clear()
+            owners.clear()
+            decisions.clear()
+        }
+
+        override fun foreignAnswer(owner: AnswerOwner) {
+            owners += owner
+        }
+
         override fun event(event: Event) {
             events += event
         }
