Report a connection as abandoned only if its answer had not arrived

A request that is given up after its whole answer has arrived leaves its connection open (a reset does nothing then), but the connection was marked as closing because of it. The mark stayed until the next request, or fell on a request that the pool had given the connection to meanwhile, so that a connection which its server closed was reported as closed by this gateway: the wrong answer to the question who closed it.

Before: an answer given up unread, whose server closed the connection 200 ms later, was reported as request-abandoned. After: ended. A request whose answer is still due is reported as before.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/CarrierConnection.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/CarrierConnection.kt
@@ -27,9 +27,10 @@
         return open?.close(connection, reason) ?: connection.close()
     }
 
-    /** Closes the connection unless the whole answer has arrived. */
-    fun abandonRequest() {
-        open?.closing(request.connection(), ConnectionCloseReason.REQUEST_ABANDONED)
+    /** Closes the connection unless the whole answer to [call] has arrived, after which it may carry another request. */
+    fun abandonRequest(call: SentCall) {
+        val isOpen = lateAnswers?.isOpen(call) == true
+        if (isOpen) open?.closing(request.connection(), ConnectionCloseReason.REQUEST_ABANDONED)
         request.reset()
     }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -67,7 +67,7 @@
      */
     override fun cancel() {
         if (complete) return
-        carrier.abandonRequest()
+        carrier.abandonRequest(call)
         opened.onSuccess { it.body.letArrive() }
     }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -59,6 +59,15 @@
                 is Reading.Answering, is Reading.Nothing -> false
             }
 
+    /** Returns true until the whole answer to [call] has arrived. */
+    fun isOpen(call: SentCall): Boolean =
+        when (val current = reading) {
+            is Reading.Awaiting -> current.call === call
+            is Reading.Skipping -> current.since.call === call
+            is Reading.Answering -> current.call === call
+            is Reading.Nothing -> false
+        }
+
     /** Screens the answers that arrive from now on until the answer to [call] begins. */
     fun expect(call: SentCall) {
         if (call.order.call.method == HttpMethod.HEAD.name()) endsAreKnown = false
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
@@ -120,6 +120,28 @@
         recorded.owners shouldContainExactly listOf(AnswerOwner.EARLIER_REQUEST)
     }
 
+    /** Guards against a log that blames this gateway for the end of a connection that its server closed. */
+    @Test
+    fun `a connection whose whole answer had arrived when the request was given up is not reported as abandoned`() {
+        val backend =
+            RawBackend { output, id, _ ->
+                write(output, answerBytes(200, "ok", "Request-Id: $id"))
+                Thread.sleep(300)
+                output.close()
+            }
+        backend.use {
+            runBlocking {
+                val stream = connections.open(orderTo(it.address, "request-6"), emptyBody())
+                stream.next()
+                delay(100.milliseconds)
+                stream.cancel()
+                delay(500.milliseconds)
+            }
+        }
+
+        recorded.disconnects().single { it.requestId == "request-6" }.reason shouldBe ConnectionCloseReason.ENDED
+    }
+
     private class RecordedObservations(
         private val others: Observations = MeteredObservations(PrometheusMeterRegistry(PrometheusConfig.DEFAULT)),
     ) : Observations by others {
