--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -59,6 +59,15 @@
                 is Reading.Answering, is Reading.Nothing -> false
             }
 
+    /** Returns true until the whole answer to [call] has arrived. */
+    fun isOpen(call: SentCall): Boolean =
+        when (val current = reading) {
+            is Reading.Awaiting -> current.call === call
+            is Reading.Skipping -> current.since.call === call
+            is Reading.Answering -> current.call === call
+            is Reading.Nothing -> false
+        }
+
     /** Screens the answers that arrive from now on until the answer to [call] begins. */
     fun expect(call: SentCall) {
         if (call.order.call.method == HttpMethod.HEAD.name()) endsAreKnown = false
@@ -82,8 +91,11 @@
         awaiting: Reading.Awaiting,
         message: Any,
     ) {
-        val isHead = message is HttpResponse && !isInterim(message)
-        if (isHead) begin(context, awaiting, message) else context.fireChannelRead(message)
+        when {
+            message is HttpResponse && !isInterim(message) -> begin(context, awaiting, message)
+            isMalformed(message) -> context.fireChannelRead(message)
+            else -> ReferenceCountUtil.release(message) // Vert.x takes most interim answers for the answer itself
+        }
     }
 
     private fun begin(
@@ -161,10 +173,9 @@
     ) {
         val size = if (message is HttpContent) message.content().readableBytes() else 0
         val skipping = since.copy(skippedBytes = since.skippedBytes + size)
-        val isMalformed = message !is HttpObject || message.decoderResult().isFailure
         reading = if (message is LastHttpContent) skipping else Reading.Skipping(skipping)
         ReferenceCountUtil.release(message)
-        if (isMalformed || skipping.skippedBytes > MAXIMUM_SKIPPED_BYTES) closeUnreadable(context)
+        if (isMalformed(message) || skipping.skippedBytes > MAXIMUM_SKIPPED_BYTES) closeUnreadable(context)
     }
 
     /** Closes the connection unless the late answer ends soon: one that is cut short takes in the true answer. */
@@ -182,6 +193,8 @@
         context.close()
     }
 
+    private fun isMalformed(message: Any): Boolean = message !is HttpObject || message.decoderResult().isFailure
+
     /** Returns true if the answer itself is still to come; 101 is the last one on its connection. */
     private fun isInterim(response: HttpResponse): Boolean =
         response.status().codeClass() == HttpStatusClass.INFORMATIONAL &&
@@ -213,7 +226,7 @@
             val status: Int,
         ) : Reading {
             fun ended(now: Instant): AnsweredRequest =
-                AnsweredRequest(call.order.requestId, call.order.backend.life, call.history.number, status, now)
+                AnsweredRequest(call.order.requestId, call.order.backend.life, call.history, status, now)
         }
 
         /** No answer is due; [last] is the one that ended last. */
