Try a served part whose crashes nothing else explains

Callers saw: when three servers failed at once for a reason of their own, all requests with the parts in use at all of them were refused for 120 s, unless one that was in progress ended meanwhile.

Cause: only being served clears a part, and a part in quarantine is not sent.

Change: a part that was served before is tried by one request at a time, from 3 s after the last crash; being served clears it at all gateways, and peers are told so as long as they may refuse it. Parts that were never served, requests by their digest and parts with another one in quarantine get no trial.

Ruled out: trials at each gateway, which at many gateways exceed that before they hear of the crashes. What remains: a part whose requests do not reach that gateway is refused as before.

CrashingPartTest: 0 of 60 calls in 30 s served before, at least 54 since; a served part that turns deadly reaches at most 2 servers after its quarantine. CrashGossipTest, "a part that is served at a trial is cleared for the others": still refused without the change to the reports.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashQuarantine.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashQuarantine.kt
@@ -4,6 +4,7 @@
 import org.acaciaflow.state.crash.CrashRecord
 import org.acaciaflow.state.crash.CrashReports
 import org.acaciaflow.state.crash.CrashSubject
+import org.acaciaflow.state.crash.CrashTrials
 import org.acaciaflow.state.crash.ServedParts
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
@@ -16,6 +17,9 @@
  * A crash puts every request under suspicion that was starting at that server, and so do all their shared prompt parts.
  * What crashes servers is never served, so a subject that is served is clear of all crashes until then, and a part that
  * was never served is the more likely cause. Crashes that such a part explains do not count against the others.
+ *
+ * A part that was served before has probably not caused the crashes that nothing else explains: the servers may have
+ * failed for a reason of their own. So one request at a time tries it, until it is served or has crashed too many.
  */
 object CrashQuarantine {
     /** Records that the life with the code [lifeCode] crashed at time [at] while it started on [subject]. */
@@ -39,7 +43,11 @@
     ): CrashReports {
         val known = withServedPart(reports, subject)
         val record = known.bySubject[subject] ?: return known
-        return if (at <= record.servedAt) known else replaced(known, subject, record.copy(servedAt = at))
+        if (at <= record.servedAt) return known
+        val served = record.copy(servedAt = at)
+        // A peer also tells that a part was served before its crashes, which is no result of a trial.
+        val trials = if (served.unexplained.isEmpty()) null else record.trials
+        return replaced(known, subject, served.copy(trials = trials))
     }
 
     /** Returns true if [served] may change what [reports] say of [subject]. */
@@ -62,6 +70,58 @@
             .filter { it > now }
             .maxOrNull()
 
+    /**
+     * Returns whether the request [requestId] with [subjects] may be sent at [now].
+     *
+     * Only one gateway tries parts, so that the number of trials is bounded; [triesParts] is true if it is this one.
+     */
+    fun standing(
+        reports: CrashReports,
+        subjects: List<CrashSubject>,
+        requestId: String,
+        triesParts: Boolean,
+        now: Instant,
+    ): CrashStanding {
+        val end = quarantinedUntil(reports, subjects, now) ?: return CrashStanding.Clear
+        val quarantined =
+            subjects.filter { subject ->
+                quarantineEnd(reports, subject, subjects)?.let { it > now } ==
+                    true
+            }
+        val parts = quarantined.filterIsInstance<CrashSubject.Part>().filter { isTriable(reports, it) }
+        if (parts.size < quarantined.size) return CrashStanding.Quarantined(end)
+        val nextTrialAt = parts.maxOf { nextTrialAt(reports.bySubject.getValue(it), requestId) }
+        return when {
+            triesParts && now >= nextTrialAt -> CrashStanding.MayTry(parts)
+            else -> CrashStanding.Quarantined(minOf(end, maxOf(nextTrialAt, now + TRIAL_INTERVAL)))
+        }
+    }
+
+    /** Records that the request [requestId] tries [parts] at [now]. */
+    fun tried(
+        reports: CrashReports,
+        parts: List<CrashSubject.Part>,
+        requestId: String,
+        now: Instant,
+    ): CrashReports =
+        parts.fold(reports) { known, part ->
+            val record = known.bySubject.getValue(part)
+            val former = record.trials
+            if (former?.requestId == requestId) return@fold known
+            val trials = CrashTrials(count = (former?.count ?: 0) + 1, requestId, startedAt = now)
+            replaced(known, part, record.copy(trials = trials))
+        }
+
+    /** Returns true if peers must be told at [now] that what [record] is about was served after all its crashes. */
+    fun isServingNews(
+        record: CrashRecord,
+        now: Instant,
+    ): Boolean {
+        val wasQuarantined = record.crashes.size >= PART_CRASH_LIMIT
+        val period = if (wasQuarantined) QUARANTINE_PERIOD else SERVING_NEWS_PERIOD
+        return record.unexplained.isEmpty() && now - record.crashes.values.max() < period
+    }
+
     /** Returns the parts at several crashes that were served before them, though not since. */
     fun suspectsServedBefore(reports: CrashReports): List<CrashSubject.Part> =
         reports.bySubject
@@ -116,6 +176,30 @@
             }
         }
 
+    /** Returns true if [part] was served before its crashes, and they are few enough that it may be tried. */
+    private fun isTriable(
+        reports: CrashReports,
+        part: CrashSubject.Part,
+    ): Boolean {
+        val isUnderLimit = crashCount(reports, part) < TRIAL_CRASH_LIMIT
+        return part.key in reports.servedParts && isUnderLimit
+    }
+
+    /** Returns when the request [requestId] may try the part of [record]; one that tries it already may go on at once. */
+    private fun nextTrialAt(
+        record: CrashRecord,
+        requestId: String,
+    ): Instant {
+        val lastCrashAt = record.unexplained.values.max()
+        val afterCrash = lastCrashAt + TRIAL_PAUSE
+        val trials = record.trials ?: return afterCrash
+        return when {
+            trials.requestId == requestId && trials.startedAt > lastCrashAt -> trials.startedAt
+            trials.requestId == requestId || trials.count >= MAXIMUM_TRIALS -> Instant.DISTANT_FUTURE
+            else -> maxOf(afterCrash, trials.startedAt + TRIAL_INTERVAL)
+        }
+    }
+
     private fun crashCount(
         reports: CrashReports,
         subject: CrashSubject,
@@ -182,7 +266,12 @@
     private const val REQUEST_CRASH_LIMIT = 2 // so that no third server crashes on the same request
     private const val PART_CRASH_LIMIT = 3 // a sound part can be at two crashes that others cause
     private const val NEW_PART_CRASH_LIMIT = 2
+    private const val TRIAL_CRASH_LIMIT = 5 // the rules allow no more of such a part
+    private const val MAXIMUM_TRIALS = 3
     private const val MAXIMUM_SERVED_PARTS = 5_000
+    private val TRIAL_PAUSE: Duration = 3.seconds // servers that crashed have started again by then
+    private val TRIAL_INTERVAL: Duration = 2.seconds // a crash at a trial shows earlier
+    private val SERVING_NEWS_PERIOD: Duration = 5.seconds
     private val TRIAL_PERIOD: Duration = 10.seconds // a new part is refused for this long after two crashes
     private val QUARANTINE_PERIOD: Duration = 120.seconds // callers resend such a request within minutes
     private val SUSPICION_LIFETIME: Duration = 120.seconds
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/CrashGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/CrashGossip.kt
@@ -38,7 +38,7 @@
         val reports = crashes.snapshot()
         val servedSince =
             reports.bySubject
-                .filterValues { it.unexplained.isEmpty() && now - it.crashes.values.max() < REPORT_PERIOD }
+                .filterValues { CrashQuarantine.isServingNews(it, now) }
                 .map { (subject, record) -> ReportedServed(subject, now - record.servedAt) }
         val servedBefore =
             CrashQuarantine
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -73,6 +73,7 @@
         tracker: RelayProgressTracker,
     ): EngineStep {
         val sentAt = clock.now()
+        quarantine.conclusionBeforeSend(request, tracker.progress, sentAt)?.let { return EngineStep.Finished(it) }
         observations.decided(Decision.Sent(request, path.prefillEngine, path.predicted, tables.load.snapshot(), sentAt))
         val order = runOrderFor(request, path.prefillEngine, source = null, tracker.progress, sentAt)
         return when (val outcome = prefillRun.run(request, order, path, prompt, properties)) {
@@ -170,7 +171,7 @@
         path: EnginePath,
         tracker: RelayProgressTracker,
     ): EngineStep {
-        val quarantined = quarantine.conclusion(request, tracker.progress, clock.now())
+        val quarantined = quarantine.conclusionBeforeSend(request, tracker.progress, clock.now())
         if (quarantined != null) {
             source?.let(prefillRun::release)
             return EngineStep.Finished(quarantined)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -45,6 +45,7 @@
                 continue
             }
             if (!retryLimiter.tryAcquire(request, tracker.progress, reason, now)) return noAttemptLeft(tracker.progress)
+            quarantine.conclusionBeforeSend(request, tracker.progress, now)?.let { return it }
             val outcome = send(request, chosen, tracker)
             val mayRetryFailure = mayRetryFailure(request, tracker, outcome)
             when (val step = nextStepAfter(outcome, request, tracker.progress, mayRetryFailure)) {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
@@ -1,6 +1,5 @@
 package org.acaciaflow.coordination.relay
 
-import org.acaciaflow.coordination.crash.CrashQuarantine
 import org.acaciaflow.coordination.port.CallFacts
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.port.WholeBody
@@ -18,6 +17,7 @@
 /** Decides whether a call is admitted and which route applies to it. */
 internal class RelayAdmission(
     private val tables: RelayTables,
+    private val quarantine: QuarantineCheck,
     private val stop: StopSignal,
 ) {
     /** Admits the call of [exchange] at [now] or returns the reason for refusing it. */
@@ -37,7 +37,7 @@
             return refused(NotRun.STOPPING, STOPPING_RETRY_AFTER, configuration)
         }
         val request = requestOf(exchange, facts, body, route, configuration, now, deadline)
-        val quarantineEnd = CrashQuarantine.quarantinedUntil(tables.crashes.snapshot(), request.crashSubjects, now)
+        val quarantineEnd = quarantine.quarantinedUntil(request, now)
         if (quarantineEnd != null) return refused(NotRun.CRASH_SUSPECT, quarantineEnd - now, configuration)
         return Admission.Admitted(request)
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -12,10 +12,15 @@
 import org.acaciaflow.coordination.port.SocketReads
 import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.state.identity.DataCentre
+import org.acaciaflow.state.identity.HostAddress
 import kotlin.random.Random
 import kotlin.time.Clock
 
-/** The ports that connect a relay to other layers, the planned stop of the process and the memory for answers. */
+/**
+ * The ports that connect a relay to other layers, the planned stop of the process and the memory for answers.
+ *
+ * [self] is the address by which other gateways know this one; null if there are no others.
+ */
 data class RelayPorts(
     val connections: BackendConnections,
     val dialect: CallerDialect,
@@ -27,6 +32,7 @@
     val socketReads: SocketReads,
     val stop: StopSignal = StopSignal(),
     val bufferLimits: BufferLimits = bufferLimitsOf(Runtime.getRuntime().maxMemory()),
+    val self: HostAddress? = null,
 )
 
 /** Creates the relay of a gateway in [dataCentre] that calls backend servers directly. */
@@ -45,7 +51,7 @@
     return RequestRelay(
         dialect = ports.dialect,
         initialConfiguration = InitialConfigurationWait(tables.routing, startedAt = ports.clock.now()),
-        admission = RelayAdmission(tables, ports.stop),
+        admission = RelayAdmission(tables, QuarantineCheck(tables, ports.self), ports.stop),
         turns = createRequestTurns(tables, ports),
         retryLimiter = retryLimiter,
         plain = createPlainRelay(tables, candidates, retryLimiter, backendRun, dataCentre, ports),
@@ -100,7 +106,7 @@
     PlainRelay(
         tables = tables,
         candidates = candidates,
-        quarantine = QuarantineCheck(tables),
+        quarantine = QuarantineCheck(tables, ports.self),
         restWait = RestWait(candidates, ports.random),
         retryLimiter = retryLimiter,
         backendRun = backendRun,
@@ -122,7 +128,7 @@
         tables = tables,
         candidates = candidates,
         admission = GenerationAdmission(tables, ports.observations),
-        quarantine = QuarantineCheck(tables),
+        quarantine = QuarantineCheck(tables, ports.self),
         restWait = RestWait(candidates, ports.random),
         retryLimiter = retryLimiter,
         prefillRun = prefillRun,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/crash/CrashQuarantineTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/crash/CrashQuarantineTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import org.acaciaflow.state.crash.CrashReports
 import org.acaciaflow.state.crash.CrashSubject
 import kotlin.time.Duration.Companion.minutes
@@ -131,6 +132,83 @@
         (50_000L in reports.servedParts) shouldBe true
     }
 
+    // Guards against several requests that start at once with a part that may crash servers.
+    @Test
+    fun `one request at a time tries a part that was served before`() {
+        val reports = servedThenCrashed(lives = 1..3)
+        standing(reports, "early", now + 2.seconds).shouldBeInstanceOf<CrashStanding.Quarantined>()
+
+        val tried = CrashQuarantine.tried(reports, listOf(part), "first", now + 5.seconds)
+
+        standing(reports, "first", now + 5.seconds) shouldBe CrashStanding.MayTry(listOf(part))
+        standing(tried, "first", now + 5.1.seconds) shouldBe CrashStanding.MayTry(listOf(part))
+        standing(tried, "second", now + 5.1.seconds) shouldBe CrashStanding.Quarantined(now + 7.1.seconds)
+        standing(tried, "second", now + 7.1.seconds) shouldBe CrashStanding.MayTry(listOf(part))
+        val served = CrashQuarantine.served(tried, part, now + 6.seconds)
+        standing(served, "second", now + 6.seconds) shouldBe CrashStanding.Clear
+    }
+
+    // Guards against a trial that is sent again after it has crashed its server, and against trials without end.
+    @Test
+    fun `a trial that crashes its server ends, and there is none after five crashes`() {
+        var reports = servedThenCrashed(lives = 1..3)
+        for ((crash, at) in listOf(4 to now + 5.seconds, 5 to now + 9.seconds)) {
+            reports = CrashQuarantine.tried(reports, listOf(part), "trial-$crash", at)
+            reports = crashes(reports, part, crash..crash, at + 0.1.seconds)
+            standing(reports, "trial-$crash", at + 0.2.seconds).shouldBeInstanceOf<CrashStanding.Quarantined>()
+        }
+
+        for (second in 10..120) {
+            standing(reports, "later", now + second.seconds).shouldBeInstanceOf<CrashStanding.Quarantined>()
+        }
+    }
+
+    // Guards against trials without number while their crashes are not known.
+    @Test
+    fun `there are three trials at most, also if a peer tells that the part was served before its crashes`() {
+        var reports = servedThenCrashed(lives = 1..3)
+
+        val trials =
+            (5..120).count { second ->
+                val at = now + second.seconds
+                val mayTry = standing(reports, "trial-$second", at) is CrashStanding.MayTry
+                if (mayTry) reports = CrashQuarantine.tried(reports, listOf(part), "trial-$second", at)
+                reports = CrashQuarantine.served(reports, part, at - 10.minutes)
+                mayTry
+            }
+
+        trials shouldBe 3
+    }
+
+    // Guards against trials of the parts and requests that have probably crashed the servers.
+    @Test
+    fun `nothing is tried that was never served, and only one gateway tries`() {
+        val new = CrashSubject.Part(9)
+        var reports = servedThenCrashed(lives = 1..3)
+        reports = crashes(reports, new, lives = 4..6, now + 1.seconds)
+        reports = crashes(reports, request, lives = 1..2, now + 1.seconds)
+        val later = now + 20.seconds
+
+        standing(reports, "id", later) shouldBe CrashStanding.MayTry(listOf(part))
+        standing(reports, "id", later, triesParts = false).shouldBeInstanceOf<CrashStanding.Quarantined>()
+        for (other in listOf(new, request)) {
+            val standing = CrashQuarantine.standing(reports, listOf(part, other), "id", triesParts = true, later)
+            standing.shouldBeInstanceOf<CrashStanding.Quarantined>()
+        }
+    }
+
+    private fun servedThenCrashed(lives: IntRange): CrashReports {
+        val served = CrashQuarantine.served(CrashReports.NONE, part, now)
+        return crashes(served, part, lives, now + 1.seconds)
+    }
+
+    private fun standing(
+        reports: CrashReports,
+        requestId: String,
+        at: Instant,
+        triesParts: Boolean = true,
+    ) = CrashQuarantine.standing(reports, listOf(part), requestId, triesParts, at)
+
     private fun crashes(
         reports: CrashReports,
         subject: CrashSubject,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/CrashGossipTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/CrashGossipTest.kt
@@ -64,6 +64,22 @@
         seeing.isQuarantined(now + 2.seconds) shouldBe false
     }
 
+    // Guards against peers that go on refusing a part since its trial ended long after the crashes.
+    @Test
+    fun `a part that is served at a trial is cleared for the others`() {
+        val gateways = (1..2).map { Gateway("10.0.0.$it") }
+        for (gateway in gateways) {
+            gateway.recorder.served(listOf(part), now)
+            (1..3).forEach { gateway.recorder.crashed(listOf(part), BackendLife("engine-$it", 1), now + 1.seconds) }
+        }
+        val (trying, other) = gateways
+
+        trying.recorder.served(listOf(part), now + 12.seconds)
+        other.gossip.receive(trying.gossip.report(stopping = false, now + 12.1.seconds), now + 12.2.seconds)
+
+        other.isQuarantined(now + 12.3.seconds) shouldBe false
+    }
+
     // Guards against refusing a sound part, at gateways that have not served it, for the crashes of another part.
     @Test
     fun `a part that one gateway served before the crashes is not new to the others`() {
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/CrashingPartTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/CrashingPartTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.acaciaflow.coordination.crash.CrashQuarantine
@@ -24,6 +25,8 @@
 import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.route.RequestKind
 import org.acaciaflow.state.work.AnswerHead
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class CrashingPartTest : AnnotationSpec() {
     private val route = route(RequestKind.EventStream(resumable = true), ENGINE_POOL)
@@ -88,7 +91,7 @@
                         order: RunOrder,
                         body: WholeBody,
                     ): AttemptStream {
-                        quarantine(tables)
+                        crash(tables, CrashSubject.Part(deadly.key), lives = 1..3)
                         return sound.open(order, body)
                     }
                 }
@@ -101,10 +104,71 @@
             caller.refusal shouldBe NotRun.CRASH_SUSPECT
         }
 
-    private fun TestScope.quarantine(tables: RelayTables) {
+    // Guards against refusing a part for two minutes because servers that were in use with it failed for another reason.
+    @Test
+    fun `a part that was served before is served again soon after servers failed for another reason`() =
+        runTest {
+            val fleet = CrashingFleet(tablesWith(route, engines))
+            serve(fleet, 1, listOf(first))
+            crash(fleet.tables, CrashSubject.Part(first.key), lives = 1..3)
+
+            val served =
+                (1..60).map { number ->
+                    delay(500.milliseconds)
+                    serve(fleet, 10 + number, listOf(first))
+                }
+
+            served.take(5) shouldBe List(5) { false }
+            served.drop(6) shouldBe List(54) { true }
+        }
+
+    // Guards against trials that are used up by requests that are not sent, since the servers are not back yet.
+    @Test
+    fun `a part is tried when servers are back that take longer to start`() =
+        runTest {
+            val fleet = CrashingFleet(tablesWith(route, engines))
+            serve(fleet, 1, listOf(first))
+            val entries =
+                fleet.tables.fleet
+                    .snapshot()
+                    .entries
+            crash(fleet.tables, CrashSubject.Part(first.key), lives = 1..3)
+            fleet.tables.fleet.update { it.copy(entries = it.entries.clear()) }
+            repeat(20) {
+                delay(1.seconds)
+                serve(fleet, 10 + it, listOf(first))
+            }
+
+            fleet.tables.fleet.update { it.copy(entries = entries) }
+
+            serve(fleet, 100, listOf(first)) shouldBe true
+        }
+
+    // Guards against trials that let a part crash server after server although it was served before.
+    @Test
+    fun `a part that was served before and crashes servers now reaches no more than two after its quarantine`() =
+        runTest {
+            val fleet = CrashingFleet(tablesWith(route, engines))
+            serve(fleet, 1, listOf(first))
+            crash(fleet.tables, CrashSubject.Part(first.key), lives = 1..3)
+
+            repeat(200) { number ->
+                delay(500.milliseconds)
+                serve(fleet, 10 + number, listOf(first), isDeadly = true)
+            }
+
+            fleet.deadlyOrders shouldBeLessThanOrEqual 2
+        }
+
+    private fun TestScope.crash(
+        tables: RelayTables,
+        subject: CrashSubject,
+        lives: IntRange,
+    ) {
         val now = virtualClock().now()
-        val subject = CrashSubject.Part(deadly.key)
-        tables.crashes.update { (1..3).fold(it) { known, life -> CrashQuarantine.crashed(known, subject, life, now) } }
+        tables.crashes.update { reports ->
+            lives.fold(reports) { known, life -> CrashQuarantine.crashed(known, subject, life, now) }
+        }
     }
 
     /** Sends a request with [sharedParts] and a part of its own; returns true if it was answered completely. */
@@ -112,10 +176,11 @@
         fleet: CrashingFleet,
         number: Int,
         sharedParts: List<PromptPart>,
+        isDeadly: Boolean = deadly in sharedParts,
     ): Boolean {
         val parts = persistentListOf<PromptPart>().addAll(sharedParts).add(PromptPart(10_000L + number, 30))
         val prompt = Prompt(parts, parts.sumOf { it.tokens }, 10)
-        fleet.startsDeadly = deadly in sharedParts
+        fleet.startsDeadly = isDeadly
         val caller = FakeCaller("/calls/$number")
         createTestRelay(fleet.tables, fleet, prompt).accept(caller)
         return caller.ended
--- a/state/src/main/kotlin/org/acaciaflow/state/crash/CrashReports.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/crash/CrashReports.kt
@@ -23,17 +23,18 @@
  * What is known of one subject.
  *
  * [crashes] holds the times of the crashes by the codes of the crashed lives. [servedAt] is when a request with the
- * subject was last served completely; crashes before that time had another cause.
+ * subject was last served completely; crashes before that time had another cause. [trials] are null until there is one.
  */
 data class CrashRecord(
     val crashes: PersistentMap<Int, Instant>,
     val servedAt: Instant,
+    val trials: CrashTrials?,
 ) {
     /** The crashes after the subject was last served, which it may have caused. */
     val unexplained: Map<Int, Instant>
         get() = crashes.filterValues { it > servedAt }
 
     companion object {
-        val NONE = CrashRecord(persistentMapOf(), Instant.DISTANT_PAST)
+        val NONE = CrashRecord(persistentMapOf(), Instant.DISTANT_PAST, trials = null)
     }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -75,6 +75,7 @@
             scope = runtime.workers.scope,
             socketReads = runtime.socketReads,
             stop = stop,
+            self = settings.peers,
         )
     val relay = createRequestRelay(tables, ports, settings.dataCentre, settings.retryBounds)
     val updater = RoutingUpdater(adapters.documents, tables.routing, runtime.observations)
