Give up attempts whose crashing part becomes known

Cause: the quarantine is asked before each send, but an attempt that was sent before its part was known went on, and crashed one more server when that server started on it.

Change: when a subject comes into quarantine, attempts with it are given up at once if no data of their answer has arrived and the request may be repeated (idempotent, or a stream that may be resumed). The server is not counted as failed for it. Only for a part that was never served, or the request itself: attempts with a part that was served before may still clear it. What must not be repeated goes on, since its server may be at work on it.

Other gateways still hear of the crashes by their reports only.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashQuarantine.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/crash/CrashQuarantine.kt
@@ -122,6 +122,25 @@
         return record.unexplained.isEmpty() && now - record.crashes.values.max() < period
     }
 
+    /**
+     * Returns true if a request with [subjects] will probably crash the server that starts on it, as of [now].
+     *
+     * A part that was served before is refused too, but its attempts in progress may still clear it.
+     */
+    fun holdsLikelyCause(
+        reports: CrashReports,
+        subjects: List<CrashSubject>,
+        now: Instant,
+    ): Boolean =
+        subjects.any { subject ->
+            val mayBeCause =
+                when (subject) {
+                    is CrashSubject.Request -> true
+                    is CrashSubject.Part -> isNew(reports, subject)
+                }
+            mayBeCause && quarantineEnd(reports, subject, subjects)?.let { it > now } == true
+        }
+
     /** Returns the parts at several crashes that were served before them, though not since. */
     fun suspectsServedBefore(reports: CrashReports): List<CrashSubject.Part> =
         reports.bySubject
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
@@ -26,7 +26,8 @@
     private val loadExchange: LoadExchange,
     private val observations: Observations,
 ) {
-    private val crashGossip = CrashGossip(tables.crashes, CrashRecorder(tables.crashes, observations))
+    private val crashRecorder = CrashRecorder(tables.crashes, tables.startingAttempts, observations)
+    private val crashGossip = CrashGossip(tables.crashes, crashRecorder)
     private var sequence = 0L
 
     /** Builds the next report as of [now]; the prompts in it are left out of later reports. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -62,16 +62,24 @@
         try {
             val stream = connections.open(order, request.body)
             val watchdog = StallWatchdog(tables, life, stallTimeouts, socketReads, clock)
+            val quarantine = QuarantineWatch(tables, request, job, tracker, clock)
             val memory = BufferReservation(tables.answerBuffers, bufferLimits, life)
             val relayOutcome =
                 try {
-                    watchdog.during(stream) { relayAnswer(it, request, life, job, watchdog, tracker, memory) }
+                    watchdog.during(stream) { watched ->
+                        quarantine.during(watched) { relayAnswer(it, request, life, job, watchdog, tracker, memory) }
+                    }
                 } finally {
                     memory.release()
                     stream.cancel()
                 }
-            val stalled = watchdog.stalled && relayOutcome is RunOutcome.Broken
-            val outcome = if (stalled) RunOutcome.Broken(MayHaveRun.STREAM_STALLED) else relayOutcome
+            val outcome =
+                when {
+                    relayOutcome !is RunOutcome.Broken -> relayOutcome
+                    quarantine.givenUp -> RunOutcome.Broken(MayHaveRun.CRASH_SUSPECT)
+                    watchdog.stalled -> RunOutcome.Broken(MayHaveRun.STREAM_STALLED)
+                    else -> relayOutcome
+                }
             tracker.update { it.copy(attemptInFlight = false) }
             recordVerdict(request, life, job, outcome)
             return outcome
@@ -206,7 +214,7 @@
                 is RunOutcome.Delivered -> RunVerdict.SUCCEEDED
                 RunOutcome.CallerGone -> return
                 is RunOutcome.NotExecuted -> verdictOf(life, outcome.reason) ?: return
-                is RunOutcome.Broken -> RunVerdict.FAILED
+                is RunOutcome.Broken -> if (outcome.reason == MayHaveRun.CRASH_SUSPECT) return else RunVerdict.FAILED
                 is RunOutcome.Failed -> RunVerdict.FAILED
             }
         tables.reliability.update { ReliabilityPolicy.recorded(it, life, verdict, now) }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -79,7 +79,7 @@
     BackendRun(
         tables = tables,
         availability = availability,
-        crashes = CrashRecorder(tables.crashes, ports.observations),
+        crashes = CrashRecorder(tables.crashes, tables.startingAttempts, ports.observations),
         connections = ports.connections,
         framing = ports.framing,
         jobs = jobs,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import org.acaciaflow.coordination.crash.StartingAttempt
 import org.acaciaflow.coordination.peer.RecentReads
 import org.acaciaflow.coordination.routing.KnownRouting
 import org.acaciaflow.state.buffer.BufferUse
@@ -14,6 +15,7 @@
 import org.acaciaflow.state.identity.RouteName
 import org.acaciaflow.state.load.EngineRates
 import org.acaciaflow.state.load.FleetLoad
+import org.acaciaflow.state.load.JobIdentity
 import org.acaciaflow.state.load.MeanPrefill
 import org.acaciaflow.state.lock.LockOrder
 import org.acaciaflow.state.notice.BackendNotices
@@ -39,6 +41,7 @@
     val reads: RecentReads,
     val load: SharedTable<FleetLoad>,
     val rates: SharedTable<PersistentMap<PoolName, EngineRates>>,
+    internal val startingAttempts: SharedTable<PersistentMap<JobIdentity, StartingAttempt>>,
     val crashes: SharedTable<CrashReports>,
     val store: SharedTable<StoreKnowledge>,
     val peers: SharedTable<Peers>,
@@ -60,6 +63,7 @@
         reads = RecentReads(createSharedTable(LockOrder.RECENT_READS, persistentListOf())),
         load = createSharedTable(LockOrder.FLEET_LOAD, FleetLoad.NONE),
         rates = createSharedTable(LockOrder.ENGINE_RATES, persistentMapOf()),
+        startingAttempts = createSharedTable(LockOrder.STARTING_ATTEMPTS, persistentMapOf()),
         crashes = createSharedTable(LockOrder.CRASH_REPORTS, CrashReports.NONE),
         store = createSharedTable(LockOrder.STORE_KNOWLEDGE, StoreKnowledge.NONE),
         peers = createSharedTable(LockOrder.PEERS, Peers.NONE),
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/CrashGossipTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/CrashGossipTest.kt
@@ -104,7 +104,7 @@
             GatewayIdentity(HostAddress(ip, 7000), startedAtMilliseconds = 1, DataCentre("north"), capacity = 1.0)
         private val tables = createRelayTables()
         private val observations = FakeObservations()
-        val recorder = CrashRecorder(tables.crashes, observations)
+        val recorder = CrashRecorder(tables.crashes, tables.startingAttempts, observations)
         val gossip = PeerGossip(identity, tables, LoadExchange(identity, tables), observations)
 
         fun isQuarantined(
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/CrashingPartTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/CrashingPartTest.kt
@@ -6,9 +6,12 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.acaciaflow.coordination.crash.CrashQuarantine
+import org.acaciaflow.coordination.crash.CrashRecorder
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BackendConnections
@@ -24,6 +27,7 @@
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.route.RequestKind
+import org.acaciaflow.state.route.Route
 import org.acaciaflow.state.work.AnswerHead
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -160,6 +164,51 @@
             fleet.deadlyOrders shouldBeLessThanOrEqual 2
         }
 
+    // Guards against one more server that crashes on a request that waits there when its part becomes known.
+    @Test
+    fun `an attempt that has not begun is given up when its part comes into quarantine`() =
+        runTest {
+            val caller = startThenCrash(Reaction.StaysSilent, deadly)
+
+            caller.refusal shouldBe MayHaveRun.CRASH_SUSPECT
+            currentTime shouldBe 100
+        }
+
+    // Guards against cutting answers that are in progress, and against giving up what must not be sent again.
+    @Test
+    fun `an attempt goes on that has begun, must not be repeated or has a part that was served before`() =
+        runTest {
+            val slow = Reaction.Paces(listOf("a", "b", "c"), 40.milliseconds, endless = false)
+            val late = slow.copy(gap = 150.milliseconds)
+            val once = route.copy(kind = RequestKind.EventStream(resumable = false))
+
+            startThenCrash(slow, deadly).text shouldBe "abc"
+            startThenCrash(late, deadly, once).text shouldBe "abc"
+            startThenCrash(late, first).text shouldBe "abc"
+        }
+
+    /** Sends a request with [part] to a server with [reaction]; after 100 ms the part is known for three crashes. */
+    private suspend fun TestScope.startThenCrash(
+        reaction: Reaction,
+        part: PromptPart,
+        route: Route = this@CrashingPartTest.route,
+    ): FakeCaller {
+        val tables = tablesWith(route, engines)
+        tables.crashes.update { CrashQuarantine.served(it, CrashSubject.Part(first.key), virtualClock().now()) }
+        val recorder = CrashRecorder(tables.crashes, tables.startingAttempts, FakeObservations())
+        val prompt = Prompt(persistentListOf(part, PromptPart(7, 30)), part.tokens + 30, 10)
+        val caller = FakeCaller()
+        val crashes =
+            launch {
+                delay(100.milliseconds)
+                val now = virtualClock().now()
+                (1..3).forEach { recorder.crashed(CrashSubject.Part(part.key), lifeCode = it, at = now, now) }
+            }
+        createTestRelay(tables, ScriptedConnections(mutableListOf(reaction)), prompt).accept(caller)
+        crashes.join()
+        return caller
+    }
+
     private fun TestScope.crash(
         tables: RelayTables,
         subject: CrashSubject,
