Soak: plain backend servers with seeded faults and second answers

The soak of real processes needs servers whose account a judge can trust. PlainSoakServer serves loopback connections from threads of the test's process. A FaultMix draws for each arrival, apart from each other, how the work ends, how the true answer is written, and which second answer comes beside it and when; the draw follows from the seed and the arrival's stamp. Account gains the interim answer, bodies that end early, and whose handle a run has taken.

--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Account.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Account.kt
@@ -43,7 +43,9 @@
  * A request that was read from a connection of a server.
  *
  * [connection] is unique in a run. [stamp] is unique to the arrival and goes into the signature of its true answer.
- * [resumeAfter] is the event after which a stream was to go on. Times are milliseconds since the start of the run.
+ * [resumeAfter] is the event after which a stream was to go on. [bodyIsWhole] is false if the connection ended inside
+ * the body. [handleOf] is the id of the request whose prefill made the handle that this run has taken. Times are
+ * milliseconds since the start of the run.
  */
 internal data class ServerArrival(
     val instance: String,
@@ -56,6 +58,8 @@
     val body: String,
     val resumeAfter: String?,
     val atMilliseconds: Long,
+    val bodyIsWhole: Boolean = true,
+    val handleOf: String? = null,
 )
 
 /** What a gateway wants of a server. */
@@ -83,7 +87,12 @@
     ) : ServerOutcome
 }
 
-/** Bytes that a server wrote: [kind] says what they are, [stamp] and [status] what their head claims, if they have one. */
+/**
+ * Bytes that a server wrote, in the order in which each connection got them.
+ *
+ * [kind] says what they are; [requestId], [stamp] and [status] are what their head claims, if they have one. They are
+ * recorded when their first piece is written. A true answer may have been cut short: its outcome says so.
+ */
 internal data class ServerWriting(
     val instance: String,
     val connection: Long,
@@ -101,6 +110,9 @@
     /** An answer beside the true one. */
     SECOND_ANSWER,
 
+    /** An answer with a status of the 1xx range, before the true one. */
+    INTERIM_ANSWER,
+
     /** Bytes that are no answer. */
     NONSENSE,
 }
--- /dev/null
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/FaultMix.kt
@@ -0,0 +1,139 @@
+package org.acaciaflow.daemon.soak
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlin.random.Random
+
+/**
+ * The faults of a server, as shares of its arrivals from 0 to 1; a share of 0 switches the fault off.
+ *
+ * The verdict, the delivery and the stutter of an arrival are drawn apart from each other, so that each meets each.
+ * What each fault does is said at [Verdict], [Delivery], [StutterMoment] and [StutterContent].
+ */
+internal data class FaultMix(
+    val serverError: Double = 0.0,
+    val timeLimit: Double = 0.0,
+    val refusal: Double = 0.0,
+    val reset: Double = 0.0,
+    val mute: Double = 0.0,
+    val lost: Double = 0.0,
+    val cutShort: Double = 0.0,
+    val nonsenseBefore: Double = 0.0,
+    val nonsenseInstead: Double = 0.0,
+    val early: Double = 0.0,
+    val interim: Double = 0.0,
+    val stutter: Double = 0.0,
+    val stutterMoments: PersistentList<StutterMomentKind> = StutterMomentKind.entries.toPersistentList(),
+    val stutterContents: PersistentList<StutterContent> = ALL_CONTENTS,
+    /** True if a second answer is also written where the true one is lost; no reader can then tell it from a true one. */
+    val stuttersInsteadOfLost: Boolean = false,
+    val chunked: Double = 0.0,
+    val untilClose: Double = 0.0,
+    val closing: Double = 0.0,
+    val handleLost: Double = 0.0,
+    val longestWorkMilliseconds: Long = 0,
+) {
+    /** Draws the plan for one arrival; each call takes its choices from [random] in the same order. */
+    fun draw(random: Random): ArrivalPlan {
+        val verdict = verdict(random)
+        val delivery = delivery(random)
+        val stutter = stutter(random).takeIf { stuttersInsteadOfLost || delivery.writesWhole }
+        val drawnFraming = framing(random)
+        // After a body that ends with its connection, a second answer would belong to it, and its cut end would look whole.
+        val hasEnd = stutter == null && delivery.writesWhole
+        val framing = if (hasEnd || drawnFraming != Framing.UNTIL_CLOSE) drawnFraming else Framing.LENGTH
+        val closes = random.nextDouble() < closing
+        return ArrivalPlan(
+            verdict = verdict,
+            delivery = delivery,
+            stutter = stutter,
+            framing = framing,
+            closesAfterwards = stutter == null && (closes || framing == Framing.UNTIL_CLOSE),
+            workMilliseconds = random.nextLong(longestWorkMilliseconds + 1),
+            losesHandle = random.nextDouble() < handleLost,
+        )
+    }
+
+    private fun verdict(random: Random): Verdict {
+        val limit = random.nextLong(SHORTEST_LIMIT_MILLISECONDS, LONGEST_LIMIT_MILLISECONDS)
+        val retryAfter = random.nextInt(LONGEST_RETRY_AFTER_SECONDS + 1).takeIf { it > 0 }
+        val choices =
+            listOf(
+                serverError to Verdict.ServerError,
+                timeLimit to Verdict.TimeLimit(limit),
+                refusal to Verdict.Refusal(retryAfter),
+            )
+        return choose(random, choices) ?: Verdict.Success
+    }
+
+    private fun delivery(random: Random): Delivery {
+        val flag = random.nextBoolean()
+        val choices =
+            listOf(
+                reset to Delivery.Reset,
+                mute to Delivery.Mute,
+                lost to Delivery.Lost(closes = flag),
+                cutShort to Delivery.CutShort(resets = flag),
+                nonsenseBefore to Delivery.NonsenseBefore,
+                nonsenseInstead to Delivery.NonsenseInstead,
+                early to Delivery.Early,
+                interim to Delivery.AfterInterim(if (flag) CONTINUE else EARLY_HINTS),
+            )
+        return choose(random, choices) ?: Delivery.Whole
+    }
+
+    private fun stutter(random: Random): Stutter? {
+        val isDrawn = random.nextDouble() < stutter
+        val later = StutterMoment.Later(random.nextLong(1, LATEST_MILLISECONDS + 1))
+        val moment =
+            when (stutterMoments.randomOrNull(random)) {
+                null -> return null
+                StutterMomentKind.AT_ONCE -> StutterMoment.AtOnce
+                StutterMomentKind.SAME_WRITE -> StutterMoment.SameWrite
+                StutterMomentKind.LATER -> later
+                StutterMomentKind.WITH_NEXT_REQUEST -> StutterMoment.WithNextRequest
+            }
+        val content = stutterContents.randomOrNull(random) ?: return null
+        return Stutter(moment, content).takeIf { isDrawn }
+    }
+
+    private fun framing(random: Random): Framing =
+        choose(random, listOf(chunked to Framing.CHUNKED, untilClose to Framing.UNTIL_CLOSE)) ?: Framing.LENGTH
+
+    /** Takes one number from [random] and returns the choice in whose share it lies, null beyond all of them. */
+    private fun <T> choose(
+        random: Random,
+        choices: List<Pair<Double, T>>,
+    ): T? {
+        val drawn = random.nextDouble()
+        var sum = 0.0
+        for ((share, choice) in choices) {
+            sum += share
+            if (drawn < sum) return choice
+        }
+        return null
+    }
+
+    companion object {
+        val ALL_CONTENTS: PersistentList<StutterContent> =
+            persistentListOf(
+                StutterContent.SmallSuccess,
+                StutterContent.ExactCopy,
+                StutterContent.WholeSuccess,
+                StutterContent.Failure,
+                StutterContent.EventStream,
+                StutterContent.WithoutId,
+            )
+
+        /** No fault at all. */
+        val SOUND = FaultMix()
+
+        private const val SHORTEST_LIMIT_MILLISECONDS = 20L
+        private const val LONGEST_LIMIT_MILLISECONDS = 400L
+        private const val LONGEST_RETRY_AFTER_SECONDS = 1
+        private const val LATEST_MILLISECONDS = 300L
+        private const val CONTINUE = 100
+        private const val EARLY_HINTS = 103
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServer.kt
@@ -0,0 +1,45 @@
+package org.acaciaflow.daemon.soak
+
+import kotlin.random.Random
+
+/** A backend server of the plain service [service]. */
+internal class PlainSoakServer(
+    instance: String,
+    private val service: String,
+    run: SoakRun,
+    mix: FaultMix = FaultMix.SOUND,
+    born: Long = System.currentTimeMillis(),
+) : SoakServer(instance, run, mix, born) {
+    override fun ownFields(): String = """"service":"$service","version":"v1""""
+
+    override fun controlReply(head: RequestHead): Reply? = null
+
+    override fun admit(
+        head: RequestHead,
+        plan: ArrivalPlan,
+    ): Admission = Admission(plan.verdict)
+
+    override fun success(
+        arrival: ServerArrival,
+        plan: ArrivalPlan,
+        fields: List<String>,
+    ): SuccessReply {
+        val body = plainBody(arrival.stamp)
+        return SuccessReply(reply(OK, arrival.requestId, arrival.stamp, body, fields, plan.framing), body)
+    }
+
+    override fun answersWithoutBody(purpose: ArrivalPurpose): Boolean = true
+
+    private companion object {
+        const val OK = 200
+    }
+}
+
+/** The body of a plain server's answer with success to the arrival with [stamp]: its stamp, then text of some length. */
+internal fun plainBody(stamp: String): String {
+    val random = Random(stamp.hashCode())
+    val words = List(random.nextInt(LONGEST_BODY_WORDS)) { random.nextInt().toString() }
+    return (listOf(stamp) + words).joinToString(" ")
+}
+
+private const val LONGEST_BODY_WORDS = 200
--- /dev/null
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServerTest.kt
@@ -0,0 +1,243 @@
+package org.acaciaflow.daemon.soak
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.maps.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldEndWith
+import io.kotest.matchers.string.shouldNotContain
+import io.kotest.matchers.string.shouldStartWith
+import kotlinx.collections.immutable.persistentListOf
+import org.acaciaflow.daemon.soak.ServerOutcome.Answered
+import org.acaciaflow.daemon.soak.ServerOutcome.Rejected
+import org.acaciaflow.daemon.soak.WritingKind.INTERIM_ANSWER
+import org.acaciaflow.daemon.soak.WritingKind.NONSENSE
+import org.acaciaflow.daemon.soak.WritingKind.SECOND_ANSWER
+import org.acaciaflow.daemon.soak.WritingKind.TRUE_ANSWER
+
+/** Drives a plain soak server with a raw socket and compares what it wrote with its account. */
+class PlainSoakServerTest : AnnotationSpec() {
+    @Test
+    fun `a sound server answers each request of a connection and has all of it in its account`() {
+        val entries =
+            play(FaultMix.SOUND) {
+                send("a", body = "first")
+                read() shouldContain plainBody("i-1.1.1")
+                sendText(
+                    "POST /claims/2 HTTP/1.1\r\nRequest-Id: b\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+                )
+                read() shouldContain "Request-Id: b\r\nServer-Stamp: i-1.1.2\r\n"
+            }
+
+        entries.arrivals.map { listOf(it.requestId, it.target, it.body) } shouldContainExactly
+            listOf(listOf("a", "/claims/1", "first"), listOf("b", "/claims/2", "abc"))
+        entries.outcomes["i-1.1.2"] shouldBe Answered(200, plainBody("i-1.1.2"), wroteWhole = true)
+        entries.writings.map { it.kind to it.requestId } shouldContainExactly
+            listOf(TRUE_ANSWER to "a", TRUE_ANSWER to "b")
+    }
+
+    @Test
+    fun `the verdicts have their statuses in the answer and in the account`() {
+        val verdicts =
+            mapOf(
+                FaultMix(serverError = 1.0) to Answered(500, "failed i-1.1.1", wroteWhole = true),
+                FaultMix(timeLimit = 1.0) to Answered(504, "failed i-1.1.1", wroteWhole = true),
+                FaultMix(refusal = 1.0) to Rejected(503),
+            )
+        for ((mix, outcome) in verdicts) {
+            val entries =
+                play(mix) {
+                    send("a")
+                    val status = (outcome as? Answered)?.status ?: 503
+                    read(quietMilliseconds = 600) shouldStartWith "HTTP/1.1 $status "
+                }
+
+            entries.outcomes["i-1.1.1"] shouldBe outcome
+        }
+    }
+
+    @Test
+    fun `a request for another instance is not run`() {
+        val entries =
+            play(FaultMix.SOUND) {
+                send("a", fields = listOf("Expect-Instance: i-2"))
+                read() shouldContain "Instance-Id: i-1\r\n"
+            }
+
+        entries.outcomes["i-1.1.1"] shouldBe Rejected(421)
+    }
+
+    @Test
+    fun `a second answer comes at its moment and is in the account as one`() {
+        for (moment in StutterMomentKind.entries) {
+            val isLast = moment == StutterMomentKind.WITH_NEXT_REQUEST
+            val mix = stuttering(moment, StutterContent.SmallSuccess).copy(serverError = 1.0)
+            val entries =
+                play(mix) {
+                    send("a")
+                    val first = read(quietMilliseconds = 400)
+                    withClue(moment) { answers(first) shouldBe if (isLast) listOf(500) else listOf(500, 200) }
+                    send("b")
+                    val second = read(quietMilliseconds = 400)
+                    withClue(moment) { answers(second) shouldBe if (isLast) listOf(200, 500) else listOf(500, 200) }
+                }
+
+            val kinds = entries.writings.map { Triple(it.kind, it.stamp, it.status) }
+            val (truth, late) = Triple(TRUE_ANSWER, "i-1.1.1", 500) to Triple(SECOND_ANSWER, "i-1.1.1", 200)
+            withClue(moment) {
+                kinds.take(2) shouldContainExactly listOf(truth, late)
+                entries.outcomes["i-1.1.1"] shouldBe Answered(500, "failed i-1.1.1", wroteWhole = true)
+            }
+        }
+    }
+
+    @Test
+    fun `a second answer has the content that the mix names`() {
+        val parts =
+            mapOf(
+                StutterContent.SmallSuccess to "HTTP/1.1 200 Answer\r\nRequest-Id: a\r\nServer-Stamp: i-1.1.1\r\n",
+                StutterContent.ExactCopy to "failed i-1.1.1HTTP/1.1 500 ",
+                StutterContent.WholeSuccess to plainBody("i-1.1.1"),
+                StutterContent.Failure to "failed afterwards",
+                StutterContent.EventStream to "Content-Type: text/event-stream",
+                StutterContent.WithoutId to "HTTP/1.1 200 Answer\r\nServer-Stamp: i-1.1.1\r\n",
+            )
+        FaultMix.ALL_CONTENTS.toSet() shouldBe parts.keys
+        for ((content, part) in parts) {
+            play(stuttering(StutterMomentKind.SAME_WRITE, content).copy(serverError = 1.0)) {
+                send("a")
+                withClue(content) { read() shouldContain part }
+            }
+        }
+    }
+
+    @Test
+    fun `an answer that is not written whole is so in the account`() {
+        val mixes = listOf(FaultMix(reset = 1.0), FaultMix(mute = 1.0), FaultMix(lost = 1.0), FaultMix(cutShort = 1.0))
+        for (mix in mixes) {
+            val entries =
+                play(mix) {
+                    send("a")
+                    read() shouldNotContain plainBody("i-1.1.1")
+                }
+
+            withClue(mix) {
+                entries.outcomes["i-1.1.1"] shouldBe Answered(200, plainBody("i-1.1.1"), wroteWhole = false)
+                entries.writings.size shouldBe if (mix.cutShort > 0) 1 else 0
+            }
+        }
+    }
+
+    @Test
+    fun `bytes beside the answer are in the account in their order`() {
+        val kinds =
+            mapOf(
+                FaultMix(nonsenseBefore = 1.0) to listOf(NONSENSE, TRUE_ANSWER),
+                FaultMix(nonsenseInstead = 1.0) to listOf(NONSENSE),
+                FaultMix(interim = 1.0) to listOf(INTERIM_ANSWER, TRUE_ANSWER),
+            )
+        for ((mix, expected) in kinds) {
+            val entries =
+                play(mix) {
+                    send("a")
+                    read()
+                }
+
+            entries.writings.map { it.kind } shouldContainExactly expected
+        }
+    }
+
+    @Test
+    fun `an early answer comes before the body, which is read afterwards`() {
+        val entries =
+            play(FaultMix(early = 1.0)) {
+                sendText("POST /claims/1 HTTP/1.1\r\nRequest-Id: a\r\nContent-Length: 4\r\n\r\n")
+                read() shouldContain plainBody("i-1.1.1")
+                sendText("late")
+                send("b")
+                read() shouldContain "Request-Id: b\r\n"
+            }
+
+        entries.arrivals.map { it.body } shouldContainExactly listOf("late", "claim")
+    }
+
+    @Test
+    fun `a connection ends after an answer without a length or with a closing field`() {
+        for (mix in listOf(FaultMix(untilClose = 1.0), FaultMix(closing = 1.0))) {
+            play(mix) {
+                send("a")
+                read() shouldEndWith plainBody("i-1.1.1") + RawCaller.ENDED
+            }
+        }
+    }
+
+    @Test
+    fun `a restarted server has its address, a new life and no draining state`() {
+        val run = soakRun(seed = 1)
+        PlainSoakServer("i-1", "register", run, born = 1).use { server ->
+            val address = server.address
+            server.drain()
+            server.entry() shouldContain "\"state\":\"draining\""
+
+            server.stop()
+            server.restart(born = 2)
+
+            server.entry() shouldBe """{"service":"register","version":"v1","address":"$address","zone":"suba",""" +
+                """"slots":8,"state":"ready","cold_remaining_ms":0,"born":2,"sequence":1}"""
+            RawCaller(server).use {
+                it.send("a")
+                it.read() shouldContain "Server-Stamp: i-1.2.1\r\n"
+            }
+        }
+    }
+
+    @Test
+    fun `the health check tells the instance and is no arrival`() {
+        val entries =
+            play(FaultMix(serverError = 1.0)) {
+                sendText("GET /healthz HTTP/1.1\r\n\r\n")
+                read() shouldContain "Instance-Id: i-1\r\n"
+            }
+
+        entries.arrivals.shouldBeEmpty()
+        entries.outcomes.shouldBeEmpty()
+    }
+
+    @Test
+    fun `the same seed draws the same faults and another seed draws others`() {
+        val mix = FaultMix(serverError = 0.3, refusal = 0.3, lost = 0.2, stutter = 0.5, longestWorkMilliseconds = 9)
+        val plans = { seed: Long -> List(ARRIVALS) { mix.draw(soakRun(seed).randomFor("i-1.1.$it")) } }
+
+        plans(7) shouldBe plans(7)
+        plans(7) shouldNotBe plans(8)
+        plans(7).map { it.verdict::class }.toSet().size shouldBe 3
+        plans(7).count { it.stutter != null } shouldBeGreaterThan ARRIVALS / 4
+    }
+
+    private fun stuttering(
+        moment: StutterMomentKind,
+        content: StutterContent,
+    ) = FaultMix(stutter = 1.0, stutterMoments = persistentListOf(moment), stutterContents = persistentListOf(content))
+
+    /** Lets [caller] speak to a server with [mix], and returns the account afterwards. */
+    private fun play(
+        mix: FaultMix,
+        caller: RawCaller.() -> Unit,
+    ): AccountEntries {
+        val run = soakRun(seed = 1)
+        PlainSoakServer("i-1", "register", run, mix).use { server -> RawCaller(server).use(caller) }
+        return run.account.snapshot()
+    }
+
+    private fun answers(text: String): List<Int> =
+        Regex("HTTP/1.1 ([0-9]{3}) ").findAll(text).map { it.groupValues[1].toInt() }.toList()
+
+    private companion object {
+        const val ARRIVALS = 200
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Stutter.kt
@@ -0,0 +1,53 @@
+package org.acaciaflow.daemon.soak
+
+/** A second answer to an arrival, beside the true one. */
+internal data class Stutter(
+    val moment: StutterMoment,
+    val content: StutterContent,
+)
+
+/** When a second answer is written. */
+internal sealed interface StutterMoment {
+    /** At once after the true answer, in a write of its own. */
+    data object AtOnce : StutterMoment
+
+    /** In one write with the (end of the) true answer. */
+    data object SameWrite : StutterMoment
+
+    /** [milliseconds] after the true answer, whether or not the next request is in, but never inside another answer. */
+    data class Later(
+        val milliseconds: Long,
+    ) : StutterMoment
+
+    /** When the connection's next request is in, before the true answer to that one. */
+    data object WithNextRequest : StutterMoment
+}
+
+/** What a second answer is. All but [WithoutId] have the id and stamp of the arrival. */
+internal sealed interface StutterContent {
+    /** 200 with a body of two bytes. */
+    data object SmallSuccess : StutterContent
+
+    /** The bytes of the true answer again. */
+    data object ExactCopy : StutterContent
+
+    /** 200 with the whole body that the run has or would have had, also where the true answer is a failure. */
+    data object WholeSuccess : StutterContent
+
+    /** 500, also where the true answer is a success. */
+    data object Failure : StutterContent
+
+    /** 200 with a whole event stream, also where the request was no call for one. */
+    data object EventStream : StutterContent
+
+    /** 200 with a body of two bytes, without an id. */
+    data object WithoutId : StutterContent
+}
+
+/** The moments that a [FaultMix] can switch on. */
+internal enum class StutterMomentKind {
+    AT_ONCE,
+    SAME_WRITE,
+    LATER,
+    WITH_NEXT_REQUEST,
+}
