--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/ArrivalPlan.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/ArrivalPlan.kt
@@ -9,10 +9,26 @@
     val closesAfterwards: Boolean,
     val workMilliseconds: Long,
     val losesHandle: Boolean,
-)
+) {
+    /** The fields of a true answer that say whether the connection ends. */
+    val closingFields: List<String>
+        get() = if (closesAfterwards && framing != Framing.UNTIL_CLOSE) listOf("Connection: close") else emptyList()
+
+    /** This plan, whose connection ends after the answer if the server [isLeaving] and no second answer follows. */
+    fun closing(isLeaving: Boolean): ArrivalPlan =
+        copy(closesAfterwards = closesAfterwards || (isLeaving && stutter == null))
+}
 
 /** How the work on an arrival ends. */
 internal sealed interface Verdict {
+    /** How long the work takes beyond that of other verdicts. */
+    val extraMilliseconds: Long
+        get() =
+            when (this) {
+                is TimeLimit -> milliseconds
+                Success, ServerError, is Refusal, Misdirected -> 0
+            }
+
     /** The request is run with success: 200. */
     data object Success : Verdict
 
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/EngineSoakServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/EngineSoakServer.kt
@@ -43,17 +43,17 @@
     override fun success(
         arrival: ServerArrival,
         plan: ArrivalPlan,
-        fields: List<String>,
     ): SuccessReply =
         when (arrival.purpose) {
             ArrivalPurpose.RUN -> {
                 val events = eventsOf(arrival)
-                SuccessReply(streamReply(arrival.requestId, arrival.stamp, events, fields), events.joinToString(""))
+                val stream = streamReply(arrival.requestId, arrival.stamp, events, plan.closingFields)
+                SuccessReply(stream, events.joinToString(""))
             }
             ArrivalPurpose.PREFILL -> {
                 val body = """{"kv_handle":"${handleOf(arrival.stamp)}","tokens":$TOKENS,"version":1}"""
-                val allFields = JSON + fields
-                SuccessReply(reply(OK, arrival.requestId, arrival.stamp, body, allFields, plan.framing), body)
+                val fields = JSON + plan.closingFields
+                SuccessReply(reply(OK, arrival.requestId, arrival.stamp, body, fields, plan.framing), body)
             }
         }
 
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServer.kt
@@ -22,10 +22,9 @@
     override fun success(
         arrival: ServerArrival,
         plan: ArrivalPlan,
-        fields: List<String>,
     ): SuccessReply {
         val body = plainBody(arrival.stamp)
-        return SuccessReply(reply(OK, arrival.requestId, arrival.stamp, body, fields, plan.framing), body)
+        return SuccessReply(reply(OK, arrival.requestId, arrival.stamp, body, plan.closingFields, plan.framing), body)
     }
 
     override fun answersWithoutBody(purpose: ArrivalPurpose): Boolean = true
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakServer.kt
@@ -62,7 +62,6 @@
     protected abstract fun success(
         arrival: ServerArrival,
         plan: ArrivalPlan,
-        fields: List<String>,
     ): SuccessReply
 
     /** Keeps what a run or prefill with success leaves behind. */
@@ -102,17 +101,19 @@
         head: RequestHead,
     ): Boolean {
         val stamp = "$instance.${life.number}.${life.nextArrival()}"
-        val plan = mix.draw(run.randomFor(stamp))
-        val admission = admissionOf(head, plan)
+        val drawn = mix.draw(run.randomFor(stamp))
+        val admission = admissionOf(head, drawn)
+        val plan = drawn.copy(verdict = admission.verdict).closing(isDraining)
         val arrival = arrival(connection, stamp, head, admission)
-        val isEarly = plan.delivery == Delivery.Early && answersEarly(arrival, admission.verdict)
-        if (isEarly) answer(life, connection, arrival, admission.verdict, plan)
+        val writer = AnswerWriter(life, connection, plan)
+        val isEarly = plan.delivery == Delivery.Early && answersEarly(arrival, plan)
+        if (isEarly) answer(connection, arrival, plan, writer)
         val body = connection.reader.readBody(head)
         val whole = arrival.copy(body = body.text, bodyIsWhole = body.isWhole, atMilliseconds = run.clock())
         run.account.arrived(whole)
         if (!body.isWhole) return false
-        if (!isEarly) answer(life, connection, whole, admission.verdict, plan)
-        return goesOn(connection, plan)
+        if (!isEarly) answer(connection, whole, plan, writer)
+        return writer.goesOn()
     }
 
     private fun admissionOf(
@@ -146,156 +147,28 @@
 
     private fun answersEarly(
         arrival: ServerArrival,
-        verdict: Verdict,
-    ): Boolean = verdict != Verdict.Success || answersWithoutBody(arrival.purpose)
+        plan: ArrivalPlan,
+    ): Boolean = plan.verdict != Verdict.Success || answersWithoutBody(arrival.purpose)
 
-    /** Works on [arrival] and writes what [plan] says; the outcome is in the account before the first byte is written. */
+    /** Works on [arrival] and answers it as [plan] says; its outcome is recorded before the first byte is written. */
     private fun answer(
-        life: ServerLife,
         connection: SoakConnection,
         arrival: ServerArrival,
-        verdict: Verdict,
         plan: ArrivalPlan,
+        writer: AnswerWriter,
     ) {
-        val success = success(arrival, plan, closingFields(plan))
-        val truth = truth(arrival, verdict, plan, success)
+        val success = success(arrival, plan)
+        val truth = trueAnswer(arrival, plan, success)
+        val second = plan.stutter?.let { secondAnswer(it.content, arrival, truth.reply, success.reply) }
         run.account.ended(arrival.stamp, truth.outcome)
-        Thread.sleep(plan.workMilliseconds + if (verdict is Verdict.TimeLimit) verdict.milliseconds else 0)
-        if (verdict == Verdict.Success) succeeded(arrival)
+        Thread.sleep(plan.workMilliseconds + plan.verdict.extraMilliseconds)
+        if (plan.verdict == Verdict.Success) succeeded(arrival)
         connection.writeKept()
-        val second = plan.stutter?.let { secondAnswer(it.content, arrival, truth.reply, success.reply) }
-        writeTrueAnswer(connection, truth.reply, plan, second)
+        writer.writeTrueAnswer(truth.reply, second)
         if (plan.delivery.writesWhole) run.account.ended(arrival.stamp, truth.outcome.written())
-        if (second != null) writeSecondAnswer(life, connection, plan, second)
+        if (second != null) writer.writeSecondAnswer(second)
     }
 
-    private fun truth(
-        arrival: ServerArrival,
-        verdict: Verdict,
-        plan: ArrivalPlan,
-        success: SuccessReply,
-    ): TrueAnswer =
-        when (verdict) {
-            Verdict.Success -> TrueAnswer(success.reply, ServerOutcome.Answered(OK, success.body, wroteWhole = false))
-            Verdict.ServerError -> failed(SERVER_ERROR, arrival, plan)
-            is Verdict.TimeLimit -> failed(TIME_LIMIT, arrival, plan)
-            is Verdict.Refusal -> {
-                val retryAfter = verdict.retryAfterSeconds?.let { "Retry-After: $it" }
-                rejected(SERVICE_UNAVAILABLE, arrival, plan, listOfNotNull("Not-Executed: 1", retryAfter))
-            }
-            Verdict.Misdirected -> rejected(MISDIRECTED, arrival, plan, listOf("Instance-Id: $instance"))
-        }
-
-    private fun failed(
-        status: Int,
-        arrival: ServerArrival,
-        plan: ArrivalPlan,
-    ): TrueAnswer {
-        val body = "failed ${arrival.stamp}"
-        val fields = closingFields(plan)
-        return TrueAnswer(
-            reply(status, arrival.requestId, arrival.stamp, body, fields, plan.framing),
-            ServerOutcome.Answered(status, body, wroteWhole = false),
-        )
-    }
-
-    private fun rejected(
-        status: Int,
-        arrival: ServerArrival,
-        plan: ArrivalPlan,
-        fields: List<String>,
-    ): TrueAnswer {
-        val body = "not run ${arrival.stamp}"
-        val allFields = fields + closingFields(plan)
-        return TrueAnswer(
-            reply(status, arrival.requestId, arrival.stamp, body, allFields, plan.framing),
-            ServerOutcome.Rejected(status),
-        )
-    }
-
-    private fun secondAnswer(
-        content: StutterContent,
-        arrival: ServerArrival,
-        truth: Reply,
-        success: Reply,
-    ): Reply {
-        val (requestId, stamp) = arrival.requestId to arrival.stamp
-        return when (content) {
-            StutterContent.SmallSuccess -> reply(OK, requestId, stamp, "ok")
-            StutterContent.ExactCopy -> truth.joined()
-            StutterContent.WholeSuccess -> success.joined()
-            StutterContent.Failure -> reply(SERVER_ERROR, requestId, stamp, "failed afterwards")
-            StutterContent.EventStream -> streamReply(requestId, stamp, eventsOf(arrival)).joined()
-            StutterContent.WithoutId -> reply(OK, null, stamp, "ok")
-        }
-    }
-
-    private fun writeTrueAnswer(
-        connection: SoakConnection,
-        reply: Reply,
-        plan: ArrivalPlan,
-        second: Reply?,
-    ) {
-        val joined = second.takeIf { plan.stutter?.moment == StutterMoment.SameWrite }
-        when (val delivery = plan.delivery) {
-            Delivery.Whole, Delivery.Early -> connection.write(reply, WritingKind.TRUE_ANSWER, joined)
-            Delivery.NonsenseBefore -> {
-                connection.write(nonsense, WritingKind.NONSENSE)
-                connection.write(reply, WritingKind.TRUE_ANSWER, joined)
-            }
-            is Delivery.AfterInterim -> {
-                connection.write(interimReply(delivery.status), WritingKind.INTERIM_ANSWER)
-                connection.write(reply, WritingKind.TRUE_ANSWER, joined)
-            }
-            Delivery.NonsenseInstead -> connection.write(nonsense, WritingKind.NONSENSE, joined)
-            is Delivery.CutShort -> connection.write(reply.cut(), WritingKind.TRUE_ANSWER)
-            Delivery.Reset, Delivery.Mute, is Delivery.Lost ->
-                joined?.let { connection.write(it, WritingKind.SECOND_ANSWER) }
-        }
-    }
-
-    private fun writeSecondAnswer(
-        life: ServerLife,
-        connection: SoakConnection,
-        plan: ArrivalPlan,
-        second: Reply,
-    ) = when (val moment = plan.stutter?.moment) {
-        null, StutterMoment.SameWrite -> Unit
-        StutterMoment.AtOnce -> connection.write(second, WritingKind.SECOND_ANSWER)
-        StutterMoment.WithNextRequest -> connection.keepForNextRequest(second)
-        is StutterMoment.Later ->
-            life.after(moment.milliseconds) { connection.write(second, WritingKind.SECOND_ANSWER) }
-    }
-
-    /** Ends the connection as [plan] says; returns true if its next request may be read. */
-    private fun goesOn(
-        connection: SoakConnection,
-        plan: ArrivalPlan,
-    ): Boolean =
-        when (val delivery = plan.delivery) {
-            Delivery.Whole, Delivery.Early, Delivery.NonsenseBefore, is Delivery.AfterInterim -> !closes(plan)
-            Delivery.NonsenseInstead -> true
-            is Delivery.Lost -> !delivery.closes
-            Delivery.Mute -> {
-                connection.reader.awaitEnd()
-                false
-            }
-            Delivery.Reset -> {
-                connection.reset()
-                false
-            }
-            is Delivery.CutShort -> {
-                if (delivery.resets) connection.reset()
-                false
-            }
-        }
-
-    private fun closes(plan: ArrivalPlan): Boolean =
-        plan.closesAfterwards || plan.framing == Framing.UNTIL_CLOSE || (isDraining && plan.stutter == null)
-
-    private fun closingFields(plan: ArrivalPlan): List<String> =
-        if (closes(plan) && plan.framing != Framing.UNTIL_CLOSE) listOf("Connection: close") else emptyList()
-
     private fun ServerOutcome.written(): ServerOutcome =
         when (this) {
             is ServerOutcome.Answered -> copy(wroteWhole = true)
@@ -308,24 +181,10 @@
         val handleOf: String? = null,
     )
 
-    /** An answer with success and its body without framing. */
-    protected data class SuccessReply(
-        val reply: Reply,
-        val body: String,
-    )
-
-    private data class TrueAnswer(
-        val reply: Reply,
-        val outcome: ServerOutcome,
-    )
-
     private companion object {
         const val SLOTS = 8
         const val HEALTH_PATH = "/healthz"
         const val OK = 200
-        const val MISDIRECTED = 421
-        const val SERVER_ERROR = 500
         const val SERVICE_UNAVAILABLE = 503
-        const val TIME_LIMIT = 504
     }
 }
