Soak: the account is compared with what a connection brings

A test reads all heads that a connection brings under a mix of faults and second answers (three seeds, 30 requests each) and finds the same ones in the account, in the same order.

Servers listen below the ports of outgoing connections: else a gateway's connection could hold the port of a server that starts again. A connection accepted while its server stops is closed.

--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Account.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Account.kt
@@ -78,7 +78,8 @@
     /**
      * The server has run the request, and its true answer has [status] and the whole body [body].
      *
-     * [wroteWhole] is false if the answer was lost, cut short or never written.
+     * [wroteWhole] is false if the answer was lost, cut short or never written; it is also false while it is being
+     * written. True says that the connection took all bytes, not that the other end has read them.
      */
     data class Answered(
         val status: Int,
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServerTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServerTest.kt
@@ -208,6 +208,39 @@
         entries.outcomes.shouldBeEmpty()
     }
 
+    @Test
+    fun `a connection brings the heads that are in the account, in their order`() {
+        val mix =
+            FaultMix(
+                serverError = 0.3,
+                refusal = 0.2,
+                nonsenseInstead = 0.1,
+                nonsenseBefore = 0.1,
+                early = 0.1,
+                interim = 0.2,
+                stutter = 0.8,
+                chunked = 0.3,
+                longestWorkMilliseconds = 20,
+            )
+        for (seed in 1L..3L) {
+            var text = ""
+            val entries =
+                play(mix, seed) {
+                    repeat(MIXED_REQUESTS) {
+                        send("id-$it")
+                        text += read(quietMilliseconds = 10)
+                    }
+                    text += read(quietMilliseconds = 500)
+                }
+
+            withClue(seed) {
+                entries.writings.count { it.kind == SECOND_ANSWER } shouldBeGreaterThan 5
+                heads(text) shouldContainExactly
+                    entries.writings.filter { it.status != null }.map { Triple(it.status, it.requestId, it.stamp) }
+            }
+        }
+    }
+
     @Test
     fun `the same seed draws the same faults and another seed draws others`() {
         val mix = FaultMix(serverError = 0.3, refusal = 0.3, lost = 0.2, stutter = 0.5, longestWorkMilliseconds = 9)
@@ -227,9 +260,10 @@
     /** Lets [caller] speak to a server with [mix], and returns the account afterwards. */
     private fun play(
         mix: FaultMix,
+        seed: Long = 1,
         caller: RawCaller.() -> Unit,
     ): AccountEntries {
-        val run = soakRun(seed = 1)
+        val run = soakRun(seed)
         PlainSoakServer("i-1", "register", run, mix).use { server -> RawCaller(server).use(caller) }
         return run.account.snapshot()
     }
@@ -237,7 +271,16 @@
     private fun answers(text: String): List<Int> =
         Regex("HTTP/1.1 ([0-9]{3}) ").findAll(text).map { it.groupValues[1].toInt() }.toList()
 
+    /** The status, id and stamp of each head in [text]. */
+    private fun heads(text: String): List<Triple<Int?, String?, String?>> =
+        Regex("HTTP/1.1 ([0-9]{3}) Answer\r\n(?:Request-Id: (.*)\r\n)?(?:Server-Stamp: (.*)\r\n)?")
+            .findAll(text)
+            .map { it.groupValues.map { value -> value.ifEmpty { null } } }
+            .map { (_, status, requestId, stamp) -> Triple(status?.toInt(), requestId, stamp) }
+            .toList()
+
     private companion object {
+        const val MIXED_REQUESTS = 30
         const val ARRIVALS = 200
     }
 }
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/ServerLife.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/ServerLife.kt
@@ -16,7 +16,7 @@
     port: Int,
     private val serve: (ServerLife, Socket) -> Unit,
 ) {
-    private val server = ServerSocket(port, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val server = if (port == 0) listenOnFreePort() else listen(port)
     private val sockets = ConcurrentHashMap.newKeySet<Socket>()
     private val arrivals = AtomicInteger()
     private val threads = Executors.newCachedThreadPool { Thread(it, "soak-server").apply { isDaemon = true } }
@@ -29,6 +29,7 @@
             while (!server.isClosed) {
                 val socket = runCatching { server.accept() }.getOrNull() ?: break
                 sockets += socket
+                if (server.isClosed) socket.close()
                 threads.execute { serveAndClose(socket) }
             }
         }
@@ -71,5 +72,16 @@
 
     private companion object {
         const val BACKLOG = 256
+        const val PORT_TRIES = 200
+
+        /** Below the ports that the system gives to outgoing connections, which could hold one when it is bound again. */
+        val PORTS = 22_000..31_999
+
+        fun listen(port: Int) = ServerSocket(port, BACKLOG, InetAddress.getByName("127.0.0.1"))
+
+        fun listenOnFreePort(): ServerSocket =
+            generateSequence { PORTS.random() }
+                .take(PORT_TRIES)
+                .firstNotNullOf { runCatching { listen(it) }.getOrNull() }
     }
 }
