Soak: the servers' tests wait for answers, not for a pause

One run of EngineSoakServerTest failed: no byte had come 150 ms after a request, at a load average of 20 on 8 cores. A run that measured the first byte had sound servers' answers take up to 171 or 244 ms there.

A server that stops waits for its threads, so that its account is final when stop() returns. Answers that are cut now lack a part of their body in every framing; before, a chunked one lacked only its last chunk.

--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/EngineSoakServerTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/EngineSoakServerTest.kt
@@ -35,7 +35,7 @@
             val released = handleIn(prefill.callForPrefill("a"))
             RawCaller(prefill).use {
                 it.sendText("DELETE /-/kv-handle/$released HTTP/1.1\r\n\r\n")
-                it.read() shouldStartWith "HTTP/1.1 200 "
+                it.readAnswers(1) shouldStartWith "HTTP/1.1 200 "
             }
             prefill.mix = FaultMix(serverError = 1.0)
             prefill.callForPrefill("b") shouldStartWith "HTTP/1.1 500 "
@@ -108,7 +108,7 @@
         val entries =
             play { _, decode ->
                 decode.mix = whole
-                val text = decode.call("a")
+                val text = decode.call("a", answers = 2)
 
                 text shouldStartWith "HTTP/1.1 500 "
                 text shouldEndWith "\r\n0\r\n\r\n"
@@ -128,7 +128,7 @@
                 RawCaller(server).use {
                     it.sendText("GET /-/report HTTP/1.1\r\n\r\n")
                     val handles = if (server == prefill) 1 else 0
-                    val report = it.read()
+                    val report = it.readAnswers(1)
                     withClue(server.instance) {
                         report shouldContain "\"stage\":\"${server.instance}\""
                         report shouldContain "\"kv_handles\":$handles}"
@@ -153,10 +153,11 @@
     private fun EngineSoakServer.call(
         requestId: String,
         vararg fields: String,
+        answers: Int = 1,
     ): String =
         RawCaller(this).use {
             it.send(requestId, body = BODY, fields = fields.toList(), target = TARGET)
-            it.read()
+            it.readAnswers(answers)
         }
 
     private fun handleIn(answer: String): String = answer.substringAfter("\"kv_handle\":\"").substringBefore('"')
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServerTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServerTest.kt
@@ -27,11 +27,11 @@
         val entries =
             play(FaultMix.SOUND) {
                 send("a", body = "first")
-                read() shouldContain plainBody("i-1.1.1")
+                readUntil(plainBody("i-1.1.1"))
                 sendText(
                     "POST /claims/2 HTTP/1.1\r\nRequest-Id: b\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
                 )
-                read() shouldContain "Request-Id: b\r\nServer-Stamp: i-1.1.2\r\n"
+                readUntil("Request-Id: b\r\nServer-Stamp: i-1.1.2\r\n")
             }
 
         entries.arrivals.map { listOf(it.requestId, it.target, it.body) } shouldContainExactly
@@ -54,7 +54,7 @@
                 play(mix) {
                     send("a")
                     val status = (outcome as? Answered)?.status ?: 503
-                    read(quietMilliseconds = 600) shouldStartWith "HTTP/1.1 $status "
+                    readAnswers(1) shouldStartWith "HTTP/1.1 $status "
                 }
 
             entries.outcomes["i-1.1.1"] shouldBe outcome
@@ -66,7 +66,7 @@
         val entries =
             play(FaultMix.SOUND) {
                 send("a", fields = listOf("Expect-Instance: i-2"))
-                read() shouldContain "Instance-Id: i-1\r\n"
+                readUntil("Instance-Id: i-1\r\n")
             }
 
         entries.outcomes["i-1.1.1"] shouldBe Rejected(421)
@@ -80,10 +80,10 @@
             val entries =
                 play(mix) {
                     send("a")
-                    val first = read(quietMilliseconds = 400)
+                    val first = readAnswers(if (isLast) 1 else 2) + readRest(quietMilliseconds = 200)
                     withClue(moment) { answers(first) shouldBe if (isLast) listOf(500) else listOf(500, 200) }
                     send("b")
-                    val second = read(quietMilliseconds = 400)
+                    val second = readAnswers(2)
                     withClue(moment) { answers(second) shouldBe if (isLast) listOf(200, 500) else listOf(500, 200) }
                 }
 
@@ -111,7 +111,7 @@
         for ((content, part) in parts) {
             play(stuttering(StutterMomentKind.SAME_WRITE, content).copy(serverError = 1.0)) {
                 send("a")
-                withClue(content) { read() shouldContain part }
+                withClue(content) { readUntil(part) }
             }
         }
     }
@@ -123,7 +123,7 @@
             val entries =
                 play(mix) {
                     send("a")
-                    read() shouldNotContain plainBody("i-1.1.1")
+                    readRest(quietMilliseconds = 2_000) shouldNotContain plainBody("i-1.1.1")
                 }
 
             withClue(mix) {
@@ -145,7 +145,7 @@
             val entries =
                 play(mix) {
                     send("a")
-                    read()
+                    readUntil(if (expected.last() == NONSENSE) "no answer" else plainBody("i-1.1.1"))
                 }
 
             entries.writings.map { it.kind } shouldContainExactly expected
@@ -157,10 +157,10 @@
         val entries =
             play(FaultMix(early = 1.0)) {
                 sendText("POST /claims/1 HTTP/1.1\r\nRequest-Id: a\r\nContent-Length: 4\r\n\r\n")
-                read() shouldContain plainBody("i-1.1.1")
+                readUntil(plainBody("i-1.1.1"))
                 sendText("late")
                 send("b")
-                read() shouldContain "Request-Id: b\r\n"
+                readUntil("Request-Id: b\r\n")
             }
 
         entries.arrivals.map { it.body } shouldContainExactly listOf("late", "claim")
@@ -171,7 +171,7 @@
         for (mix in listOf(FaultMix(untilClose = 1.0), FaultMix(closing = 1.0))) {
             play(mix) {
                 send("a")
-                read() shouldEndWith plainBody("i-1.1.1") + RawCaller.ENDED
+                readRest() shouldEndWith plainBody("i-1.1.1") + RawCaller.ENDED
             }
         }
     }
@@ -191,7 +191,7 @@
                 """"slots":8,"state":"ready","cold_remaining_ms":0,"born":2,"sequence":1}"""
             RawCaller(server).use {
                 it.send("a")
-                it.read() shouldContain "Server-Stamp: i-1.2.1\r\n"
+                it.readUntil("Server-Stamp: i-1.2.1\r\n")
             }
         }
     }
@@ -201,7 +201,7 @@
         val entries =
             play(FaultMix(serverError = 1.0)) {
                 sendText("GET /healthz HTTP/1.1\r\n\r\n")
-                read() shouldContain "Instance-Id: i-1\r\n"
+                readUntil("Instance-Id: i-1\r\n")
             }
 
         entries.arrivals.shouldBeEmpty()
@@ -228,9 +228,9 @@
                 play(mix, seed) {
                     repeat(MIXED_REQUESTS) {
                         send("id-$it")
-                        text += read(quietMilliseconds = 10)
+                        text += readRest(quietMilliseconds = 25)
                     }
-                    text += read(quietMilliseconds = 500)
+                    text += readRest(quietMilliseconds = 1_000)
                 }
 
             withClue(seed) {
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Reply.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Reply.kt
@@ -15,10 +15,12 @@
     val status: Int?,
     val pieces: PersistentList<String>,
 ) {
+    val text: String get() = pieces.joinToString("")
+
     /** The same bytes in one piece. */
-    fun joined(): Reply = copy(pieces = persistentListOf(pieces.joinToString("")))
+    fun joined(): Reply = copy(pieces = persistentListOf(text))
 
-    /** The first half of the bytes, which ends inside the body or, in a stream, inside an event. */
+    /** The bytes up to some characters before the end of the body or, in a stream, up to the middle of an event. */
     fun cut(): Reply =
         when (pieces.size) {
             1 -> copy(pieces = persistentListOf(pieces.single().dropLast(CUT_CHARACTERS)))
@@ -29,7 +31,7 @@
         }
 
     private companion object {
-        const val CUT_CHARACTERS = 7
+        const val CUT_CHARACTERS = 9
     }
 }
 
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/RequestReader.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/RequestReader.kt
@@ -25,18 +25,16 @@
     stream: InputStream,
 ) {
     private val input = BufferedInputStream(stream)
+    private var atEnd = false
 
     /** Waits for the next request and returns its head; null if the connection ends before the end of the head. */
     fun readHead(): RequestHead? {
         val lines = generateSequence { readLine() }.takeWhile { it.isNotEmpty() }.toList()
         if (lines.isEmpty() || atEnd) return null
         val (method, target) = lines.first().split(' ')
-        val fields =
-            lines.drop(1).associate {
-                it.substringBefore(':').trim().lowercase() to
-                    it.substringAfter(':').trim()
-            }
-        return RequestHead(method, target, fields.toImmutableMap())
+        val fields = lines.drop(1).map { it.split(':', limit = 2).map(String::trim) }
+        val byName = fields.associate { (name, value) -> name.lowercase() to value }
+        return RequestHead(method, target, byName.toImmutableMap())
     }
 
     /** Reads the body that follows [head]. */
@@ -56,15 +54,10 @@
         val text = StringBuilder()
         while (true) {
             val size = readLine()?.substringBefore(';')?.trim()?.toInt(HEXADECIMAL)
-            val chunk = size?.let(::readExactly)
-            text.append(chunk?.text.orEmpty())
-            if (chunk == null ||
-                !chunk.isWhole ||
-                readLine() == null
-            ) {
-                return RequestBody(text.toString(), isWhole = false)
-            }
-            if (size == 0) return RequestBody(text.toString(), isWhole = true)
+            val chunk = readExactly(size ?: 0)
+            text.append(chunk.text)
+            val isWhole = chunk.isWhole && readLine() != null
+            if (!isWhole || size == 0) return RequestBody(text.toString(), isWhole)
         }
     }
 
@@ -73,8 +66,6 @@
         return RequestBody(bytes.toString(Charsets.ISO_8859_1), bytes.size == length)
     }
 
-    private var atEnd = false
-
     /** Reads up to the end of the line; null if the connection ends first. */
     private fun readLine(): String? {
         val line = StringBuilder()
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/ServerLife.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/ServerLife.kt
@@ -46,12 +46,13 @@
         timer.schedule({ threads.execute { ignoringClosed(action) } }, milliseconds, TimeUnit.MILLISECONDS)
     }
 
-    /** Ends the life: no more connections, and those that are open are closed. */
+    /** Ends the life: no more connections, and those that are open are closed. Nothing is recorded afterwards. */
     fun end() {
         timer.shutdownNow()
         server.close()
         sockets.forEach { it.close() }
         threads.shutdownNow()
+        check(threads.awaitTermination(END_SECONDS, TimeUnit.SECONDS)) { "server threads have not ended" }
     }
 
     private fun serveAndClose(socket: Socket) {
@@ -72,6 +73,7 @@
 
     private companion object {
         const val BACKLOG = 256
+        const val END_SECONDS = 10L
         const val PORT_TRIES = 200
 
         /** Below the ports that the system gives to outgoing connections, which could hold one when it is bound again. */
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakConnection.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakConnection.kt
@@ -29,7 +29,7 @@
         reply.pieces.forEachIndexed { index, piece ->
             val isLast = index == reply.pieces.lastIndex
             if (index > 0) Thread.sleep(PIECE_PAUSE_MILLISECONDS)
-            send(if (isLast) piece + second?.joinedText().orEmpty() else piece)
+            send(if (isLast) piece + second?.text.orEmpty() else piece)
             if (index == 0) record(reply, kind)
         }
         second?.let { record(it, WritingKind.SECOND_ANSWER) }
@@ -48,8 +48,6 @@
         due = persistentListOf()
     }
 
-    fun close() = socket.close()
-
     /** Closes the connection so that the other end sees a reset. */
     fun reset() {
         socket.setSoLinger(true, 0)
@@ -67,8 +65,6 @@
         ServerWriting(instance, number, kind, reply.requestId, reply.stamp, reply.status, run.clock()),
     )
 
-    private fun Reply.joinedText(): String = pieces.joinToString("")
-
     private companion object {
         const val PIECE_PAUSE_MILLISECONDS = 3L
     }
