Soak: second answers to prefills and refusals, and in place of lost ones

Two tests of what the mix promises and no test showed: prefills, 421 and 503 have second answers too, and a second answer in place of a lost true one comes only with stuttersInsteadOfLost.

--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/EngineSoakServerTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/EngineSoakServerTest.kt
@@ -120,6 +120,32 @@
             listOf(WritingKind.TRUE_ANSWER to 500, WritingKind.SECOND_ANSWER to 200)
     }
 
+    @Test
+    fun `prefills and refusals have second answers too`() {
+        val entries =
+            play { prefill, decode ->
+                val stuttering =
+                    FaultMix(
+                        stutter = 1.0,
+                        stutterMoments = persistentListOf(StutterMomentKind.SAME_WRITE),
+                        stutterContents = persistentListOf(StutterContent.SmallSuccess),
+                    )
+                prefill.mix = stuttering
+                decode.mix = stuttering.copy(refusal = 1.0)
+                prefill.call("a", "Serving-Stage: prefill", answers = 2)
+                prefill.call("b", answers = 2)
+                decode.call("c", answers = 2)
+            }
+
+        entries.writings.map { Triple(it.kind, it.stamp, it.status) } shouldContainExactly
+            listOf("prefill.1.1" to 200, "prefill.1.2" to 421, "decode.1.1" to 503).flatMap { (stamp, status) ->
+                listOf(
+                    Triple(WritingKind.TRUE_ANSWER, stamp, status),
+                    Triple(WritingKind.SECOND_ANSWER, stamp, 200),
+                )
+            }
+    }
+
     @Test
     fun `the report and the entry tell the stage`() {
         play { prefill, decode ->
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServerTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServerTest.kt
@@ -133,6 +133,23 @@
         }
     }
 
+    @Test
+    fun `a second answer in place of a lost one comes only if the mix says so`() {
+        val mix = stuttering(StutterMomentKind.AT_ONCE, StutterContent.SmallSuccess).copy(serverError = 1.0, mute = 1.0)
+        for (isOn in listOf(true, false)) {
+            val entries =
+                play(mix.copy(stuttersInsteadOfLost = isOn)) {
+                    send("a")
+                    readRest(quietMilliseconds = 2_000)
+                }
+
+            withClue("switched on: $isOn") {
+                entries.writings.map { it.kind } shouldContainExactly if (isOn) listOf(SECOND_ANSWER) else emptyList()
+                entries.outcomes["i-1.1.1"] shouldBe Answered(500, "failed i-1.1.1", wroteWhole = false)
+            }
+        }
+    }
+
     @Test
     fun `bytes beside the answer are in the account in their order`() {
         val kinds =
