Soak: callers and real gateways between seeded faults

Runs several gateway processes that know each other, the store, callers with raw sockets and the soak servers. From a seed it draws when gateways pause, stop, die and come back, when servers restart or drain, when the configuration changes and when the store refuses; these may overlap. All answers are judged by the servers' own account. soak.sh plays other seeds, sizes and mixes; a failed seed leaves its breaches and the gateways' logs.

--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/GatewayProcess.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/GatewayProcess.kt
@@ -12,12 +12,13 @@
 import kotlin.io.path.readText
 import kotlin.io.path.writeText
 
-/** A gateway in a process of its own, with the stack and heap limits of the deploy file. */
+/** A gateway in a process of its own at [place], with the stack and heap limits of the deploy file. */
 internal class GatewayProcess(
     storePort: Int,
+    private val place: GatewayPlace = GatewayPlace("front-1", LOOPBACK, freePorts(LOOPBACK)),
 ) : AutoCloseable {
     private val folder = Files.createTempDirectory("gateway-process")
-    private val ports = freePorts()
+    private val ports = place.ports
     private val log = folder.resolve("log")
     private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
     private val process: Process
@@ -41,7 +42,7 @@
     ): Int {
         val request =
             HttpRequest
-                .newBuilder(URI("http://127.0.0.1:${ports[0]}$path"))
+                .newBuilder(URI("http://${place.ip}:${ports[0]}$path"))
                 .header("Request-Id", requestId)
                 .header("Deadline-Ms", "3000")
                 .POST(HttpRequest.BodyPublishers.ofString("claim"))
@@ -51,7 +52,7 @@
     /** The status of the readiness check; 0 while nothing listens. */
     fun readiness(): Int =
         try {
-            val request = HttpRequest.newBuilder(URI("http://127.0.0.1:${ports[1]}/-/readyz")).build()
+            val request = HttpRequest.newBuilder(URI("http://${place.ip}:${ports[1]}/-/readyz")).build()
             client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode()
         } catch (_: java.io.IOException) {
             0
@@ -59,6 +60,19 @@
 
     fun log(): String = log.readText()
 
+    /** Sends the signal [name] to the process, unless it has ended. */
+    fun signal(name: String) {
+        if (process.isAlive) ProcessBuilder("kill", "-$name", process.pid().toString()).start().waitFor()
+    }
+
+    /** Waits until the process has ended; returns false if it still runs after [seconds]. */
+    fun awaitEnd(seconds: Long): Boolean = process.waitFor(seconds, TimeUnit.SECONDS)
+
+    /** Removes the settings and the log of a process that has ended. */
+    fun removeFiles() {
+        folder.toFile().deleteRecursively()
+    }
+
     /** Waits until the gateway is ready. */
     fun awaitReady() {
         val deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_SECONDS)
@@ -74,22 +88,48 @@
 
     private fun settings(storePort: Int): String =
         """
-        {"node_name": "front-1", "ip": "127.0.0.1", "zone": "suba", "seeds": [],
-         "listen": {"front": "127.0.0.1:${ports[0]}", "ready": "127.0.0.1:${ports[1]}"},
+        {"node_name": "${place.name}", "ip": "${place.ip}", "zone": "suba",
+         "seeds": [${place.seeds.joinToString { "\"$it\"" }}],
+         "listen": {"front": "${place.ip}:${ports[0]}", "ready": "${place.ip}:${ports[1]}"},
          "internal_ports": [${ports[2]}, ${ports[3]}], "platform": {"address": "127.0.0.1:$storePort"},
-         "bounds": {"retry_budget_ratio": 0.2, "retry_budget_slack": 56, "retry_window_s": 10, "grace_s": 8}}
+         "bounds": {"retry_budget_ratio": 0.2, "retry_budget_slack": ${place.retrySlack}, "retry_window_s": 10,
+                    "grace_s": 8}}
         """
 
-    private fun freePorts(): List<Int> {
-        val sockets = List(PORTS) { ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")) }
-        return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
-    }
-
     private companion object {
-        const val PORTS = 4
         const val READY = 200
         const val START_SECONDS = 60L
         const val STOP_SECONDS = 10L
         const val POLL_MILLISECONDS = 100L
     }
 }
+
+/** Where a gateway listens, on [ports] of [ip], and which other gateways it knows from the start. */
+internal data class GatewayPlace(
+    val name: String,
+    val ip: String,
+    val ports: List<Int>,
+    val seeds: List<String> = emptyList(),
+    val retrySlack: Int = 56,
+)
+
+/** Places for [count] gateways that know each other; all listen on the same ports, each on an address of its own. */
+internal fun gatewayPlaces(
+    count: Int,
+    retrySlack: Int,
+): List<GatewayPlace> {
+    val ports = freePorts(ANY_ADDRESS)
+    val ips = List(count) { "127.0.1.${it + 1}" }
+    return ips.mapIndexed { index, ip ->
+        GatewayPlace("front-${index + 1}", ip, ports, ips.map { "$it:${ports[2]}" }, retrySlack)
+    }
+}
+
+private fun freePorts(ip: String): List<Int> {
+    val sockets = List(PORTS) { ServerSocket(0, 1, InetAddress.getByName(ip)) }
+    return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
+}
+
+private const val PORTS = 4
+private const val LOOPBACK = "127.0.0.1"
+private const val ANY_ADDRESS = "0.0.0.0"
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/BreachReport.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/BreachReport.kt
@@ -52,6 +52,7 @@
         "${call.endedAtMilliseconds} ms, resume after ${call.resumeAfter} -> " +
         when (val outcome = call.outcome) {
             is CallOutcome.Unanswered -> outcome.reason
+            is CallOutcome.Malformed -> "no answer: ${shortened(outcome.text)}"
             is CallOutcome.Answered ->
                 "${outcome.status} id=${outcome.requestId} stamp=${outcome.stamp} whole=${outcome.whole} " +
                     "body=${shortened(outcome.body)}"
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/CallRecord.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/CallRecord.kt
@@ -17,7 +17,7 @@
     val bytesBefore: String = "",
 )
 
-/** What a request may be repeated and how it is answered. */
+/** Whether a request may be repeated, and how it is answered. The route of a kind has its [prefix]. */
 internal enum class CallKind(
     val prefix: String,
     val isStream: Boolean,
@@ -43,6 +43,11 @@
         val isSuccess: Boolean get() = status in 200..299
     }
 
+    /** What came begins with [text], which is no head of an answer. */
+    data class Malformed(
+        val text: String,
+    ) : CallOutcome
+
     /** No head of an answer came: [reason] says what happened instead. */
     data class Unanswered(
         val reason: String,
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudge.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudge.kt
@@ -6,7 +6,7 @@
 /**
  * Compares what callers got with what the servers say they did, and returns every rule that was broken.
  *
- * An arrival without an outcome belongs to a server that ended first; it counts as run.
+ * An arrival without an outcome belongs to a server that ended first; it counts as run if its body came whole.
  */
 internal fun judge(
     entries: AccountEntries,
@@ -23,12 +23,16 @@
     private val writingsByConnection = entries.writings.groupBy { it.connection }
 
     fun breaches(): ImmutableList<Breach> =
-        (calls.flatMap { ofCall(it) } + entries.arrivals.mapNotNull { unasked(it) }).toImmutableList()
+        (
+            calls.flatMap {
+                ofCall(it)
+            } + entries.arrivals.flatMap { listOfNotNull(unasked(it), foreignHandle(it)) }
+        ).toImmutableList()
 
     private fun ofCall(call: CallRecord): List<Breach> =
         listOfNotNull(
             strayBytes(call),
-            (call.outcome as? CallOutcome.Answered)?.let { ofAnswer(call, it) },
+            ofOutcome(call),
             twice(call),
             refused(call),
         )
@@ -40,6 +44,13 @@
             Breach.Mixed(call.requestId, "bytes came before the request: ${call.bytesBefore.take(TEXT_LIMIT)}", false)
         }
 
+    private fun ofOutcome(call: CallRecord): Breach? =
+        when (val outcome = call.outcome) {
+            is CallOutcome.Answered -> ofAnswer(call, outcome)
+            is CallOutcome.Malformed -> mixed(call, null, "bytes that are no answer: ${outcome.text.take(TEXT_LIMIT)}")
+            is CallOutcome.Unanswered -> null
+        }
+
     private fun ofAnswer(
         call: CallRecord,
         answer: CallOutcome.Answered,
@@ -150,15 +161,29 @@
         val call = callsById[arrival.requestId]
         val reason =
             when {
+                arrival.target.startsWith(OWN_CALLS) && arrival.requestId.isEmpty() -> return null
                 call == null -> "no caller sent this id"
                 arrival.method != call.method -> "the method ${arrival.method}"
                 arrival.target != call.target -> "the target ${arrival.target}"
-                arrival.body != call.body -> "another body, ${arrival.body.length} characters"
+                !sameBody(call, arrival) -> "another body, ${arrival.body.length} characters"
                 else -> return null
             }
         return Breach.Unasked(arrival.requestId, "${arrival.instance} got $reason")
     }
 
+    /** A body that ended early has the beginning of the caller's. */
+    private fun sameBody(
+        call: CallRecord,
+        arrival: ServerArrival,
+    ): Boolean = if (arrival.bodyIsWhole) arrival.body == call.body else call.body.startsWith(arrival.body)
+
+    private fun foreignHandle(arrival: ServerArrival): Breach? =
+        if (arrival.handleOf == null || arrival.handleOf == arrival.requestId) {
+            null
+        } else {
+            Breach.Mixed(arrival.requestId, "${arrival.instance} ran it from the handle of ${arrival.handleOf}", false)
+        }
+
     private fun twice(call: CallRecord): Breach? {
         val runs = runsOf(call)
         return if (call.kind.atMostOnce && runs.size > 1) {
@@ -180,7 +205,12 @@
 
     private fun runsOf(call: CallRecord): List<ServerArrival> =
         arrivalsById[call.requestId].orEmpty().filter {
-            it.purpose == ArrivalPurpose.RUN && entries.outcomes[it.stamp] !is ServerOutcome.Rejected
+            it.purpose == ArrivalPurpose.RUN &&
+                when (entries.outcomes[it.stamp]) {
+                    is ServerOutcome.Answered -> true
+                    is ServerOutcome.Rejected -> false
+                    null -> it.bodyIsWhole
+                }
         }
 
     private fun mixed(
@@ -205,6 +235,7 @@
 
     private companion object {
         const val TEXT_LIMIT = 120
+        const val OWN_CALLS = "/-/"
         val SUCCESS = 200..299
         val PROMISES = setOf(408, 421, 429, 503)
     }
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudgeTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudgeTest.kt
@@ -154,6 +154,27 @@
         }
     }
 
+    @Test
+    fun `a body that breaks off is allowed if it begins as the caller's, and has not run`() {
+        val cut = arrival("a", "s1").copy(body = "", bodyIsWhole = false)
+        val refused = call("a", CallOutcome.Answered(503, "a", null, "", true), CallKind.SINGLE_WRITE)
+
+        judge(account(cut to null), persistentListOf(refused)).shouldBeEmpty()
+        breachOf(account(cut.copy(body = "y") to null), refused).rule shouldBe "UNASKED"
+    }
+
+    @Test
+    fun `a run from the handle of another request is mixed`() {
+        val account = account(arrival("a", "s1").copy(handleOf = "b") to answered("one"))
+
+        breachOf(account, call("a", success("s1", "one"))).rule shouldBe "MIXED"
+    }
+
+    @Test
+    fun `bytes that are no answer are mixed`() {
+        breachOf(account(), call("a", CallOutcome.Malformed("no answer"))).rule shouldBe "MIXED"
+    }
+
     @Test
     fun `an at-most-once request that is run by two servers has run twice`() {
         val account = account(arrival("a", "s1") to answered("one"), arrival("a", "s2", instance = "i-2") to null)
--- /dev/null
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakOutput.kt
@@ -0,0 +1,44 @@
+package org.acaciaflow.daemon.soak
+
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.writeText
+
+/** One line with the counts of a soak. */
+internal fun summaryOf(result: SoakResult): String {
+    val answers = result.calls.mapNotNull { it.outcome as? CallOutcome.Answered }
+    val (successes, others) = answers.partition { it.isSuccess && it.whole }
+    val (refusals, failures) = others.partition { it.status in REFUSALS }
+    val unanswered = result.calls.mapNotNull { it.outcome as? CallOutcome.Unanswered }
+    val reasons = unanswered.groupingBy { it.reason.replace(NUMBER, "N") }.eachCount()
+    val second = result.entries.writings.count { it.kind == WritingKind.SECOND_ANSWER }
+    val breaches = result.breaches.groupingBy { it.rule }.eachCount()
+    return "soak seed ${result.shape.seed} ${result.shape.mix.text}: ${result.calls.size} calls, ${successes.size} successes, " +
+        "${failures.size} failures, ${refusals.size} refusals, ${unanswered.size} without an answer $reasons, " +
+        "${result.entries.arrivals.size} arrivals, $second second answers, breaches ${breaches.ifEmpty { "none" }}"
+}
+
+/** Keeps the report and the gateways' logs of a soak in [folder], and returns the text of its first breaches. */
+internal fun keepFailed(
+    result: SoakResult,
+    folder: Path,
+): String {
+    val reports = result.breaches.map { reportOf(it, result.entries, result.calls) + logLines(result, it) }
+    val kept = Files.createDirectories(folder.resolve("${result.shape.mix.text}-${result.shape.seed}"))
+    val replay = "replay: ${result.shape.replay}"
+    kept.resolve("breaches.txt").writeText((listOf(summaryOf(result), replay) + reports).joinToString("\n"))
+    result.logs.forEach { (name, log) -> kept.resolve("$name.log").writeText(log) }
+    return (reports.take(SHOWN_BREACHES) + "logs and all breaches: $kept" + replay).joinToString("\n")
+}
+
+private fun logLines(
+    result: SoakResult,
+    breach: Breach,
+): String =
+    result.logs
+        .flatMap { (name, log) -> log.lines().filter { breach.requestId in it }.map { "  $name: $it" } }
+        .joinToString("\n", postfix = "\n")
+
+private val NUMBER = Regex("[0-9]+")
+private val REFUSALS = setOf(408, 421, 429, 503)
+private const val SHOWN_BREACHES = 3
--- /dev/null
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakPlay.kt
@@ -0,0 +1,159 @@
+package org.acaciaflow.daemon.soak
+
+import kotlinx.collections.immutable.ImmutableList
+import org.acaciaflow.daemon.StoreServer
+import org.acaciaflow.daemon.gatewayPlaces
+import java.util.concurrent.Executors
+import java.util.concurrent.Semaphore
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+
+/** How large a soak is and what its servers do. */
+internal data class SoakShape(
+    val seed: Long,
+    val mix: SoakMix,
+    val seconds: Int,
+    val gateways: Int,
+    val callers: Int,
+    val plainServers: Int = 3,
+    val enginesOfEachStage: Int = 2,
+) {
+    /** The command that plays this again. */
+    val replay: String
+        get() = "./soak.sh --seeds $seed --seconds $seconds --mix ${mix.text} --gateways $gateways --callers $callers"
+}
+
+/** What came of a soak; [logs] are those of the gateways by their names. */
+internal data class SoakResult(
+    val shape: SoakShape,
+    val entries: AccountEntries,
+    val calls: ImmutableList<CallRecord>,
+    val breaches: ImmutableList<Breach>,
+    val logs: Map<String, String>,
+)
+
+/** Runs real gateways between callers and servers of this process, with the disturbances that follow from the seed. */
+internal fun playSoak(shape: SoakShape): SoakResult = SoakPlay(shape).use { it.play() }
+
+private class SoakPlay(
+    private val shape: SoakShape,
+) : AutoCloseable {
+    private val run = soakRun(shape.seed)
+    private val servers = plainServers() + engines(EngineStage.PREFILL) + engines(EngineStage.DECODE)
+    private val store = StoreServer()
+    private val version = AtomicInteger(1)
+    private val mayRestart = Semaphore(shape.gateways - 1)
+    private val threads = Executors.newCachedThreadPool { Thread(it, "soak-disturbance").apply { isDaemon = true } }
+    private val gateways: List<SoakGateway>
+
+    init {
+        store.put(CONFIGURATION_KEY, soakConfiguration(version.get()))
+        servers.forEach { register(it) }
+        gateways = gatewayPlaces(shape.gateways, RETRY_SLACK).map { SoakGateway(store.port, it) }
+    }
+
+    fun play(): SoakResult {
+        gateways.forEach { it.awaitReady() }
+        val callers = SoakCallers(gateways.map { it.address }, shape.callers, shape.seed, run.clock)
+        callers.start()
+        disturb()
+        val calls = callers.finish()
+        Thread.sleep(SETTLING_MILLISECONDS)
+        val entries = run.account.snapshot()
+        return SoakResult(shape, entries, calls, judge(entries, calls), gateways.associate { it.name to it.log() })
+    }
+
+    override fun close() {
+        gateways.forEach { it.close() }
+        servers.forEach { it.close() }
+        store.close()
+        threads.shutdownNow()
+    }
+
+    private fun plainServers(): List<SoakServer> =
+        List(shape.plainServers) { PlainSoakServer("i-plain-$it", PLAIN_SERVICE, run, shape.mix.faults) }
+
+    private fun engines(stage: EngineStage): List<SoakServer> =
+        List(shape.enginesOfEachStage) {
+            EngineSoakServer("i-${stage.text}-$it", ENGINE_SERVICE, stage, run, shape.mix.faults)
+        }
+
+    private fun register(server: SoakServer) = store.put("servers/${server.instance}", server.entry())
+
+    /** Begins each disturbance at its time, and waits until all of them are over. */
+    private fun disturb() {
+        val start = run.clock()
+        val length = TimeUnit.SECONDS.toMillis(shape.seconds.toLong())
+        val disturbances = drawDisturbances(Random(shape.seed), length, gateways.size, servers.size)
+        val begun =
+            disturbances.map { timed ->
+                Thread.sleep((start + timed.atMilliseconds - run.clock()).coerceAtLeast(0))
+                threads.submit { carryOut(timed.disturbance) }
+            }
+        Thread.sleep((start + length - run.clock()).coerceAtLeast(0))
+        begun.forEach { it.get() }
+    }
+
+    private fun carryOut(disturbance: Disturbance) =
+        when (disturbance) {
+            is Disturbance.PauseGateway -> gateways[disturbance.gateway].pause(disturbance.milliseconds)
+            is Disturbance.StopGateway -> restart(gateways[disturbance.gateway], "TERM")
+            is Disturbance.KillGateway -> restart(gateways[disturbance.gateway], "KILL")
+            is Disturbance.RestartServer -> restart(servers[disturbance.server], disturbance.milliseconds)
+            is Disturbance.DrainServer -> drain(servers[disturbance.server], disturbance.milliseconds)
+            Disturbance.Reconfigure -> store.put(CONFIGURATION_KEY, soakConfiguration(version.incrementAndGet()))
+            is Disturbance.RefuseAtStore -> refuseAtStore(disturbance.milliseconds)
+        }
+
+    /** Restarts [gateway], unless it is the last one that serves. */
+    private fun restart(
+        gateway: SoakGateway,
+        signal: String,
+    ) {
+        if (!mayRestart.tryAcquire()) return
+        try {
+            gateway.restart(signal)
+            gateway.awaitReady()
+        } finally {
+            mayRestart.release()
+        }
+    }
+
+    private fun restart(
+        server: SoakServer,
+        milliseconds: Long,
+    ) = synchronized(server) {
+        server.stop()
+        Thread.sleep(milliseconds)
+        server.restart(born = System.currentTimeMillis())
+        register(server)
+    }
+
+    private fun drain(
+        server: SoakServer,
+        milliseconds: Long,
+    ) = synchronized(server) {
+        server.drain()
+        register(server)
+        Thread.sleep(milliseconds)
+        store.remove("servers/${server.instance}")
+        server.stop()
+        server.restart(born = System.currentTimeMillis())
+        register(server)
+    }
+
+    private fun refuseAtStore(milliseconds: Long) {
+        store.refusesReads = true
+        store.refusesWatches = true
+        Thread.sleep(milliseconds)
+        store.refusesReads = false
+        store.refusesWatches = false
+    }
+
+    private companion object {
+        const val CONFIGURATION_KEY = "op/config"
+        const val RETRY_SLACK = 400
+        const val SETTLING_MILLISECONDS = 700L
+    }
+}
--- /dev/null
+++ b/soak.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# Runs real gateways between seeded callers and faulty servers, and judges all answers by the servers' own account.
+set -eu
+cd "$(dirname "$0")"
+usage() {
+    cat >&2 <<'TEXT'
+usage: ./soak.sh [--seeds N|N-M] [--seconds S] [--mix NAME] [--gateways N] [--callers N]
+
+  --seeds     the seed or seeds to play, one after the other (1)
+  --seconds   how long each of them sends requests (20)
+  --mix       quiet, stutter, stutter-and-failures, lost-answers or everything (stutter-and-failures)
+  --gateways  gateway processes (2)
+  --callers   callers, each in a thread (30)
+
+Prints a line of counts for each seed. A seed with breaches leaves the breaches and the gateways' logs in
+daemon/target/soak/. "everything" has faults that no gateway can detect; their breaches are counted as ...-BY-SERVER.
+TEXT
+    exit 2
+}
+options=()
+while [ $# -gt 0 ]; do
+    [ $# -gt 1 ] || usage
+    case "$1" in
+        --seeds | --seconds | --mix | --gateways | --callers) options+=("-Dsoak.${1#--}=$2") ;;
+        *) usage ;;
+    esac
+    shift 2
+done
+mvn -q -B -pl daemon -am test -Dtest=AnswerSoakTest -Dsurefire.failIfNoSpecifiedTests=false "${options[@]}"
