--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/GatewayProcess.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/GatewayProcess.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.daemon
 
+import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.URI
@@ -54,7 +55,7 @@
         try {
             val request = HttpRequest.newBuilder(URI("http://${place.ip}:${ports[1]}/-/readyz")).build()
             client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode()
-        } catch (_: java.io.IOException) {
+        } catch (_: IOException) {
             0
         }
 
@@ -118,18 +119,35 @@
     count: Int,
     retrySlack: Int,
 ): List<GatewayPlace> {
-    val ports = freePorts(ANY_ADDRESS)
+    val ports =
+        (LOWEST_PORT..HIGHEST_PORT)
+            .shuffled()
+            .asSequence()
+            .filter(::isFree)
+            .take(PORTS)
+            .toList()
     val ips = List(count) { "127.0.1.${it + 1}" }
     return ips.mapIndexed { index, ip ->
         GatewayPlace("front-${index + 1}", ip, ports, ips.map { "$it:${ports[2]}" }, retrySlack)
     }
 }
 
+/** Whether [port], which no process gets for its outgoing connections, can be bound on all addresses. */
+private fun isFree(port: Int): Boolean =
+    try {
+        ServerSocket(port, 1, InetAddress.getByName(ANY_ADDRESS)).close()
+        true
+    } catch (_: IOException) {
+        false
+    }
+
 private fun freePorts(ip: String): List<Int> {
     val sockets = List(PORTS) { ServerSocket(0, 1, InetAddress.getByName(ip)) }
     return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
 }
 
 private const val PORTS = 4
+private const val LOWEST_PORT = 15_000
+private const val HIGHEST_PORT = 30_000
 private const val LOOPBACK = "127.0.0.1"
 private const val ANY_ADDRESS = "0.0.0.0"
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakCallers.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakCallers.kt
@@ -3,7 +3,6 @@
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
 import java.io.IOException
-import java.net.ConnectException
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.TimeUnit
@@ -41,6 +40,7 @@
         private val kept = mutableMapOf<InetSocketAddress, CallerConnection>()
         private var turn = index
         private var calls = 0
+        private var bytesBefore = ""
 
         fun call() {
             while (!isStopping) {
@@ -68,15 +68,17 @@
         private fun play(draft: CallDraft): CallRecord {
             val requestId = "%04x%02x%06x".format(seed, index, calls++)
             val sentAt = clock()
-            val gateway = gateways[turn++ % gateways.size]
-            val (outcome, bytesBefore) = exchange(gateway, draft, requestId)
+            bytesBefore = ""
+            val connection = connect()
+            val outcome =
+                connection?.let { exchange(it, draft, requestId) } ?: CallOutcome.Unanswered("no gateway accepts")
             return CallRecord(
                 requestId = requestId,
                 kind = draft.kind,
                 method = draft.method,
                 target = draft.target,
                 body = draft.body,
-                gateway = gateway.address.hostAddress,
+                gateway = connection?.address?.hostString.orEmpty(),
                 sentAtMilliseconds = sentAt,
                 endedAtMilliseconds = clock(),
                 outcome = outcome,
@@ -85,26 +87,30 @@
             ).also { records += it }
         }
 
-        private fun exchange(
-            gateway: InetSocketAddress,
-            draft: CallDraft,
-            requestId: String,
-        ): Pair<CallOutcome, String> {
-            val earlier = kept.remove(gateway)
-            val bytesBefore = earlier?.bytesWithoutRequest()
-            if (bytesBefore != "") earlier?.close()
-            val outcome =
-                try {
-                    send(earlier?.takeIf { bytesBefore == "" } ?: CallerConnection(gateway), draft, requestId)
-                } catch (fault: ConnectException) {
-                    CallOutcome.Unanswered("no connection: ${fault.message}")
-                } catch (fault: IOException) {
-                    CallOutcome.Unanswered("not sent: ${fault.message}")
-                }
-            return outcome to bytesBefore.orEmpty()
+        /** A connection to the gateway whose turn it is, or to the next one that accepts. */
+        private fun connect(): CallerConnection? =
+            gateways.indices.firstNotNullOfOrNull {
+                val gateway = gateways[turn++ % gateways.size]
+                keptConnection(gateway) ?: newConnection(gateway)
+            }
+
+        private fun keptConnection(gateway: InetSocketAddress): CallerConnection? {
+            val connection = kept.remove(gateway) ?: return null
+            val bytes = connection.bytesWithoutRequest()
+            if (bytes == "") return connection
+            connection.close()
+            bytesBefore += bytes.orEmpty()
+            return null
         }
 
-        private fun send(
+        private fun newConnection(gateway: InetSocketAddress): CallerConnection? =
+            try {
+                CallerConnection(gateway)
+            } catch (_: IOException) {
+                null // the gateway is down; the next one is tried
+            }
+
+        private fun exchange(
             connection: CallerConnection,
             draft: CallDraft,
             requestId: String,
@@ -112,6 +118,8 @@
             try {
                 connection.send(draft.pieces(requestId))
                 connection.readAnswer(draft.patienceMilliseconds)
+            } catch (fault: IOException) {
+                CallOutcome.Unanswered("not sent: ${fault.message}")
             } finally {
                 if (keepsConnections &&
                     connection.isReusable
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakPlay.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakPlay.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.ImmutableList
 import org.acaciaflow.daemon.StoreServer
 import org.acaciaflow.daemon.gatewayPlaces
+import java.net.BindException
 import java.util.concurrent.Executors
 import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
@@ -126,8 +127,7 @@
     ) = synchronized(server) {
         server.stop()
         Thread.sleep(milliseconds)
-        server.restart(born = System.currentTimeMillis())
-        register(server)
+        startAgain(server)
     }
 
     private fun drain(
@@ -139,8 +139,25 @@
         Thread.sleep(milliseconds)
         store.remove("servers/${server.instance}")
         server.stop()
-        server.restart(born = System.currentTimeMillis())
-        register(server)
+        startAgain(server)
+    }
+
+    /** Starts [server] at its address, which another process of the machine may use for a connection meanwhile. */
+    private fun startAgain(server: SoakServer) {
+        val deadline = run.clock() + REBIND_MILLISECONDS
+        while (true) {
+            try {
+                server.restart(born = System.currentTimeMillis())
+                return register(server)
+            } catch (fault: BindException) {
+                if (run.clock() >
+                    deadline
+                ) {
+                    return println("${server.instance} stays down: ${server.address}: ${fault.message}")
+                }
+                Thread.sleep(REBIND_PAUSE_MILLISECONDS)
+            }
+        }
     }
 
     private fun refuseAtStore(milliseconds: Long) {
@@ -154,6 +171,8 @@
     private companion object {
         const val CONFIGURATION_KEY = "op/config"
         const val RETRY_SLACK = 400
+        const val REBIND_MILLISECONDS = 5_000L
+        const val REBIND_PAUSE_MILLISECONDS = 200L
         const val SETTLING_MILLISECONDS = 700L
     }
 }
