--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Account.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Account.kt
@@ -44,7 +44,7 @@
  *
  * [connection] is unique in a run. [stamp] is unique to the arrival and goes into the signature of its true answer.
  * [resumeAfter] is the event after which a stream was to go on. [bodyIsWhole] is false if the connection ended inside
- * the body. [handleOf] is the id of the request whose prefill made the handle that this run has taken. Times are
+ * the body; such a request is not run and has no outcome, unless it was answered early. [handleOf] is the id of the request whose prefill made the handle that this run has taken. Times are
  * milliseconds since the start of the run.
  */
 internal data class ServerArrival(
@@ -78,7 +78,8 @@
     /**
      * The server has run the request, and its true answer has [status] and the whole body [body].
      *
-     * [wroteWhole] is false if the answer was lost, cut short or never written.
+     * [wroteWhole] is false if the answer was lost, cut short or never written; it is also false while it is being
+     * written. True says that the connection took all bytes, not that the other end has read them.
      */
     data class Answered(
         val status: Int,
