--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudge.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudge.kt
@@ -223,8 +223,20 @@
         return Breach.Mixed(call.requestId, reason, suspects.any { causedByServer(it) })
     }
 
+    private fun causedByServer(arrival: ServerArrival): Boolean =
+        wroteFalseAnswerFirst(arrival) || filledCutBody(arrival)
+
+    /** Whether the bytes of a second answer came where the rest of the true one's body, by its length, was due. */
+    private fun filledCutBody(arrival: ServerArrival): Boolean {
+        val outcome = entries.outcomes[arrival.stamp] as? ServerOutcome.Answered
+        val answer = callsById[arrival.requestId]?.outcome as? CallOutcome.Answered
+        if (outcome == null || outcome.wroteWhole || answer?.body?.length != outcome.body.length) return false
+        val written = writingsByConnection[arrival.connection].orEmpty()
+        return written.dropWhile { it.stamp != arrival.stamp }.drop(1).any { it.kind == WritingKind.SECOND_ANSWER }
+    }
+
     /** Whether the first answer with the request's id, on a connection that had not carried the id, was not the true one. */
-    private fun causedByServer(arrival: ServerArrival): Boolean {
+    private fun wroteFalseAnswerFirst(arrival: ServerArrival): Boolean {
         val carriedBefore =
             arrivalsById.getValue(arrival.requestId).any {
                 it.connection == arrival.connection && it.stamp != arrival.stamp
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudgeTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudgeTest.kt
@@ -59,6 +59,20 @@
         breachOf(account, call("a", success("s1", "ok"))).rule shouldBe "MIXED-BY-SERVER"
     }
 
+    @Test
+    fun `a body whose cut end the server filled with a second answer is counted apart`() {
+        val cut = account(arrival("a", "s1") to answered("whole", wroteWhole = false))
+        val filled =
+            cut.withWritings(
+                writing(WritingKind.TRUE_ANSWER, "a", "s1"),
+                writing(WritingKind.SECOND_ANSWER, "a", "s1"),
+            )
+
+        breachOf(filled, call("a", success("s1", "whoHT"))).rule shouldBe "MIXED-BY-SERVER"
+        breachOf(filled, call("a", success("s1", "who"))).rule shouldBe "MIXED"
+        breachOf(cut, call("a", success("s1", "whoHT"))).rule shouldBe "MIXED"
+    }
+
     @Test
     fun `a late answer that the gateway could have skipped is not counted apart`() {
         val account =
