Believe a success on a route of streams only if it is an event stream

The server's small second answer has the id and a signature, and was the first or only one on its connection.

Cause: an answer was judged by its id and signature alone; the kind of answer that the route asks for was not asked about, though the platform says that a stream is an event stream.

Change: RunOrder says whether events are expected, and the dialect finds a success without them to be no answer (`answer-no-stream`, the connection is closed). A stream that may be resumed is tried elsewhere, another one gets 502. Plain calls have no such mark: a wrong answer with the right id that comes first or alone still can't be found out there.

That test's server writes event streams for successes on routes of streams now, as real servers do, also for the late copies; its assertions are unchanged.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionCloseReason.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionCloseReason.kt
@@ -22,6 +22,9 @@
     /** It brought a success without a signature. */
     ANSWER_UNSIGNED("answer-unsigned"),
 
+    /** It brought a success that is not the event stream that was asked for. */
+    ANSWER_NO_STREAM("answer-no-stream"),
+
     /** It brought an answer while no request was in progress. */
     ANSWER_UNREQUESTED("answer-unrequested"),
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/NextStep.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/NextStep.kt
@@ -84,4 +84,5 @@
         urgency = request.route.urgency,
         resumeAfter = progress.lastEvent ?: request.facts.resumeAfter,
         source = source,
+        expectsEvents = request.route.kind is RequestKind.EventStream,
     )
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/BackendAvailabilityTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/BackendAvailabilityTest.kt
@@ -238,6 +238,7 @@
             urgency = 0,
             resumeAfter = null,
             source = null,
+            expectsEvents = false,
         )
 
     private inner class Gateway(
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/RepeatedRequestIdTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/RepeatedRequestIdTest.kt
@@ -31,13 +31,24 @@
         }
     }
 
+    /** Guards against a stream whose caller gets the short second answer of a server whose first answer is lost. */
+    @Test
+    fun `a success that is no event stream does not answer a stream`() {
+        val statuses =
+            play(STREAMING, "the small success alone", sendings = 1) { arrival, _ ->
+                listOf(answerText(arrival.requestId, SUCCESS))
+            }
+
+        statuses.count { it == SUCCESS } shouldBe 0
+    }
+
     /** Guards against callers that get no answer because the server answered an earlier request twice. */
     @Test
     fun `the true answer behind a late one of another request reaches its caller`() {
         for (kind in listOf("idempotent", "non_idempotent", "streaming")) {
             val statuses =
                 play(kind, "a late copy first", sendings = 1) { arrival, earlier ->
-                    earlier.takeLast(1).map { answer(it, SUCCESS) } + answer(arrival, SUCCESS)
+                    earlier.takeLast(1).map { answer(it, kind, SUCCESS) } + answer(arrival, kind, SUCCESS)
                 }
 
             withClue(kind) { statuses.count { it == SUCCESS } shouldBe CALLS }
@@ -57,8 +68,8 @@
     ): List<Int> =
         play(kind, "first $first, late $late, then $second", sendings = 2) { arrival, earlier ->
             val answeredOnce = earlier.lastOrNull()?.takeIf { it.sending == 1 }
-            val lateAnswers = listOfNotNull(answeredOnce?.let { answer(it, late) })
-            lateAnswers + answer(arrival, if (arrival.sending == 1) first else second)
+            val lateAnswers = listOfNotNull(answeredOnce?.let { answer(it, kind, late) })
+            lateAnswers + answer(arrival, kind, if (arrival.sending == 1) first else second)
         }
 
     /** Sends each of several requests [sendings] times to a server with [script]; returns the last statuses. */
@@ -85,15 +96,25 @@
         }
     }
 
+    /** A success on a route of streams is an event stream. */
     private fun answer(
         arrival: Arrival,
+        kind: String,
         status: Int,
-    ): String = answerText(arrival.requestId, status, if (status == REFUSAL) "Not-Executed: 1\r\n" else "")
+    ): String =
+        when {
+            status == REFUSAL -> answerText(arrival.requestId, status, "Not-Executed: 1\r\n")
+            status == SUCCESS && kind == STREAMING -> answerText(arrival.requestId, status, EVENT_STREAM, EVENT)
+            else -> answerText(arrival.requestId, status)
+        }
 
     private companion object {
         const val CALLS = 24
         const val SUCCESS = 200
         const val FAILURE = 500
         const val REFUSAL = 503
+        const val STREAMING = "streaming"
+        const val EVENT_STREAM = "Content-Type: text/event-stream\r\n"
+        const val EVENT = "id: 1\ndata: ok\n\n"
     }
 }
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/BackendDialect.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/BackendDialect.kt
@@ -68,6 +68,9 @@
 
     /** It reports success but lacks the backend server's signature. */
     data object Unsigned : AnswerVerdict
+
+    /** It reports success and is not the event stream that the request asks for. */
+    data object NoStream : AnswerVerdict
 }
 
 /** True if the answer is one of the server that was addressed, so that its notices concern that server. */
@@ -76,5 +79,5 @@
         when (this) {
             AnswerVerdict.Genuine -> true
             is AnswerVerdict.NotExecuted -> reason != AttemptRefusal.OTHER_LIFE
-            AnswerVerdict.OfOtherRequest, AnswerVerdict.Unsigned -> false
+            AnswerVerdict.OfOtherRequest, AnswerVerdict.Unsigned, AnswerVerdict.NoStream -> false
         }
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
@@ -14,6 +14,7 @@
     DEADLINE_PASSED("deadline-passed-running"),
     ANSWER_OF_OTHER_REQUEST("answer-of-other-request"),
     ANSWER_UNSIGNED("answer-unsigned"),
+    ANSWER_NO_STREAM("answer-no-stream"),
     ANSWER_TOO_LARGE("answer-too-large"),
     ANSWER_MEMORY_SPENT("answer-memory-spent"),
     STREAM_STALLED("stream-stalled"),
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -205,4 +205,5 @@
         is AnswerVerdict.NotExecuted -> AttemptEvent.Refused(verdict.reason)
         AnswerVerdict.OfOtherRequest -> AttemptEvent.Broken(MayHaveRun.ANSWER_OF_OTHER_REQUEST)
         AnswerVerdict.Unsigned -> AttemptEvent.Broken(MayHaveRun.ANSWER_UNSIGNED)
+        AnswerVerdict.NoStream -> AttemptEvent.Broken(MayHaveRun.ANSWER_NO_STREAM)
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -89,6 +89,7 @@
         when (verdict) {
             AnswerVerdict.OfOtherRequest -> carrier.closeAfterForeignAnswer(call.order.backend.life)
             AnswerVerdict.Unsigned -> carrier.close(ConnectionCloseReason.ANSWER_UNSIGNED)
+            AnswerVerdict.NoStream -> carrier.close(ConnectionCloseReason.ANSWER_NO_STREAM)
             AnswerVerdict.Genuine, is AnswerVerdict.NotExecuted -> null
         }
 
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/LeavingNoticesTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/LeavingNoticesTest.kt
@@ -174,6 +174,7 @@
         urgency = 0,
         resumeAfter = null,
         source = null,
+        expectsEvents = false,
     )
 
     private object EmptyBody : CallBody {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
@@ -44,6 +44,7 @@
         urgency = 0,
         resumeAfter = null,
         source = null,
+        expectsEvents = false,
     )
 
 /** Creates the body of a request that has none. */
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
@@ -263,6 +263,7 @@
                 urgency = 0,
                 resumeAfter = null,
                 source = null,
+                expectsEvents = false,
             )
     }
 
