Warn of a server that answers twice once while it is isolated, and log no error for each copy

An isolated server gets a connection for each request, and each of them brought its own warning AF1217, so a server that answers all requests twice cost one warning a request. The HTTP client, to which the copy was passed on, logged two more lines as errors before it closed the connection.

The filter closes the connection itself; the pool lets go of it at once, as before.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
@@ -58,13 +58,21 @@
         if (isFirst) reportServer(order, history, owner)
     }
 
-    /** [answer] arrived at [now], when no request was in progress and [last] had been answered. */
+    /**
+     * [answer] arrived at [now], when no request was in progress and [last] had been answered.
+     *
+     * [isFirst] is false while its server is isolated already.
+     */
     fun unrequested(
         answer: SurplusAnswer,
         last: AnsweredRequest,
         now: Instant,
+        isFirst: Boolean,
     ) {
-        observations.foreignAnswer(AnswerOwner.of(last, answer.requestIds))
+        val owner = AnswerOwner.of(last, answer.requestIds)
+        observations.foreignAnswer(owner)
+        observations.decided(Decision.UnrequestedAnswer(last, owner, answer, now))
+        if (!isFirst) return
         observations.event(
             Event.BackendAnswerUnrequested(
                 life = last.life,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.coordination.relay
 
 import org.acaciaflow.coordination.connection.AnswerOwner
+import org.acaciaflow.coordination.connection.AnsweredRequest
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.SurplusAnswer
 import org.acaciaflow.coordination.engine.EnginePath
@@ -75,6 +76,17 @@
         override val at: Instant,
     ) : Decision
 
+    /** A connection on which no request was in progress brought [answer], which belongs to [owner], after [last]. */
+    data class UnrequestedAnswer(
+        val last: AnsweredRequest,
+        val owner: AnswerOwner,
+        val answer: SurplusAnswer,
+        override val at: Instant,
+    ) : Decision {
+        override val requestId: String
+            get() = last.requestId
+    }
+
     /** An attempt at [backend] ended with [outcome]. */
     data class Ran(
         val request: RelayedRequest,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -136,7 +136,7 @@
         context.fireChannelRead(message)
     }
 
-    /** Reports an answer that no request waits for; the HTTP client then closes the connection. */
+    /** Reports an answer that no request waits for, and closes the connection. */
     private fun nothingAwaited(
         context: ChannelHandlerContext,
         nothing: Reading.Nothing,
@@ -146,12 +146,16 @@
         if (message is HttpResponse && last != null) {
             val head = headOf(message)
             val answer = SurplusAnswer(dialect.answerIds(head), head.status)
-            open.closing(connection, ConnectionCloseReason.ANSWER_UNREQUESTED)
-            observer.unrequested(answer, last, clock.now())
-            open.surplusAnswered(last.life)
+            val isFirst = open.surplusAnswered(last.life)
+            observer.unrequested(answer, last, clock.now(), isFirst)
             reading = Reading.Nothing(last = null)
         }
-        context.fireChannelRead(message)
+        if (message !is HttpObject) {
+            context.fireChannelRead(message)
+            return
+        }
+        ReferenceCountUtil.release(message)
+        open.close(connection, ConnectionCloseReason.ANSWER_UNREQUESTED)
     }
 
     private fun decide(
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
@@ -50,8 +50,12 @@
         return decision
     }
 
-    /** Notes that [life] has written a surplus answer, so that its next requests get a connection each. */
-    fun surplusAnswered(life: BackendLife) {
+    /**
+     * Notes that [life] has written a surplus answer, so that its next requests get a connection each.
+     *
+     * Returns false if they did already.
+     */
+    fun surplusAnswered(life: BackendLife): Boolean {
         val now = clock.now()
         val isFirst =
             table.transition { known ->
@@ -60,6 +64,7 @@
                 Transition(known.copy(surplus = surplus), !wasIsolated)
             }
         if (isFirst) observer.isolated(life)
+        return isFirst
     }
 
     /** The number of servers that get a connection for each request. */
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -20,6 +20,7 @@
             is Decision.Declined -> declined(decision)
             is Decision.Connected -> connected(decision)
             is Decision.ForeignAnswer -> foreignAnswer(decision)
+            is Decision.UnrequestedAnswer -> unrequestedAnswer(decision)
             is Decision.Disconnected -> disconnected(decision)
             is Decision.Ran -> ran(decision)
             is Decision.Refused -> refused(decision)
@@ -67,6 +68,13 @@
             connectionFields(decision.history) + " owner=${decision.owner.code} skipped=${decision.skipped}" +
             " status=${decision.answer.status} ids=\"${decision.answer.shownIds}\""
 
+    private fun unrequestedAnswer(decision: Decision.UnrequestedAnswer): String =
+        commonFields("unrequested-answer", decision) + " backend=${decision.last.life.instance}" +
+            connectionFields(decision.last.history) + " owner=${decision.owner.code}" +
+            " status=${decision.answer.status} ids=\"${decision.answer.shownIds}\"" +
+            " last-status=${decision.last.status}" +
+            " after-ms=${(decision.at - decision.last.at).inWholeMilliseconds}"
+
     private fun disconnected(decision: Decision.Disconnected): String =
         commonFields("disconnected", decision) + " backend=${decision.life.instance}" +
             connectionFields(decision.history) + " reason=${decision.reason.code}"
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
@@ -142,6 +142,29 @@
         recorded.disconnects().single { it.requestId == "request-6" }.reason shouldBe ConnectionCloseReason.ENDED
     }
 
+    /** Guards against a warning for each request beside a server that answers all of them twice. */
+    @Test
+    fun `a server that answers each request twice is reported once while it is isolated`() {
+        val backend =
+            RawBackend { output, id, _ ->
+                write(output, answerBytes(200, "ok", "Request-Id: $id"))
+                Thread.sleep(20)
+                write(output, answerBytes(200, "ok", "Request-Id: $id"))
+            }
+        backend.use {
+            runBlocking {
+                for (number in 1..20) {
+                    readToEnd(connections.open(orderTo(it.address, "twice-$number"), emptyBody()))
+                    delay(60.milliseconds)
+                }
+            }
+        }
+
+        val reported = recorded.events.filterIsInstance<Event.BackendAnswerUnrequested>()
+        println("warnings: ${reported.size} of 20 answers")
+        reported.size shouldBe 1
+    }
+
     private class RecordedObservations(
         private val others: Observations = MeteredObservations(PrometheusMeterRegistry(PrometheusConfig.DEFAULT)),
     ) : Observations by others {
