Let two tests wait until the pool has the connection back

Both need their second request on the connection of the first. The first waits like its neighbours, the server of the second counts the surplus answers that it wrote instead of the requests; no assertion changes.

--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -153,6 +153,7 @@
         backend.use {
             runBlocking {
                 read(backend, "request-1").first shouldBe "body of request-1"
+                delay(50.milliseconds) // the connection is used again
                 val (body, end) = read(backend, "request-2")
 
                 body shouldBe ""
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/IsolatedServerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/IsolatedServerTest.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.runBlocking
 import org.acaciaflow.coordination.connection.ConnectionIsolation
 import org.acaciaflow.coordination.port.AttemptEvent
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Instant
@@ -39,7 +40,7 @@
     /** Guards against at-most-once calls that fail one after the other beside a server that answers twice. */
     @Test
     fun `surplus answers without an id break one request, not each second one`() {
-        surplusBackend(surplusUntil = Int.MAX_VALUE).use { backend ->
+        surplusBackend(surplusAnswers = Int.MAX_VALUE).use { backend ->
             val broken = List(CALLS) { endOf(backend, "request-$it") }.count { it != AttemptEvent.End }
 
             println("broken by surplus answers: $broken of $CALLS; connections ${backend.connections.get()}")
@@ -50,7 +51,7 @@
     /** Guards against a server that gets a connection for each request for ever after one surplus answer. */
     @Test
     fun `a server that has written no surplus answer for the time of isolation keeps its connections again`() {
-        surplusBackend(surplusUntil = 2).use { backend ->
+        surplusBackend(surplusAnswers = 1).use { backend ->
             repeat(CALLS) { endOf(backend, "early-$it") }
             connections.isolatedServers shouldBe 1
             val opened = backend.connections.get()
@@ -65,13 +66,15 @@
         }
     }
 
-    /** A server that writes a nameless answer before its true one on connections in use again, up to [surplusUntil]. */
-    private fun surplusBackend(surplusUntil: Int): RawBackend =
-        RawBackend { output, id, number ->
+    /** A server that writes [surplusAnswers] nameless answers, each before a true one on a connection in use again. */
+    private fun surplusBackend(surplusAnswers: Int): RawBackend {
+        val written = AtomicInteger()
+        return RawBackend { output, id, _ ->
             val isReused = earlierOnConnection(id) != null
-            if (isReused && number <= surplusUntil) write(output, answerBytes(200, "ok"))
+            if (isReused && written.getAndIncrement() < surplusAnswers) write(output, answerBytes(200, "ok"))
             write(output, answerBytes(200, "body", "Request-Id: $id"))
         }
+    }
 
     private fun endOf(
         backend: RawBackend,
