Shorten a server's signature in the log

The lines ran and concluded carry the signature of the answer, and nothing bounded it but the size of a head, 64 KiB. Before: 60,000 characters of a signature of that length; after: 80.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
@@ -44,9 +44,16 @@
         return verdict
     }
 
-    /** Where the answer with [head] to [call] comes from. */
+    /** Where the answer with [head] to [call] comes from; a long signature is shortened for the log. */
     fun originOf(
         call: SentCall,
         head: AnswerHead,
-    ): AnswerOrigin = AnswerOrigin(call.order.backend.life, call.history.number, dialect.signature(head))
+    ): AnswerOrigin {
+        val signature = dialect.signature(head)?.take(SHOWN_CHARACTERS)
+        return AnswerOrigin(call.order.backend.life, call.history.number, signature)
+    }
+
+    private companion object {
+        const val SHOWN_CHARACTERS = 80
+    }
 }
