Soak: the judge checks where a resumed stream begins; a caller that ends early fails the run

A stream that a caller resumed was accepted if it began anew, and a rest without events could be taken for no stream. Both have a test. An exception in a caller's thread would have gone unseen.

--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/CallerConnection.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/CallerConnection.kt
@@ -78,14 +78,14 @@
             try {
                 when {
                     head.field("Transfer-Encoding") == "chunked" -> readChunks(body)
-                    head.field("Content-Length") != null -> readExactly(head.field("Content-Length")!!.toInt(), body)
+                    head.length != null -> readExactly(head.length, body)
                     else -> readToEnd(body)
                 }
             } catch (_: IOException) {
                 false // reset, or the caller has left
             }
         val closes = head.field("Connection").equals("close", ignoreCase = true)
-        isReusable = whole && !closes && head.hasLength
+        isReusable = whole && !closes && head.hasEnd
         val text = body.toString(Charsets.ISO_8859_1)
         return CallOutcome.Answered(status, head.field("Request-Id"), head.field("Server-Stamp"), text, whole)
     }
@@ -158,7 +158,8 @@
         /** Null if the first line is not that of an answer. */
         val status: Int? = STATUS_LINE.find(lines.firstOrNull().orEmpty())?.run { groupValues[1].toInt() }
         val isInterim = status in INTERIM
-        val hasLength: Boolean get() = field("Content-Length") != null || field("Transfer-Encoding") == "chunked"
+        val length: Int? = field("Content-Length")?.toInt()
+        val hasEnd: Boolean = length != null || field("Transfer-Encoding") == "chunked"
 
         fun field(name: String): String? =
             lines.firstOrNull { it.startsWith("$name:", ignoreCase = true) }?.substringAfter(':')?.trim()
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakCallers.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakCallers.kt
@@ -11,23 +11,30 @@
 /** Callers that send seeded requests of all kinds to [gateways] in turn, each in a thread of its own, until they are stopped. */
 internal class SoakCallers(
     private val gateways: List<InetSocketAddress>,
-    private val count: Int,
+    count: Int,
     private val seed: Long,
     private val clock: () -> Long,
 ) {
     private val records = ConcurrentLinkedQueue<CallRecord>()
+    private val faults = ConcurrentLinkedQueue<Throwable>()
     private val threads = List(count) { index -> Thread({ SoakCaller(index).call() }, "caller-$index") }
 
     @Volatile
     private var isStopping = false
 
-    fun start() = threads.forEach { it.apply { isDaemon = true }.start() }
+    fun start() =
+        threads.forEach { thread ->
+            thread.isDaemon = true
+            thread.setUncaughtExceptionHandler { _, fault -> faults += fault }
+            thread.start()
+        }
 
     /** Lets the callers finish the requests that they have sent, and returns all records. */
     fun finish(): ImmutableList<CallRecord> {
         isStopping = true
         threads.forEach { it.join(TimeUnit.SECONDS.toMillis(FINISH_SECONDS)) }
         check(threads.none { it.isAlive }) { "callers still wait for answers" }
+        check(faults.isEmpty()) { "callers ended early: ${faults.toList()}" }
         return records.toImmutableList()
     }
 
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudge.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudge.kt
@@ -23,19 +23,13 @@
     private val writingsByConnection = entries.writings.groupBy { it.connection }
 
     fun breaches(): ImmutableList<Breach> =
-        (
-            calls.flatMap {
-                ofCall(it)
-            } + entries.arrivals.flatMap { listOfNotNull(unasked(it), foreignHandle(it)) }
-        ).toImmutableList()
+        (calls.flatMap(::ofCall) + entries.arrivals.flatMap(::ofArrival)).toImmutableList()
+
+    private fun ofArrival(arrival: ServerArrival): List<Breach> =
+        listOfNotNull(unasked(arrival), foreignHandle(arrival))
 
     private fun ofCall(call: CallRecord): List<Breach> =
-        listOfNotNull(
-            strayBytes(call),
-            ofOutcome(call),
-            twice(call),
-            refused(call),
-        )
+        listOfNotNull(strayBytes(call), ofOutcome(call), twice(call), refused(call))
 
     private fun strayBytes(call: CallRecord): Breach? =
         if (call.bytesBefore.isEmpty()) {
@@ -73,14 +67,9 @@
         answer: CallOutcome.Answered,
         arrival: ServerArrival,
     ): Breach? {
-        val status = statusOf(entries.outcomes[arrival.stamp]) ?: return null
-        return if (status ==
-            answer.status
-        ) {
-            null
-        } else {
-            mixed(call, arrival, "${answer.status} where the server gave $status")
-        }
+        val status = statusOf(entries.outcomes[arrival.stamp])
+        if (status == null || status == answer.status) return null
+        return mixed(call, arrival, "${answer.status} where the server gave $status")
     }
 
     private fun ofSuccess(
@@ -91,33 +80,23 @@
         if (arrival.purpose == ArrivalPurpose.PREFILL) return mixed(call, arrival, "the answer to a prefill")
         return when (val outcome = entries.outcomes[arrival.stamp]) {
             is ServerOutcome.Rejected -> mixed(call, arrival, "a success where the server gave ${outcome.status}")
-            is ServerOutcome.Answered ->
-                when {
-                    outcome.status !in SUCCESS ->
-                        mixed(
-                            call,
-                            arrival,
-                            "a success where the server gave ${outcome.status}",
-                        )
-                    call.kind.isStream && answer.body != outcome.body -> ofEvents(call, answer, arrival, outcome)
-                    answer.whole && answer.body != outcome.body ->
-                        mixed(
-                            call,
-                            arrival,
-                            "not the whole body: ${answer.body.length} of ${outcome.body.length} characters",
-                        )
-                    else -> null
-                }
-            null ->
-                if (answer.whole) {
-                    mixed(
-                        call,
-                        arrival,
-                        "a whole success of a run that the server has not ended",
-                    )
-                } else {
-                    null
-                }
+            is ServerOutcome.Answered -> ofRun(call, answer, arrival, outcome)
+            null -> if (answer.whole) mixed(call, arrival, "a whole success of a run that did not end") else null
+        }
+    }
+
+    private fun ofRun(
+        call: CallRecord,
+        answer: CallOutcome.Answered,
+        arrival: ServerArrival,
+        outcome: ServerOutcome.Answered,
+    ): Breach? {
+        val lengths = "${answer.body.length} of ${outcome.body.length} characters"
+        return when {
+            outcome.status !in SUCCESS -> mixed(call, arrival, "a success where the server gave ${outcome.status}")
+            call.kind.isStream -> ofEvents(call, answer, arrival, outcome)
+            answer.whole && answer.body != outcome.body -> mixed(call, arrival, "not the whole body: $lengths")
+            else -> null
         }
     }
 
@@ -132,17 +111,15 @@
         val allowed =
             expected.toSet() + if (call.kind == CallKind.RESUMABLE_STREAM) eventsOfRuns(call.requestId) else emptySet()
         val received = eventsOf(answer.body)
+        val endsInsideEvent = answer.body.isNotEmpty() && !answer.body.endsWith(EVENT_END)
         val reason =
             when {
-                answer.whole && received.isEmpty() -> return mixed(
-                    call,
-                    arrival,
-                    "no stream: ${answer.body.take(TEXT_LIMIT)}",
-                )
+                answer.whole && received.isEmpty() && answer.body.isNotEmpty() ->
+                    return mixed(call, arrival, "no stream: ${answer.body.take(TEXT_LIMIT)}")
                 received.map { it.id } != expected.map { it.id }.take(received.size) -> "events in another order"
                 answer.whole && received.size < expected.size -> "complete after ${received.size} of ${expected.size} events"
                 received.any { it !in allowed } -> "an event that no run of the request made"
-                answer.whole && !answer.body.endsWith(EVENT_END) -> "complete in the middle of an event"
+                answer.whole && endsInsideEvent -> "complete in the middle of an event"
                 else -> return null
             }
         return Breach.Order(call.requestId, reason, causedByServer(arrival))
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudgeTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudgeTest.kt
@@ -232,6 +232,19 @@
         breachOf(account, gap).rule shouldBe "ORDER"
     }
 
+    @Test
+    fun `a stream that a caller resumes has the events after the last one it got`() {
+        val rest = account(arrival("a", "s1").copy(resumeAfter = "1") to answered(event(2) + event(3)))
+        val whole = account(arrival("a", "s1") to answered(STREAM))
+        val ended = account(arrival("a", "s1").copy(resumeAfter = "3") to answered(""))
+        val resumed = { answer: CallOutcome -> call("a", answer, CallKind.RESUMABLE_STREAM).copy(resumeAfter = 1) }
+
+        judge(rest, persistentListOf(resumed(success("s1", event(2) + event(3))))).shouldBeEmpty()
+        judge(ended, persistentListOf(resumed(success("s1", "")).copy(resumeAfter = 3))).shouldBeEmpty()
+        breachOf(whole, resumed(success("s1", STREAM))).rule shouldBe "ORDER"
+        breachOf(rest, resumed(success("s1", ""))).rule shouldBe "ORDER"
+    }
+
     @Test
     fun `a stream that may not be resumed has the events of one run`() {
         val account =
