--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/HeldUpGateway.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/HeldUpGateway.kt
@@ -144,8 +144,6 @@
     val target: Duration = 1.seconds,
 )
 
-/** Holds up the event loop when a request is started, as in a gateway that is short of processor. */
-
 /** Starts a gateway in [runtime] before [backend], with a route of [kind]; returns its port. */
 private suspend fun startGateway(
     runtime: SingleLoopRuntime,
@@ -224,6 +222,7 @@
     return tables
 }
 
+/** Holds up the event loop when a request is started, as in a gateway that is short of processor. */
 private class SlowStarts(
     private val runtime: SingleLoopRuntime,
     private val holdUps: HoldUps,
