Let the shutdown test count its own calls only

CallerServerTest, "a shutdown answers the calls in progress", failed once in a run of all modules: HttpClosedException after 91 ms. Its 20 calls are to be accepted before the shutdown, but the counter is that of the whole class, and the test ran third: 14 calls of the tests before it were counted, so the shutdown began after 6 of the 20, and connections without a call were closed, as they should be.

The counter starts at 0, so the test waits for all 20 calls.

--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/CallerServerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/CallerServerTest.kt
@@ -53,6 +53,7 @@
     /** Guards against a process that ends while calls that it has read wait for their answers. */
     @Test
     suspend fun `a shutdown answers the calls in progress, closes idle connections and frees the port`() {
+        accepted.set(0)
         val server = server(work = 400.milliseconds)
         val port = server.start(HostAddress("127.0.0.1", 0)).actualPort()
         val client = vertx.createHttpClient(HttpClientOptions(), PoolOptions().setHttp1MaxSize(30))
