--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayProgress.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayProgress.kt
@@ -15,8 +15,9 @@
  * successful prefills are not counted. [prefillCalls] is the number of prefill attempts. [attemptInFlight] is true
  * while an attempt other than a prefill is in progress. [mayHaveRun] is set once a backend server may have started to
  * execute the request. [begunAt] is when the first part of the answer was sent to the caller, [origin] where the head
- * that the caller got comes from, and [lastEvent] the identity of the last event sent to it. [resumable] is false once a part was sent after which no server can be asked to
- * continue: a part of a plain answer, or an event without an identity.
+ * that the caller got comes from, and [lastEvent] the identity of the last event sent to it. [resumable] is false once
+ * a part was sent after which no server can be asked to continue: a part of a plain answer, or an event without an
+ * identity.
  */
 data class RelayProgress(
     val reached: PersistentSet<BackendLife>,
