Soak: mark a filled body only where a second answer's head continues it; play another build

The judge counted a body as filled up by its server when any second answer followed on the connection, so a fault of the gateway with a body of the right length would have been counted apart too. Now the very next bytes must be a second answer, and the body must go on with an answer's head where it leaves the true one; SoakJudgeTest has two bodies that were marked before. `--gateway-jar` runs another build of the gateway, so that the soak can be tried on one with a known fault.

--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/GatewayProcess.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/GatewayProcess.kt
@@ -26,10 +26,11 @@
 
     init {
         val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+        val program = System.getProperty(OTHER_BUILD)?.ifEmpty { null } ?: System.getProperty("java.class.path")
         val builder =
             ProcessBuilder(
                 listOf(java, "-Xmx160m", "-Xss256k", "-XX:+UseSerialGC", "-XX:+ExitOnOutOfMemoryError") +
-                    listOf("-cp", System.getProperty("java.class.path"), "org.acaciaflow.daemon.MainKt", "gateway"),
+                    listOf("-cp", program, "org.acaciaflow.daemon.MainKt", "gateway"),
             )
         builder.environment()["ACACIAFLOW_NODE_FILE"] =
             folder.resolve("settings.json").apply { writeText(settings(storePort)) }.toString()
@@ -98,6 +99,8 @@
         """
 
     private companion object {
+        /** The jar of another build of the gateway that is run instead of this one. */
+        const val OTHER_BUILD = "soak.gateway-jar"
         const val READY = 200
         const val START_SECONDS = 60L
         const val STOP_SECONDS = 10L
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Account.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Account.kt
@@ -44,8 +44,8 @@
  *
  * [connection] is unique in a run. [stamp] is unique to the arrival and goes into the signature of its true answer.
  * [resumeAfter] is the event after which a stream was to go on. [bodyIsWhole] is false if the connection ended inside
- * the body; such a request is not run and has no outcome, unless it was answered early. [handleOf] is the id of the request whose prefill made the handle that this run has taken. Times are
- * milliseconds since the start of the run.
+ * the body; such a request is not run and has no outcome, unless it was answered early. [handleOf] is the id of the
+ * request whose prefill made the handle that this run has taken. Times are milliseconds since the start of the run.
  */
 internal data class ServerArrival(
     val instance: String,
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudge.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudge.kt
@@ -203,15 +203,21 @@
     private fun causedByServer(arrival: ServerArrival): Boolean =
         wroteFalseAnswerFirst(arrival) || filledCutBody(arrival)
 
-    /** Whether the bytes of a second answer came where the rest of the true one's body, by its length, was due. */
+    /** Whether the head of a second answer came where the rest of the true one's body, by its length, was due. */
     private fun filledCutBody(arrival: ServerArrival): Boolean {
         val outcome = entries.outcomes[arrival.stamp] as? ServerOutcome.Answered
         val answer = callsById[arrival.requestId]?.outcome as? CallOutcome.Answered
         if (outcome == null || outcome.wroteWhole || answer?.body?.length != outcome.body.length) return false
         val written = writingsByConnection[arrival.connection].orEmpty()
-        return written.dropWhile { it.stamp != arrival.stamp }.drop(1).any { it.kind == WritingKind.SECOND_ANSWER }
+        val next = written.dropWhile { it.stamp != arrival.stamp }.drop(1).firstOrNull()
+        if (next?.kind != WritingKind.SECOND_ANSWER) return false
+        val sameLength = answer.body.commonPrefixWith(outcome.body).length
+        return (0..sameLength).any { beginsAnswer(answer.body.substring(it)) }
     }
 
+    private fun beginsAnswer(text: String): Boolean =
+        text.isNotEmpty() && (text.startsWith(ANSWER_START) || ANSWER_START.startsWith(text))
+
     /** Whether the first answer with the request's id, on a connection that had not carried the id, was not the true one. */
     private fun wroteFalseAnswerFirst(arrival: ServerArrival): Boolean {
         val carriedBefore =
@@ -224,6 +230,7 @@
 
     private companion object {
         const val TEXT_LIMIT = 120
+        const val ANSWER_START = "HTTP/1.1 "
         const val OWN_CALLS = "/-/"
         val SUCCESS = 200..299
         val PROMISES = setOf(408, 421, 429, 503)
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudgeTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudgeTest.kt
@@ -71,6 +71,8 @@
         breachOf(filled, call("a", success("s1", "whoHT"))).rule shouldBe "MIXED-BY-SERVER"
         breachOf(filled, call("a", success("s1", "who"))).rule shouldBe "MIXED"
         breachOf(cut, call("a", success("s1", "whoHT"))).rule shouldBe "MIXED"
+        breachOf(filled, call("a", success("s1", "whoZZ"))).rule shouldBe "MIXED"
+        breachOf(filled, call("a", success("s1", "xxxHT"))).rule shouldBe "MIXED"
     }
 
     @Test
--- a/soak.sh
+++ b/soak.sh
@@ -5,12 +5,14 @@
 usage() {
     cat >&2 <<'TEXT'
 usage: ./soak.sh [--seeds N|N-M] [--seconds S] [--mix NAME] [--gateways N] [--callers N]
+                 [--gateway-jar FILE]
 
   --seeds     the seed or seeds to play, one after the other (1)
   --seconds   how long each of them sends requests (20)
   --mix       quiet, stutter, stutter-and-failures, lost-answers or everything (stutter-and-failures)
   --gateways  gateway processes (2)
   --callers   callers, each in a thread (30)
+  --gateway-jar  the jar of another build of the gateway, to compare with (this one)
 
 Prints a line of counts for each seed. A seed with breaches leaves the breaches and the gateways' logs in
 daemon/target/soak/. "everything" has faults that no gateway can detect; their breaches are counted as ...-BY-SERVER.
@@ -21,7 +23,7 @@
 while [ $# -gt 0 ]; do
     [ $# -gt 1 ] || usage
     case "$1" in
-        --seeds | --seconds | --mix | --gateways | --callers) options+=("-Dsoak.${1#--}=$2") ;;
+        --seeds | --seconds | --mix | --gateways | --callers | --gateway-jar) options+=("-Dsoak.${1#--}=$2") ;;
         *) usage ;;
     esac
     shift 2
