--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/AbandonedAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/AbandonedAnswerTest.kt
@@ -5,28 +5,16 @@
 import io.kotest.matchers.shouldBe
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
-import org.acaciaflow.coordination.clock.createSteadyClock
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Connections whose answers are given up before they are read. */
 class AbandonedAnswerTest : AnnotationSpec() {
     private val vertx = Vertx.vertx()
-    private val connections =
-        DirectConnections(
-            vertx,
-            TestDialect,
-            createBackendAvailability(),
-            createConnectionObserver(),
-            VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
-            CoroutineScope(Dispatchers.Default),
-            createSteadyClock(),
-        )
+    private val connections = createDirectConnections(vertx)
 
     @AfterAll
     fun close() =
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/InterimAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/InterimAnswerTest.kt
@@ -5,27 +5,15 @@
 import io.kotest.matchers.shouldBe
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
-import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.coordination.port.AttemptEvent
 import kotlin.time.Duration.Companion.seconds
 
 /** Answers with a status of the 1xx class, which come before the answer itself. */
 class InterimAnswerTest : AnnotationSpec() {
     private val vertx = Vertx.vertx()
-    private val connections =
-        DirectConnections(
-            vertx,
-            TestDialect,
-            createBackendAvailability(),
-            createConnectionObserver(),
-            VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
-            CoroutineScope(Dispatchers.Default),
-            createSteadyClock(),
-        )
+    private val connections = createDirectConnections(vertx)
 
     @AfterAll
     fun close() =
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/IsolatedServerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/IsolatedServerTest.kt
@@ -6,8 +6,6 @@
 import io.kotest.matchers.shouldBe
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
 import org.acaciaflow.coordination.connection.ConnectionIsolation
 import org.acaciaflow.coordination.port.AttemptEvent
@@ -20,16 +18,7 @@
 class IsolatedServerTest : AnnotationSpec() {
     private val vertx = Vertx.vertx()
     private val clock = AdvancedClock()
-    private val connections =
-        DirectConnections(
-            vertx,
-            TestDialect,
-            createBackendAvailability(),
-            createConnectionObserver(),
-            VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
-            CoroutineScope(Dispatchers.Default),
-            clock,
-        )
+    private val connections = createDirectConnections(vertx, clock = clock)
 
     @AfterAll
     fun close() =
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
@@ -1,8 +1,13 @@
 package org.acaciaflow.transport.direct
 
+import io.vertx.core.Vertx
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.decodeToString
+import org.acaciaflow.coordination.clock.createSteadyClock
+import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BodyPart
@@ -17,6 +22,7 @@
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.work.CallHead
+import kotlin.time.Clock
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -47,6 +53,22 @@
         expectsEvents = false,
     )
 
+/** Creates connections to servers that speak [TestDialect]. */
+internal fun createDirectConnections(
+    vertx: Vertx,
+    observer: ConnectionObserver = createConnectionObserver(),
+    clock: Clock = createSteadyClock(),
+): DirectConnections =
+    DirectConnections(
+        vertx,
+        TestDialect,
+        createBackendAvailability(),
+        observer,
+        VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
+        CoroutineScope(Dispatchers.Default),
+        clock,
+    )
+
 /** Creates the body of a request that has none. */
 internal fun emptyBody(): WholeBody = checkNotNull(wholeBodyOf(EmptyBody))
 
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
@@ -8,11 +8,8 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
-import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionObserver
@@ -28,16 +25,7 @@
 class UnrequestedAnswerTest : AnnotationSpec() {
     private val vertx = Vertx.vertx()
     private val recorded = RecordedObservations()
-    private val connections =
-        DirectConnections(
-            vertx,
-            TestDialect,
-            createBackendAvailability(),
-            ConnectionObserver(recorded),
-            VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
-            CoroutineScope(Dispatchers.Default),
-            createSteadyClock(),
-        )
+    private val connections = createDirectConnections(vertx, observer = ConnectionObserver(recorded))
 
     @BeforeEach
     fun forget() = recorded.clear()
