--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudge.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakJudge.kt
@@ -117,7 +117,8 @@
                 answer.whole && received.isEmpty() && answer.body.isNotEmpty() ->
                     return mixed(call, arrival, "no stream: ${answer.body.take(TEXT_LIMIT)}")
                 received.map { it.id } != expected.map { it.id }.take(received.size) -> "events in another order"
-                answer.whole && received.size < expected.size -> "complete after ${received.size} of ${expected.size} events"
+                answer.whole && received.size < expected.size ->
+                    "complete after ${received.size} of ${expected.size} events"
                 received.any { it !in allowed } -> "an event that no run of the request made"
                 answer.whole && endsInsideEvent -> "complete in the middle of an event"
                 else -> return null
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakOutput.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakOutput.kt
@@ -13,7 +13,8 @@
     val reasons = unanswered.groupingBy { it.reason.replace(NUMBER, "N") }.eachCount()
     val second = result.entries.writings.count { it.kind == WritingKind.SECOND_ANSWER }
     val breaches = result.breaches.groupingBy { it.rule }.eachCount()
-    return "soak seed ${result.shape.seed} ${result.shape.mix.text}: ${result.calls.size} calls, ${successes.size} successes, " +
+    return "soak seed ${result.shape.seed} ${result.shape.mix.text}: " +
+        "${result.calls.size} calls, ${successes.size} successes, " +
         "${failures.size} failures, ${refusals.size} refusals, ${unanswered.size} without an answer $reasons, " +
         "${result.entries.arrivals.size} arrivals, $second second answers, breaches ${breaches.ifEmpty { "none" }}"
 }
