--- a/soak.sh
+++ b/soak.sh
@@ -19,7 +19,8 @@
 TEXT
     exit 2
 }
-options=()
+# The test framework ends a test after ten minutes, which some seeds take together.
+options=(-Dkotest.framework.timeout=86400000)
 while [ $# -gt 0 ]; do
     [ $# -gt 1 ] || usage
     case "$1" in
