Log: a time and level for each decision line, and no errors for connections that the gateway closes

Cause: decision lines are written in batches, of which only the first line got a time and level; whoever selects by level missed the others. The HTTP client logged an error with two lines for each connection that was closed instead of being used (a server that gets a connection for each request), in the jar past the structured log, since the minimised jar lacked SLF4J.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -133,6 +133,7 @@
             }
 
             is SendPermission.Denied -> {
+                request.exceptionHandler { } // the close is logged with its reason
                 open.close(request.connection(), ConnectionCloseReason.SENDING_DENIED)
                 Sending.NotSent(permission.reason)
             }
@@ -156,6 +157,7 @@
                 }
 
                 is ReuseDecision.Close -> {
+                    request.exceptionHandler { } // the close is logged with its reason
                     // Waits, so that the pool can't return it again.
                     open.close(request.connection(), decision.reason).awaitResult()
                 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
@@ -19,6 +19,7 @@
 import org.acaciaflow.transport.log.DecisionLog
 import org.tinylog.kotlin.Logger
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 
@@ -63,8 +64,11 @@
 
     override fun decided(decision: Decision) = decisions.write(DecisionFormatter.format(decision))
 
-    /** Starts a loop of [supervisor] that writes queued decision lines to the log. */
-    fun start(supervisor: LoopSupervisor) = decisions.start(supervisor)
+    /** Starts a loop of [supervisor] that writes queued decision lines to the log with the time of [clock]. */
+    fun start(
+        supervisor: LoopSupervisor,
+        clock: Clock,
+    ) = decisions.start(supervisor, clock)
 
     override fun noticeUnreadable() = unreadableNotices.increment()
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
@@ -59,7 +59,7 @@
         val workers = runtime.workers
         workers.startLoop("store-watch") { watcher.run() }
         callers.start(settings.callers)
-        runtime.observations.start(workers)
+        runtime.observations.start(workers, clock)
         OperatorsServer(runtime.vertx, runtime.registry, this, settings.readinessPath).start(settings.readiness)
         runtime.observations.event(Event.ProcessStarted(self))
         peers.start()
