Soak: second answers counted from the arrival of their request, before slow failures

Change: StutterMoment.AfterArrival is counted from the arrival and comes behind the true answer, before it or alone, never inside another answer. SlowFailures are runs that end with 500 after 100 to 900 ms, 504 at the request's own time limit, a silent connection, or a connection that ends without the answer; they are drawn apart from the second answers and behind all other draws, so the plans of the old mixes stay. The account keeps the plan of each arrival.

Tests: PlainSoakServerTest has the order for slow and fast failures and sound runs, the second answer that stands alone, the own time limit and the independent draws; EngineSoakServerTest has a second answer that falls due inside a stream.

--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Account.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Account.kt
@@ -8,7 +8,7 @@
 
 /** What the backend servers of a run have received and written, by their own account. */
 internal class Account {
-    private val entries = AtomicReference(AccountEntries(persistentListOf(), persistentMapOf(), persistentListOf()))
+    private val entries = AtomicReference(AccountEntries())
 
     /** Returns all that was recorded so far. */
     fun snapshot(): AccountEntries = entries.get()
@@ -18,6 +18,14 @@
         entries.updateAndGet { it.copy(arrivals = it.arrivals.add(arrival)) }
     }
 
+    /** Records what the server is going to do with the arrival with [stamp]. */
+    fun planned(
+        stamp: String,
+        plan: ArrivalPlan,
+    ) {
+        entries.updateAndGet { it.copy(plans = it.plans.put(stamp, plan)) }
+    }
+
     /** Records how the server ended its work on the arrival with [stamp]; a later outcome replaces an earlier one. */
     fun ended(
         stamp: String,
@@ -32,11 +40,12 @@
     }
 }
 
-/** The entries of an [Account]; [outcomes] are by stamp. */
+/** The entries of an [Account]; [outcomes] and [plans] are by stamp. */
 internal data class AccountEntries(
-    val arrivals: PersistentList<ServerArrival>,
-    val outcomes: PersistentMap<String, ServerOutcome>,
-    val writings: PersistentList<ServerWriting>,
+    val arrivals: PersistentList<ServerArrival> = persistentListOf(),
+    val outcomes: PersistentMap<String, ServerOutcome> = persistentMapOf(),
+    val writings: PersistentList<ServerWriting> = persistentListOf(),
+    val plans: PersistentMap<String, ArrivalPlan> = persistentMapOf(),
 )
 
 /**
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/AnswerWriter.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/AnswerWriter.kt
@@ -29,10 +29,19 @@
         }
     }
 
-    /** Writes [second] now or plans it for its moment, unless it went with the true answer. */
+    /** Plans [second] for its moment if that is counted from the arrival, which is now. */
+    fun planSecondAnswer(second: Reply) =
+        when (val moment = plan.stutter?.moment) {
+            is StutterMoment.AfterArrival ->
+                life.after(moment.milliseconds) { connection.write(second, WritingKind.SECOND_ANSWER) }
+            null, StutterMoment.AtOnce, StutterMoment.SameWrite -> Unit
+            is StutterMoment.Later, StutterMoment.WithNextRequest -> Unit
+        }
+
+    /** Writes [second] now or plans it for its moment, unless it went with the true answer or is planned already. */
     fun writeSecondAnswer(second: Reply) =
         when (val moment = plan.stutter?.moment) {
-            null, StutterMoment.SameWrite -> Unit
+            null, StutterMoment.SameWrite, is StutterMoment.AfterArrival -> Unit
             StutterMoment.AtOnce -> connection.write(second, WritingKind.SECOND_ANSWER)
             StutterMoment.WithNextRequest -> connection.keepForNextRequest(second)
             is StutterMoment.Later ->
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/ArrivalPlan.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/ArrivalPlan.kt
@@ -14,6 +14,10 @@
     val closingFields: List<String>
         get() = if (closesAfterwards && framing != Framing.UNTIL_CLOSE) listOf("Connection: close") else emptyList()
 
+    /** This plan for a request whose time limit is [milliseconds] from now. */
+    fun limitedTo(milliseconds: Long): ArrivalPlan =
+        if (verdict == Verdict.OwnTimeLimit) copy(verdict = Verdict.TimeLimit(milliseconds)) else this
+
     /** This plan, whose connection ends after the answer if the server [isLeaving] and no second answer follows. */
     fun closing(isLeaving: Boolean): ArrivalPlan =
         copy(closesAfterwards = closesAfterwards || (isLeaving && stutter == null))
@@ -26,7 +30,8 @@
         get() =
             when (this) {
                 is TimeLimit -> milliseconds
-                Success, ServerError, is Refusal, Misdirected -> 0
+                is SlowServerError -> milliseconds
+                Success, ServerError, OwnTimeLimit, is Refusal, Misdirected -> 0
             }
 
     /** The request is run with success: 200. */
@@ -35,6 +40,14 @@
     /** The request is run and fails: 500. */
     data object ServerError : Verdict
 
+    /** The request is run and fails after [milliseconds] of work: 500. */
+    data class SlowServerError(
+        val milliseconds: Long,
+    ) : Verdict
+
+    /** The request is run until its own time limit: 504. It becomes a [TimeLimit] when the request is known. */
+    data object OwnTimeLimit : Verdict
+
     /** The request is run until the time limit, after [milliseconds]: 504. */
     data class TimeLimit(
         val milliseconds: Long,
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/EngineSoakServerTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/EngineSoakServerTest.kt
@@ -120,6 +120,27 @@
             listOf(WritingKind.TRUE_ANSWER to 500, WritingKind.SECOND_ANSWER to 200)
     }
 
+    @Test
+    fun `a second answer counted from the arrival never comes inside a stream`() {
+        val early =
+            FaultMix(
+                stutter = 1.0,
+                stutterMoments = persistentListOf(StutterMomentKind.AFTER_ARRIVAL),
+                stutterContents = persistentListOf(StutterContent.SmallSuccess),
+            )
+        play { _, decode ->
+            decode.mix = early
+            val text =
+                RawCaller(decode).use {
+                    it.send("a", body = "events=150 prompt", target = TARGET)
+                    it.readAnswers(2)
+                }
+
+            text.substringBeforeLast("HTTP/1.1 200 ") shouldEndWith "\r\n0\r\n\r\n"
+            text shouldEndWith "\r\n\r\nok"
+        }
+    }
+
     @Test
     fun `prefills and refusals have second answers too`() {
         val entries =
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/FaultMix.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/FaultMix.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.toPersistentList
 import kotlin.random.Random
 
 /**
@@ -24,7 +23,7 @@
     val early: Double = 0.0,
     val interim: Double = 0.0,
     val stutter: Double = 0.0,
-    val stutterMoments: PersistentList<StutterMomentKind> = StutterMomentKind.entries.toPersistentList(),
+    val stutterMoments: PersistentList<StutterMomentKind> = MOMENTS_BEHIND_TRUE_ANSWER,
     val stutterContents: PersistentList<StutterContent> = ALL_CONTENTS,
     /** True if a second answer is also written where the true one is lost; no reader can then tell it from a true one. */
     val stuttersInsteadOfLost: Boolean = false,
@@ -33,28 +32,40 @@
     val closing: Double = 0.0,
     val handleLost: Double = 0.0,
     val longestWorkMilliseconds: Long = 0,
+    val slowFailures: SlowFailures = SlowFailures(),
 ) {
     /** Draws the plan for one arrival; each call takes its choices from [random] in the same order. */
     fun draw(random: Random): ArrivalPlan {
-        val verdict = verdict(random)
-        val delivery = delivery(random)
-        val stutter = stutter(random).takeIf { stuttersInsteadOfLost || delivery.writesWhole }
+        val drawnVerdict = verdict(random)
+        val drawnDelivery = delivery(random)
+        val drawnStutter = stutter(random)
         val drawnFraming = framing(random)
+        val closes = random.nextDouble() < closing
+        val work = random.nextLong(longestWorkMilliseconds + 1)
+        val losesHandle = random.nextDouble() < handleLost
+        val slowFailure = slowFailures.draw(random)
+        val delivery = slowFailure?.delivery ?: drawnDelivery
+        val stutter = drawnStutter?.takeIf { mayStutter(it.moment, delivery) }
         // After a body that ends with its connection, a second answer would belong to it, and its cut end would look whole.
         val hasEnd = stutter == null && delivery.writesWhole
         val framing = if (hasEnd || drawnFraming != Framing.UNTIL_CLOSE) drawnFraming else Framing.LENGTH
-        val closes = random.nextDouble() < closing
         return ArrivalPlan(
-            verdict = verdict,
+            verdict = slowFailure?.verdict ?: drawnVerdict,
             delivery = delivery,
             stutter = stutter,
             framing = framing,
             closesAfterwards = stutter == null && (closes || framing == Framing.UNTIL_CLOSE),
-            workMilliseconds = random.nextLong(longestWorkMilliseconds + 1),
-            losesHandle = random.nextDouble() < handleLost,
+            workMilliseconds = work,
+            losesHandle = losesHandle,
         )
     }
 
+    /** A second answer that is counted from the arrival does not depend on what becomes of the true one. */
+    private fun mayStutter(
+        moment: StutterMoment,
+        delivery: Delivery,
+    ): Boolean = stuttersInsteadOfLost || delivery.writesWhole || moment is StutterMoment.AfterArrival
+
     private fun verdict(random: Random): Verdict {
         val limit = random.nextLong(SHORTEST_LIMIT_MILLISECONDS, LONGEST_LIMIT_MILLISECONDS)
         val retryAfter = random.nextInt(LONGEST_RETRY_AFTER_SECONDS + 1).takeIf { it > 0 }
@@ -93,6 +104,8 @@
                 StutterMomentKind.SAME_WRITE -> StutterMoment.SameWrite
                 StutterMomentKind.LATER -> later
                 StutterMomentKind.WITH_NEXT_REQUEST -> StutterMoment.WithNextRequest
+                StutterMomentKind.AFTER_ARRIVAL ->
+                    StutterMoment.AfterArrival(random.nextLong(EARLIEST_AFTER_ARRIVAL, LATEST_AFTER_ARRIVAL + 1))
             }
         val content = stutterContents.randomOrNull(random) ?: return null
         return Stutter(moment, content).takeIf { isDrawn }
@@ -101,20 +114,6 @@
     private fun framing(random: Random): Framing =
         choose(random, listOf(chunked to Framing.CHUNKED, untilClose to Framing.UNTIL_CLOSE)) ?: Framing.LENGTH
 
-    /** Takes one number from [random] and returns the choice in whose share it lies, null beyond all of them. */
-    private fun <T> choose(
-        random: Random,
-        choices: List<Pair<Double, T>>,
-    ): T? {
-        val drawn = random.nextDouble()
-        var sum = 0.0
-        for ((share, choice) in choices) {
-            sum += share
-            if (drawn < sum) return choice
-        }
-        return null
-    }
-
     companion object {
         val ALL_CONTENTS: PersistentList<StutterContent> =
             persistentListOf(
@@ -133,7 +132,25 @@
         private const val LONGEST_LIMIT_MILLISECONDS = 400L
         private const val LONGEST_RETRY_AFTER_SECONDS = 1
         private const val LATEST_MILLISECONDS = 300L
+
+        /** Behind a sound run of the mixes that have this moment, and before most of their slow failures. */
+        private const val EARLIEST_AFTER_ARRIVAL = 80L
+        private const val LATEST_AFTER_ARRIVAL = 200L
         private const val CONTINUE = 100
         private const val EARLY_HINTS = 103
     }
 }
+
+/** Takes one number from [random] and returns the choice in whose share it lies, null beyond all of them. */
+internal fun <T> choose(
+    random: Random,
+    choices: List<Pair<Double, T>>,
+): T? {
+    val drawn = random.nextDouble()
+    var sum = 0.0
+    for ((share, choice) in choices) {
+        sum += share
+        if (drawn < sum) return choice
+    }
+    return null
+}
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServerTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServerTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.longs.shouldBeGreaterThan
 import io.kotest.matchers.maps.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
@@ -96,6 +97,84 @@
         }
     }
 
+    @Test
+    fun `a second answer counted from the arrival comes before a slow failure and behind a fast answer`() {
+        val orders =
+            mapOf(
+                EARLY.copy(slowFailures = SlowFailures(serverError = 1.0)) to listOf(200, 500),
+                EARLY.copy(slowFailures = SlowFailures(timeLimit = 1.0)) to listOf(200, 504),
+                EARLY.copy(serverError = 1.0) to listOf(500, 200),
+                EARLY to listOf(200, 200),
+            )
+        for ((mix, statuses) in orders) {
+            val entries =
+                play(mix, seedWithLateFailure(mix)) {
+                    send("a", fields = listOf("Deadline-Ms: $LIMIT_MILLISECONDS"))
+                    withClue(mix) { answers(readAnswers(2)) shouldBe statuses }
+                }
+
+            val inOrder = listOf(SECOND_ANSWER, TRUE_ANSWER)
+            val isSlow = mix.slowFailures != SlowFailures()
+            withClue(mix) {
+                entries.writings.map { it.kind } shouldContainExactly if (isSlow) inOrder else inOrder.reversed()
+                entries.writings.map { it.stamp }.toSet() shouldBe setOf("i-1.1.1")
+                (entries.outcomes["i-1.1.1"] as Answered).wroteWhole shouldBe true
+            }
+        }
+    }
+
+    @Test
+    fun `a second answer counted from the arrival comes alone where the failure never arrives`() {
+        val ends =
+            mapOf(
+                SlowFailures(hang = 1.0) to ("" to 504),
+                SlowFailures(lost = 1.0) to (RawCaller.ENDED to 500),
+            )
+        for ((failures, expected) in ends) {
+            val (end, status) = expected
+            val mix = EARLY.copy(slowFailures = failures)
+            val entries =
+                play(mix, seedWithLateFailure(mix)) {
+                    send("a", fields = listOf("Deadline-Ms: $LIMIT_MILLISECONDS"))
+                    val text = readRest(quietMilliseconds = 2_000)
+                    answers(text) shouldBe listOf(200)
+                    text shouldEndWith "\r\n\r\nok$end"
+                }
+
+            withClue(failures) {
+                entries.writings.map { it.kind } shouldContainExactly listOf(SECOND_ANSWER)
+                entries.outcomes["i-1.1.1"] shouldBe Answered(status, "failed i-1.1.1", wroteWhole = false)
+            }
+        }
+    }
+
+    @Test
+    fun `a run that fails at its own time limit takes as long as its request allows`() {
+        val start = System.nanoTime()
+        play(FaultMix(slowFailures = SlowFailures(timeLimit = 1.0))) {
+            send("a", fields = listOf("Deadline-Ms: $LIMIT_MILLISECONDS"))
+            readAnswers(1) shouldStartWith "HTTP/1.1 504 "
+        }
+
+        (System.nanoTime() - start) / NANOSECONDS_PER_MILLISECOND shouldBeGreaterThan LIMIT_MILLISECONDS - 1
+    }
+
+    @Test
+    fun `slow failures and second answers are drawn apart from each other and from all else`() {
+        val slow = SlowFailures(serverError = 0.2, timeLimit = 0.2, hang = 0.2, lost = 0.2)
+        val mix = EARLY.copy(stutter = 0.5, slowFailures = slow, longestWorkMilliseconds = 9)
+        val draw = { drawn: FaultMix -> List(ARRIVALS) { drawn.draw(soakRun(7).randomFor("i-1.1.$it")) } }
+        val plans = draw(mix)
+        val plansWithout = draw(mix.copy(slowFailures = SlowFailures()))
+
+        plans.zip(plansWithout).forEach { (plan, without) ->
+            plan.copy(verdict = without.verdict, delivery = without.delivery) shouldBe without
+        }
+        val kinds = plans.groupBy { it.verdict::class to it.delivery::class }
+        kinds.size shouldBe 5
+        for ((kind, ofKind) in kinds) withClue(kind) { ofKind.map { it.stutter != null }.toSet().size shouldBe 2 }
+    }
+
     @Test
     fun `a second answer has the content that the mix names`() {
         val parts =
@@ -269,6 +348,15 @@
         plans(7).count { it.stutter != null } shouldBeGreaterThan ARRIVALS / 4
     }
 
+    /** A seed whose first arrival fails some time after its second answer, if it fails late at all. */
+    private fun seedWithLateFailure(mix: FaultMix): Long =
+        generateSequence(1L) { it + 1 }.first { seed ->
+            val plan = mix.draw(soakRun(seed).randomFor("i-1.1.1")).limitedTo(LIMIT_MILLISECONDS)
+            val moment = plan.stutter?.moment as StutterMoment.AfterArrival
+            mix.slowFailures == SlowFailures() ||
+                moment.milliseconds + CLEARANCE_MILLISECONDS < plan.verdict.extraMilliseconds
+        }
+
     private fun stuttering(
         moment: StutterMomentKind,
         content: StutterContent,
@@ -298,6 +386,17 @@
 
     private companion object {
         const val MIXED_REQUESTS = 30
+        const val LIMIT_MILLISECONDS = 500L
+        const val CLEARANCE_MILLISECONDS = 200L
+        const val NANOSECONDS_PER_MILLISECOND = 1_000_000L
+
+        /** Each answer has a second one that is counted from the arrival. */
+        val EARLY =
+            FaultMix(
+                stutter = 1.0,
+                stutterMoments = persistentListOf(StutterMomentKind.AFTER_ARRIVAL),
+                stutterContents = persistentListOf(StutterContent.SmallSuccess),
+            )
         const val ARRIVALS = 200
     }
 }
--- /dev/null
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SlowFailures.kt
@@ -0,0 +1,39 @@
+package org.acaciaflow.daemon.soak
+
+import kotlin.random.Random
+
+/** Runs that fail long after a second answer that is counted from their arrival, as shares of the arrivals. */
+internal data class SlowFailures(
+    /** 500 after work. */
+    val serverError: Double = 0.0,
+    /** 504 at the time limit of the request. */
+    val timeLimit: Double = 0.0,
+    /** The run ends at the time limit of the request, and the connection stays silent. */
+    val hang: Double = 0.0,
+    /** 500 after work, of which nothing is written because the connection ends. */
+    val lost: Double = 0.0,
+) {
+    /** Draws the slow failure of an arrival, null if it has none. */
+    fun draw(random: Random): SlowFailure? {
+        val error = Verdict.SlowServerError(random.nextLong(SHORTEST_WORK_MILLISECONDS, LONGEST_WORK_MILLISECONDS + 1))
+        val choices =
+            listOf(
+                serverError to SlowFailure(error, delivery = null),
+                timeLimit to SlowFailure(Verdict.OwnTimeLimit, delivery = null),
+                hang to SlowFailure(Verdict.OwnTimeLimit, Delivery.Mute),
+                lost to SlowFailure(error, Delivery.Lost(closes = true)),
+            )
+        return choose(random, choices)
+    }
+
+    private companion object {
+        const val SHORTEST_WORK_MILLISECONDS = 100L
+        const val LONGEST_WORK_MILLISECONDS = 900L
+    }
+}
+
+/** A run that fails late; without a [delivery] the failure is written as other answers are. */
+internal data class SlowFailure(
+    val verdict: Verdict,
+    val delivery: Delivery?,
+)
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakPlay.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakPlay.kt
@@ -17,7 +17,7 @@
     val seconds: Int,
     val gateways: Int,
     val callers: Int,
-    val plainServers: Int = 3,
+    val plainServers: Int = mix.plainServers,
     val enginesOfEachStage: Int = 2,
 ) {
     /** The command that plays this again. */
@@ -73,7 +73,9 @@
     }
 
     private fun plainServers(): List<SoakServer> =
-        List(shape.plainServers) { PlainSoakServer("i-plain-$it", PLAIN_SERVICE, run, shape.mix.faults) }
+        List(shape.plainServers) {
+            PlainSoakServer("i-plain-$it", PLAIN_SERVICE, run, shape.mix.faultsOfPlainServer(it))
+        }
 
     private fun engines(stage: EngineStage): List<SoakServer> =
         List(shape.enginesOfEachStage) {
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakServer.kt
@@ -101,10 +101,11 @@
         head: RequestHead,
     ): Boolean {
         val stamp = "$instance.${life.number}.${life.nextArrival()}"
-        val drawn = mix.draw(run.randomFor(stamp))
+        val drawn = mix.draw(run.randomFor(stamp)).limitedTo(timeLimitOf(head))
         val admission = admissionOf(head, drawn)
         val plan = drawn.copy(verdict = admission.verdict).closing(isDraining)
         val arrival = arrival(connection, stamp, head, admission)
+        run.account.planned(stamp, plan)
         val writer = AnswerWriter(life, connection, plan)
         val isEarly = plan.delivery == Delivery.Early && answersEarly(arrival, plan)
         if (isEarly) answer(connection, arrival, plan, writer)
@@ -116,6 +117,9 @@
         return writer.goesOn()
     }
 
+    private fun timeLimitOf(head: RequestHead): Long =
+        head.field("Deadline-Ms")?.toLongOrNull() ?: DEFAULT_LIMIT_MILLISECONDS
+
     private fun admissionOf(
         head: RequestHead,
         plan: ArrivalPlan,
@@ -161,6 +165,7 @@
         val truth = trueAnswer(arrival, plan, success)
         val second = plan.stutter?.let { secondAnswer(it.content, arrival, truth.reply, success.reply) }
         run.account.ended(arrival.stamp, truth.outcome)
+        if (second != null) writer.planSecondAnswer(second)
         Thread.sleep(plan.workMilliseconds + plan.verdict.extraMilliseconds)
         if (plan.verdict == Verdict.Success) succeeded(arrival)
         connection.writeKept()
@@ -183,6 +188,7 @@
 
     private companion object {
         const val SLOTS = 8
+        const val DEFAULT_LIMIT_MILLISECONDS = 1_000L
         const val HEALTH_PATH = "/healthz"
         const val OK = 200
         const val SERVICE_UNAVAILABLE = 503
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Stutter.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Stutter.kt
@@ -1,5 +1,8 @@
 package org.acaciaflow.daemon.soak
 
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+
 /** A second answer to an arrival, beside the true one. */
 internal data class Stutter(
     val moment: StutterMoment,
@@ -19,6 +22,14 @@
         val milliseconds: Long,
     ) : StutterMoment
 
+    /**
+     * [milliseconds] after the request has arrived, whether or not the true answer is written by then, but never inside
+     * another answer. It comes first if the true answer takes longer, and alone if that one is never written.
+     */
+    data class AfterArrival(
+        val milliseconds: Long,
+    ) : StutterMoment
+
     /** When the connection's next request is in, before the true answer to that one. */
     data object WithNextRequest : StutterMoment
 }
@@ -50,4 +61,9 @@
     SAME_WRITE,
     LATER,
     WITH_NEXT_REQUEST,
+    AFTER_ARRIVAL,
 }
+
+/** The moments that are counted from the true answer: there the second answer never comes first. */
+internal val MOMENTS_BEHIND_TRUE_ANSWER: PersistentList<StutterMomentKind> =
+    StutterMomentKind.entries.minus(StutterMomentKind.AFTER_ARRIVAL).toPersistentList()
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/TrueAnswer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/TrueAnswer.kt
@@ -20,8 +20,8 @@
 ): TrueAnswer =
     when (val verdict = plan.verdict) {
         Verdict.Success -> TrueAnswer(success.reply, ServerOutcome.Answered(OK, success.body, wroteWhole = false))
-        Verdict.ServerError -> failed(SERVER_ERROR, arrival, plan)
-        is Verdict.TimeLimit -> failed(TIME_LIMIT, arrival, plan)
+        Verdict.ServerError, is Verdict.SlowServerError -> failed(SERVER_ERROR, arrival, plan)
+        Verdict.OwnTimeLimit, is Verdict.TimeLimit -> failed(TIME_LIMIT, arrival, plan)
         is Verdict.Refusal -> {
             val retryAfter = verdict.retryAfterSeconds?.let { "Retry-After: $it" }
             rejected(SERVICE_UNAVAILABLE, arrival, plan, listOfNotNull("Not-Executed: 1", retryAfter))
