Soak: count wrong answers by end of the run, route and warning; time the plain calls

Change: two more lines for each seed. Wrong answers by how the server ended the run (500, 504, hang, lost, sound run), by kind of route, and by whether a gateway had been written a surplus answer of the same life of the server before the request came; the account can't tell whether it was read. The sound plain successes of servers that answer twice and of others, their median and 95% time. Rules and what fails the run are as before.

--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakOutput.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakOutput.kt
@@ -4,7 +4,7 @@
 import java.nio.file.Path
 import kotlin.io.path.writeText
 
-/** One line with the counts of a soak. */
+/** The counts of a soak: one line for all answers, one for the wrong ones, one for the plain service. */
 internal fun summaryOf(result: SoakResult): String {
     val answers = result.calls.mapNotNull { it.outcome as? CallOutcome.Answered }
     val (successes, others) = answers.partition { it.isSuccess && it.whole }
@@ -16,9 +16,28 @@
     return "soak seed ${result.shape.seed} ${result.shape.mix.text}: " +
         "${result.calls.size} calls, ${successes.size} successes, " +
         "${failures.size} failures, ${refusals.size} refusals, ${unanswered.size} without an answer $reasons, " +
-        "${result.entries.arrivals.size} arrivals, $second second answers, breaches ${breaches.ifEmpty { "none" }}"
+        "${result.entries.arrivals.size} arrivals, $second second answers, breaches ${breaches.ifEmpty { "none" }}\n" +
+        wrongAnswersText(wrongAnswers(result.breaches, result.entries, result.calls)) +
+        plainServiceText(plainService(result.breaches, result.entries, result.calls))
 }
 
+private fun wrongAnswersText(wrong: List<WrongAnswer>): String {
+    val endings = countsInOrder(wrong.map { it.ending }) { it.text }
+    val routes = countsInOrder(wrong.map { it.route }) { it.text }
+    val warnings = countsInOrder(wrong.map { it.warning }) { it.text }
+    return "  wrong answers ${wrong.size}: by end of the run $endings, by route $routes, by warning $warnings\n"
+}
+
+private fun <T : Enum<T>> countsInOrder(
+    values: List<T>,
+    textOf: (T) -> String,
+): Map<String, Int> = values.sorted().groupingBy(textOf).eachCount()
+
+private fun plainServiceText(service: PlainService): String =
+    "  sound plain successes: ${service.ofStutteringServers} of servers that answer twice, " +
+        "${service.ofOtherServers} of others; median ${service.medianMilliseconds} ms, " +
+        "95 of 100 within ${service.highMilliseconds} ms"
+
 /** Keeps the report and the gateways' logs of a soak in [folder], and returns the text of its first breaches. */
 internal fun keepFailed(
     result: SoakResult,
--- a/soak.sh
+++ b/soak.sh
@@ -9,13 +9,15 @@
 
   --seeds     the seed or seeds to play, one after the other (1)
   --seconds   how long each of them sends requests (20)
-  --mix       quiet, stutter, stutter-and-failures, lost-answers or everything (stutter-and-failures)
+  --mix       quiet, stutter, stutter-and-failures, lost-answers, everything, early-second-answers or
+              early-second-answers-half (stutter-and-failures)
   --gateways  gateway processes (2)
   --callers   callers, each in a thread (30)
   --gateway-jar  the jar of another build of the gateway, to compare with (this one)
 
-Prints a line of counts for each seed. A seed with breaches leaves the breaches and the gateways' logs in
-daemon/target/soak/. "everything" has faults that no gateway can detect; their breaches are counted as ...-BY-SERVER.
+Prints three lines for each seed: all counts, the wrong answers by kind, and the plain service. A seed with breaches
+leaves the breaches and the gateways' logs in daemon/target/soak/. Breaches that the server's own first answer caused,
+as in "everything" and "early-second-answers", are counted as ...-BY-SERVER and do not fail the run.
 TEXT
     exit 2
 }
