--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/GatewayProcess.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/GatewayProcess.kt
@@ -37,18 +37,30 @@
         process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start()
     }
 
-    /** Calls [path] of the callers' host [host] and returns the status. */
+    /** Posts to [path] and returns the status. */
     fun call(
         path: String,
         requestId: String,
-    ): Int {
+    ): Int = exchange("POST", path, requestId).statusCode()
+
+    /** Calls [path] with [method], which has a body unless it is GET. */
+    fun exchange(
+        method: String,
+        path: String,
+        requestId: String,
+    ): HttpResponse<String> {
+        val body =
+            when (method) {
+                "GET" -> HttpRequest.BodyPublishers.noBody()
+                else -> HttpRequest.BodyPublishers.ofString("claim")
+            }
         val request =
             HttpRequest
                 .newBuilder(URI("http://${place.ip}:${ports[0]}$path"))
                 .header("Request-Id", requestId)
                 .header("Deadline-Ms", "3000")
-                .POST(HttpRequest.BodyPublishers.ofString("claim"))
-        return client.send(request.build(), HttpResponse.BodyHandlers.ofString()).statusCode()
+                .method(method, body)
+        return client.send(request.build(), HttpResponse.BodyHandlers.ofString())
     }
 
     /** The status of the readiness check; 0 while nothing listens. */
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/RepeatedRequestIdTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/RepeatedRequestIdTest.kt
@@ -79,7 +79,7 @@
         sendings: Int,
         script: (Arrival, List<Arrival>) -> List<String>,
     ): List<Int> {
-        val server = ScriptedServer("i-first", script)
+        val server = ScriptedServer("i-first", script = script)
         val store = StoreServer()
         store.put("op/config", claimsConfiguration(kind))
         store.put("servers/${server.instance}", server.entry)
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/ScriptedServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/ScriptedServer.kt
@@ -18,10 +18,11 @@
  * A backend server that registers as [instance] and whose answers are written by [script].
  *
  * The script gets a request and those that its connection carried before; it returns the bytes to write, with a pause
- * between one element and the next.
+ * of [pauseMilliseconds] between one element and the next. [END_OF_CONNECTION] as the last element closes the connection.
  */
 internal class ScriptedServer(
     val instance: String,
+    private val pauseMilliseconds: Long = PAUSE_MILLISECONDS,
     private val script: (Arrival, List<Arrival>) -> List<String>,
 ) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
@@ -63,7 +64,8 @@
                     executed += requestId
                     val arrival = Arrival(requestId, executed.count { id -> id == requestId })
                     script(arrival, earlier.toList()).forEachIndexed { index, text ->
-                        if (index > 0) Thread.sleep(PAUSE_MILLISECONDS)
+                        if (index > 0) Thread.sleep(pauseMilliseconds)
+                        if (text == END_OF_CONNECTION) return
                         it.getOutputStream().write(text.toByteArray())
                     }
                     earlier += arrival
@@ -97,17 +99,20 @@
             .substringAfter(':')
             .trim()
 
-    private companion object {
-        const val BACKLOG = 64
-        const val PAUSE_MILLISECONDS = 80L
+    companion object {
+        const val END_OF_CONNECTION = "<end>"
+        private const val BACKLOG = 64
+        private const val PAUSE_MILLISECONDS = 80L
     }
 }
 
-/** The text of an answer to [requestId] with [status] and [fields], whose body is [body]. */
+/** The text of an answer to [requestId] with [status], [stamp] and [fields], whose body is [body]. */
 internal fun answerText(
     requestId: String,
     status: Int,
     fields: String = "",
     body: String = "ok",
+    stamp: String = "stamp",
 ): String =
-    "HTTP/1.1 $status Answer\r\nRequest-Id: $requestId\r\nServer-Stamp: stamp\r\n${fields}Content-Length: ${body.length}\r\n\r\n$body"
+    "HTTP/1.1 $status Answer\r\nRequest-Id: $requestId\r\nServer-Stamp: $stamp\r\n" +
+        "${fields}Content-Length: ${body.length}\r\n\r\n$body"
