Move the surplus answers of servers to a shared table of their own

Cause: which servers write surplus answers was known only inside the private table of OpenConnections, so neither the selection of a server nor the reports to peers could use it. Change: RelayTables.surplus, with the lock SURPLUS_ANSWERS (82) before BACKEND_CONNECTIONS.

No behaviour changes; ConnectionIsolationTest, ConnectionReuseTest, IsolatedServerTest and UnrequestedAnswerTest pass.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
@@ -8,6 +8,7 @@
 import org.acaciaflow.coordination.peer.RecentReads
 import org.acaciaflow.coordination.routing.KnownRouting
 import org.acaciaflow.state.buffer.BufferUse
+import org.acaciaflow.state.connection.SurplusAnswers
 import org.acaciaflow.state.crash.CrashReports
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.fleet.Fleet
@@ -47,6 +48,7 @@
     val peers: SharedTable<Peers>,
     val answerBuffers: SharedTable<BufferUse>,
     val retryWindows: SharedTable<PersistentMap<PoolName, RetryWindow>>,
+    val surplus: SharedTable<SurplusAnswers>,
 )
 
 /** Creates the tables of a starting gateway, which are all empty. */
@@ -69,4 +71,5 @@
         peers = createSharedTable(LockOrder.PEERS, Peers.NONE),
         answerBuffers = createSharedTable(LockOrder.ANSWER_BUFFERS, BufferUse.NONE),
         retryWindows = createSharedTable(LockOrder.RETRY_WINDOWS, persistentMapOf()),
+        surplus = createSharedTable(LockOrder.SURPLUS_ANSWERS, SurplusAnswers.NONE),
     )
--- a/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
@@ -35,6 +35,7 @@
     RETRY_BUDGET(70),
     RETRY_WINDOWS(72),
     EXCHANGES(80),
+    SURPLUS_ANSWERS(82),
     BACKEND_CONNECTIONS(85),
     LINKS(90),
     STREAMS(100),
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -25,8 +25,10 @@
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.protocol.dialect.HttpCalls
 import org.acaciaflow.state.connection.ConnectionHistory
+import org.acaciaflow.state.connection.SurplusAnswers
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
+import org.acaciaflow.state.table.SharedTable
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.transport.http.BoundedBody
@@ -42,12 +44,13 @@
     vertx: Vertx,
     private val dialect: BackendDialect,
     private val availability: BackendAvailability,
+    surplus: SharedTable<SurplusAnswers>,
     private val observer: ConnectionObserver,
     private val calls: HttpCalls,
     private val scope: CoroutineScope,
     private val clock: Clock,
 ) : BackendConnections {
-    private val open = OpenConnections.create(observer, clock)
+    private val open = OpenConnections.create(surplus, observer, clock)
     private val answers = AnswerReader(dialect, availability, observer)
     private val client: HttpClient =
         vertx.createHttpClient(
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
@@ -20,9 +20,10 @@
 import org.acaciaflow.state.table.createSharedTable
 import kotlin.time.Clock
 
-/** The open connections to backend servers, what each has carried, why it is closed, and servers' surplus answers. */
+/** The open connections to backend servers, what each has carried and why it is closed. */
 internal class OpenConnections private constructor(
     private val table: SharedTable<Connections>,
+    private val surplus: SharedTable<SurplusAnswers>,
     private val observer: ConnectionObserver,
     private val clock: Clock,
 ) {
@@ -35,11 +36,10 @@
         connection: HttpConnection,
         order: RunOrder,
     ): ReuseDecision {
-        val now = clock.now()
+        val isIsolated = isIsolated(order.backend.life)
         val decision =
             table.transition { known ->
                 val history = known.records[connection]?.history ?: newConnectionHistory(known.opened + 1)
-                val isIsolated = ConnectionIsolation.isIsolated(known.surplus, order.backend.life, now)
                 when (val decision = ConnectionReuse.decide(history, order.requestId, isIsolated)) {
                     is ReuseDecision.Use -> Transition(known.carrying(connection, history, order), decision)
                     is ReuseDecision.Close -> Transition(known, decision)
@@ -58,17 +58,19 @@
     fun surplusAnswered(life: BackendLife): Boolean {
         val now = clock.now()
         val isFirst =
-            table.transition { known ->
-                val wasIsolated = ConnectionIsolation.isIsolated(known.surplus, life, now)
-                val surplus = ConnectionIsolation.surplusSeen(known.surplus, life, now)
-                Transition(known.copy(surplus = surplus), !wasIsolated)
+            surplus.transition { known ->
+                val wasIsolated = ConnectionIsolation.isIsolated(known, life, now)
+                Transition(ConnectionIsolation.surplusSeen(known, life, now), !wasIsolated)
             }
         if (isFirst) observer.isolated(life)
         return isFirst
     }
 
+    /** Returns true while each request to [life] gets a connection of its own. */
+    fun isIsolated(life: BackendLife): Boolean = ConnectionIsolation.isIsolated(surplus.snapshot(), life, clock.now())
+
     /** The number of servers that get a connection for each request. */
-    fun countIsolated(): Int = ConnectionIsolation.countIsolated(table.snapshot().surplus, clock.now())
+    fun countIsolated(): Int = ConnectionIsolation.countIsolated(surplus.snapshot(), clock.now())
 
     /** Closes [connection] for [reason]. */
     fun close(
@@ -105,7 +107,6 @@
     private data class Connections(
         val opened: Long,
         val records: PersistentMap<HttpConnection, ConnectionRecord>,
-        val surplus: SurplusAnswers,
     ) {
         fun carrying(
             connection: HttpConnection,
@@ -127,15 +128,16 @@
     )
 
     companion object {
-        /** Creates the table of a gateway that has opened no connection. */
+        /** Creates the table of a gateway that has opened no connection; [surplus] has its servers' surplus answers. */
         fun create(
+            surplus: SharedTable<SurplusAnswers>,
             observer: ConnectionObserver,
             clock: Clock,
         ): OpenConnections {
             val table = createSharedTable(LockOrder.BACKEND_CONNECTIONS, NONE)
-            return OpenConnections(table, observer, clock)
+            return OpenConnections(table, surplus, observer, clock)
         }
 
-        private val NONE = Connections(opened = 0, persistentHashMapOf(), SurplusAnswers.NONE)
+        private val NONE = Connections(opened = 0, persistentHashMapOf())
     }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -60,6 +60,7 @@
             runtime.vertx,
             adapters.backends,
             availability,
+            tables.surplus,
             ConnectionObserver(runtime.observations),
             calls,
             runtime.workers.scope,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -45,6 +45,7 @@
             vertx,
             TestDialect,
             createBackendAvailability(),
+            createSurplusAnswers(),
             createConnectionObserver(),
             VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
             releases,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/LateAnswerFilterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/LateAnswerFilterTest.kt
@@ -339,6 +339,7 @@
             vertx,
             MethodDialect,
             createBackendAvailability(),
+            createSurplusAnswers(),
             observer,
             VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
             releases,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/LeavingNoticesTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/LeavingNoticesTest.kt
@@ -44,6 +44,7 @@
             vertx,
             TestDialect,
             createBackendAvailability(tables),
+            tables.surplus,
             createConnectionObserver(),
             VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
             CoroutineScope(Dispatchers.Default),
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
@@ -16,11 +16,15 @@
 import org.acaciaflow.coordination.port.WholeBody
 import org.acaciaflow.coordination.port.wholeBodyOf
 import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.connection.SurplusAnswers
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.lock.LockOrder
+import org.acaciaflow.state.table.SharedTable
+import org.acaciaflow.state.table.createSharedTable
 import org.acaciaflow.state.work.CallHead
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.seconds
@@ -58,17 +62,23 @@
     vertx: Vertx,
     observer: ConnectionObserver = createConnectionObserver(),
     clock: Clock = createSteadyClock(),
+    surplus: SharedTable<SurplusAnswers> = createSurplusAnswers(),
 ): DirectConnections =
     DirectConnections(
         vertx,
         TestDialect,
         createBackendAvailability(),
+        surplus,
         observer,
         VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
         CoroutineScope(Dispatchers.Default),
         clock,
     )
 
+/** Creates the table of surplus answers of a gateway that has seen none. */
+internal fun createSurplusAnswers(): SharedTable<SurplusAnswers> =
+    createSharedTable(LockOrder.SURPLUS_ANSWERS, SurplusAnswers.NONE)
+
 /** Creates the body of a request that has none. */
 internal fun emptyBody(): WholeBody = checkNotNull(wholeBodyOf(EmptyBody))
 
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
@@ -39,6 +39,7 @@
 import org.acaciaflow.transport.direct.VertxHttpCalls
 import org.acaciaflow.transport.direct.createBackendAvailability
 import org.acaciaflow.transport.direct.createConnectionObserver
+import org.acaciaflow.transport.direct.createSurplusAnswers
 import org.acaciaflow.transport.observation.MeteredObservations
 import java.net.Socket
 import kotlin.random.Random
@@ -54,6 +55,7 @@
             vertx,
             PassingDialect,
             createBackendAvailability(),
+            createSurplusAnswers(),
             createConnectionObserver(),
             VertxHttpCalls(
                 vertx,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/HeldUpGateway.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/HeldUpGateway.kt
@@ -159,6 +159,7 @@
             runtime.vertx,
             TestDialect,
             createBackendAvailability(tables),
+            tables.surplus,
             createConnectionObserver(),
             VertxHttpCalls(runtime.vertx, maximumBytes = 1024),
             runtime.workers.scope,
