Isolate a server for longer each time that it answers twice again

Change: SurplusRecord holds the time of the last surplus answer, that of the last one to this gateway and how long the server is isolated: 30 s, doubled by each surplus answer after the isolation has ended, up to 4 minutes; forgotten after 10 minutes without one. AF1218 has the duration in force and its origin.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
@@ -1,12 +1,14 @@
 package org.acaciaflow.coordination.connection
 
 import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.event.IsolationOrigin
 import org.acaciaflow.coordination.port.CallPurpose
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.fleet.BackendLife
+import kotlin.time.Duration
 import kotlin.time.Instant
 
 /** Records which connection carries which request, the answers on it that belong to no request, and its end. */
@@ -86,9 +88,11 @@
         )
     }
 
-    /** The server [life] gets a connection for each request from now on. */
-    fun isolated(life: BackendLife) =
-        observations.event(Event.BackendIsolated(life, ConnectionIsolation.ISOLATION_TIME))
+    /** The server [life] is isolated until [duration] after its last surplus answer, the first of which has arrived. */
+    fun isolated(
+        life: BackendLife,
+        duration: Duration,
+    ) = observations.event(Event.BackendIsolated(life, duration, IsolationOrigin.Connection))
 
     private fun record(
         order: RunOrder,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -216,9 +216,11 @@
         val connection: Long,
     ) : Event(EventKind.BACKEND_ANSWER_UNREQUESTED)
 
+    /** [life] wrote a surplus answer and is isolated until it has written none for [duration]; not repeated meanwhile. */
     data class BackendIsolated(
         val life: BackendLife,
         val duration: Duration,
+        val origin: IsolationOrigin,
     ) : Event(EventKind.BACKEND_ISOLATED)
 
     data class PeerHeard(
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
@@ -57,13 +57,13 @@
      */
     fun surplusAnswered(life: BackendLife): Boolean {
         val now = clock.now()
-        val isFirst =
+        val begun =
             surplus.transition { known ->
-                val wasIsolated = ConnectionIsolation.isIsolated(known, life, now)
-                Transition(ConnectionIsolation.surplusSeen(known, life, now), !wasIsolated)
+                val next = ConnectionIsolation.surplusSeen(known, life, now)
+                Transition(next, ConnectionIsolation.begun(known, next, life, now))
             }
-        if (isFirst) observer.isolated(life)
-        return isFirst
+        if (begun != null) observer.isolated(life, begun)
+        return begun != null
     }
 
     /** Returns true while each request to [life] gets a connection of its own. */
