Send plain calls to isolated servers only when no sound one has room

Cause: a server that was seen to answer twice went on getting as many plain calls as the sound ones of its pool. A surplus answer with the id of the request that comes before or in place of its failure can't be told from the true answer, so each of these calls may get a wrong success. Change: PlainSelection leaves isolated candidates out while a sound one has less than 0.75 of its slots busy. A sound server that fails in more than half of its runs beyond the isolated ones isn't preferred. If no sound one is left all candidates compete as before, so a pool is never without a server. The lines sent have set-aside, 0 for engines. Ruled out: a cost added to isolated servers. The successes that are wrong make them look reliable, and a few failures of the sound servers, which come in the same seconds, would outweigh it.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
@@ -19,11 +19,16 @@
     val requestId: String
     val at: Instant
 
-    /** The request is sent to [backend]; [load] is what this gateway knows of the load at that time. */
+    /**
+     * The request is sent to [backend]; [load] is what this gateway knows of the load at that time.
+     *
+     * [setAside] isolated servers were left out of the selection; 0 for engines.
+     */
     data class Sent(
         val request: RelayedRequest,
         val backend: BackendEntry,
         val predicted: Duration,
+        val setAside: Int,
         val load: FleetLoad,
         override val at: Instant,
     ) : Decision {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -74,7 +74,9 @@
     ): EngineStep {
         val sentAt = clock.now()
         quarantine.conclusionBeforeSend(request, tracker.progress, sentAt)?.let { return EngineStep.Finished(it) }
-        observations.decided(Decision.Sent(request, path.prefillEngine, path.predicted, tables.load.snapshot(), sentAt))
+        observations.decided(
+            Decision.Sent(request, path.prefillEngine, path.predicted, setAside = 0, tables.load.snapshot(), sentAt),
+        )
         val order = runOrderFor(request, path.prefillEngine, source = null, tracker.progress, sentAt)
         return when (val outcome = prefillRun.run(request, order, path, prompt, properties)) {
             is PrefillOutcome.Ready -> {
@@ -179,7 +181,7 @@
         val work = if (source == null) predictedWork(request, properties, engine, prompt) else CACHE_FETCH_WORK
         val now = clock.now()
         val order = runOrderFor(request, engine, source, tracker.progress, now)
-        observations.decided(Decision.Sent(request, engine, path.predicted, tables.load.snapshot(), now))
+        observations.decided(Decision.Sent(request, engine, path.predicted, setAside = 0, tables.load.snapshot(), now))
         prefillRun.recordCachedParts(engine.life, prompt, properties, now)
         val backlog = tables.load.snapshot().backlogAt(engine.life, now)
         val begunBefore = tracker.progress.begun
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -1,7 +1,9 @@
 package org.acaciaflow.coordination.relay
 
 import org.acaciaflow.coordination.fleet.SendPermission
+import org.acaciaflow.coordination.plain.PlainChoice
 import org.acaciaflow.coordination.plain.PlainSelection
+import org.acaciaflow.coordination.plain.PlainView
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.retry.RetryReason
 import org.acaciaflow.state.fleet.BackendEntry
@@ -59,19 +61,27 @@
     private fun choose(
         usable: List<BackendEntry>,
         now: Instant,
-    ): BackendEntry? {
-        val load = tables.load.snapshot()
-        return PlainSelection.choose(usable, load, tables.reliability.snapshot(), ownDataCentre, now, random)
+    ): PlainChoice? {
+        val view =
+            PlainView(
+                load = tables.load.snapshot(),
+                reliability = tables.reliability.snapshot(),
+                surplus = tables.surplus.snapshot(),
+                ownDataCentre = ownDataCentre,
+            )
+        return PlainSelection.choose(usable, view, now, random)
     }
 
     private suspend fun send(
         request: RelayedRequest,
-        chosen: BackendEntry,
+        choice: PlainChoice,
         tracker: RelayProgressTracker,
     ): RunOutcome {
         val now = clock.now()
+        val chosen = choice.backend
         val order = runOrderFor(request, chosen, source = null, tracker.progress, now)
-        observations.decided(Decision.Sent(request, chosen, NO_PREDICTION, tables.load.snapshot(), now))
+        val sent = Decision.Sent(request, chosen, NO_PREDICTION, choice.setAside, tables.load.snapshot(), now)
+        observations.decided(sent)
         val outcome = backendRun.run(request, order, TYPICAL_WORK, stallTimeoutsFor(request, tracker, now), tracker)
         recordAttempt(tracker, chosen, outcome)
         observations.decided(Decision.Ran(request, chosen, outcome.toString(), clock.now()))
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -35,6 +35,7 @@
     private fun sent(decision: Decision.Sent): String =
         commonFields("sent", decision) + requestFields(decision.request) +
             backendFields(decision.backend, decision.load, decision.predicted, decision.at) +
+            " set-aside=${decision.setAside}" +
             " left-ms=${(decision.request.deadline - decision.at).inWholeMilliseconds}"
 
     private fun declined(decision: Decision.Declined): String =
--- a/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
@@ -31,7 +31,7 @@
         val page = Files.readString(Path.of("..", "docs", "OPERATIONS.md"))
         val lines =
             listOf(
-                Decision.Sent(request, backend, 10.milliseconds, SampleRequest.LOAD, at),
+                Decision.Sent(request, backend, 10.milliseconds, setAside = 2, SampleRequest.LOAD, at),
                 Decision.Connected("r1", backend, CallPurpose.RUN, history, at),
                 Decision.ForeignAnswer("r1", backend, history, AnswerOwner.EARLIER_REQUEST, lateAnswer, true, at),
                 Decision.Disconnected("r1", backend.life, history, ConnectionCloseReason.ENDED, at),
