Tell peers which servers wrote surplus answers

Cause: each gateway learned only from the wrong answers to its own callers that a server answers twice. Change: PeerReport.surplus has the 64 newest surplus answers that the sender itself received and that still isolate their servers, as life code and age (labels 30 and 31 of PeerMessage; older releases ignore them). SurplusGossip records them with now - age. What a gateway was told it does not pass on: each way would add its delay to the time, and gateways would renew it for each other. AF1218 is logged for an isolation learned from a peer too, once, with the peer as origin. An entry without an age is left out.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
@@ -28,6 +28,7 @@
 ) {
     private val crashRecorder = CrashRecorder(tables.crashes, tables.startingAttempts, observations)
     private val crashGossip = CrashGossip(tables.crashes, crashRecorder)
+    private val surplusGossip = SurplusGossip(tables.surplus, observations)
     private var sequence = 0L
 
     /** Builds the next report as of [now]; the prompts in it are left out of later reports. */
@@ -62,6 +63,7 @@
             unheard = unresponsiveServers(now).map { it.code }.toPersistentList(),
             crashes = crashGossip.reportedCrashes(now),
             served = crashGossip.reportedServed(now),
+            surplus = surplusGossip.reported(known, now),
         )
     }
 
@@ -81,6 +83,7 @@
             tables.load.update { it.copy(suspected = it.suspected.putAll(suspected.associateWith { until })) }
         }
         crashGossip.receive(report, now)
+        surplusGossip.receive(report, lives, now)
     }
 
     /** Removes the peers whose last report is older than [ReportTiming.silenceLimit] as of [now]. */
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
@@ -155,6 +155,8 @@
             servedSubjects = report.served.map { numberOf(it.subject) },
             servedKinds = report.served.map { kindCodeOf(it.subject) },
             servedAgesMilliseconds = report.served.map { millisecondsOf(it.age) },
+            surplusLives = report.surplus.map { it.lifeCode },
+            surplusAgesMilliseconds = report.surplus.map { millisecondsOf(it.age) },
         )
     }
 
@@ -178,6 +180,7 @@
                 unheard = message.unheard.toPersistentList(),
                 crashes = crashesOf(message),
                 served = servedOf(message),
+                surplus = surplusOf(message),
             ),
         )
     }
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
@@ -10,7 +10,7 @@
  * Lists whose names share a prefix are parallel: `load` lists have one entry for each reported load, `read` lists one
  * for each reported prompt. [partKeys] and [partTokens] hold the parts of all prompts in order;
  * [readPartCounts] is the number of parts of each prompt. The `crash` lists have one entry for each reported crash, the
- * `served` lists one for each subject that was served; kinds are those of [CrashSubjectCode].
+ * `served` lists one for each subject that was served, the `surplus` lists one for each surplus answer; kinds are those of [CrashSubjectCode].
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -41,6 +41,8 @@
     @CborLabel(23) val servedSubjects: List<Long> = emptyList(),
     @CborLabel(24) val servedKinds: List<Int> = emptyList(),
     @CborLabel(25) val servedAgesMilliseconds: List<Int> = emptyList(),
+    @CborLabel(30) val surplusLives: List<Int> = emptyList(),
+    @CborLabel(31) val surplusAgesMilliseconds: List<Int> = emptyList(),
 )
 
 /** Codes of the kinds of crash subjects in [PeerMessage]. */
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerCodecTest.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerCodecTest.kt
@@ -17,6 +17,7 @@
 import org.acaciaflow.state.peer.ReportedLoad
 import org.acaciaflow.state.peer.ReportedRead
 import org.acaciaflow.state.peer.ReportedServed
+import org.acaciaflow.state.peer.ReportedSurplus
 import org.acaciaflow.state.prompt.PromptPart
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -54,6 +55,35 @@
         decoded shouldBe DecodedDatagram.Valid(report)
     }
 
+    /** Guards against releases that can't read each other's reports once one of them adds a field. */
+    @Test
+    fun `a report with a field that this release does not know is read without it`() {
+        val report = report(loads = 2, reads = 1)
+        val unknownField = listOf(0x18, 0x63, 0x81, 0x01).map { it.toByte() } // the label 99 and a list with one number
+        val encoded = PeerCodec.encode(report)
+
+        val longer = encoded.dropLast(1) + unknownField + encoded.last()
+
+        PeerCodec.decode(longer.toByteArray()) shouldBe DecodedDatagram.Valid(report)
+    }
+
+    /** Guards against a surplus answer of unknown age that is taken for a new one. */
+    @Test
+    fun `a surplus answer without an age is left out`() {
+        val message =
+            PeerMessage(
+                form = PeerCodec.FORMAT_VERSION,
+                address = "10.1.2.3:7000",
+                startedAtMilliseconds = 1,
+                sequence = 1,
+                configurationVersion = 1,
+                surplusLives = listOf(6, 7),
+                surplusAgesMilliseconds = listOf(250),
+            )
+
+        surplusOf(message) shouldBe listOf(ReportedSurplus(6, 250.milliseconds))
+    }
+
     @Test
     fun `a load share is unchanged after encoding and decoding`() {
         val scopes =
@@ -78,7 +108,14 @@
             (1..64L).map { ReportedCrash(CrashSubject.Part(Long.MAX_VALUE - it), Int.MIN_VALUE, 120_000.milliseconds) }
         val served = (1..64L).map { ReportedServed(CrashSubject.Part(Long.MIN_VALUE + it), 5_000.milliseconds) }
 
-        val full = report.copy(crashes = crashes.toPersistentList(), served = served.toPersistentList())
+        val surplus = (1..64).map { ReportedSurplus(Int.MIN_VALUE + it, 240_000.milliseconds) }
+
+        val full =
+            report.copy(
+                crashes = crashes.toPersistentList(),
+                served = served.toPersistentList(),
+                surplus = surplus.toPersistentList(),
+            )
 
         PeerCodec.encode(full).size shouldBeLessThan 60_000
     }
@@ -134,5 +171,6 @@
                 ReportedCrash(CrashSubject.Part(-98), 5, 90_000.milliseconds),
             ),
         served = persistentListOf(ReportedServed(CrashSubject.Part(97), 30.milliseconds)),
+        surplus = persistentListOf(ReportedSurplus(6, 250.milliseconds), ReportedSurplus(-7, 29_000.milliseconds)),
     )
 }
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerDatagramTest.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerDatagramTest.kt
@@ -17,6 +17,7 @@
 import org.acaciaflow.state.peer.PeerReport
 import org.acaciaflow.state.peer.ReportedLoad
 import org.acaciaflow.state.peer.ReportedRead
+import org.acaciaflow.state.peer.ReportedSurplus
 import org.acaciaflow.state.prompt.PromptPart
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -82,6 +83,7 @@
             unheard = persistentListOf(3),
             crashes = persistentListOf(),
             served = persistentListOf(),
+            surplus = persistentListOf(ReportedSurplus(5, 20.milliseconds)),
         )
 
     private fun share(scope: LoadScope) =
--- a/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
@@ -25,7 +25,8 @@
  * [dataCentre] and [capacity], the number of processor cores that the sender may use, select the aggregators. [reads]
  * lists the prompts sent to engines for prefill since the last report, [leaving] the backend servers seen draining and
  * [unheard] those that are unreachable or silent. [crashes] lists backend servers that crashed and what they were starting
- * on, [served] what is suspected of crashes and was served since.
+ * on, [served] what is suspected of crashes and was served since. [surplus] lists the surplus answers that the sender itself
+ * received.
  */
 data class PeerReport(
     override val sender: HostAddress,
@@ -41,6 +42,7 @@
     val unheard: PersistentList<Int>,
     val crashes: PersistentList<ReportedCrash>,
     val served: PersistentList<ReportedServed>,
+    val surplus: PersistentList<ReportedSurplus>,
 ) : PeerDatagram
 
 /**
@@ -90,6 +92,12 @@
     val age: Duration,
 )
 
+/** The last surplus answer of a backend server to the sender arrived [age] ago. */
+data class ReportedSurplus(
+    val lifeCode: Int,
+    val age: Duration,
+)
+
 /** A request with [subject], which is suspected of crashes, was served completely [age] ago. */
 data class ReportedServed(
     val subject: CrashSubject,
