Try a sound server that fails at most runs now and then

Cause: beside an isolated server a sound one that had failed at most of its last runs got no call at low load any more, and only calls show that it has recovered; calls would have stayed with the server that answers twice. Change: for one call in twenty the sound servers with room are preferred whatever their share of failures.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/plain/PlainSelection.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/plain/PlainSelection.kt
@@ -22,7 +22,7 @@
         random: Random,
     ): PlainChoice? {
         val rated = candidates.map { RatedServer(it, busyShare(it, view, now, random)) }
-        val preferred = preferred(rated, view, now)
+        val preferred = preferred(rated, view, now, random)
         val meanFailureShare = ReliabilityPolicy.meanFailureShare(view.reliability, candidates.map { it.life })
         val chosen = preferred.servers.minByOrNull { cost(it, view, meanFailureShare) } ?: return null
         return PlainChoice(chosen.entry, preferred.setAside)
@@ -32,21 +32,22 @@
      * Returns the sound servers with room, if another one is isolated; all servers if no sound one has room.
      *
      * A sound server counts as without room while its share of failures exceeds that of the isolated servers by so much
-     * that wrong answers are the lesser harm.
+     * that wrong answers are the lesser harm. It is tried now and then, since only calls show that it has recovered.
      */
     private fun preferred(
         servers: List<RatedServer>,
         view: PlainView,
         now: Instant,
+        random: Random,
     ): Preferred {
         val (isolated, sound) =
             servers.partition { ConnectionIsolation.isIsolated(view.surplus, it.entry.life, now) }
         if (isolated.isEmpty()) return Preferred(servers, setAside = 0)
         val isolatedFailureShare = ReliabilityPolicy.meanFailureShare(view.reliability, isolated.map { it.entry.life })
+        val isTrial = random.nextDouble() < TRIAL_SHARE
         val withRoom =
             sound.filter {
-                it.busyShare < ROOM_SHARE &&
-                    excess(it, view, isolatedFailureShare) <= FAILURE_LIMIT
+                it.busyShare < ROOM_SHARE && (isTrial || excess(it, view, isolatedFailureShare) <= FAILURE_LIMIT)
             }
         return if (withRoom.isEmpty()) Preferred(servers, setAside = 0) else Preferred(withRoom, isolated.size)
     }
@@ -95,4 +96,7 @@
 
     /** The share of failures, above that of the isolated servers, up to which a sound server is preferred to them. */
     private const val FAILURE_LIMIT = 0.5
+
+    /** The share of calls for which sound servers are preferred whatever their share of failures. */
+    private const val TRIAL_SHARE = 0.05
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/plain/PlainSelectionTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/plain/PlainSelectionTest.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.coordination.plain
 
 import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
@@ -81,6 +82,22 @@
         choose(isolated = listOf(first), failureShares = failing) shouldBe PlainChoice(first, 0)
     }
 
+    /** Guards against a sound server that gets no calls any more after a few failures, so that its recovery is never seen. */
+    @Test
+    fun `a sound server that failed at most runs is tried now and then`() {
+        val failing = mapOf(second to 0.8, third to 0.9)
+        val random = Random(4601)
+
+        val tries =
+            (1..2_000).count {
+                choose(isolated = listOf(first), failureShares = failing, random = random) !=
+                    PlainChoice(first, 0)
+            }
+
+        println("calls to sound servers that failed at most runs: $tries of 2000")
+        tries shouldBeInRange 40..200
+    }
+
     /** Guards against calls that go to a server that answers twice and fails like the sound ones. */
     @Test
     fun `a sound server that fails no more often than the isolated ones is preferred`() {
@@ -95,6 +112,7 @@
         running: Map<BackendEntry, Int> = emptyMap(),
         failureShares: Map<BackendEntry, Double> = emptyMap(),
         after: Duration = 1.seconds,
+        random: Random = Random(3),
     ): PlainChoice? {
         val surplus =
             isolated.fold(
@@ -107,7 +125,7 @@
                 surplus = surplus,
                 ownDataCentre = OWN_DATA_CENTRE,
             )
-        return PlainSelection.choose(candidates, view, now + after, Random(3))
+        return PlainSelection.choose(candidates, view, now + after, random)
     }
 
     /** The loads of other gateways, which count like own ones. */
