--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/IsolatedServerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/IsolatedServerTest.kt
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** Requests to a server that writes answers which no request asked for. */
@@ -55,6 +56,23 @@
         }
     }
 
+    /** Guards against a gateway that knows from a peer that a server answers twice and reuses its connections all the same. */
+    @Test
+    fun `a server that a peer reported gets a connection for each request`() {
+        surplusBackend(surplusAnswers = Int.MAX_VALUE).use { backend ->
+            val life = orderTo(backend.address, "request").backend.life
+            val surplus = createSurplusAnswers()
+            val informed = createDirectConnections(vertx, clock = clock, surplus = surplus)
+            surplus.update { ConnectionIsolation.surplusReported(it, life, clock.now() - 1.seconds, clock.now()) }
+
+            val broken = List(CALLS) { endOf(backend, "request-$it", informed) }.count { it != AttemptEvent.End }
+
+            println("broken beside a reported server: $broken of $CALLS; connections ${backend.connections.get()}")
+            broken shouldBe 0
+            backend.connections.get() shouldBe CALLS
+        }
+    }
+
     /** A server that writes [surplusAnswers] nameless answers, each before a true one on a connection in use again. */
     private fun surplusBackend(surplusAnswers: Int): RawBackend {
         val written = AtomicInteger()
@@ -68,6 +86,7 @@
     private fun endOf(
         backend: RawBackend,
         requestId: String,
+        connections: DirectConnections = this.connections,
     ): AttemptEvent =
         runBlocking { readToEnd(connections.open(orderTo(backend.address, requestId), emptyBody())).second }
 
