Log: second answers with the times and signatures of both

Cause: an `unrequested-answer` line and AF1217 told the status of both answers and the time between them, but not how long the first one had taken since the sending, nor what the server signed either with. So a record could not tell a success that comes before a slow failure from one behind a sound run.

Change: `last-took-ms`, `signature` and `last-signature` in the line, `lastTook`, `signature` and `lastSignature` in the event. SentCall knows when it was sent. Bounded as before: AF1217 once while the server is isolated, signatures of at most 80 characters.

Run: UnrequestedAnswerTest, DecisionFormatterTest, AnswerOriginTest, DirectConnectionsTest, LateAnswerFilterTest and IsolatedServerTest pass on this commit.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
@@ -80,7 +80,10 @@
                 requestId = answer.shownIds,
                 lastStatus = last.status,
                 lastRequestId = last.requestId,
+                lastTook = last.took,
                 after = now - last.at,
+                signature = answer.signature,
+                lastSignature = last.signature,
                 connection = last.history.number,
             ),
         )
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
@@ -2,12 +2,18 @@
 
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.fleet.BackendLife
+import kotlin.time.Duration
 import kotlin.time.Instant
 
-/** An answer that a connection brought beside the one to a request in progress, with the ids and status of its head. */
+/**
+ * An answer that a connection brought beside the one to a request in progress, with the ids and status of its head.
+ *
+ * [signature] is what its server signed it with, shortened for the log; null if it has none.
+ */
 data class SurplusAnswer(
     val requestIds: List<String>,
     val status: Int,
+    val signature: String?,
 ) {
     /** The ids, shortened for the log. */
     val shownIds: String
@@ -22,12 +28,18 @@
 /**
  * A request that [life] answered over a connection that had carried [history] before it.
  *
- * The answer with [status] was complete at [at].
+ * The request was sent at [sentAt], and the answer with [status] and [signature] was complete at [at].
  */
 data class AnsweredRequest(
     val requestId: String,
     val life: BackendLife,
     val history: ConnectionHistory,
     val status: Int,
+    val signature: String?,
+    val sentAt: Instant,
     val at: Instant,
-)
+) {
+    /** The time from the sending of the request to the end of its answer. */
+    val took: Duration
+        get() = at - sentAt
+}
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -206,13 +206,17 @@
         val owner: AnswerOwner,
     ) : Event(EventKind.BACKEND_ANSWER_FOREIGN)
 
+    /** [lastTook] is the time from the sending of the last request to the end of its answer, [after] the time since. */
     data class BackendAnswerUnrequested(
         val life: BackendLife,
         val status: Int,
         val requestId: String,
         val lastStatus: Int,
         val lastRequestId: String,
+        val lastTook: Duration,
         val after: Duration,
+        val signature: String?,
+        val lastSignature: String?,
         val connection: Long,
     ) : Event(EventKind.BACKEND_ANSWER_UNREQUESTED)
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
@@ -13,11 +13,12 @@
 import org.acaciaflow.state.work.AnswerHead
 import kotlin.time.Instant
 
-/** A request sent to a backend server on a connection that has carried [history] before. */
+/** A request sent to a backend server at [sentAt] on a connection that has carried [history] before. */
 internal data class SentCall(
     val order: RunOrder,
     val purpose: CallPurpose,
     val history: ConnectionHistory,
+    val sentAt: Instant,
 )
 
 /** Interprets the heads of backend servers' answers, and applies what they tell about the servers. */
@@ -34,7 +35,7 @@
     ): AnswerVerdict {
         val verdict = dialect.classifyAnswer(call.order, call.purpose, head)
         if (verdict == AnswerVerdict.OfOtherRequest) {
-            val answer = SurplusAnswer(dialect.answerIds(head), head.status)
+            val answer = dialect.surplusAnswer(head)
             observer.foreignAnswer(call.order, call.history, answer, now)
         }
         if (verdict.isOfAddressedServer) {
@@ -48,12 +49,14 @@
     fun originOf(
         call: SentCall,
         head: AnswerHead,
-    ): AnswerOrigin {
-        val signature = dialect.signature(head)?.take(SHOWN_CHARACTERS)
-        return AnswerOrigin(call.order.backend.life, call.history.number, signature)
-    }
-
-    private companion object {
-        const val SHOWN_CHARACTERS = 80
-    }
+    ): AnswerOrigin = AnswerOrigin(call.order.backend.life, call.history.number, dialect.shownSignature(head))
 }
+
+/** The signature of the answer with [head], shortened for the log; null if it has none. */
+internal fun BackendDialect.shownSignature(head: AnswerHead): String? = signature(head)?.take(SHOWN_CHARACTERS)
+
+/** The answer with [head], which is not the one to a request in progress. */
+internal fun BackendDialect.surplusAnswer(head: AnswerHead): SurplusAnswer =
+    SurplusAnswer(answerIds(head), head.status, shownSignature(head))
+
+private const val SHOWN_CHARACTERS = 80
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -125,8 +125,9 @@
         val request = connected.request
         return when (val permission = availability.permissionFor(order)) {
             SendPermission.Granted, SendPermission.GrantedAsTrial -> {
-                observer.sending(order, purpose, connected.history, clock.now())
-                val call = SentCall(order, purpose, connected.history)
+                val now = clock.now()
+                observer.sending(order, purpose, connected.history, now)
+                val call = SentCall(order, purpose, connected.history, sentAt = now)
                 connected.lateAnswers.expect(call)
                 val carrier = CarrierConnection(request, open, connected.lateAnswers)
                 Sending.Sent(sendAttempt(call, answers, carrier, head, body, clock))
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -19,7 +19,6 @@
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.connection.ScreeningDecision
-import org.acaciaflow.coordination.connection.SurplusAnswer
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.HeaderField
@@ -104,10 +103,10 @@
         response: HttpResponse,
     ) {
         val head = headOf(response)
-        val answer = SurplusAnswer(dialect.answerIds(head), head.status)
+        val answer = dialect.surplusAnswer(head)
         when (decide(awaiting, response, answer.requestIds)) {
             ScreeningDecision.Pass -> {
-                answer(context, Reading.Answering(awaiting.call, head.status), response)
+                answer(context, Reading.Answering(awaiting.call, head.status, answer.signature), response)
             }
 
             ScreeningDecision.Skip -> {
@@ -145,7 +144,7 @@
         val last = nothing.last
         if (message is HttpResponse && last != null) {
             val head = headOf(message)
-            val answer = SurplusAnswer(dialect.answerIds(head), head.status)
+            val answer = dialect.surplusAnswer(head)
             val isFirst = open.surplusAnswered(last.life)
             observer.unrequested(answer, last, clock.now(), isFirst)
             reading = Reading.Nothing(last = null)
@@ -224,13 +223,22 @@
             val since: Awaiting,
         ) : Reading
 
-        /** The rest of the answer to [call], whose head has [status]. */
+        /** The rest of the answer to [call], whose head has [status] and [signature]. */
         data class Answering(
             val call: SentCall,
             val status: Int,
+            val signature: String?,
         ) : Reading {
             fun ended(now: Instant): AnsweredRequest =
-                AnsweredRequest(call.order.requestId, call.order.backend.life, call.history, status, now)
+                AnsweredRequest(
+                    requestId = call.order.requestId,
+                    life = call.order.backend.life,
+                    history = call.history,
+                    status = status,
+                    signature = signature,
+                    sentAt = call.sentAt,
+                    at = now,
+                )
         }
 
         /** No answer is due; [last] is the one that ended last. */
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -73,7 +73,10 @@
             connectionFields(decision.last.history) + " owner=${decision.owner.code}" +
             " status=${decision.answer.status} ids=\"${decision.answer.shownIds}\"" +
             " last-status=${decision.last.status}" +
-            " after-ms=${(decision.at - decision.last.at).inWholeMilliseconds}"
+            " last-took-ms=${decision.last.took.inWholeMilliseconds}" +
+            " after-ms=${(decision.at - decision.last.at).inWholeMilliseconds}" +
+            " signature=${decision.answer.signature ?: "none"}" +
+            " last-signature=${decision.last.signature ?: "none"}"
 
     private fun disconnected(decision: Decision.Disconnected): String =
         commonFields("disconnected", decision) + " backend=${decision.life.instance}" +
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestDialect.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestDialect.kt
@@ -40,7 +40,8 @@
     override fun answerIds(head: AnswerHead): List<String> =
         head.headers.filter { it.name.equals("request-id", ignoreCase = true) }.map { it.value }
 
-    override fun signature(head: AnswerHead): String? = null
+    override fun signature(head: AnswerHead): String? =
+        head.headers.firstOrNull { it.name.equals("signature", ignoreCase = true) }?.value
 
     override fun leavingNotice(head: AnswerHead): LeavingNotice =
         when (head.headers.any { it.name.equals("leaving", ignoreCase = true) }) {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.comparables.shouldBeGreaterThanOrEqualTo
 import io.kotest.matchers.shouldBe
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -41,9 +42,10 @@
     fun `a second answer after the first one is reported with the status of both`() {
         val backend =
             RawBackend { output, id, _ ->
-                write(output, answerBytes(500, "failed", "Request-Id: $id"))
                 Thread.sleep(50)
-                write(output, answerBytes(200, "ok", "Request-Id: $id"))
+                write(output, answerBytes(500, "failed", "Request-Id: $id", "Signature: first"))
+                Thread.sleep(50)
+                write(output, answerBytes(200, "ok", "Request-Id: $id", "Signature: second"))
             }
         backend.use {
             runBlocking {
@@ -57,6 +59,9 @@
         println("reported: $reported")
         listOf(reported.lastStatus, reported.status) shouldContainExactly listOf(500, 200)
         listOf(reported.lastRequestId, reported.requestId) shouldContainExactly listOf("request-1", "request-1")
+        listOf(reported.lastSignature, reported.signature) shouldContainExactly listOf("first", "second")
+        reported.lastTook shouldBeGreaterThanOrEqualTo 40.milliseconds
+        reported.after shouldBeGreaterThanOrEqualTo 40.milliseconds
         recorded.closeReasons() shouldContain ConnectionCloseReason.ANSWER_UNREQUESTED
     }
 
--- a/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import org.acaciaflow.coordination.connection.AnswerOwner
+import org.acaciaflow.coordination.connection.AnsweredRequest
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.SurplusAnswer
 import org.acaciaflow.coordination.engine.EnginePath
@@ -23,7 +24,9 @@
     private val request = SampleRequest.at(at)
     private val backend = SampleRequest.BACKEND
     private val history = newConnectionHistory(number = 7).carrying("r0")
-    private val lateAnswer = SurplusAnswer(listOf("r0"), status = 200)
+    private val lateAnswer = SurplusAnswer(listOf("r0"), status = 200, signature = "s1")
+    private val answered =
+        AnsweredRequest("r0", backend.life, history, status = 500, signature = "s0", sentAt = at, at = at)
     private val path = EnginePath.LocalPrefill(backend, work = 4.milliseconds, predicted = 10.milliseconds)
 
     @Test
@@ -34,6 +37,7 @@
                 Decision.Sent(request, backend, 10.milliseconds, SampleRequest.LOAD, at),
                 Decision.Connected("r1", backend, CallPurpose.RUN, history, at),
                 Decision.ForeignAnswer("r1", backend, history, AnswerOwner.EARLIER_REQUEST, lateAnswer, true, at),
+                Decision.UnrequestedAnswer(answered, AnswerOwner.EARLIER_REQUEST, lateAnswer, at),
                 Decision.Disconnected("r1", backend.life, history, ConnectionCloseReason.ENDED, at),
                 Decision.Ran(request, backend, "Broken(reason=BACKEND_CRASHED)", at),
                 Decision.Declined(request, path, NotRun.LATE_ALREADY, SampleRequest.LOAD, at),
