Hold plain successes of servers that answer twice

The gateway read nothing behind the first answer, so a plain caller got a success for a failed run.

Change: while a server is isolated, the end of its plain successes is held for at most 200 ms and a quarter of the time left (AnswerHold decides, LateAnswerFilter holds), and the connection is read on. A second answer to the same request with another status: neither is believed, the attempt ends as answer-contradicted (sent elsewhere if it may be repeated; 502 at the users' platform otherwise), the connection is closed, AF1219 once while isolated, a line `contradicted-answer` and a counter for each. A second answer with the same status, the end of the connection or of the time releases the first one. Its body is read (4 KiB, 500 ms) before the connection is closed: if it differs from the first one's it is kept, 8 of a server while it is isolated, and a success that stands alone with such a body is not believed either (SecondAnswerBodies). Bodies with an identical copy and empty ones don't count. The fingerprints of small bodies are computed while they arrive (RunningFingerprint).

Ruled out: leaving the end to Vert.x and holding in DirectStream, since the pool would hand the connection on meanwhile.

The two tests of RequestRelayTest pin what follows the new reason; they need the enum entry only.

--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
@@ -0,0 +1,91 @@
+package org.acaciaflow.coordination.connection
+
+import org.acaciaflow.coordination.port.CallPurpose
+import org.acaciaflow.coordination.port.RunOrder
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/**
+ * Decides whether a success is held back until its server can no longer contradict it.
+ *
+ * A server that answers twice may write a success before the failure of the same run, or in place of it. A second
+ * answer with another status shows that one of the two is wrong, and nothing tells which.
+ */
+object AnswerHold {
+    /**
+     * Decides on the answer with [status] to [order], which is complete at [now].
+     *
+     * Only a plain success of a server that [isIsolated] is held, for [longest] or a share of the time left.
+     */
+    fun begin(
+        order: RunOrder,
+        purpose: CallPurpose,
+        status: Int,
+        isIsolated: Boolean,
+        longest: Duration,
+        now: Instant,
+    ): HoldStart {
+        val isPlain = purpose == CallPurpose.RUN && !order.expectsEvents
+        if (!isIsolated || !isPlain || status !in SUCCESSES) return HoldStart.PassOn
+        val duration = minOf(longest, (order.deadline - now) * SHARE_OF_TIME_LEFT)
+        return if (duration >= SHORTEST) HoldStart.Hold(duration) else HoldStart.PassOn
+    }
+
+    /** Decides on the held answer [first] when [second] arrives behind it. */
+    fun afterSecondAnswer(
+        first: AnsweredRequest,
+        second: SurplusAnswer,
+    ): HoldOutcome {
+        val isOfSameRequest = second.requestIds.distinct() == listOf(first.requestId)
+        return when {
+            isOfSameRequest && second.status != first.status -> HoldOutcome.Reject(AnswerContradiction.OTHER_STATUS)
+            else -> HoldOutcome.PassOn
+        }
+    }
+
+    /** Decides on a held answer that stands alone when its time is over or its connection ends. */
+    fun alone(hasSecondAnswerBody: Boolean): HoldOutcome =
+        when (hasSecondAnswerBody) {
+            true -> HoldOutcome.Reject(AnswerContradiction.SECOND_ANSWER_BODY)
+            false -> HoldOutcome.PassOn
+        }
+
+    /** How long an answer is held at most unless the settings say otherwise. */
+    val DEFAULT_LONGEST: Duration = 200.milliseconds
+
+    internal val SUCCESSES = 200..299
+
+    private val SHORTEST: Duration = 1.milliseconds // the resolution of timers
+    private const val SHARE_OF_TIME_LEFT = 0.25 // leaves time to send the request elsewhere
+}
+
+/** What becomes of an answer that has arrived whole. */
+sealed interface HoldStart {
+    data object PassOn : HoldStart
+
+    data class Hold(
+        val duration: Duration,
+    ) : HoldStart
+}
+
+/** How the hold of an answer ends. */
+sealed interface HoldOutcome {
+    data object PassOn : HoldOutcome
+
+    /** Neither answer is believed. */
+    data class Reject(
+        val contradiction: AnswerContradiction,
+    ) : HoldOutcome
+}
+
+/** Why a success is not believed. */
+enum class AnswerContradiction(
+    val code: String,
+) {
+    /** A second answer to the same request has another status. */
+    OTHER_STATUS("other-status"),
+
+    /** It came alone, with a body that the server writes as its second answer to other requests. */
+    SECOND_ANSWER_BODY("second-answer-body"),
+}
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionCloseReason.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionCloseReason.kt
@@ -28,6 +28,9 @@
     /** It brought an answer while no request was in progress. */
     ANSWER_UNREQUESTED("answer-unrequested"),
 
+    /** Its server has contradicted the success that it answered with. */
+    ANSWER_CONTRADICTED("answer-contradicted"),
+
     /** It brought a late answer that could not be skipped. */
     LATE_ANSWER_UNREADABLE("late-answer-unreadable"),
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
@@ -89,6 +89,37 @@
         )
     }
 
+    /**
+     * The success [answered] is not believed for [contradiction], found at [now] by [second] if that isn't null.
+     *
+     * [isFirst] is false if its server was reported for it and has been isolated since.
+     */
+    fun contradicted(
+        answered: AnsweredRequest,
+        second: SurplusAnswer?,
+        contradiction: AnswerContradiction,
+        now: Instant,
+        isFirst: Boolean,
+    ) {
+        observations.answerContradicted(contradiction)
+        observations.decided(Decision.ContradictedAnswer(answered, second, contradiction, now))
+        if (!isFirst) return
+        observations.event(
+            Event.BackendAnswerContradicted(
+                life = answered.life,
+                requestId = answered.requestId,
+                contradiction = contradiction,
+                status = answered.status,
+                secondStatus = second?.status,
+                took = answered.took,
+                after = now - answered.at,
+                signature = answered.signature,
+                secondSignature = second?.signature,
+                connection = answered.history.number,
+            ),
+        )
+    }
+
     /** The server [life] gets a connection for each request from now on. */
     fun isolated(life: BackendLife) =
         observations.event(Event.BackendIsolated(life, ConnectionIsolation.ISOLATION_TIME))
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
@@ -29,6 +29,7 @@
  * A request that [life] answered over a connection that had carried [history] before it.
  *
  * The request was sent at [sentAt], and the answer with [status] and [signature] was complete at [at].
+ * [body] is the fingerprint of its body; null if that is empty or longer than [SecondAnswerBodies.MAXIMUM_BYTES].
  */
 data class AnsweredRequest(
     val requestId: String,
@@ -38,6 +39,7 @@
     val signature: String?,
     val sentAt: Instant,
     val at: Instant,
+    val body: Long?,
 ) {
     /** The time from the sending of the request to the end of its answer. */
     val took: Duration
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.coordination.event
 
 import org.acaciaflow.coordination.configuration.ConfigurationFault
+import org.acaciaflow.coordination.connection.AnswerContradiction
 import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.port.DocumentFault
 import org.acaciaflow.coordination.port.StoreFailure
@@ -220,6 +221,25 @@
         val connection: Long,
     ) : Event(EventKind.BACKEND_ANSWER_UNREQUESTED)
 
+    /**
+     * The success of [life] for [requestId] was not believed.
+     *
+     * It was complete [took] after the sending; [after] that it was contradicted. [secondStatus] and [secondSignature]
+     * are those of the second answer, null if there was none.
+     */
+    data class BackendAnswerContradicted(
+        val life: BackendLife,
+        val requestId: String,
+        val contradiction: AnswerContradiction,
+        val status: Int,
+        val secondStatus: Int?,
+        val took: Duration,
+        val after: Duration,
+        val signature: String?,
+        val secondSignature: String?,
+        val connection: Long,
+    ) : Event(EventKind.BACKEND_ANSWER_CONTRADICTED)
+
     data class BackendIsolated(
         val life: BackendLife,
         val duration: Duration,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.port
 
+import org.acaciaflow.coordination.connection.AnswerContradiction
 import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.event.Event
@@ -42,6 +43,9 @@
     /** An answer of [owner] arrived on a connection in place of another one, or while no request was in progress. */
     fun foreignAnswer(owner: AnswerOwner)
 
+    /** A success was not believed for [contradiction]. */
+    fun answerContradicted(contradiction: AnswerContradiction)
+
     /** A connection to a backend server ended for [reason]. */
     fun connectionClosed(reason: ConnectionCloseReason)
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.relay
 
+import org.acaciaflow.coordination.connection.AnswerContradiction
 import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.connection.AnsweredRequest
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
@@ -87,6 +88,21 @@
             get() = last.requestId
     }
 
+    /**
+     * The success [answered] is not believed for [contradiction], found at [at].
+     *
+     * [second] is the answer that contradicted it; null if it stood alone.
+     */
+    data class ContradictedAnswer(
+        val answered: AnsweredRequest,
+        val second: SurplusAnswer?,
+        val contradiction: AnswerContradiction,
+        override val at: Instant,
+    ) : Decision {
+        override val requestId: String
+            get() = answered.requestId
+    }
+
     /** An attempt at [backend] ended with [outcome]. */
     data class Ran(
         val request: RelayedRequest,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeObservations.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeObservations.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.relay
 
+import org.acaciaflow.coordination.connection.AnswerContradiction
 import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.event.Event
@@ -45,6 +46,8 @@
 
     override fun foreignAnswer(owner: AnswerOwner) = Unit
 
+    override fun answerContradicted(contradiction: AnswerContradiction) = Unit
+
     override fun connectionClosed(reason: ConnectionCloseReason) = Unit
 
     override fun noticeUnreadable() {
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestRelayTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestRelayTest.kt
@@ -100,6 +100,42 @@
             caller.ended shouldBe true
         }
 
+    /** Guards against a success that its server has contradicted and a caller gets all the same. */
+    @Test
+    fun `a contradicted success is not passed on and the call is sent elsewhere if it may be repeated`() =
+        runTest {
+            val connections = ScriptedConnections(mutableListOf(Reaction.ContradictsItself))
+            val tables = tablesWith(route(RequestKind.Idempotent), services)
+            val caller = FakeCaller()
+
+            createTestRelay(tables, connections, prompt = null).accept(caller)
+
+            caller.status shouldBe ScriptedConnections.OK
+            caller.text shouldBe "answer"
+            val lives = connections.orders.map { it.backend.life }
+            lives.distinct() shouldHaveSize 2
+            tables.reliability
+                .snapshot()
+                .filterValues { it.failureShare > 0.0 }
+                .keys shouldBe setOf(lives.first())
+        }
+
+    /** Guards against an at-most-once call that is sent again, or reported as delivered or not run. */
+    @Test
+    fun `a contradicted success of an at-most-once call is its failure`() =
+        runTest {
+            val connections = ScriptedConnections(mutableListOf(Reaction.ContradictsItself))
+            val tables = tablesWith(route(RequestKind.AtMostOnce), services)
+            val crashesBefore = tables.crashes.snapshot()
+            val caller = FakeCaller()
+
+            createTestRelay(tables, connections, prompt = null).accept(caller)
+
+            connections.orders shouldHaveSize 1
+            caller.refusal shouldBe MayHaveRun.ANSWER_CONTRADICTED
+            tables.crashes.snapshot() shouldBe crashesBefore
+        }
+
     @Test
     fun `a request without an answer ends at its route's timeout`() =
         runTest {
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
@@ -30,6 +30,9 @@
 
     data object BreaksConnection : Reaction
 
+    /** Answers with success, which its server then contradicts. */
+    data object ContradictsItself : Reaction
+
     data object StaysSilent : Reaction
 
     /**
@@ -91,6 +94,12 @@
             is Reaction.Refuses -> listOf(AttemptEvent.Refused(reaction.reason))
             is Reaction.Answers -> listOf(head(reaction.status), data("answer"), AttemptEvent.End)
             Reaction.BreaksConnection -> listOf(AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED))
+            Reaction.ContradictsItself ->
+                listOf(
+                    head(OK),
+                    data("wrong"),
+                    AttemptEvent.Broken(MayHaveRun.ANSWER_CONTRADICTED),
+                )
             Reaction.StaysSilent -> emptyList()
             is Reaction.Paces -> error("a paced stream makes its own events")
             Reaction.StartsOver -> eventsOf(Reaction.Streams(breakAt = null), order.copy(resumeAfter = null))
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/NoOpObservations.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/NoOpObservations.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.protocol.execution
 
+import org.acaciaflow.coordination.connection.AnswerContradiction
 import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.event.Event
@@ -39,6 +40,8 @@
 
     override fun foreignAnswer(owner: AnswerOwner) = Unit
 
+    override fun answerContradicted(contradiction: AnswerContradiction) = Unit
+
     override fun connectionClosed(reason: ConnectionCloseReason) = Unit
 
     override fun storeFailed(reason: StoreFailure) = Unit
--- a/state/src/main/kotlin/org/acaciaflow/state/bytes/Fingerprint.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/bytes/Fingerprint.kt
@@ -17,14 +17,18 @@
     var hash = FNV_OFFSET
     for (character in text) hash = (hash xor character.code.toLong()) * FNV_PRIME
     if (bytes.size == 0) return hash
-    return (hash xor checksumsOf(bytes.toByteArray())) * FNV_PRIME
-}
-
-private fun checksumsOf(content: ByteArray): Long {
+    val content = bytes.toByteArray()
     val upper = CRC32().apply { update(content) }.value
     val lower = CRC32C().apply { update(content) }.value
-    return (upper shl Int.SIZE_BITS) or lower
+    return withChecksums(hash, upper, lower)
 }
 
+/** Adds the checksums of bytes, [upper] by CRC32 and [lower] by CRC32C, to the [hash] of a text. */
+internal fun withChecksums(
+    hash: Long,
+    upper: Long,
+    lower: Long,
+): Long = (hash xor ((upper shl Int.SIZE_BITS) or lower)) * FNV_PRIME
+
 private const val FNV_OFFSET = -3750763034362895579L
 private const val FNV_PRIME = 1099511628211L
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/MayHaveRun.kt
@@ -15,6 +15,7 @@
     ANSWER_OF_OTHER_REQUEST("answer-of-other-request"),
     ANSWER_UNSIGNED("answer-unsigned"),
     ANSWER_NO_STREAM("answer-no-stream"),
+    ANSWER_CONTRADICTED("answer-contradicted"),
     ANSWER_TOO_LARGE("answer-too-large"),
     ANSWER_MEMORY_SPENT("answer-memory-spent"),
     STREAM_STALLED("stream-stalled"),
--- a/state/src/test/kotlin/org/acaciaflow/state/bytes/FingerprintTest.kt
+++ b/state/src/test/kotlin/org/acaciaflow/state/bytes/FingerprintTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.encodeToByteString
+import java.nio.ByteBuffer
 
 class FingerprintTest : AnnotationSpec() {
     @Test
@@ -38,4 +39,17 @@
 
         fingerprints.distinct() shouldHaveSize 4
     }
+
+    /** Guards against equal bodies that look different because they arrive in other parts. */
+    @Test
+    fun `bytes that arrive in parts have the fingerprint of the whole`() {
+        val whole = ByteArray(1000) { it.toByte() }
+        for (size in listOf(1, 7, 999, 1000)) {
+            val running = RunningFingerprint()
+            whole.asList().chunked(size).forEach { running.add(ByteBuffer.wrap(it.toByteArray())) }
+
+            running.value() shouldBe fingerprintOf("", ByteString(whole))
+        }
+        RunningFingerprint().value() shouldBe fingerprintOf("")
+    }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/CarrierConnection.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/CarrierConnection.kt
@@ -15,6 +15,9 @@
     val hasSkipped: Boolean
         get() = lateAnswers?.hasSkipped == true
 
+    /** Returns true if the answer to [call] arrived whole and its server has contradicted it. */
+    fun isContradicted(call: SentCall): Boolean = lateAnswers?.isContradicted(call) == true
+
     /** Closes the connection, on which [life] has written an answer of another request. */
     fun closeAfterForeignAnswer(life: BackendLife): Future<Void> {
         open?.surplusAnswered(life)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -4,10 +4,12 @@
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.PoolOptions
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.coordination.connection.AnswerHold
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.connection.ReuseDecision
@@ -37,7 +39,11 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Calls backend servers over HTTP/1.1 keep-alive connections, without pipelining. */
+/**
+ * Calls backend servers over HTTP/1.1 keep-alive connections, without pipelining.
+ *
+ * A plain success of an isolated server is held for at most [answerHold].
+ */
 internal class DirectConnections(
     vertx: Vertx,
     private val dialect: BackendDialect,
@@ -46,6 +52,7 @@
     private val calls: HttpCalls,
     private val scope: CoroutineScope,
     private val clock: Clock,
+    private val answerHold: Duration = AnswerHold.DEFAULT_LONGEST,
 ) : BackendConnections {
     private val open = OpenConnections.create(observer, clock)
     private val answers = AnswerReader(dialect, availability, observer)
@@ -150,7 +157,7 @@
             val request = client.connect(order.backend.address, head) ?: return null
             when (val decision = open.claim(request.connection(), order)) {
                 is ReuseDecision.Use -> {
-                    val lateAnswers = LateAnswerFilter.of(request.connection(), dialect, observer, open, clock)
+                    val lateAnswers = filterOf(request.connection())
                     if (lateAnswers != null) return Connected(request, decision.history, lateAnswers)
                     open.ended(request.connection())
                     request.connection().close()
@@ -166,6 +173,9 @@
         }
     }
 
+    private fun filterOf(connection: HttpConnection): LateAnswerFilter? =
+        LateAnswerFilter.of(connection, dialect, observer, open, answerHold, clock)
+
     private class Connected(
         val request: HttpClientRequest,
         val history: ConnectionHistory,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -49,7 +49,7 @@
             }
 
             BodyPart.Broken -> {
-                AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED)
+                AttemptEvent.Broken(reasonOfBreak())
             }
         }
     }
@@ -105,6 +105,9 @@
         return event
     }
 
+    private fun reasonOfBreak(): MayHaveRun =
+        if (carrier.isContradicted(call)) MayHaveRun.ANSWER_CONTRADICTED else MayHaveRun.BACKEND_CRASHED
+
     /** A connection that brought late answers and then broke off is no sign of a crash. */
     private fun reasonOfFailure(): MayHaveRun =
         if (carrier.hasSkipped) MayHaveRun.ANSWER_OF_OTHER_REQUEST else MayHaveRun.BACKEND_CRASHED
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -14,11 +14,17 @@
 import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.impl.HttpClientConnectionInternal
 import kotlinx.collections.immutable.toPersistentList
+import org.acaciaflow.coordination.connection.AnswerContradiction
+import org.acaciaflow.coordination.connection.AnswerHold
 import org.acaciaflow.coordination.connection.AnswerScreening
 import org.acaciaflow.coordination.connection.AnsweredRequest
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionObserver
+import org.acaciaflow.coordination.connection.HoldOutcome
+import org.acaciaflow.coordination.connection.HoldStart
 import org.acaciaflow.coordination.connection.ScreeningDecision
+import org.acaciaflow.coordination.connection.SecondAnswerBodies
+import org.acaciaflow.coordination.connection.SurplusAnswer
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.HeaderField
@@ -26,12 +32,14 @@
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Instant
 
 /**
  * Skips late answers to earlier requests of a connection, so that the answer behind them is read; reports those that
  * arrive while no request is in progress.
  *
+ * The end of a plain success of an isolated server is held back for a moment, so that a second answer can contradict it.
+ * Until the end has passed, Vert.x keeps the connection for its request.
+ *
  * Vert.x takes the first answer that arrives for the one to the request in progress, so they are skipped before it.
  */
 internal class LateAnswerFilter private constructor(
@@ -39,6 +47,7 @@
     private val observer: ConnectionObserver,
     private val connection: HttpConnection,
     private val open: OpenConnections,
+    private val longestHold: Duration,
     private val clock: Clock,
 ) : ChannelInboundHandlerAdapter() {
     @Volatile
@@ -49,13 +58,20 @@
     private var endsAreKnown = true
     private var reported = false
 
+    @Volatile
+    private var contradicted: SentCall? = null
+
     /** True if answers were skipped since the request in progress was sent, and its own has not begun. */
     val hasSkipped: Boolean
         get() =
             when (val current = reading) {
                 is Reading.Awaiting -> current.skipped > 0
                 is Reading.Skipping -> true
-                is Reading.Answering, is Reading.Nothing -> false
+                is Reading.Answering,
+                is Reading.Holding,
+                is Reading.ReadingSecond,
+                is Reading.Nothing,
+                -> false
             }
 
     /** Returns true until the whole answer to [call] has arrived. */
@@ -64,12 +80,17 @@
             is Reading.Awaiting -> current.call === call
             is Reading.Skipping -> current.since.call === call
             is Reading.Answering -> current.call === call
-            is Reading.Nothing -> false
+            is Reading.Holding -> current.call === call
+            is Reading.ReadingSecond, is Reading.Nothing -> false
         }
 
+    /** Returns true if the answer to [call] arrived whole and is not believed. */
+    fun isContradicted(call: SentCall): Boolean = contradicted === call
+
     /** Screens the answers that arrive from now on until the answer to [call] begins. */
     fun expect(call: SentCall) {
         if (call.order.call.method == HttpMethod.HEAD.name()) endsAreKnown = false
+        if (reading is Reading.ReadingSecond) open.close(connection, ConnectionCloseReason.ANSWER_UNREQUESTED)
         reading = Reading.Awaiting(call, skipped = 0, skippedBytes = 0)
     }
 
@@ -81,10 +102,32 @@
             is Reading.Awaiting -> await(context, current, message)
             is Reading.Skipping -> skip(context, current.since, message)
             is Reading.Answering -> answer(context, current, message)
+            is Reading.Holding -> hold(context, current, message)
+            is Reading.ReadingSecond -> readSecond(current, message)
             is Reading.Nothing -> nothingAwaited(context, current, message)
         }
     }
 
+    /** Reads on behind an answer that its reader has not taken yet, for which Vert.x may have paused the connection. */
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        val isReadingOn = reading is Reading.Holding || reading is Reading.ReadingSecond
+        if (isReadingOn) context.read()
+        context.fireChannelReadComplete()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        endHold(context, reading)
+        context.fireChannelInactive()
+    }
+
+    override fun exceptionCaught(
+        context: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        endHold(context, reading) // Vert.x breaks off an answer whose end has not passed
+        context.fireExceptionCaught(cause)
+    }
+
     private fun await(
         context: ChannelHandlerContext,
         awaiting: Reading.Awaiting,
@@ -106,7 +149,11 @@
         val answer = dialect.surplusAnswer(head)
         when (decide(awaiting, response, answer.requestIds)) {
             ScreeningDecision.Pass -> {
-                answer(context, Reading.Answering(awaiting.call, head.status, answer.signature), response)
+                answer(
+                    context,
+                    Reading.Answering(awaiting.call, head.status, answer.signature, SmallBody(response)),
+                    response,
+                )
             }
 
             ScreeningDecision.Skip -> {
@@ -125,17 +172,134 @@
         context: ChannelHandlerContext,
         answering: Reading.Answering,
         message: Any,
+    ) {
+        answering.body.add(message)
+        when {
+            message !is LastHttpContent -> {
+                reading = answering
+                context.fireChannelRead(message)
+            }
+
+            isMalformed(message) -> {
+                passOn(context, answering.ended(clock.now()), message)
+            }
+
+            else -> {
+                answered(context, answering, message)
+            }
+        }
+    }
+
+    private fun answered(
+        context: ChannelHandlerContext,
+        answering: Reading.Answering,
+        end: LastHttpContent,
+    ) {
+        val now = clock.now()
+        val (order, purpose) = answering.call
+        val isIsolated = open.isIsolated(order.backend.life)
+        val answered = answering.ended(now)
+        when (val start = AnswerHold.begin(order, purpose, answering.status, isIsolated, longestHold, now)) {
+            HoldStart.PassOn -> {
+                passOn(context, answered, end)
+            }
+
+            is HoldStart.Hold -> {
+                val holding = Reading.Holding(answering.call, answered, end)
+                reading = holding
+                context.after(start.duration) { endHold(context, holding) }
+            }
+        }
+    }
+
+    private fun passOn(
+        context: ChannelHandlerContext,
+        answered: AnsweredRequest,
+        end: LastHttpContent,
     ) {
         // The state changes first: the end of the answer may free the connection for the next request at once.
-        reading =
-            when (message) {
-                is LastHttpContent -> Reading.Nothing(answering.ended(clock.now()))
-                else -> answering
+        reading = Reading.Nothing(answered)
+        context.fireChannelRead(end)
+    }
+
+    /** Takes what arrives behind a held answer. */
+    private fun hold(
+        context: ChannelHandlerContext,
+        holding: Reading.Holding,
+        message: Any,
+    ) {
+        when {
+            isMalformed(message) -> {
+                passOn(context, holding.answered, holding.end)
+                channelRead(context, message)
+            }
+
+            message is HttpResponse && !isInterim(message) -> {
+                secondAnswered(context, holding, message)
+            }
+
+            else -> {
+                ReferenceCountUtil.release(message) // part of an interim answer
             }
-        context.fireChannelRead(message)
+        }
+    }
+
+    private fun secondAnswered(
+        context: ChannelHandlerContext,
+        holding: Reading.Holding,
+        response: HttpResponse,
+    ) {
+        val second = dialect.surplusAnswer(headOf(response))
+        open.surplusAnswered(holding.answered.life) // first, so that the connection carries no other request
+        when (val outcome = AnswerHold.afterSecondAnswer(holding.answered, second)) {
+            HoldOutcome.PassOn -> {
+                passOn(context, holding.answered, holding.end)
+                channelRead(context, response)
+            }
+
+            is HoldOutcome.Reject -> {
+                ReferenceCountUtil.release(response)
+                reject(context, holding, second, outcome.contradiction)
+            }
+        }
+    }
+
+    /** Ends the hold of an answer that stands alone if the connection is still in the state [held]. */
+    private fun endHold(
+        context: ChannelHandlerContext,
+        held: Reading,
+    ) {
+        if (held !is Reading.Holding || reading !== held) return
+        val answered = held.answered
+        when (val outcome = AnswerHold.alone(open.isSecondAnswerBody(answered.life, answered.body))) {
+            HoldOutcome.PassOn -> {
+                passOn(context, answered, held.end)
+                context.fireChannelReadComplete()
+            }
+
+            is HoldOutcome.Reject -> {
+                reject(context, held, second = null, outcome.contradiction)
+            }
+        }
     }
 
-    /** Reports an answer that no request waits for, and closes the connection. */
+    /** Drops the end of a held answer and closes the connection, which breaks its request off. */
+    private fun reject(
+        context: ChannelHandlerContext,
+        holding: Reading.Holding,
+        second: SurplusAnswer?,
+        contradiction: AnswerContradiction,
+    ) {
+        val isFirst = open.contradictionSeen(holding.answered.life)
+        observer.contradicted(holding.answered, second, contradiction, clock.now(), isFirst)
+        contradicted = holding.call
+        reading = Reading.Nothing(last = null)
+        ReferenceCountUtil.release(holding.end)
+        open.closing(connection, ConnectionCloseReason.ANSWER_CONTRADICTED)
+        context.close()
+    }
+
+    /** Reports an answer that no request waits for, and closes the connection, after its body if that tells anything. */
     private fun nothingAwaited(
         context: ChannelHandlerContext,
         nothing: Reading.Nothing,
@@ -148,12 +312,43 @@
             val isFirst = open.surplusAnswered(last.life)
             observer.unrequested(answer, last, clock.now(), isFirst)
             reading = Reading.Nothing(last = null)
+            val body = SmallBody(message)
+            if (endsAreKnown && !body.isLong && SecondAnswerBodies.isTelling(last, answer)) {
+                beginSecond(context, Reading.ReadingSecond(last, body))
+            }
         }
         if (message !is HttpObject) {
             context.fireChannelRead(message)
             return
         }
+        if (reading is Reading.Nothing) open.close(connection, ConnectionCloseReason.ANSWER_UNREQUESTED)
+        ReferenceCountUtil.release(message)
+    }
+
+    private fun beginSecond(
+        context: ChannelHandlerContext,
+        second: Reading.ReadingSecond,
+    ) {
+        reading = second
+        open.closing(connection, ConnectionCloseReason.ANSWER_UNREQUESTED)
+        context.after(SKIP_TIMEOUT) { if (reading === second) closeAfterSecond() }
+    }
+
+    /** Reads a part of a second answer; closes the connection after it, or once it is long. */
+    private fun readSecond(
+        second: Reading.ReadingSecond,
+        message: Any,
+    ) {
+        val isUnreadable = isMalformed(message)
+        if (!isUnreadable) second.body.add(message)
         ReferenceCountUtil.release(message)
+        val isWhole = message is LastHttpContent && !isUnreadable
+        if (isWhole) second.body.fingerprint?.let { open.secondAnswerSeen(second.last, it) }
+        if (isWhole || isUnreadable || second.body.isLong) closeAfterSecond()
+    }
+
+    private fun closeAfterSecond() {
+        reading = Reading.Nothing(last = null)
         open.close(connection, ConnectionCloseReason.ANSWER_UNREQUESTED)
     }
 
@@ -188,7 +383,7 @@
             val since = (reading as? Reading.Skipping)?.since
             if (since != null && since.call === begun.call && since.skipped == begun.skipped) closeUnreadable(context)
         }
-        context.executor().schedule(check, SKIP_TIMEOUT.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        context.after(SKIP_TIMEOUT, check)
     }
 
     private fun closeUnreadable(context: ChannelHandlerContext) {
@@ -196,6 +391,13 @@
         context.close()
     }
 
+    private fun ChannelHandlerContext.after(
+        duration: Duration,
+        action: () -> Unit,
+    ) {
+        executor().schedule(action, duration.inWholeMicroseconds, TimeUnit.MICROSECONDS)
+    }
+
     private fun isMalformed(message: Any): Boolean = message !is HttpObject || message.decoderResult().isFailure
 
     /** Returns true if the answer itself is still to come; 101 is the last one on its connection. */
@@ -209,44 +411,6 @@
             response.headers().map { HeaderField(it.key, it.value) }.toPersistentList(),
         )
 
-    /** What the connection is read for. */
-    private sealed interface Reading {
-        /** The head of the answer to [call]; so many answers and bytes were skipped since it was sent. */
-        data class Awaiting(
-            val call: SentCall,
-            val skipped: Int,
-            val skippedBytes: Int,
-        ) : Reading
-
-        /** The rest of a late answer, after which [since] goes on. */
-        data class Skipping(
-            val since: Awaiting,
-        ) : Reading
-
-        /** The rest of the answer to [call], whose head has [status] and [signature]. */
-        data class Answering(
-            val call: SentCall,
-            val status: Int,
-            val signature: String?,
-        ) : Reading {
-            fun ended(now: Instant): AnsweredRequest =
-                AnsweredRequest(
-                    requestId = call.order.requestId,
-                    life = call.order.backend.life,
-                    history = call.history,
-                    status = status,
-                    signature = signature,
-                    sentAt = call.sentAt,
-                    at = now,
-                )
-        }
-
-        /** No answer is due; [last] is the one that ended last. */
-        data class Nothing(
-            val last: AnsweredRequest?,
-        ) : Reading
-    }
-
     companion object {
         /** Returns the filter of [connection], added when it is first used; null if the connection has closed. */
         fun of(
@@ -254,13 +418,14 @@
             dialect: BackendDialect,
             observer: ConnectionObserver,
             open: OpenConnections,
+            longestHold: Duration,
             clock: Clock,
         ): LateAnswerFilter? {
             val channel = (connection as HttpClientConnectionInternal).channelHandlerContext().channel()
             val pipeline = channel.pipeline()
             val filter =
                 pipeline.get(LateAnswerFilter::class.java)
-                    ?: LateAnswerFilter(dialect, observer, connection, open, clock).also {
+                    ?: LateAnswerFilter(dialect, observer, connection, open, longestHold, clock).also {
                         try {
                             pipeline.addBefore(VERTX_HANDLER, "late-answer-filter", it)
                         } catch (_: NoSuchElementException) {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
@@ -4,13 +4,16 @@
 import io.vertx.core.http.HttpConnection
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
+import org.acaciaflow.coordination.connection.AnsweredRequest
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionIsolation
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.connection.ConnectionReuse
 import org.acaciaflow.coordination.connection.ReuseDecision
+import org.acaciaflow.coordination.connection.SecondAnswerBodies
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.state.connection.ConnectionHistory
+import org.acaciaflow.state.connection.SecondAnswers
 import org.acaciaflow.state.connection.SurplusAnswers
 import org.acaciaflow.state.connection.newConnectionHistory
 import org.acaciaflow.state.fleet.BackendLife
@@ -63,10 +66,55 @@
                 val surplus = ConnectionIsolation.surplusSeen(known.surplus, life, now)
                 Transition(known.copy(surplus = surplus), !wasIsolated)
             }
-        if (isFirst) observer.isolated(life)
+        if (isFirst) {
+            table.update { it.copy(secondAnswers = it.secondAnswers.remove(life)) }
+            observer.isolated(life)
+        }
         return isFirst
     }
 
+    /** Returns true if each request to [life] needs a connection of its own. */
+    fun isIsolated(life: BackendLife): Boolean =
+        ConnectionIsolation.isIsolated(table.snapshot().surplus, life, clock.now())
+
+    /** Notes that the server that had answered [first] has written a second answer with the body [second]. */
+    fun secondAnswerSeen(
+        first: AnsweredRequest,
+        second: Long,
+    ) = updateSecondAnswers(first.life) { SecondAnswerBodies.recorded(it, first.body, second) }
+
+    /** Returns true if [body] is one that the isolated server [life] writes as its second answer. */
+    fun isSecondAnswerBody(
+        life: BackendLife,
+        body: Long?,
+    ): Boolean {
+        val known = table.snapshot().secondAnswers[life] ?: return false
+        return isIsolated(life) && SecondAnswerBodies.isKnown(known, body)
+    }
+
+    /** Notes that an answer of [life] was not believed; returns false if that was so before while it is isolated. */
+    fun contradictionSeen(life: BackendLife): Boolean {
+        val known = table.snapshot().secondAnswers[life] ?: SecondAnswers.NONE
+        if (known.isReported) return false
+        updateSecondAnswers(life) { it.copy(isReported = true) }
+        return true
+    }
+
+    private fun updateSecondAnswers(
+        life: BackendLife,
+        change: (SecondAnswers) -> SecondAnswers,
+    ) {
+        val outdated =
+            table
+                .snapshot()
+                .secondAnswers.keys
+                .filterNot(::isIsolated)
+        table.update { known ->
+            val kept = outdated.fold(known.secondAnswers) { answers, other -> answers.remove(other) }
+            known.copy(secondAnswers = kept.put(life, change(kept[life] ?: SecondAnswers.NONE)))
+        }
+    }
+
     /** The number of servers that get a connection for each request. */
     fun countIsolated(): Int = ConnectionIsolation.countIsolated(table.snapshot().surplus, clock.now())
 
@@ -101,11 +149,12 @@
         observer.closed(record.life, record.history, record.lastRequestId, reason, clock.now())
     }
 
-    /** [opened] is the number of connections opened so far. */
+    /** [opened] is the number of connections opened so far; [secondAnswers] has those of isolated servers. */
     private data class Connections(
         val opened: Long,
         val records: PersistentMap<HttpConnection, ConnectionRecord>,
         val surplus: SurplusAnswers,
+        val secondAnswers: PersistentMap<BackendLife, SecondAnswers>,
     ) {
         fun carrying(
             connection: HttpConnection,
@@ -136,6 +185,6 @@
             return OpenConnections(table, observer, clock)
         }
 
-        private val NONE = Connections(opened = 0, persistentHashMapOf(), SurplusAnswers.NONE)
+        private val NONE = Connections(opened = 0, persistentHashMapOf(), SurplusAnswers.NONE, persistentHashMapOf())
     }
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -21,6 +21,7 @@
             is Decision.Connected -> connected(decision)
             is Decision.ForeignAnswer -> foreignAnswer(decision)
             is Decision.UnrequestedAnswer -> unrequestedAnswer(decision)
+            is Decision.ContradictedAnswer -> contradictedAnswer(decision)
             is Decision.Disconnected -> disconnected(decision)
             is Decision.Ran -> ran(decision)
             is Decision.Refused -> refused(decision)
@@ -78,6 +79,16 @@
             " signature=${decision.answer.signature ?: "none"}" +
             " last-signature=${decision.last.signature ?: "none"}"
 
+    private fun contradictedAnswer(decision: Decision.ContradictedAnswer): String =
+        commonFields("contradicted-answer", decision) + " backend=${decision.answered.life.instance}" +
+            connectionFields(decision.answered.history) + " reason=${decision.contradiction.code}" +
+            " status=${decision.answered.status}" +
+            " took-ms=${decision.answered.took.inWholeMilliseconds}" +
+            " second-status=${decision.second?.status ?: "none"}" +
+            " after-ms=${(decision.at - decision.answered.at).inWholeMilliseconds}" +
+            " signature=${decision.answered.signature ?: "none"}" +
+            " second-signature=${decision.second?.signature ?: "none"}"
+
     private fun disconnected(decision: Decision.Disconnected): String =
         commonFields("disconnected", decision) + " backend=${decision.life.instance}" +
             connectionFields(decision.history) + " reason=${decision.reason.code}"
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
+import org.acaciaflow.coordination.connection.AnswerContradiction
 import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.event.Event
@@ -74,6 +75,9 @@
 
     override fun foreignAnswer(owner: AnswerOwner) = count(Meters.ANSWERS_FOREIGN, "owner", owner.code)
 
+    override fun answerContradicted(contradiction: AnswerContradiction) =
+        count(Meters.ANSWERS_CONTRADICTED, "reason", contradiction.code)
+
     override fun connectionClosed(reason: ConnectionCloseReason) =
         count(Meters.CONNECTIONS_CLOSED, "reason", reason.code)
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
@@ -20,6 +20,7 @@
     const val BACKENDS_RESTING = "acaciaflow.backends.resting"
     const val BACKENDS_ISOLATED = "acaciaflow.backends.isolated"
     const val ANSWERS_FOREIGN = "acaciaflow.backends.answers.foreign"
+    const val ANSWERS_CONTRADICTED = "acaciaflow.backends.answers.contradicted"
     const val CONNECTIONS_CLOSED = "acaciaflow.backends.connections.closed"
     const val NOTICES_UNREADABLE = "acaciaflow.backends.notices.unreadable"
 
@@ -44,6 +45,7 @@
             BACKENDS_ISOLATED,
             NOTICES_UNREADABLE,
             ANSWERS_FOREIGN,
+            ANSWERS_CONTRADICTED,
             CONNECTIONS_CLOSED,
         )
 }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
@@ -7,6 +7,7 @@
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.decodeToString
 import org.acaciaflow.coordination.clock.createSteadyClock
+import org.acaciaflow.coordination.connection.AnswerHold
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
@@ -23,6 +24,7 @@
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.work.CallHead
 import kotlin.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -58,6 +60,7 @@
     vertx: Vertx,
     observer: ConnectionObserver = createConnectionObserver(),
     clock: Clock = createSteadyClock(),
+    answerHold: Duration = AnswerHold.DEFAULT_LONGEST,
 ): DirectConnections =
     DirectConnections(
         vertx,
@@ -67,6 +70,7 @@
         VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
         CoroutineScope(Dispatchers.Default),
         clock,
+        answerHold,
     )
 
 /** Creates the body of a request that has none. */
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestDialect.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestDialect.kt
@@ -17,9 +17,9 @@
 
 /** A protocol whose answers carry the request's id; status 503 is a refusal. */
 internal object TestDialect : BackendDialect {
-    override fun runHead(order: RunOrder): CallHead = head(order)
+    override fun runHead(order: RunOrder): CallHead = head(order, order.call.method)
 
-    override fun prefillHead(order: RunOrder): CallHead = head(order)
+    override fun prefillHead(order: RunOrder): CallHead = head(order, "POST")
 
     override fun releaseHead(source: CacheSource): CallHead =
         CallHead("DELETE", "/${source.handle}", persistentListOf())
@@ -57,6 +57,8 @@
         body: ByteString,
     ): PrefillOutcome = PrefillOutcome.Ready(CacheSource(order.backend.address, body.toString()), tokens = 1)
 
-    private fun head(order: RunOrder) =
-        CallHead("POST", "/", persistentListOf(HeaderField("Request-Id", order.requestId)))
+    private fun head(
+        order: RunOrder,
+        method: String,
+    ) = CallHead(method, "/", persistentListOf(HeaderField("Request-Id", order.requestId)))
 }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
@@ -5,8 +5,6 @@
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.comparables.shouldBeGreaterThanOrEqualTo
 import io.kotest.matchers.shouldBe
-import io.micrometer.prometheusmetrics.PrometheusConfig
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.delay
@@ -16,16 +14,12 @@
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.AttemptEvent
-import org.acaciaflow.coordination.port.Observations
-import org.acaciaflow.coordination.relay.Decision
-import org.acaciaflow.transport.observation.MeteredObservations
-import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration.Companion.milliseconds
 
 /** What the log says of answers that no request waits for, and of the ends of connections. */
 class UnrequestedAnswerTest : AnnotationSpec() {
     private val vertx = Vertx.vertx()
-    private val recorded = RecordedObservations()
+    private val recorded = RecordedConnections()
     private val connections = createDirectConnections(vertx, observer = ConnectionObserver(recorded))
 
     @BeforeEach
@@ -157,35 +151,4 @@
         println("warnings: ${reported.size} of 20 answers")
         reported.size shouldBe 1
     }
-
-    private class RecordedObservations(
-        private val others: Observations = MeteredObservations(PrometheusMeterRegistry(PrometheusConfig.DEFAULT)),
-    ) : Observations by others {
-        val events = CopyOnWriteArrayList<Event>()
-        private val decisions = CopyOnWriteArrayList<Decision>()
-
-        val owners = CopyOnWriteArrayList<AnswerOwner>()
-
-        fun clear() {
-            events.clear()
-            owners.clear()
-            decisions.clear()
-        }
-
-        override fun foreignAnswer(owner: AnswerOwner) {
-            owners += owner
-        }
-
-        override fun event(event: Event) {
-            events += event
-        }
-
-        override fun decided(decision: Decision) {
-            decisions += decision
-        }
-
-        fun disconnects(): List<Decision.Disconnected> = decisions.filterIsInstance<Decision.Disconnected>()
-
-        fun closeReasons(): List<ConnectionCloseReason> = disconnects().map { it.reason }
-    }
 }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import org.acaciaflow.coordination.connection.AnswerContradiction
 import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.connection.AnsweredRequest
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
@@ -26,7 +27,7 @@
     private val history = newConnectionHistory(number = 7).carrying("r0")
     private val lateAnswer = SurplusAnswer(listOf("r0"), status = 200, signature = "s1")
     private val answered =
-        AnsweredRequest("r0", backend.life, history, status = 500, signature = "s0", sentAt = at, at = at)
+        AnsweredRequest("r0", backend.life, history, status = 500, signature = "s0", sentAt = at, at = at, body = null)
     private val path = EnginePath.LocalPrefill(backend, work = 4.milliseconds, predicted = 10.milliseconds)
 
     @Test
@@ -38,6 +39,7 @@
                 Decision.Connected("r1", backend, CallPurpose.RUN, history, at),
                 Decision.ForeignAnswer("r1", backend, history, AnswerOwner.EARLIER_REQUEST, lateAnswer, true, at),
                 Decision.UnrequestedAnswer(answered, AnswerOwner.EARLIER_REQUEST, lateAnswer, at),
+                Decision.ContradictedAnswer(answered, lateAnswer, AnswerContradiction.OTHER_STATUS, at),
                 Decision.Disconnected("r1", backend.life, history, ConnectionCloseReason.ENDED, at),
                 Decision.Ran(request, backend, "Broken(reason=BACKEND_CRASHED)", at),
                 Decision.Declined(request, path, NotRun.LATE_ALREADY, SampleRequest.LOAD, at),
