--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/settings/EntryHostSettings.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/settings/EntryHostSettings.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.protocol.settings
 
 import kotlinx.collections.immutable.PersistentList
+import org.acaciaflow.coordination.connection.AnswerHold
 import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
@@ -12,7 +13,7 @@
  * [readiness] is the address of the readiness probe. [peers] is the address that receives reports from other gateways,
  * [seeds] are the corresponding addresses of some of them. [metrics] is the address that serves metrics. [gracePeriod]
  * is the time from the stop signal until the process is killed. [cores] is the number of processor cores that the
- * process may use.
+ * process may use. A plain success of a server that answers twice is held for at most [answerHold].
  */
 data class EntryHostSettings(
     val name: String,
@@ -27,4 +28,5 @@
     val retryBounds: RetryBounds,
     val gracePeriod: Duration,
     val cores: Double,
+    val answerHold: Duration = AnswerHold.DEFAULT_LONGEST,
 )
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -64,6 +64,7 @@
             calls,
             runtime.workers.scope,
             clock,
+            settings.answerHold,
         )
     registerConnectionGauge(runtime.registry, connections)
     val ports =
