Connect again when the pool returns a connection that has closed

Cause: the connection of a doubled answer is closed just when the next request may get it from the pool. A request that got it after its close was refused as connection-refused, although its server could be reached; the server then counts as unreachable for 250 ms.

Change: such a request takes another connection, up to three; nothing was sent on the closed one.

Found by a test of the hold that failed once in four runs.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -153,15 +153,17 @@
         order: RunOrder,
         head: CallHead,
     ): Connected? {
-        while (true) {
+        var closedConnections = 0
+        while (closedConnections < MAXIMUM_CLOSED_CONNECTIONS) {
             val request = client.connect(order.backend.address, head) ?: return null
             when (val decision = open.claim(request.connection(), order)) {
                 is ReuseDecision.Use -> {
                     val lateAnswers = filterOf(request.connection())
                     if (lateAnswers != null) return Connected(request, decision.history, lateAnswers)
+                    request.exceptionHandler { } // nothing was sent
                     open.ended(request.connection())
                     request.connection().close()
-                    return null
+                    closedConnections += 1 // the pool may not have noticed yet that it was closed
                 }
 
                 is ReuseDecision.Close -> {
@@ -171,6 +173,7 @@
                 }
             }
         }
+        return null
     }
 
     private fun filterOf(connection: HttpConnection): LateAnswerFilter? =
@@ -196,6 +199,7 @@
         const val PREFILL_ANSWER_BYTES = 64 * 1024 // a short document
         const val HEADER_BYTES = 64 * 1024
         const val CONNECTIONS_PER_BACKEND = 512 // not the concurrency limit: admission enforces the configured one
+        const val MAXIMUM_CLOSED_CONNECTIONS = 3
         val CONNECT_TIMEOUT: Duration = 250.milliseconds // about ten round trips within a region
         val KEEP_ALIVE_TIMEOUT: Duration = 4.seconds // for servers that send no Keep-Alive timeout
         val RELEASE_TIMEOUT: Duration = 1.seconds
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerTest.kt
@@ -141,6 +141,24 @@
         }
     }
 
+    /** Guards against calls that are refused because the pool gives them a connection which has just been closed. */
+    @Test
+    fun `calls one behind the other at a server that doubles its answers are all served`() {
+        stuttering { output, id ->
+            write(output, ok(id))
+            Thread.sleep(1)
+            write(output, ok(id))
+        }.use { backend ->
+            runBlocking {
+                val connections = isolating(backend, LONG)
+                val ends = List(1000) { endOf(connections, orderTo(backend.address, "request-$it")) }
+
+                println("ends of calls beside doubled answers: ${ends.groupingBy { it }.eachCount()}")
+                ends.toSet() shouldBe setOf(AttemptEvent.End)
+            }
+        }
+    }
+
     /** Guards against a success in place of a failure that never arrives. */
     @Test
     fun `a lone success with the body of second answers is not believed`() {
