--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
@@ -82,12 +82,46 @@
                 requestId = answer.shownIds,
                 lastStatus = last.status,
                 lastRequestId = last.requestId,
+                lastTook = last.took,
                 after = now - last.at,
+                signature = answer.signature,
+                lastSignature = last.signature,
                 connection = last.history.number,
             ),
         )
     }
 
+    /**
+     * The success [answered] is not believed for [contradiction], found at [now] by [second] if that isn't null.
+     *
+     * [isFirst] is false if its server was reported for it and has been isolated since.
+     */
+    fun contradicted(
+        answered: AnsweredRequest,
+        second: SurplusAnswer?,
+        contradiction: AnswerContradiction,
+        now: Instant,
+        isFirst: Boolean,
+    ) {
+        observations.answerContradicted(contradiction)
+        observations.decided(Decision.ContradictedAnswer(answered, second, contradiction, now))
+        if (!isFirst) return
+        observations.event(
+            Event.BackendAnswerContradicted(
+                life = answered.life,
+                requestId = answered.requestId,
+                contradiction = contradiction,
+                status = answered.status,
+                secondStatus = second?.status,
+                took = answered.took,
+                after = now - answered.at,
+                signature = answered.signature,
+                secondSignature = second?.signature,
+                connection = answered.history.number,
+            ),
+        )
+    }
+
     /** The server [life] is isolated until [duration] after its last surplus answer, the first of which has arrived. */
     fun isolated(
         life: BackendLife,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.coordination.event
 
 import org.acaciaflow.coordination.configuration.ConfigurationFault
+import org.acaciaflow.coordination.connection.AnswerContradiction
 import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.port.DocumentFault
 import org.acaciaflow.coordination.port.StoreFailure
@@ -206,16 +207,39 @@
         val owner: AnswerOwner,
     ) : Event(EventKind.BACKEND_ANSWER_FOREIGN)
 
+    /** [lastTook] is the time from the sending of the last request to the end of its answer, [after] the time since. */
     data class BackendAnswerUnrequested(
         val life: BackendLife,
         val status: Int,
         val requestId: String,
         val lastStatus: Int,
         val lastRequestId: String,
+        val lastTook: Duration,
         val after: Duration,
+        val signature: String?,
+        val lastSignature: String?,
         val connection: Long,
     ) : Event(EventKind.BACKEND_ANSWER_UNREQUESTED)
 
+    /**
+     * The success of [life] for [requestId] was not believed.
+     *
+     * It was complete [took] after the sending; [after] that it was contradicted. [secondStatus] and [secondSignature]
+     * are those of the second answer, null if there was none.
+     */
+    data class BackendAnswerContradicted(
+        val life: BackendLife,
+        val requestId: String,
+        val contradiction: AnswerContradiction,
+        val status: Int,
+        val secondStatus: Int?,
+        val took: Duration,
+        val after: Duration,
+        val signature: String?,
+        val secondSignature: String?,
+        val connection: Long,
+    ) : Event(EventKind.BACKEND_ANSWER_CONTRADICTED)
+
     /** [life] wrote a surplus answer and is isolated until it has written none for [duration]; not repeated meanwhile. */
     data class BackendIsolated(
         val life: BackendLife,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -4,10 +4,12 @@
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.PoolOptions
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.coordination.connection.AnswerHold
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.connection.ReuseDecision
@@ -39,7 +41,11 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Calls backend servers over HTTP/1.1 keep-alive connections, without pipelining. */
+/**
+ * Calls backend servers over HTTP/1.1 keep-alive connections, without pipelining.
+ *
+ * A plain success of an isolated server is held for at most [answerHold].
+ */
 internal class DirectConnections(
     vertx: Vertx,
     private val dialect: BackendDialect,
@@ -49,6 +55,7 @@
     private val calls: HttpCalls,
     private val scope: CoroutineScope,
     private val clock: Clock,
+    private val answerHold: Duration = AnswerHold.DEFAULT_LONGEST,
 ) : BackendConnections {
     private val open = OpenConnections.create(surplus, observer, clock)
     private val answers = AnswerReader(dialect, availability, observer)
@@ -128,8 +135,9 @@
         val request = connected.request
         return when (val permission = availability.permissionFor(order)) {
             SendPermission.Granted, SendPermission.GrantedAsTrial -> {
-                observer.sending(order, purpose, connected.history, clock.now())
-                val call = SentCall(order, purpose, connected.history)
+                val now = clock.now()
+                observer.sending(order, purpose, connected.history, now)
+                val call = SentCall(order, purpose, connected.history, sentAt = now)
                 connected.lateAnswers.expect(call)
                 val carrier = CarrierConnection(request, open, connected.lateAnswers)
                 Sending.Sent(sendAttempt(call, answers, carrier, head, body, clock))
@@ -148,15 +156,17 @@
         order: RunOrder,
         head: CallHead,
     ): Connected? {
-        while (true) {
+        var closedConnections = 0
+        while (closedConnections < MAXIMUM_CLOSED_CONNECTIONS) {
             val request = client.connect(order.backend.address, head) ?: return null
             when (val decision = open.claim(request.connection(), order)) {
                 is ReuseDecision.Use -> {
-                    val lateAnswers = LateAnswerFilter.of(request.connection(), dialect, observer, open, clock)
+                    val lateAnswers = filterOf(request.connection())
                     if (lateAnswers != null) return Connected(request, decision.history, lateAnswers)
+                    request.exceptionHandler { } // nothing was sent
                     open.ended(request.connection())
                     request.connection().close()
-                    return null
+                    closedConnections += 1 // the pool may not have noticed yet that it was closed
                 }
 
                 is ReuseDecision.Close -> {
@@ -166,8 +176,12 @@
                 }
             }
         }
+        return null
     }
 
+    private fun filterOf(connection: HttpConnection): LateAnswerFilter? =
+        LateAnswerFilter.of(connection, dialect, observer, open, answerHold, clock)
+
     private class Connected(
         val request: HttpClientRequest,
         val history: ConnectionHistory,
@@ -188,6 +202,7 @@
         const val PREFILL_ANSWER_BYTES = 64 * 1024 // a short document
         const val HEADER_BYTES = 64 * 1024
         const val CONNECTIONS_PER_BACKEND = 512 // not the concurrency limit: admission enforces the configured one
+        const val MAXIMUM_CLOSED_CONNECTIONS = 3
         val CONNECT_TIMEOUT: Duration = 250.milliseconds // about ten round trips within a region
         val KEEP_ALIVE_TIMEOUT: Duration = 4.seconds // for servers that send no Keep-Alive timeout
         val RELEASE_TIMEOUT: Duration = 1.seconds
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
@@ -7,6 +7,7 @@
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.decodeToString
 import org.acaciaflow.coordination.clock.createSteadyClock
+import org.acaciaflow.coordination.connection.AnswerHold
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
@@ -27,6 +28,7 @@
 import org.acaciaflow.state.table.createSharedTable
 import org.acaciaflow.state.work.CallHead
 import kotlin.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -63,6 +65,7 @@
     observer: ConnectionObserver = createConnectionObserver(),
     clock: Clock = createSteadyClock(),
     surplus: SharedTable<SurplusAnswers> = createSurplusAnswers(),
+    answerHold: Duration = AnswerHold.DEFAULT_LONGEST,
 ): DirectConnections =
     DirectConnections(
         vertx,
@@ -73,6 +76,7 @@
         VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
         CoroutineScope(Dispatchers.Default),
         clock,
+        answerHold,
     )
 
 /** Creates the table of surplus answers of a gateway that has seen none. */
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
@@ -3,9 +3,8 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.comparables.shouldBeGreaterThanOrEqualTo
 import io.kotest.matchers.shouldBe
-import io.micrometer.prometheusmetrics.PrometheusConfig
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.delay
@@ -15,16 +14,12 @@
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.AttemptEvent
-import org.acaciaflow.coordination.port.Observations
-import org.acaciaflow.coordination.relay.Decision
-import org.acaciaflow.transport.observation.MeteredObservations
-import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration.Companion.milliseconds
 
 /** What the log says of answers that no request waits for, and of the ends of connections. */
 class UnrequestedAnswerTest : AnnotationSpec() {
     private val vertx = Vertx.vertx()
-    private val recorded = RecordedObservations()
+    private val recorded = RecordedConnections()
     private val connections = createDirectConnections(vertx, observer = ConnectionObserver(recorded))
 
     @BeforeEach
@@ -41,9 +36,10 @@
     fun `a second answer after the first one is reported with the status of both`() {
         val backend =
             RawBackend { output, id, _ ->
-                write(output, answerBytes(500, "failed", "Request-Id: $id"))
                 Thread.sleep(50)
-                write(output, answerBytes(200, "ok", "Request-Id: $id"))
+                write(output, answerBytes(500, "failed", "Request-Id: $id", "Signature: first"))
+                Thread.sleep(50)
+                write(output, answerBytes(200, "ok", "Request-Id: $id", "Signature: second"))
             }
         backend.use {
             runBlocking {
@@ -57,6 +53,9 @@
         println("reported: $reported")
         listOf(reported.lastStatus, reported.status) shouldContainExactly listOf(500, 200)
         listOf(reported.lastRequestId, reported.requestId) shouldContainExactly listOf("request-1", "request-1")
+        listOf(reported.lastSignature, reported.signature) shouldContainExactly listOf("first", "second")
+        reported.lastTook shouldBeGreaterThanOrEqualTo 40.milliseconds
+        reported.after shouldBeGreaterThanOrEqualTo 40.milliseconds
         recorded.closeReasons() shouldContain ConnectionCloseReason.ANSWER_UNREQUESTED
     }
 
@@ -152,35 +151,4 @@
         println("warnings: ${reported.size} of 20 answers")
         reported.size shouldBe 1
     }
-
-    private class RecordedObservations(
-        private val others: Observations = MeteredObservations(PrometheusMeterRegistry(PrometheusConfig.DEFAULT)),
-    ) : Observations by others {
-        val events = CopyOnWriteArrayList<Event>()
-        private val decisions = CopyOnWriteArrayList<Decision>()
-
-        val owners = CopyOnWriteArrayList<AnswerOwner>()
-
-        fun clear() {
-            events.clear()
-            owners.clear()
-            decisions.clear()
-        }
-
-        override fun foreignAnswer(owner: AnswerOwner) {
-            owners += owner
-        }
-
-        override fun event(event: Event) {
-            events += event
-        }
-
-        override fun decided(decision: Decision) {
-            decisions += decision
-        }
-
-        fun disconnects(): List<Decision.Disconnected> = decisions.filterIsInstance<Decision.Disconnected>()
-
-        fun closeReasons(): List<ConnectionCloseReason> = disconnects().map { it.reason }
-    }
 }
