Learn the body of a success that its server contradicts; hold for at most 100 ms

Callers got a success where the server failed that run, a second time with the same body: a failure that came behind its success, within the hold or after it, told nothing about the next success that stands alone. Its body now counts like one of a second answer. HeldAnswerTest: the lone success was passed on before.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
@@ -52,7 +52,7 @@
         }
 
     /** How long an answer is held at most unless the settings say otherwise. */
-    val DEFAULT_LONGEST: Duration = 200.milliseconds
+    val DEFAULT_LONGEST: Duration = 100.milliseconds
 
     internal val SUCCESSES = 200..299
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SecondAnswerBodies.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SecondAnswerBodies.kt
@@ -9,7 +9,8 @@
  * A server whose second answer may come in place of a failure that never arrives leaves a success that stands alone.
  * If that success has the body which the server wrote behind true answers before, it is more likely a second answer
  * than a true one. The risk is a true answer with the same short body, which is then not believed. A body that was
- * also seen in a first answer with an identical copy tells nothing, and neither does an empty one.
+ * also seen in a first answer with an identical copy tells nothing, and neither does an empty one. The body of a success
+ * whose server then reports a failure of the same request counts like one of a second answer.
  */
 object SecondAnswerBodies {
     /** Returns true if the body of [second], which arrived after [first] was answered, is worth reading. */
@@ -34,6 +35,21 @@
             known.copy(differing = known.differing.withNewest(second))
         }
 
+    /** Adds the body [contradicted] of a first answer to whose request a second one with another status came. */
+    fun contradicted(
+        known: SecondAnswers,
+        contradicted: Long,
+    ): SecondAnswers = known.copy(differing = known.differing.withNewest(contradicted))
+
+    /** Returns true if a second answer with another status shows that [first] may be the false one. */
+    fun isContradiction(
+        first: AnsweredRequest,
+        second: SurplusAnswer,
+    ): Boolean =
+        second.requestIds.distinct() == listOf(first.requestId) &&
+            first.status in AnswerHold.SUCCESSES &&
+            second.status !in AnswerHold.SUCCESSES
+
     /** Returns true if [body] is one that the server of [known] writes as its second answer. */
     fun isKnown(
         known: SecondAnswers,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -259,6 +259,7 @@
 
             is HoldOutcome.Reject -> {
                 ReferenceCountUtil.release(response)
+                open.contradictionSeen(holding.answered, second)
                 reject(context, holding, second, outcome.contradiction)
             }
         }
@@ -290,7 +291,7 @@
         second: SurplusAnswer?,
         contradiction: AnswerContradiction,
     ) {
-        val isFirst = open.contradictionSeen(holding.answered.life)
+        val isFirst = open.contradictionReported(holding.answered.life)
         observer.contradicted(holding.answered, second, contradiction, clock.now(), isFirst)
         contradicted = holding.call
         reading = Reading.Nothing(last = null)
@@ -311,6 +312,7 @@
             val answer = dialect.surplusAnswer(head)
             val isFirst = open.surplusAnswered(last.life)
             observer.unrequested(answer, last, clock.now(), isFirst)
+            open.contradictionSeen(last, answer)
             reading = Reading.Nothing(last = null)
             val body = SmallBody(message)
             if (endsAreKnown && !body.isLong && SecondAnswerBodies.isTelling(last, answer)) {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
@@ -11,6 +11,7 @@
 import org.acaciaflow.coordination.connection.ConnectionReuse
 import org.acaciaflow.coordination.connection.ReuseDecision
 import org.acaciaflow.coordination.connection.SecondAnswerBodies
+import org.acaciaflow.coordination.connection.SurplusAnswer
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.connection.SecondAnswers
@@ -80,6 +81,16 @@
         second: Long,
     ) = updateSecondAnswers(first.life) { SecondAnswerBodies.recorded(it, first.body, second) }
 
+    /** Notes that the server whose answer was [first] has reported a failure of the same request in [second]. */
+    fun contradictionSeen(
+        first: AnsweredRequest,
+        second: SurplusAnswer,
+    ) {
+        val body = first.body ?: return
+        if (!SecondAnswerBodies.isContradiction(first, second)) return
+        updateSecondAnswers(first.life) { SecondAnswerBodies.contradicted(it, body) }
+    }
+
     /** Returns true if [body] is one that the isolated server [life] writes as its second answer. */
     fun isSecondAnswerBody(
         life: BackendLife,
@@ -89,8 +100,8 @@
         return isIsolated(life) && SecondAnswerBodies.isKnown(known, body)
     }
 
-    /** Notes that an answer of [life] was not believed; returns false if that was so before while it is isolated. */
-    fun contradictionSeen(life: BackendLife): Boolean {
+    /** Notes that an answer of [life] is reported as not believed; returns false if that was so before while it is isolated. */
+    fun contradictionReported(life: BackendLife): Boolean {
         val known = table.snapshot().secondAnswers[life] ?: SecondAnswers.NONE
         if (known.isReported) return false
         updateSecondAnswers(life) { it.copy(isReported = true) }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerTest.kt
@@ -181,6 +181,29 @@
         }
     }
 
+    /** Guards against a second wrong success with the body of one whose failure came too late to stop it. */
+    @Test
+    fun `a lone success with the body of a contradicted one is not believed`() {
+        stuttering { output, id ->
+            write(output, ok(id, "small"))
+            if (id.startsWith("failed")) {
+                Thread.sleep(if (id == "failed-late") 150 else 20)
+                write(output, answerBytes(500, "failed", "Request-Id: $id"))
+            }
+        }.use { backend ->
+            runBlocking {
+                for (contradicted in listOf("failed-at-once" to CONTRADICTED, "failed-late" to AttemptEvent.End)) {
+                    val connections = isolating(backend, 60.milliseconds)
+                    endOf(connections, orderTo(backend.address, contradicted.first)) shouldBe contradicted.second
+                    delay(200.milliseconds)
+                    withClue(contradicted.first) {
+                        endOf(connections, orderTo(backend.address, "lone")) shouldBe CONTRADICTED
+                    }
+                }
+            }
+        }
+    }
+
     /** Guards against true answers that are rejected because their copies have the same body. */
     @Test
     fun `a body that was copied is no sign of a second answer`() {
