--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/BackendDialect.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/dialect/BackendDialect.kt
@@ -4,6 +4,7 @@
 import org.acaciaflow.coordination.port.CacheSource
 import org.acaciaflow.coordination.port.CallPurpose
 import org.acaciaflow.coordination.port.LeavingNotice
+import org.acaciaflow.coordination.port.LimitNotice
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RestNotice
 import org.acaciaflow.coordination.port.RunOrder
@@ -41,6 +42,9 @@
     /** Reads from [head] for how long its server wants no requests; not for an answer of another request. */
     fun restNotice(head: AnswerHead): RestNotice
 
+    /** Reads from [head] how many requests a second its server takes; not for an answer of another request. */
+    fun limitNotice(head: AnswerHead): LimitNotice
+
     /** Interprets the complete answer to a [prefillHead] call. */
     fun prefillOutcome(
         order: RunOrder,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestDialect.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestDialect.kt
@@ -5,6 +5,7 @@
 import org.acaciaflow.coordination.port.CacheSource
 import org.acaciaflow.coordination.port.CallPurpose
 import org.acaciaflow.coordination.port.LeavingNotice
+import org.acaciaflow.coordination.port.LimitNotice
 import org.acaciaflow.coordination.port.PrefillOutcome
 import org.acaciaflow.coordination.port.RestNotice
 import org.acaciaflow.coordination.port.RunOrder
@@ -50,6 +51,8 @@
 
     override fun restNotice(head: AnswerHead): RestNotice = RestNotice.Absent
 
+    override fun limitNotice(head: AnswerHead): LimitNotice = LimitNotice.Absent
+
     override fun prefillOutcome(
         order: RunOrder,
         head: AnswerHead,
