Keep the limits that servers name, and compute each gateway's part of them

Change: a table of limits with the newest word, this gateway's part and its tokens for each server; the part follows from the demands of all gateways. BackendAvailability takes the notice and claims a token for each request. Nothing uses the parts yet.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -221,6 +221,27 @@
         val duration: Duration,
     ) : Event(EventKind.BACKEND_ISOLATED)
 
+    /** [life] takes only [perSecond] requests a second from all gateways together. */
+    data class BackendLimited(
+        val life: BackendLife,
+        val perSecond: Double,
+        val origin: LimitOrigin,
+    ) : Event(EventKind.BACKEND_LIMITED)
+
+    /** The limit of [life] changed by a third or more since the last event. */
+    data class BackendLimitChanged(
+        val life: BackendLife,
+        val former: Double,
+        val perSecond: Double,
+        val origin: LimitOrigin,
+    ) : Event(EventKind.BACKEND_LIMIT_CHANGED)
+
+    /** [life] names no limit any more. */
+    data class BackendLimitEnded(
+        val life: BackendLife,
+        val origin: LimitOrigin,
+    ) : Event(EventKind.BACKEND_LIMIT_ENDED)
+
     data class PeerHeard(
         val gateway: HostAddress,
         val configurationVersion: Long,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/BackendAvailability.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/BackendAvailability.kt
@@ -3,7 +3,9 @@
 import kotlinx.collections.immutable.toPersistentSet
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.event.LeavingOrigin
+import org.acaciaflow.coordination.limit.LimitBudget
 import org.acaciaflow.coordination.port.LeavingNotice
+import org.acaciaflow.coordination.port.LimitNotice
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.RestNotice
 import org.acaciaflow.coordination.port.RunOrder
@@ -22,10 +24,31 @@
 class BackendAvailability(
     private val fleet: SharedTable<Fleet>,
     private val notices: SharedTable<BackendNotices>,
+    private val budget: LimitBudget,
     private val observations: Observations,
     private val clock: Clock,
     private val random: Random,
 ) {
+    /**
+     * Decides as [permissionFor], before a connection is opened for [order], and takes a token of the server's limit.
+     *
+     * Called once for each request that is sent. The token is not given back if the request is not sent after all.
+     */
+    fun claim(order: RunOrder): SendPermission {
+        val life = order.backend.life
+        if (!budget.mayClaim(life, order.requestId, order.urgency, clock.now())) return LIMITED
+        val permission = permissionFor(order)
+        return when (permission) {
+            is SendPermission.Denied -> {
+                permission
+            }
+
+            SendPermission.Granted, SendPermission.GrantedAsTrial -> {
+                if (budget.claim(life, order.requestId, order.urgency, clock.now())) permission else LIMITED
+            }
+        }
+    }
+
     /**
      * Decides whether [order] may be sent now; a request that tries a server after its rest holds off all others.
      *
@@ -79,6 +102,20 @@
         }
     }
 
+    /** Applies [notice], which is in the head that arrived at [now] of the answer to [order], sent at [sentAt]. */
+    fun noticed(
+        order: RunOrder,
+        notice: LimitNotice,
+        sentAt: Instant,
+        now: Instant,
+    ) {
+        when (notice) {
+            LimitNotice.Absent -> budget.unnamed(order.backend, order.requestId, sentAt, now)
+            is LimitNotice.Named -> budget.named(order.backend, order.requestId, notice.perSecond, now)
+            is LimitNotice.Unreadable -> unreadable(order.backend.life, order.requestId, notice.text)
+        }
+    }
+
     private fun answered(
         life: BackendLife,
         requestId: String,
@@ -122,6 +159,10 @@
             }
         if (added) observations.event(Event.BackendNoticeUnreadable(life, requestId, text))
     }
+
+    private companion object {
+        val LIMITED = SendPermission.Denied(AttemptRefusal.LIMITED)
+    }
 }
 
 /** Marks [life] in [fleet] as leaving because of [origin]; logged the first time. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/SendPermission.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/SendPermission.kt
@@ -21,7 +21,13 @@
     companion object {
         /** The reasons for which a gateway itself does not send an attempt that it has planned. */
         val DENIALS =
-            setOf(AttemptRefusal.LEAVING, AttemptRefusal.REPLACED, AttemptRefusal.RESTING, AttemptRefusal.OVERDUE)
+            setOf(
+                AttemptRefusal.LEAVING,
+                AttemptRefusal.REPLACED,
+                AttemptRefusal.RESTING,
+                AttemptRefusal.LIMITED,
+                AttemptRefusal.OVERDUE,
+            )
 
         /**
          * Decides whether the request [requestId] may be sent to [backend] at [now].
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -6,6 +6,7 @@
 import org.acaciaflow.coordination.crash.CrashRecorder
 import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.gateway.StreamFraming
+import org.acaciaflow.coordination.limit.LimitBudget
 import org.acaciaflow.coordination.port.BackendConnections
 import org.acaciaflow.coordination.port.CallerDialect
 import org.acaciaflow.coordination.port.Observations
@@ -45,7 +46,9 @@
     val candidates = Candidates(tables, dataCentre)
     val retryLimiter = RetryLimiter(tables, candidates, bounds, ports.observations)
     val jobIdentities = JobIdentityAllocator()
-    val availability = BackendAvailability(tables.fleet, tables.notices, ports.observations, ports.clock, ports.random)
+    val budget = LimitBudget(tables, ports.self, ports.observations)
+    val availability =
+        BackendAvailability(tables.fleet, tables.notices, budget, ports.observations, ports.clock, ports.random)
     val backendRun = createBackendRun(tables, availability, jobIdentities, ports)
     val prefillRun = createPrefillRun(tables, availability, jobIdentities, ports)
     return RequestRelay(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
@@ -13,6 +13,7 @@
 import org.acaciaflow.state.fleet.Fleet
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.identity.RouteName
+import org.acaciaflow.state.limit.ServerLimits
 import org.acaciaflow.state.load.EngineRates
 import org.acaciaflow.state.load.FleetLoad
 import org.acaciaflow.state.load.JobIdentity
@@ -45,6 +46,7 @@
     val crashes: SharedTable<CrashReports>,
     val store: SharedTable<StoreKnowledge>,
     val peers: SharedTable<Peers>,
+    val limits: SharedTable<ServerLimits>,
     val answerBuffers: SharedTable<BufferUse>,
     val retryWindows: SharedTable<PersistentMap<PoolName, RetryWindow>>,
 )
@@ -67,6 +69,7 @@
         crashes = createSharedTable(LockOrder.CRASH_REPORTS, CrashReports.NONE),
         store = createSharedTable(LockOrder.STORE_KNOWLEDGE, StoreKnowledge.NONE),
         peers = createSharedTable(LockOrder.PEERS, Peers.NONE),
+        limits = createSharedTable(LockOrder.SERVER_LIMITS, ServerLimits.NONE),
         answerBuffers = createSharedTable(LockOrder.ANSWER_BUFFERS, BufferUse.NONE),
         retryWindows = createSharedTable(LockOrder.RETRY_WINDOWS, persistentMapOf()),
     )
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/BackendAvailabilityTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/BackendAvailabilityTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.event.LeavingOrigin
+import org.acaciaflow.coordination.limit.LimitBudget
 import org.acaciaflow.coordination.peer.GatewayIdentity
 import org.acaciaflow.coordination.peer.LoadExchange
 import org.acaciaflow.coordination.peer.PeerGossip
@@ -247,7 +248,8 @@
     ) {
         val tables = tablesWith(route(RequestKind.Idempotent), listOf(server))
         val observations = FakeObservations()
-        val availability = BackendAvailability(tables.fleet, tables.notices, observations, clock, Random(seed))
+        val budget = LimitBudget(tables, self = null, observations)
+        val availability = BackendAvailability(tables.fleet, tables.notices, budget, observations, clock, Random(seed))
         private val identity = GatewayIdentity(HostAddress(ip, 1), now.toEpochMilliseconds(), OWN_DATA_CENTRE, 1.0)
         val gossip = PeerGossip(identity, tables, LoadExchange(identity, tables), observations)
 
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/LeavingBackendTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/LeavingBackendTest.kt
@@ -12,6 +12,7 @@
 import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.fleet.FleetChanges
 import org.acaciaflow.coordination.fleet.SendPermission
+import org.acaciaflow.coordination.limit.LimitBudget
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.AttemptStream
 import org.acaciaflow.coordination.port.BackendConnections
@@ -212,7 +213,14 @@
     val reactions = mutableListOf<Reaction>()
     val scripted = ScriptedConnections(reactions)
     private val availability =
-        BackendAvailability(tables.fleet, tables.notices, FakeObservations(), clock, Random(3))
+        BackendAvailability(
+            tables.fleet,
+            tables.notices,
+            LimitBudget(tables, self = null, FakeObservations()),
+            FakeObservations(),
+            clock,
+            Random(3),
+        )
     private var attempts = 0
 
     /** The servers that requests were sent to, and those they were not sent to after all. */
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
@@ -90,6 +90,7 @@
                 NotRun.NO_BACKEND,
                 NotRun.BACKENDS_REFUSED,
                 NotRun.BACKENDS_RESTING,
+                NotRun.BACKENDS_LIMITED,
                 NotRun.LATE_ALREADY,
                 NotRun.ROOM_RESERVED,
                 NotRun.STOPPING,
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/AttemptRefusal.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/AttemptRefusal.kt
@@ -13,6 +13,7 @@
     OTHER_LIFE("other-life"),
     REPLACED("replaced"),
     RESTING("resting"),
+    LIMITED("limited"),
     OVERDUE("overdue"),
     TOMBSTONED("tombstoned"),
     STALE_ATTEMPT("stale-attempt"),
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
@@ -17,6 +17,7 @@
     NO_BACKEND("no-backend"),
     BACKENDS_REFUSED("backends-refused"),
     BACKENDS_RESTING("backends-resting"),
+    BACKENDS_LIMITED("backends-limited"),
     LATE_ALREADY("late-already"),
     ROOM_RESERVED("room-reserved"),
     STOPPING("stopping"),
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -3,6 +3,7 @@
 import kotlinx.io.bytestring.encodeToByteString
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.fleet.BackendAvailability
+import org.acaciaflow.coordination.limit.LimitBudget
 import org.acaciaflow.coordination.peer.GatewayIdentity
 import org.acaciaflow.coordination.peer.LoadExchange
 import org.acaciaflow.coordination.peer.PeerGossip
@@ -54,7 +55,9 @@
             ),
         )
     val stop = StopSignal()
-    val availability = BackendAvailability(tables.fleet, tables.notices, runtime.observations, clock, random)
+    val budget = LimitBudget(tables, settings.peers, runtime.observations)
+    val availability =
+        BackendAvailability(tables.fleet, tables.notices, budget, runtime.observations, clock, random)
     val connections =
         DirectConnections(
             runtime.vertx,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestAvailability.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestAvailability.kt
@@ -5,6 +5,7 @@
 import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.fleet.BackendAvailability
+import org.acaciaflow.coordination.limit.LimitBudget
 import org.acaciaflow.coordination.relay.RelayTables
 import org.acaciaflow.coordination.relay.createRelayTables
 import org.acaciaflow.transport.observation.MeteredObservations
@@ -17,5 +18,6 @@
 /** Creates the availability of the backend servers of [tables]. */
 internal fun createBackendAvailability(tables: RelayTables = createRelayTables()): BackendAvailability {
     val observations = MeteredObservations(PrometheusMeterRegistry(PrometheusConfig.DEFAULT))
-    return BackendAvailability(tables.fleet, tables.notices, observations, createSteadyClock(), Random(1))
+    val budget = LimitBudget(tables, self = null, observations)
+    return BackendAvailability(tables.fleet, tables.notices, budget, observations, createSteadyClock(), Random(1))
 }
