Send limited servers no more than this gateway's part, and refuse the rest at once

Cause: the parts were computed but not used. Change: Candidates leaves out servers without a token; BackendRun and PrefillRun claim one before a connection is opened. A request without a candidate gets the next token if that comes within 250 ms of its arrival, the urgent first; otherwise it is refused with the time of a later token of its own. A denied claim is no attempt, no retry and no verdict. Requests that may have run wait as long as they have time, since they can't be sent away.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -50,7 +50,7 @@
         stallTimeouts: StallTimeouts,
         tracker: RelayProgressTracker,
     ): RunOutcome {
-        when (val permission = availability.permissionFor(order)) {
+        when (val permission = availability.claim(order)) {
             is SendPermission.Denied -> return RunOutcome.NotExecuted(permission.reason)
             SendPermission.Granted, SendPermission.GrantedAsTrial -> Unit
         }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Candidates.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Candidates.kt
@@ -5,11 +5,14 @@
 import org.acaciaflow.coordination.fleet.RestPolicy
 import org.acaciaflow.coordination.fleet.RestStanding
 import org.acaciaflow.coordination.fleet.SendPermission
+import org.acaciaflow.coordination.limit.LimitStanding
+import org.acaciaflow.coordination.limit.LimitTokens
 import org.acaciaflow.coordination.reliability.ReliabilityPolicy
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.identity.DataCentre
+import org.acaciaflow.state.limit.ServerLimits
 import org.acaciaflow.state.route.EngineProperties
 import kotlin.time.Instant
 
@@ -30,38 +33,67 @@
     ): List<BackendEntry> {
         val fleet = tables.fleet.snapshot()
         val notices = tables.notices.snapshot()
+        val limits = tables.limits.snapshot()
         val usable =
             fleet
                 .usableIn(request.pool)
                 .filter { mayAttempt(request, progress, it) }
                 .filter {
                     SendPermission.of(fleet, notices, it, request.facts.requestId, now) !is SendPermission.Denied
-                }
+                }.filter { standing(limits, request, it, now) !is LimitStanding.HeldBack }
         return withFreeConnections(request, usable.filter { isResponsive(it.life, now) }.ifEmpty { usable })
     }
 
     /**
-     * Returns when the first server that [request] may still be sent to ends its rest, as of [now].
+     * Returns why no server takes [request] as of [now].
      *
-     * Null if there is none, or if one that does not rest may be free again sooner. Prefill engines are left out, since
-     * they alone can't serve a request.
+     * Prefill engines are left out, since they alone can't serve a request.
      */
-    fun earliestReturn(
+    fun shortage(
         request: RelayedRequest,
         progress: RelayProgress,
         now: Instant,
-    ): Instant? {
+    ): Shortage {
         val notices = tables.notices.snapshot()
-        val standings =
+        val limits = tables.limits.snapshot()
+        val servers =
             tables.fleet
                 .snapshot()
                 .usableIn(request.pool)
                 .filter { it.role != EngineRole.PREFILL && mayAttempt(request, progress, it) }
-                .map { RestPolicy.standing(notices, it.life, request.facts.requestId, now) }
-        val resting = standings.filterIsInstance<RestStanding.Resting>()
-        return if (resting.size < standings.size) null else resting.minOfOrNull { it.until }
+        val rests =
+            servers
+                .associateWith { RestPolicy.standing(notices, it.life, request.facts.requestId, now) }
+                .filterValues { it is RestStanding.Resting }
+        val awake = servers - rests.keys
+        val heldBack =
+            awake
+                .associateWith { standing(limits, request, it, now) }
+                .mapNotNull { (server, standing) -> heldBack(server, standing) }
+        if (heldBack.size < awake.size) return Shortage.NoneLeft
+        val next = heldBack.minByOrNull { it.until ?: Instant.DISTANT_FUTURE }
+        if (next != null) return next
+        val resting = rests.values.filterIsInstance<RestStanding.Resting>()
+        return resting.minOfOrNull { it.until }?.let { Shortage.AllResting(it) } ?: Shortage.NoneLeft
     }
 
+    private fun heldBack(
+        server: BackendEntry,
+        standing: LimitStanding,
+    ): Shortage.HeldBack? =
+        when (standing) {
+            LimitStanding.Open, LimitStanding.MayStart -> null
+            is LimitStanding.HeldBack -> Shortage.HeldBack(server, standing.until)
+        }
+
+    private fun standing(
+        limits: ServerLimits,
+        request: RelayedRequest,
+        server: BackendEntry,
+        now: Instant,
+    ): LimitStanding =
+        LimitTokens.standing(limits.byLife[server.life], request.facts.requestId, request.route.urgency, now)
+
     /** Returns false while this or another gateway finds [life] unreachable or silent. */
     private fun isResponsive(
         life: BackendLife,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Conclusions.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Conclusions.kt
@@ -27,6 +27,16 @@
         else -> uncertain(progress, mayHaveRun)
     }
 
+/** Returns the conclusion of a request that limits hold back; its caller may return after [retryAfter]. */
+internal fun allLimited(
+    progress: RelayProgress,
+    retryAfter: Duration,
+): Conclusion =
+    when (val mayHaveRun = progress.mayHaveRun) {
+        null -> Conclusion.NotExecuted(NotRun.BACKENDS_LIMITED, retryAfter)
+        else -> uncertain(progress, mayHaveRun)
+    }
+
 /** Returns the conclusion of a request whose quarantine for crashes goes on for [left]. */
 internal fun quarantined(
     progress: RelayProgress,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
@@ -9,6 +9,7 @@
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.state.limit.ServerLimit
 import org.acaciaflow.state.load.FleetLoad
 import org.acaciaflow.state.refusal.Refusal
 import kotlin.time.Duration
@@ -98,6 +99,17 @@
             get() = request.facts.requestId
     }
 
+    /** The limit of [life], which is [limit], holds the request back, and no other server takes it. */
+    data class HeldBack(
+        val request: RelayedRequest,
+        val life: BackendLife,
+        val limit: ServerLimit?,
+        override val at: Instant,
+    ) : Decision {
+        override val requestId: String
+            get() = request.facts.requestId
+    }
+
     /** The call was not admitted; [version] is the configuration version in effect. */
     data class Refused(
         override val requestId: String,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -83,11 +83,11 @@
             }
 
             is PrefillOutcome.Refused -> {
-                recordFailedPrefill(
-                    tracker,
-                    path.prefillEngine,
-                    outcome.reason,
-                )
+                if (outcome.reason == AttemptRefusal.LIMITED) {
+                    retryLimiter.giveBack(request, tracker.progress, sentAt)
+                } else {
+                    recordFailedPrefill(tracker, path.prefillEngine, outcome.reason)
+                }
                 observations.decided(Decision.Ran(request, path.prefillEngine, outcome.toString(), clock.now()))
                 EngineStep.Retry(RetryReason.ATTEMPT_REFUSED)
             }
@@ -131,6 +131,7 @@
         val view = candidates.view(candidates.of(request, tracker.progress, now), properties, request)
         val chosen = EnginePlanner.chooseDecodeEngine(view, prompt, now, random)
         if (chosen == null) {
+            if (restWait.waitsForToken(request, tracker.progress, now)) return EngineStep.NotSent
             prefillRun.release(source)
             return EngineStep.Retry(RetryReason.ATTEMPT_REFUSED)
         }
@@ -196,6 +197,7 @@
             return EngineStep.Retry(RetryReason.CACHE_UNAVAILABLE)
         }
         recordAttempt(tracker, engine, outcome)
+        if (isHeldBack(outcome)) retryLimiter.giveBack(request, tracker.progress, now)
         if (outcome is RunOutcome.NotExecuted && isNotSent(outcome.reason)) return EngineStep.NotSent
         return nextStep(request, outcome, tracker)
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -74,6 +74,7 @@
         observations.decided(Decision.Sent(request, chosen, NO_PREDICTION, tables.load.snapshot(), now))
         val outcome = backendRun.run(request, order, TYPICAL_WORK, stallTimeoutsFor(request, tracker, now), tracker)
         recordAttempt(tracker, chosen, outcome)
+        if (isHeldBack(outcome)) retryLimiter.giveBack(request, tracker.progress, now)
         observations.decided(Decision.Ran(request, chosen, outcome.toString(), clock.now()))
         return outcome
     }
@@ -112,7 +113,7 @@
 }
 
 /**
- * Records an attempt at [backend], which excludes it from further attempts unless it rests.
+ * Records an attempt at [backend], which excludes it from further attempts unless it only takes none now.
  *
  * An attempt that was not sent is not counted.
  */
@@ -126,15 +127,20 @@
         progress.copy(
             reached = if (notSent) progress.reached else progress.reached.add(backend.life),
             countedAttempts = if (notSent) progress.countedAttempts else progress.countedAttempts + 1,
-            excluded = if (isResting(outcome)) progress.excluded else progress.excluded.add(backend.life),
+            excluded = if (takesNoneNow(outcome)) progress.excluded else progress.excluded.add(backend.life),
         )
     }
 }
 
-/** Returns true if nothing was sent because the server rests, so that it may be sent to later. */
-private fun isResting(outcome: RunOutcome): Boolean =
-    outcome is RunOutcome.NotExecuted && outcome.reason == AttemptRefusal.RESTING
+/** Returns true if nothing was sent because the server rests or is limited, so that it may be sent to later. */
+private fun takesNoneNow(outcome: RunOutcome): Boolean =
+    outcome is RunOutcome.NotExecuted &&
+        (outcome.reason == AttemptRefusal.RESTING || outcome.reason == AttemptRefusal.LIMITED)
 
 /** Returns true if [reason] means that nothing of the request was sent to the server. */
 internal fun isNotSent(reason: AttemptRefusal): Boolean =
     reason == AttemptRefusal.CONNECTION_REFUSED || reason in SendPermission.DENIALS
+
+/** Returns true if nothing was sent because of the server's limit. */
+internal fun isHeldBack(outcome: RunOutcome): Boolean =
+    outcome is RunOutcome.NotExecuted && outcome.reason == AttemptRefusal.LIMITED
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
@@ -47,7 +47,7 @@
         prompt: Prompt,
         properties: EngineProperties,
     ): PrefillOutcome {
-        when (val permission = availability.permissionFor(order)) {
+        when (val permission = availability.claim(order)) {
             is SendPermission.Denied -> return PrefillOutcome.Refused(permission.reason)
             SendPermission.Granted, SendPermission.GrantedAsTrial -> Unit
         }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -49,6 +49,7 @@
     val budget = LimitBudget(tables, ports.self, ports.observations)
     val availability =
         BackendAvailability(tables.fleet, tables.notices, budget, ports.observations, ports.clock, ports.random)
+    val restWait = RestWait(candidates, LimitWait(tables, budget, ports.observations), ports.random)
     val backendRun = createBackendRun(tables, availability, jobIdentities, ports)
     val prefillRun = createPrefillRun(tables, availability, jobIdentities, ports)
     return RequestRelay(
@@ -57,8 +58,8 @@
         admission = RelayAdmission(tables, QuarantineCheck(tables, ports.self), ports.stop),
         turns = createRequestTurns(tables, ports),
         retryLimiter = retryLimiter,
-        plain = createPlainRelay(tables, candidates, retryLimiter, backendRun, dataCentre, ports),
-        engine = createEngineRelay(tables, candidates, retryLimiter, prefillRun, backendRun, ports),
+        plain = createPlainRelay(tables, candidates, restWait, retryLimiter, backendRun, dataCentre, ports),
+        engine = createEngineRelay(tables, candidates, restWait, retryLimiter, prefillRun, backendRun, ports),
         observations = ports.observations,
         stop = ports.stop,
         clock = ports.clock,
@@ -101,6 +102,7 @@
 private fun createPlainRelay(
     tables: RelayTables,
     candidates: Candidates,
+    restWait: RestWait,
     retryLimiter: RetryLimiter,
     backendRun: BackendRun,
     dataCentre: DataCentre,
@@ -110,7 +112,7 @@
         tables = tables,
         candidates = candidates,
         quarantine = QuarantineCheck(tables, ports.self),
-        restWait = RestWait(candidates, ports.random),
+        restWait = restWait,
         retryLimiter = retryLimiter,
         backendRun = backendRun,
         ownDataCentre = dataCentre,
@@ -122,6 +124,7 @@
 private fun createEngineRelay(
     tables: RelayTables,
     candidates: Candidates,
+    restWait: RestWait,
     retryLimiter: RetryLimiter,
     prefillRun: PrefillRun,
     backendRun: BackendRun,
@@ -132,7 +135,7 @@
         candidates = candidates,
         admission = GenerationAdmission(tables, ports.observations),
         quarantine = QuarantineCheck(tables, ports.self),
-        restWait = RestWait(candidates, ports.random),
+        restWait = restWait,
         retryLimiter = retryLimiter,
         prefillRun = prefillRun,
         backendRun = backendRun,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RestWait.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RestWait.kt
@@ -18,18 +18,42 @@
     ) : NoCandidateStep
 }
 
-/** Lets requests wait for servers that rest, as long as that leaves them enough time. */
+/** Lets requests wait for servers that rest or are limited, as long as that leaves them enough time. */
 internal class RestWait(
     private val candidates: Candidates,
+    private val limitWait: LimitWait,
     private val random: Random,
 ) {
-    /** Waits if [request] may still be served in time after the rest of a server; returns the conclusion if not. */
+    /** Waits if [request] may still be served in time by a server that takes none now; returns the conclusion if not. */
     suspend fun waitOrConclude(
         request: RelayedRequest,
         progress: RelayProgress,
         now: Instant,
     ): Conclusion? =
-        when (val step = decide(request, progress, candidates.earliestReturn(request, progress, now), now, random)) {
+        when (val shortage = candidates.shortage(request, progress, now)) {
+            Shortage.NoneLeft -> noAttemptLeft(progress)
+            is Shortage.AllResting -> waitForRest(request, progress, shortage.until, now)
+            is Shortage.HeldBack -> limitWait.waitOrConclude(request, progress, shortage, now)
+        }
+
+    /** Waits if a limit holds [request] back that is about to let it go; returns false at once if not. */
+    suspend fun waitsForToken(
+        request: RelayedRequest,
+        progress: RelayProgress,
+        now: Instant,
+    ): Boolean =
+        when (val shortage = candidates.shortage(request, progress, now)) {
+            Shortage.NoneLeft, is Shortage.AllResting -> false
+            is Shortage.HeldBack -> limitWait.waits(request, progress, shortage, now)
+        }
+
+    private suspend fun waitForRest(
+        request: RelayedRequest,
+        progress: RelayProgress,
+        earliest: Instant,
+        now: Instant,
+    ): Conclusion? =
+        when (val step = decide(request, progress, earliest, now, random)) {
             is NoCandidateStep.Conclude -> {
                 step.conclusion
             }
@@ -42,18 +66,17 @@
 
     companion object {
         /**
-         * Decides at [now] what [request] does when the first of its servers returns at [earliest]; null if none will.
+         * Decides at [now] what [request] does when the first of its servers returns at [earliest].
          *
          * Requests return spread over a time, the urgent ones first.
          */
         fun decide(
             request: RelayedRequest,
             progress: RelayProgress,
-            earliest: Instant?,
+            earliest: Instant,
             now: Instant,
             random: Random,
         ): NoCandidateStep {
-            if (earliest == null) return NoCandidateStep.Conclude(noAttemptLeft(progress))
             val until = earliest + RETURN_SPREAD * (request.route.urgency + random.nextDouble())
             if (until + request.route.target <= request.deadline) return NoCandidateStep.Wait(until)
             return NoCandidateStep.Conclude(allResting(progress, left = earliest - now))
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RetryLimiter.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RetryLimiter.kt
@@ -40,4 +40,14 @@
         if (permitted) observations.retried(reason) else observations.retryDenied(reason)
         return permitted
     }
+
+    /** Takes back the count of a retry at [countedAt] that was not sent because of a limit. */
+    fun giveBack(
+        request: RelayedRequest,
+        progress: RelayProgress,
+        countedAt: Instant,
+    ) {
+        if (progress.countedAttempts == 0) return
+        tables.retryWindows.update { RetryWindows.withoutRetry(it, request.pool, countedAt) }
+    }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/retry/RetryWindows.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/retry/RetryWindows.kt
@@ -50,6 +50,22 @@
         return Transition(windows.put(pool, window.copy(retries = counted)), true)
     }
 
+    /** Takes back one retry for [pool] that was counted at or shortly before [countedAt]. */
+    fun withoutRetry(
+        windows: PersistentMap<PoolName, RetryWindow>,
+        pool: PoolName,
+        countedAt: Instant,
+    ): PersistentMap<PoolName, RetryWindow> {
+        val window = windows[pool] ?: return windows
+        val second =
+            window.retries.keys
+                .filter { it <= countedAt.epochSeconds }
+                .maxOrNull() ?: return windows
+        val left = window.retries.getValue(second) - 1
+        val retries = if (left > 0) window.retries.put(second, left) else window.retries.remove(second)
+        return windows.put(pool, window.copy(retries = retries))
+    }
+
     /** Returns the number of requests in the seconds that lie completely inside the window. */
     private fun recentRequests(
         window: RetryWindow,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -6,6 +6,7 @@
 import org.acaciaflow.state.connection.AnswerOrigin
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.limit.LimitWord
 import org.acaciaflow.state.load.FleetLoad
 import org.acaciaflow.state.prompt.promptPartKeyText
 import kotlin.time.Duration
@@ -23,6 +24,7 @@
             is Decision.UnrequestedAnswer -> unrequestedAnswer(decision)
             is Decision.Disconnected -> disconnected(decision)
             is Decision.Ran -> ran(decision)
+            is Decision.HeldBack -> heldBack(decision)
             is Decision.Refused -> refused(decision)
             is Decision.Concluded -> concluded(decision)
         }
@@ -94,6 +96,14 @@
             .joinToString(",") { promptPartKeyText(it.key) }
             .ifEmpty { "none" }
 
+    private fun heldBack(decision: Decision.HeldBack): String {
+        val word = decision.limit?.word
+        val named = (word as? LimitWord.Named)?.perSecond
+        return commonFields("held-back", decision) + " backend=${decision.life.instance} limit=$named" +
+            " age-ms=${word?.let { (decision.at - it.at).inWholeMilliseconds }}" +
+            " part=${decision.limit?.tokens?.perSecond}"
+    }
+
     private fun refused(decision: Decision.Refused): String =
         commonFields("refused", decision) + " host=${decision.host} path=${decision.path}" +
             " configuration=${decision.version} reason=${decision.reason.code}"
