Apply the limits that backend servers name in their answers

Cause: the dialect reads `Server-Limit`, and nothing passed it on. Change: each answer of the addressed server, also a refusal, a failure and the answer to a prefill, is applied with the time at which its request was sent, so that an answer without a limit that was on its way when the limit was named does not end it.

--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
@@ -13,11 +13,12 @@
 import org.acaciaflow.state.work.AnswerHead
 import kotlin.time.Instant
 
-/** A request sent to a backend server on a connection that has carried [history] before. */
+/** A request sent to a backend server at [sentAt] on a connection that has carried [history] before. */
 internal data class SentCall(
     val order: RunOrder,
     val purpose: CallPurpose,
     val history: ConnectionHistory,
+    val sentAt: Instant,
 )
 
 /** Interprets the heads of backend servers' answers, and applies what they tell about the servers. */
@@ -40,6 +41,7 @@
         if (verdict.isOfAddressedServer) {
             availability.noticed(call.order, dialect.leavingNotice(head))
             availability.noticed(call.order, dialect.restNotice(head), refused = verdict is AnswerVerdict.NotExecuted)
+            availability.noticed(call.order, dialect.limitNotice(head), sentAt = call.sentAt, now)
         }
         return verdict
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -125,8 +125,8 @@
         val request = connected.request
         return when (val permission = availability.permissionFor(order)) {
             SendPermission.Granted, SendPermission.GrantedAsTrial -> {
-                observer.sending(order, purpose, connected.history, clock.now())
-                val call = SentCall(order, purpose, connected.history)
+                val call = SentCall(order, purpose, connected.history, sentAt = clock.now())
+                observer.sending(order, purpose, connected.history, call.sentAt)
                 connected.lateAnswers.expect(call)
                 val carrier = CarrierConnection(request, open, connected.lateAnswers)
                 Sending.Sent(sendAttempt(call, answers, carrier, head, body, clock))
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/AnswerOriginTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/AnswerOriginTest.kt
@@ -8,6 +8,7 @@
 import org.acaciaflow.state.connection.newConnectionHistory
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.work.AnswerHead
+import kotlin.time.Instant
 
 class AnswerOriginTest : AnnotationSpec() {
     /** Guards against log lines as long as a server's signature, which may fill the head of its answer. */
@@ -15,7 +16,7 @@
     fun `a long signature is shortened for the log`() {
         val answers = AnswerReader(LongSignature, createBackendAvailability(), createConnectionObserver())
         val order = orderTo(HostAddress("127.0.0.1", 1), "request-1")
-        val call = SentCall(order, CallPurpose.RUN, newConnectionHistory(number = 1))
+        val call = SentCall(order, CallPurpose.RUN, newConnectionHistory(number = 1), sentAt = Instant.DISTANT_PAST)
 
         val origin = answers.originOf(call, AnswerHead(200, persistentListOf()))
 
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -34,6 +34,7 @@
 import java.lang.reflect.Proxy
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 import kotlin.time.measureTime
 
 class DirectConnectionsTest : AnnotationSpec() {
@@ -245,7 +246,8 @@
                         .setPort(backend.address.port)
                 val request = heldUpAfterSend(vertx.createHttpClient().request(options).coAwait())
                 val head = TestDialect.runHead(order)
-                val call = SentCall(order, CallPurpose.RUN, newConnectionHistory(number = 1))
+                val call =
+                    SentCall(order, CallPurpose.RUN, newConnectionHistory(number = 1), sentAt = Instant.DISTANT_PAST)
                 val answers = AnswerReader(TestDialect, createBackendAvailability(), createConnectionObserver())
                 val carrier = CarrierConnection(request, open = null, lateAnswers = null)
                 val stream = sendAttempt(call, answers, carrier, head, emptyBody, createSteadyClock())
