Tell the limits of servers and each gateway's demands in the reports between gateways

Cause: each gateway knew only its own answers, so that the parts could not follow where the calls arrive. Change: reports carry the newest words with their ages and the demand for their pool (labels 34 to 37). A gateway's own demand counts as the lower of the two that it reported last, so that a part grows only after the others have heard of it.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitBudget.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitBudget.kt
@@ -136,7 +136,11 @@
         val known = tables.peers.snapshot().known
         val change =
             tables.limits.transition { limits ->
-                val word = next(limits.byLife[life]?.word) ?: return@transition Transition(limits, LimitChange.None)
+                val latest = limits.byLife[life]?.word
+                val word = next(latest) ?: return@transition Transition(limits, LimitChange.None)
+                if (latest != null && LimitWords.saysSame(latest, word)) {
+                    return@transition Transition(LimitPolicy.confirmed(limits, life, word), LimitChange.None)
+                }
                 val part = LimitPolicy.partOf(word, PoolDemands.of(limits, backend.pool, self, known), life)
                 LimitPolicy.recorded(limits, life, backend.pool, word, part, now)
             }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitPolicy.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitPolicy.kt
@@ -34,6 +34,16 @@
 
 /** Applies what servers and peers say to the limits of backend servers. */
 object LimitPolicy {
+    /** Records [word], which says the same as the word known before, on [life]. */
+    fun confirmed(
+        limits: ServerLimits,
+        life: BackendLife,
+        word: LimitWord,
+    ): ServerLimits {
+        val former = limits.byLife[life] ?: return limits
+        return limits.copy(byLife = limits.byLife.put(life, former.copy(word = word)))
+    }
+
     /** Records [word] on [life] of [pool], of which this gateway gets [part] requests a second from [now] on. */
     fun recorded(
         limits: ServerLimits,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitShares.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitShares.kt
@@ -1,18 +1,13 @@
 package org.acaciaflow.coordination.limit
 
 import org.acaciaflow.state.fleet.BackendLife
-import org.acaciaflow.state.identity.HostAddress
-import kotlin.math.ln
-import kotlin.math.log2
-import kotlin.math.pow
-import kotlin.math.roundToInt
 
 /**
  * Divides the limit of a backend server among the gateways, each of which computes its own part.
  *
- * Gateways that know the same demands compute parts that add up to the limit. At most `LEAST_SENDERS` and one more for
- * each `RATE_PER_SENDER` a second send at all. A gateway with part p keeps at most max(1, p x 1 s) tokens, so that from
- * limit L the server gets in any 4 s at most 4 L + L + (3 + L / 2) = 5.5 L + 3 requests, less than the 6 L + 5 allowed.
+ * Gateways that know the same demands compute parts that add up to the limit. Of a limit L at most 1 + L gateways have a
+ * part. A gateway with part p keeps at most max(1, p x 0.5 s) tokens, so that the server gets in any 4 s at most
+ * 4 L + L / 2 + (1 + L) = 5.5 L + 1 requests. 6 L + 5 are allowed; the rest is for gateways that know different demands.
  */
 object LimitShares {
     /** Returns the requests a second that the gateway with [demands] may send of the [limit] of [life]. */
@@ -34,37 +29,36 @@
      */
     fun usedRate(limit: Double): Double = maxOf(limit, LOWEST_RATE)
 
+    /**
+     * Returns the gateways that share [rate], all of them if each can have one request a second; empty if [demands] are
+     * those of a gateway that is not among them.
+     *
+     * They are chosen by rendezvous hashing, so that few change when a gateway comes or goes.
+     */
     private fun sendersOf(
         demands: PoolDemands,
         life: BackendLife,
         rate: Double,
     ): List<GatewayWeight> {
-        val count = LEAST_SENDERS + (rate / RATE_PER_SENDER).coerceAtMost(demands.all.size.toDouble()).toInt()
+        val count = 1 + (rate / RATE_PER_SENDER).coerceAtMost(demands.all.size.toDouble()).toInt()
         if (demands.all.size <= count) return demands.all
         if (demands.scarce.size <= count) return demands.scarce
-        return demands.scarce.sortedBy { score(life, it) }.take(count)
+        val own = demands.scarce.firstOrNull { it.gateway == demands.self } ?: return emptyList()
+        val code = life.code
+        val ownScore = score(code, own)
+        if (demands.scarce.count { score(code, it) < ownScore } >= count) return emptyList()
+        return demands.scarce
+            .map { score(code, it) to it }
+            .sortedBy { it.first }
+            .take(count)
+            .map { it.second }
     }
 
-    /**
-     * The score of a gateway in weighted rendezvous hashing; the lowest are chosen.
-     *
-     * Demands count by powers of two, so that small changes of demand do not change the choice.
-     */
+    /** A number that every gateway computes alike for [gateway] and the server with [lifeCode]; the lowest are chosen. */
     private fun score(
-        life: BackendLife,
-        sender: GatewayWeight,
-    ): Double = -ln(uniform(life, sender.gateway)) / coarse(sender.weight)
-
-    private fun coarse(demand: Double): Double = 2.0.pow(log2(demand).roundToInt())
-
-    /** Returns a number between 0 and 1 that every gateway computes alike from [life] and [gateway]. */
-    private fun uniform(
-        life: BackendLife,
-        gateway: HostAddress,
-    ): Double {
-        val seed = (life.code.toLong() shl Int.SIZE_BITS) xor gateway.toString().hashCode().toLong()
-        return ((mixed(seed) ushr UNUSED_BITS) + 0.5) / (1L shl (Long.SIZE_BITS - UNUSED_BITS))
-    }
+        lifeCode: Int,
+        gateway: GatewayWeight,
+    ): Long = mixed((lifeCode.toLong() shl Int.SIZE_BITS) xor (gateway.number.toLong() and LOW_BITS))
 
     /** The finalizer of SplitMix64. */
     private fun mixed(seed: Long): Long {
@@ -73,8 +67,7 @@
         return second xor (second ushr 31)
     }
 
-    private const val LOWEST_RATE = 0.2
-    private const val LEAST_SENDERS = 3
-    private const val RATE_PER_SENDER = 2.0
-    private const val UNUSED_BITS = 11 // of a long, so that the rest is exact as a double
+    private const val LOWEST_RATE = 0.4
+    private const val RATE_PER_SENDER = 1.0
+    private const val LOW_BITS = 0xffff_ffffL
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitTokens.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitTokens.kt
@@ -110,6 +110,6 @@
             now < reservation.until + CLAIM_PERIOD
 
     private const val ROUNDING = 1e-6 // a request that waited until its token is there finds it
-    private val KEPT_FOR: Duration = 1.seconds
+    private val KEPT_FOR: Duration = 500.milliseconds
     private val CLAIM_PERIOD: Duration = 50.milliseconds
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitWords.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitWords.kt
@@ -62,7 +62,8 @@
         perSecond: Double,
     ): Boolean = abs(perSecond - former) > LARGE_CHANGE * maxOf(former, perSecond)
 
-    private fun saysSame(
+    /** True if [one] and [other] differ at most in their times. */
+    fun saysSame(
         one: LimitWord,
         other: LimitWord,
     ): Boolean =
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/PoolDemands.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/PoolDemands.kt
@@ -9,10 +9,11 @@
 import org.acaciaflow.state.retry.RetryWindow
 import kotlin.time.Instant
 
-/** The [weight] of [gateway] among those that share a limit. */
+/** The [weight] of [gateway] among those that share a limit; [number] stands for it where some are chosen. */
 data class GatewayWeight(
     val gateway: HostAddress,
     val weight: Double,
+    val number: Int = gateway.toString().hashCode(),
 )
 
 /**
@@ -56,15 +57,26 @@
             )
         }
 
-        /** Returns the requests a second that [window] has counted lately, as of [now]. */
+        /**
+         * Returns the requests a second that [window] has counted lately, as of [now].
+         *
+         * The fewer there are, the longer the time that counts, so that chance does not decide who has demand.
+         */
         fun measured(
             window: RetryWindow?,
             now: Instant,
         ): Double {
             if (window == null) return 0.0
             val second = now.epochSeconds
-            val requests = (0..WHOLE_SECONDS).sumOf { window.requests[second - it] ?: 0 }
-            return requests / (WHOLE_SECONDS + now.nanosecondsOfSecond / NANOSECONDS_PER_SECOND)
+            var requests = window.requests[second] ?: 0
+            for (whole in 1..LONGEST_SECONDS) {
+                requests += window.requests[second - whole] ?: 0
+                val isEnough = whole >= SHORTEST_SECONDS && requests >= ENOUGH_REQUESTS
+                if (isEnough || whole == LONGEST_SECONDS) {
+                    return requests / (whole + now.nanosecondsOfSecond / NANOSECONDS_PER_SECOND)
+                }
+            }
+            return 0.0
         }
 
         /** Returns the demand to report next, [measured] requests a second, after [former]. */
@@ -74,7 +86,9 @@
         ): DeclaredDemand = DeclaredDemand(latest = measured, previous = former?.latest ?: measured)
 
         private const val LEAST_SHARE_OF_MEAN = 0.25
-        private const val WHOLE_SECONDS = 2
+        private const val SHORTEST_SECONDS = 2
+        private const val LONGEST_SECONDS = 9 // the retry windows keep the requests of ten seconds
+        private const val ENOUGH_REQUESTS = 12
         private const val NANOSECONDS_PER_SECOND = 1e9
     }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
@@ -6,6 +6,7 @@
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.event.LeavingOrigin
 import org.acaciaflow.coordination.fleet.markLeaving
+import org.acaciaflow.coordination.limit.LimitBudget
 import org.acaciaflow.coordination.load.RemoteLoads
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.relay.RelayTables
@@ -28,6 +29,7 @@
 ) {
     private val crashRecorder = CrashRecorder(tables.crashes, tables.startingAttempts, observations)
     private val crashGossip = CrashGossip(tables.crashes, crashRecorder)
+    private val limitGossip = LimitGossip(tables.fleet, LimitBudget(tables, self.address, observations))
     private var sequence = 0L
 
     /** Builds the next report as of [now]; the prompts in it are left out of later reports. */
@@ -62,6 +64,14 @@
             unheard = unresponsiveServers(now).map { it.code }.toPersistentList(),
             crashes = crashGossip.reportedCrashes(now),
             served = crashGossip.reportedServed(now),
+            limits =
+                limitGossip.reported(
+                    tables.peers
+                        .snapshot()
+                        .known.size,
+                    sequence,
+                    now,
+                ),
         )
     }
 
@@ -81,6 +91,7 @@
             tables.load.update { it.copy(suspected = it.suspected.putAll(suspected.associateWith { until })) }
         }
         crashGossip.receive(report, now)
+        limitGossip.receive(report.sender, report.limits, lives, now)
     }
 
     /** Removes the peers whose last report is older than [ReportTiming.silenceLimit] as of [now]. */
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
@@ -155,10 +155,14 @@
             servedSubjects = report.served.map { numberOf(it.subject) },
             servedKinds = report.served.map { kindCodeOf(it.subject) },
             servedAgesMilliseconds = report.served.map { millisecondsOf(it.age) },
+            limitLives = report.limits.map { it.lifeCode },
+            limitsPerSecond = report.limits.map { numberOf(it.word) },
+            limitAgesMilliseconds = report.limits.map { millisecondsOf(it.age) },
+            limitDemandThousandths = report.limits.map(::demandThousandths),
         )
     }
 
-    private fun millisecondsOf(age: Duration): Int = age.inWholeMilliseconds.toInt()
+    private fun millisecondsOf(age: Duration): Int = age.inWholeMilliseconds.coerceIn(0, Int.MAX_VALUE.toLong()).toInt()
 
     private fun reportOf(message: PeerMessage): DecodedDatagram {
         val sender = parseHostAddress(message.address)
@@ -178,6 +182,7 @@
                 unheard = message.unheard.toPersistentList(),
                 crashes = crashesOf(message),
                 served = servedOf(message),
+                limits = limitsOf(message),
             ),
         )
     }
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
@@ -10,7 +10,8 @@
  * Lists whose names share a prefix are parallel: `load` lists have one entry for each reported load, `read` lists one
  * for each reported prompt. [partKeys] and [partTokens] hold the parts of all prompts in order;
  * [readPartCounts] is the number of parts of each prompt. The `crash` lists have one entry for each reported crash, the
- * `served` lists one for each subject that was served; kinds are those of [CrashSubjectCode].
+ * `served` lists one for each subject that was served; kinds are those of [CrashSubjectCode]. The `limit` lists
+ * have one entry for each reported limit, [LIMIT_ENDED] for one that has ended.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -41,6 +42,10 @@
     @CborLabel(23) val servedSubjects: List<Long> = emptyList(),
     @CborLabel(24) val servedKinds: List<Int> = emptyList(),
     @CborLabel(25) val servedAgesMilliseconds: List<Int> = emptyList(),
+    @CborLabel(34) val limitLives: List<Int> = emptyList(),
+    @CborLabel(35) val limitsPerSecond: List<Double> = emptyList(),
+    @CborLabel(36) val limitAgesMilliseconds: List<Int> = emptyList(),
+    @CborLabel(37) val limitDemandThousandths: List<Int> = emptyList(),
 )
 
 /** Codes of the kinds of crash subjects in [PeerMessage]. */
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerCodecTest.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerCodecTest.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.protocol.peer
 
 import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -14,11 +15,14 @@
 import org.acaciaflow.state.peer.LoadShare
 import org.acaciaflow.state.peer.PeerReport
 import org.acaciaflow.state.peer.ReportedCrash
+import org.acaciaflow.state.peer.ReportedLimit
+import org.acaciaflow.state.peer.ReportedLimitWord
 import org.acaciaflow.state.peer.ReportedLoad
 import org.acaciaflow.state.peer.ReportedRead
 import org.acaciaflow.state.peer.ReportedServed
 import org.acaciaflow.state.prompt.PromptPart
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.days
 import kotlin.time.Duration.Companion.milliseconds
 
 class PeerCodecTest : AnnotationSpec() {
@@ -78,7 +82,14 @@
             (1..64L).map { ReportedCrash(CrashSubject.Part(Long.MAX_VALUE - it), Int.MIN_VALUE, 120_000.milliseconds) }
         val served = (1..64L).map { ReportedServed(CrashSubject.Part(Long.MIN_VALUE + it), 5_000.milliseconds) }
 
-        val full = report.copy(crashes = crashes.toPersistentList(), served = served.toPersistentList())
+        val limits = limits(64)
+
+        val full =
+            report.copy(
+                crashes = crashes.toPersistentList(),
+                served = served.toPersistentList(),
+                limits = limits,
+            )
 
         PeerCodec.encode(full).size shouldBeLessThan 60_000
     }
@@ -98,6 +109,39 @@
         }
     }
 
+    /** Guards against reports that grow without bound with the number of limited servers. */
+    @Test
+    fun `64 limits take at most 2 KB of a report`() {
+        val none = report(loads = 0, reads = 0).copy(limits = persistentListOf())
+
+        val bytes = PeerCodec.encode(none.copy(limits = limits(64))).size - PeerCodec.encode(none).size
+
+        println("bytes of 64 limits in a report: $bytes")
+        bytes shouldBeLessThan 2_048
+    }
+
+    /** Guards against an old word that counts as new because its age does not fit into the message. */
+    @Test
+    fun `an age of many days stays old`() {
+        val limit = ReportedLimit(6, ReportedLimitWord.Named(4.3), 40.days, demand = 1.0)
+        val report = report(loads = 0, reads = 0).copy(limits = persistentListOf(limit))
+
+        val decoded = PeerCodec.decode(PeerCodec.encode(report)) as DecodedDatagram.Valid
+
+        (decoded.datagram as PeerReport).limits.single().age shouldBeGreaterThan 20.days
+    }
+
+    private fun limits(count: Int) =
+        (1..count)
+            .map {
+                ReportedLimit(
+                    Int.MIN_VALUE + it,
+                    ReportedLimitWord.Named(4.3),
+                    120_000.milliseconds,
+                    demand = 99.9,
+                )
+            }.toPersistentList()
+
     private fun share(
         scope: LoadScope,
         loads: Int,
@@ -134,5 +178,10 @@
                 ReportedCrash(CrashSubject.Part(-98), 5, 90_000.milliseconds),
             ),
         served = persistentListOf(ReportedServed(CrashSubject.Part(97), 30.milliseconds)),
+        limits =
+            persistentListOf(
+                ReportedLimit(6, ReportedLimitWord.Named(4.3), 250.milliseconds, demand = 12.5),
+                ReportedLimit(-7, ReportedLimitWord.Ended, 0.milliseconds, demand = 0.0),
+            ),
     )
 }
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerDatagramTest.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerDatagramTest.kt
@@ -8,13 +8,19 @@
 import org.acaciaflow.coordination.peer.PeerGossip
 import org.acaciaflow.coordination.relay.createRelayTables
 import org.acaciaflow.protocol.execution.NoOpObservations
+import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.load.RemoteLoad
 import org.acaciaflow.state.peer.LoadScope
 import org.acaciaflow.state.peer.LoadShare
 import org.acaciaflow.state.peer.PeerDatagram
 import org.acaciaflow.state.peer.PeerReport
+import org.acaciaflow.state.peer.ReportedLimit
+import org.acaciaflow.state.peer.ReportedLimitWord
 import org.acaciaflow.state.peer.ReportedLoad
 import org.acaciaflow.state.peer.ReportedRead
 import org.acaciaflow.state.prompt.PromptPart
@@ -35,6 +41,7 @@
         val random = Random(5103)
         val originals = (listOf(report()) + SCOPES.map(::share)).map(PeerCodec::encode)
         var applied = 0
+        tables.fleet.update { it.copy(entries = it.entries.put(SERVER.life.instance, SERVER)) }
 
         repeat(20_000) { round ->
             val bytes = originals.random(random).copyOf()
@@ -82,6 +89,10 @@
             unheard = persistentListOf(3),
             crashes = persistentListOf(),
             served = persistentListOf(),
+            limits =
+                persistentListOf(
+                    ReportedLimit(SERVER.life.code, ReportedLimitWord.Named(4.3), 20.milliseconds, 2.0),
+                ),
         )
 
     private fun share(scope: LoadScope) =
@@ -89,6 +100,16 @@
 
     private companion object {
         val SENDER = HostAddress("10.0.0.1", 7000)
+        val SERVER =
+            BackendEntry(
+                life = BackendLife("server", 1),
+                pool = PoolName("pool"),
+                address = HostAddress("10.0.0.2", 8000),
+                dataCentre = DataCentre("north"),
+                slots = 8,
+                draining = false,
+                role = EngineRole.MIXED,
+            )
         val SCOPES = listOf(LoadScope.Sender, LoadScope.WholeDataCentre(DataCentre("south")), LoadScope.AllOthers)
         val LOADS = persistentListOf(ReportedLoad(5, RemoteLoad(20.milliseconds, 1, 2, 300)))
     }
--- a/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
@@ -25,7 +25,7 @@
  * [dataCentre] and [capacity], the number of processor cores that the sender may use, select the aggregators. [reads]
  * lists the prompts sent to engines for prefill since the last report, [leaving] the backend servers seen draining and
  * [unheard] those that are unreachable or silent. [crashes] lists backend servers that crashed and what they were starting
- * on, [served] what is suspected of crashes and was served since.
+ * on, [served] what is suspected of crashes and was served since. [limits] are the limits that servers have named.
  */
 data class PeerReport(
     override val sender: HostAddress,
@@ -41,6 +41,7 @@
     val unheard: PersistentList<Int>,
     val crashes: PersistentList<ReportedCrash>,
     val served: PersistentList<ReportedServed>,
+    val limits: PersistentList<ReportedLimit>,
 ) : PeerDatagram
 
 /**
