--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/PoolDemands.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/PoolDemands.kt
@@ -13,7 +13,7 @@
 data class GatewayWeight(
     val gateway: HostAddress,
     val weight: Double,
-    val number: Int = gateway.toString().hashCode(),
+    val number: Int = gateway.ip.hashCode() * 31 + gateway.port,
 )
 
 /**
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
@@ -29,6 +29,7 @@
     private val decisions: DecisionLog = DecisionLog(),
 ) : Observations {
     private val strayFrames = registry.counter(Meters.STRAY_FRAMES)
+    private val heldBack = registry.counter(Meters.REQUESTS_HELD_BACK)
     private val unreadableNotices = registry.counter(Meters.NOTICES_UNREADABLE)
 
     // A registry lookup costs more than an increment, so meters are cached.
@@ -62,7 +63,10 @@
         elapsed: Duration,
     ) = answerTimers.computeIfAbsent(urgency) { createAnswerTimer(it) }.record(elapsed.toJavaDuration())
 
-    override fun decided(decision: Decision) = decisions.write(DecisionFormatter.format(decision))
+    override fun decided(decision: Decision) {
+        if (decision is Decision.HeldBack) heldBack.increment()
+        decisions.write(DecisionFormatter.format(decision))
+    }
 
     /** Starts a loop of [supervisor] that writes queued decision lines to the log with the time of [clock]. */
     fun start(
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
@@ -18,6 +18,9 @@
     const val STRAY_FRAMES = "acaciaflow.frames.stray"
     const val BACKENDS_LEAVING = "acaciaflow.backends.leaving"
     const val BACKENDS_RESTING = "acaciaflow.backends.resting"
+    const val BACKENDS_LIMITED = "acaciaflow.backends.limited"
+    const val BACKENDS_LIMITED_PARTS = "acaciaflow.backends.limited.parts"
+    const val REQUESTS_HELD_BACK = "acaciaflow.requests.heldback"
     const val BACKENDS_ISOLATED = "acaciaflow.backends.isolated"
     const val ANSWERS_FOREIGN = "acaciaflow.backends.answers.foreign"
     const val CONNECTIONS_CLOSED = "acaciaflow.backends.connections.closed"
@@ -41,6 +44,9 @@
             STRAY_FRAMES,
             BACKENDS_LEAVING,
             BACKENDS_RESTING,
+            BACKENDS_LIMITED,
+            BACKENDS_LIMITED_PARTS,
+            REQUESTS_HELD_BACK,
             BACKENDS_ISOLATED,
             NOTICES_UNREADABLE,
             ANSWERS_FOREIGN,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -44,7 +44,7 @@
 ): Daemon {
     val runtime = createSingleLoopRuntime(clock)
     val tables = createRelayTables()
-    registerFleetGauges(runtime.registry, tables.fleet, tables.notices, clock)
+    registerFleetGauges(runtime.registry, tables.fleet, tables.notices, tables.limits, clock)
     registerStoreGauges(runtime.registry, tables.store, tables.routing, clock)
     val calls = VertxHttpCalls(runtime.vertx, SHORT_ANSWER_BYTES, keepAlive = true)
     val store =
