--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/ServerLimitTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/ServerLimitTest.kt
@@ -198,7 +198,11 @@
                     it.milliseconds < AT_ONCE
             }
         val slowest = refused.map { it.milliseconds }.sorted().let { it.getOrNull(it.size * 95 / 100) }
-        println("refused ${refused.size} of ${calls.size}, at once $atOnce, 95 in 100 within $slowest ms")
+        val returns = refused.mapNotNull { it.retryAfterSeconds }
+        println(
+            "refused ${refused.size} of ${calls.size}, at once $atOnce, 95 in 100 within $slowest ms; " +
+                "to return after ${returns.minOrNull()} to ${returns.maxOrNull()} s",
+        )
         withClue("statuses ${calls.groupingBy { it.status }.eachCount()}") { refused.isNotEmpty() shouldBe true }
         atOnce.toDouble() shouldBeGreaterThanOrEqual NEARLY_ALL * refused.size
     }
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/limit/LimitCallers.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/limit/LimitCallers.kt
@@ -21,7 +21,7 @@
     val sentAtMilliseconds: Long,
     val endedAtMilliseconds: Long,
     val status: Int,
-    val retryAfterSeconds: Int?,
+    val retryAfterSeconds: Double?,
 ) {
     val isServed: Boolean get() = status == OK
     val milliseconds: Long get() = endedAtMilliseconds - sentAtMilliseconds
@@ -77,9 +77,9 @@
         }
     }
 
-    /** Waits [seconds] and a moment, or until the callers are stopped. */
-    private fun pause(seconds: Int) {
-        val end = clock() + TimeUnit.SECONDS.toMillis(seconds.toLong())
+    /** Waits [seconds], or until the callers are stopped. */
+    private fun pause(seconds: Double) {
+        val end = clock() + (seconds * MILLISECONDS_PER_SECOND).toLong()
         while (clock() < end && !isStopping) Thread.sleep(POLL_MILLISECONDS)
     }
 
@@ -95,7 +95,7 @@
                 ?.headers()
                 ?.firstValue("Retry-After")
                 ?.orElse(null)
-                ?.toIntOrNull()
+                ?.toDoubleOrNull()
         return LimitCall(call, attempt, sentAt, clock(), answer?.statusCode() ?: 0, retryAfter).also { records += it }
     }
 
@@ -137,6 +137,7 @@
         const val MOST_RETURNS = 3
         const val POLL_MILLISECONDS = 20L
         const val FINISH_SECONDS = 10L
+        const val MILLISECONDS_PER_SECOND = 1_000
         val PATIENCE: Duration = Duration.ofSeconds(4)
     }
 }
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/limit/SocketOwners.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/limit/SocketOwners.kt
@@ -18,6 +18,7 @@
             find(socket, processIds)?.let { return it }
             Thread.sleep(PAUSE_MILLISECONDS) // a table that changes while it is read may lack an entry
         }
+        println("no owner among $processIds of $socket: ${entriesOf(socket.port, socket.localPort)}")
         return null
     }
 
@@ -25,19 +26,19 @@
         socket: Socket,
         processIds: Collection<Long>,
     ): Long? {
-        val inode = inodeOf(callerPort = socket.port, serverPort = socket.localPort) ?: return null
-        return processIds.firstOrNull { holds(it, "socket:[$inode]") }
+        val names = entriesOf(socket.port, socket.localPort).map { "socket:[${it[INODE]}]" }
+        return processIds.firstOrNull { id -> names.any { holds(id, it) } }
     }
 
-    private fun inodeOf(
-        callerPort: Int,
-        serverPort: Int,
-    ): String? =
+    /** The fields of the tables' entries for the end of a connection whose ports are [ownPort] and [otherPort]. */
+    private fun entriesOf(
+        ownPort: Int,
+        otherPort: Int,
+    ): List<List<String>> =
         TABLES
             .flatMap { Path.of(it).readLines() }
             .map { it.trim().split(SPACES) }
-            .firstOrNull { it[LOCAL].endsWith(suffix(callerPort)) && it[REMOTE].endsWith(suffix(serverPort)) }
-            ?.get(INODE)
+            .filter { it[LOCAL].endsWith(suffix(ownPort)) && it[REMOTE].endsWith(suffix(otherPort)) }
 
     private fun suffix(port: Int): String = ":%04X".format(port)
 
