--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
@@ -157,10 +157,14 @@
             servedAgesMilliseconds = report.served.map { millisecondsOf(it.age) },
             surplusLives = report.surplus.map { it.lifeCode },
             surplusAgesMilliseconds = report.surplus.map { millisecondsOf(it.age) },
+            limitLives = report.limits.map { it.lifeCode },
+            limitsPerSecond = report.limits.map { numberOf(it.word) },
+            limitAgesMilliseconds = report.limits.map { millisecondsOf(it.age) },
+            limitDemandThousandths = report.limits.map(::demandThousandths),
         )
     }
 
-    private fun millisecondsOf(age: Duration): Int = age.inWholeMilliseconds.toInt()
+    private fun millisecondsOf(age: Duration): Int = age.inWholeMilliseconds.coerceIn(0, Int.MAX_VALUE.toLong()).toInt()
 
     private fun reportOf(message: PeerMessage): DecodedDatagram {
         val sender = parseHostAddress(message.address)
@@ -181,6 +185,7 @@
                 crashes = crashesOf(message),
                 served = servedOf(message),
                 surplus = surplusOf(message),
+                limits = limitsOf(message),
             ),
         )
     }
--- a/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
@@ -26,7 +26,7 @@
  * lists the prompts sent to engines for prefill since the last report, [leaving] the backend servers seen draining and
  * [unheard] those that are unreachable or silent. [crashes] lists backend servers that crashed and what they were starting
  * on, [served] what is suspected of crashes and was served since. [surplus] lists the surplus answers that the sender itself
- * received.
+ * received, [limits] the limits that servers have named.
  */
 data class PeerReport(
     override val sender: HostAddress,
@@ -43,6 +43,7 @@
     val crashes: PersistentList<ReportedCrash>,
     val served: PersistentList<ReportedServed>,
     val surplus: PersistentList<ReportedSurplus>,
+    val limits: PersistentList<ReportedLimit>,
 ) : PeerDatagram
 
 /**
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
@@ -41,6 +41,7 @@
         if (verdict.isOfAddressedServer) {
             availability.noticed(call.order, dialect.leavingNotice(head))
             availability.noticed(call.order, dialect.restNotice(head), refused = verdict is AnswerVerdict.NotExecuted)
+            availability.noticed(call.order, dialect.limitNotice(head), sentAt = call.sentAt, now)
         }
         return verdict
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -135,9 +135,8 @@
         val request = connected.request
         return when (val permission = availability.permissionFor(order)) {
             SendPermission.Granted, SendPermission.GrantedAsTrial -> {
-                val now = clock.now()
-                observer.sending(order, purpose, connected.history, now)
-                val call = SentCall(order, purpose, connected.history, sentAt = now)
+                val call = SentCall(order, purpose, connected.history, sentAt = clock.now())
+                observer.sending(order, purpose, connected.history, call.sentAt)
                 connected.lateAnswers.expect(call)
                 val carrier = CarrierConnection(request, open, connected.lateAnswers)
                 Sending.Sent(sendAttempt(call, answers, carrier, head, body, clock))
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/DirectConnectionsTest.kt
@@ -32,9 +32,9 @@
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.CallHead
 import java.lang.reflect.Proxy
-import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 import kotlin.time.measureTime
 
 class DirectConnectionsTest : AnnotationSpec() {
@@ -247,7 +247,8 @@
                         .setPort(backend.address.port)
                 val request = heldUpAfterSend(vertx.createHttpClient().request(options).coAwait())
                 val head = TestDialect.runHead(order)
-                val call = SentCall(order, CallPurpose.RUN, newConnectionHistory(number = 1), Clock.System.now())
+                val call =
+                    SentCall(order, CallPurpose.RUN, newConnectionHistory(number = 1), sentAt = Instant.DISTANT_PAST)
                 val answers = AnswerReader(TestDialect, createBackendAvailability(), createConnectionObserver())
                 val carrier = CarrierConnection(request, open = null, lateAnswers = null)
                 val stream = sendAttempt(call, answers, carrier, head, emptyBody, createSteadyClock())
