--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitBudget.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitBudget.kt
@@ -133,7 +133,6 @@
                 .byLife[life]
                 ?.word
         if (next(former) == former) return
-        val known = tables.peers.snapshot().known
         val change =
             tables.limits.transition { limits ->
                 val latest = limits.byLife[life]?.word
@@ -141,6 +140,7 @@
                 if (latest != null && LimitWords.saysSame(latest, word)) {
                     return@transition Transition(LimitPolicy.confirmed(limits, life, word), LimitChange.None)
                 }
+                val known = tables.peers.snapshot().known
                 val part = LimitPolicy.partOf(word, PoolDemands.of(limits, backend.pool, self, known), life)
                 LimitPolicy.recorded(limits, life, backend.pool, word, part, now)
             }
