--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/LimitNoticesTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/LimitNoticesTest.kt
@@ -32,6 +32,7 @@
             vertx,
             LimitDialect,
             createBackendAvailability(tables),
+            tables.surplus,
             createConnectionObserver(),
             VertxHttpCalls(vertx, maximumBytes = 64 * 1024),
             CoroutineScope(Dispatchers.Default),
