--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/SecondAnswerBodiesTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/SecondAnswerBodiesTest.kt
@@ -53,4 +53,17 @@
         SecondAnswerBodies.isKnown(full, bodies.last) shouldBe true
         SecondAnswerBodies.isKnown(full, bodies.first) shouldBe false
     }
+
+    /** Guards against true answers that are rejected once other copies have pushed theirs out of memory. */
+    @Test
+    fun `a copied body does not count again after copies of other bodies`() {
+        val copied = SecondAnswerBodies.recorded(seen, first = 2, second = 2)
+        val later =
+            (100L until 100L + SecondAnswerBodies.KEPT_BODIES).fold(copied) { known, body ->
+                SecondAnswerBodies.recorded(known, first = body, second = body)
+            }
+
+        SecondAnswerBodies.isKnown(copied, 2) shouldBe false
+        SecondAnswerBodies.isKnown(later, 2) shouldBe false
+    }
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/SurplusGossipTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/SurplusGossipTest.kt
@@ -39,6 +39,22 @@
         learning.isIsolated(now + 30.seconds) shouldBe false
     }
 
+    /** Guards against a gateway that has just started and sends plain calls to a server that all others still isolate. */
+    @Test
+    fun `a gateway that has just started isolates a server for as long as the others`() {
+        val seeing = Gateway("10.0.0.1")
+        val starting = Gateway("10.0.0.2")
+        seeing.seen(life, now)
+        seeing.seen(life, now + 30.seconds)
+        seeing.seen(life, now + 90.seconds)
+        val at = now + 150.seconds
+
+        starting.gossip.receive(seeing.reportAt(at), at)
+
+        seeing.isIsolated(at) shouldBe true
+        starting.isIsolated(at) shouldBe true
+    }
+
     /** Guards against isolations that gateways renew for each other for ever by passing them on, each with a delay. */
     @Test
     fun `a surplus answer that is told around is not renewed`() {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/SmallBody.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/SmallBody.kt
@@ -2,8 +2,8 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames.CONTENT_LENGTH
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpUtil
 import org.acaciaflow.coordination.connection.SecondAnswerBodies
 import org.acaciaflow.state.bytes.RunningFingerprint
 
@@ -14,7 +14,7 @@
     private val running = RunningFingerprint()
 
     /** True once the body is known to be longer than the bodies that are compared. */
-    var isLong = HttpUtil.getContentLength(response, 0L) > SecondAnswerBodies.MAXIMUM_BYTES
+    var isLong = (response.headers().get(CONTENT_LENGTH)?.toLongOrNull() ?: 0) > SecondAnswerBodies.MAXIMUM_BYTES
         private set
 
     /** The fingerprint of the body so far; null if it is empty or long. */
