One answer without an id on a fresh connection does not isolate its server

The answer was taken for a surplus one, so any caller could have a sound server isolated, and set aside by all gateways, with one such request.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionIsolation.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionIsolation.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.connection
 
+import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.connection.SurplusAnswers
 import org.acaciaflow.state.connection.SurplusRecord
 import org.acaciaflow.state.fleet.BackendLife
@@ -39,6 +40,17 @@
         return recorded(answers, life, minOf(seenAt, now), now) { it }
     }
 
+    /**
+     * Returns true if an answer with [answerIds], which came in place of another one, is a surplus one.
+     *
+     * One without an id may be the only answer to the first request of its connection, with the [history] before it:
+     * servers refuse requests that they can't read without repeating their ids.
+     */
+    fun isSurplus(
+        history: ConnectionHistory,
+        answerIds: List<String>,
+    ): Boolean = answerIds.isNotEmpty() || history.carried.isNotEmpty()
+
     /** Returns true if [life] is isolated at [now]. */
     fun isIsolated(
         answers: SurplusAnswers,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
@@ -46,6 +46,9 @@
         return verdict
     }
 
+    /** The ids of requests that the answer with [head] bears. */
+    fun idsOf(head: AnswerHead): List<String> = dialect.answerIds(head)
+
     /** Where the answer with [head] to [call] comes from; a long signature is shortened for the log. */
     fun originOf(
         call: SentCall,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/CarrierConnection.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/CarrierConnection.kt
@@ -3,7 +3,7 @@
 import io.vertx.core.Future
 import io.vertx.core.http.HttpClientRequest
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
-import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.coordination.connection.ConnectionIsolation
 
 /** The connection that carries [request], with what is known of it in [open]. */
 internal class CarrierConnection(
@@ -18,9 +18,12 @@
     /** Returns true if the answer to [call] arrived whole and its server has contradicted it. */
     fun isContradicted(call: SentCall): Boolean = lateAnswers?.isContradicted(call) == true
 
-    /** Closes the connection, on which [life] has written an answer of another request. */
-    fun closeAfterForeignAnswer(life: BackendLife): Future<Void> {
-        open?.surplusAnswered(life)
+    /** Closes the connection, on which an answer with [answerIds] came that is not the one to [call]. */
+    fun closeAfterForeignAnswer(
+        call: SentCall,
+        answerIds: List<String>,
+    ): Future<Void> {
+        if (ConnectionIsolation.isSurplus(call.history, answerIds)) open?.surplusAnswered(call.order.backend.life)
         return close(ConnectionCloseReason.ANSWER_FOREIGN)
     }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -81,13 +81,16 @@
         val channel = BodyChannel(response.pause())
         val head = AnswerHead(response.statusCode(), HopByHopHeaders.strip(response.headers().toFields()))
         val verdict = answers.read(call, head, clock.now())
-        return OpenedAnswer(head, verdict, channel, closed = closeUnlessUsable(verdict))
+        return OpenedAnswer(head, verdict, channel, closed = closeUnlessUsable(verdict, head))
     }
 
     /** Closes the connection after an answer that can't be the one to this request. */
-    private fun closeUnlessUsable(verdict: AnswerVerdict): Future<Void>? =
+    private fun closeUnlessUsable(
+        verdict: AnswerVerdict,
+        head: AnswerHead,
+    ): Future<Void>? =
         when (verdict) {
-            AnswerVerdict.OfOtherRequest -> carrier.closeAfterForeignAnswer(call.order.backend.life)
+            AnswerVerdict.OfOtherRequest -> carrier.closeAfterForeignAnswer(call, answers.idsOf(head))
             AnswerVerdict.Unsigned -> carrier.close(ConnectionCloseReason.ANSWER_UNSIGNED)
             AnswerVerdict.NoStream -> carrier.close(ConnectionCloseReason.ANSWER_NO_STREAM)
             AnswerVerdict.Genuine, is AnswerVerdict.NotExecuted -> null
