A known second answer is not believed when another success follows it

Cause (found by the review): any second success released the held one, also when the held one had the body of second answers, so a caller got a small second answer that stood before the true one. HeldAnswerReviewTest: passed on before.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
@@ -32,14 +32,20 @@
         return if (duration >= SHORTEST) HoldStart.Hold(duration) else HoldStart.PassOn
     }
 
-    /** Decides on the held answer [first] when [second] arrives behind it. */
+    /**
+     * Decides on the held answer [first] when [second] arrives behind it.
+     *
+     * If the first one [hasSecondAnswerBody], the second one is the true answer or its copy; the first is not believed.
+     */
     fun afterSecondAnswer(
         first: AnsweredRequest,
         second: SurplusAnswer,
+        hasSecondAnswerBody: Boolean,
     ): HoldOutcome {
         val isOfSameRequest = second.requestIds.distinct() == listOf(first.requestId)
         return when {
             isOfSameRequest && second.status != first.status -> HoldOutcome.Reject(AnswerContradiction.OTHER_STATUS)
+            hasSecondAnswerBody -> HoldOutcome.Reject(AnswerContradiction.SECOND_ANSWER_BODY)
             else -> HoldOutcome.PassOn
         }
     }
@@ -86,6 +92,6 @@
     /** A second answer to the same request has another status. */
     OTHER_STATUS("other-status"),
 
-    /** It came alone, with a body that the server writes as its second answer to other requests. */
+    /** It has a body that the server writes as its second answer to other requests. */
     SECOND_ANSWER_BODY("second-answer-body"),
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -251,7 +251,8 @@
     ) {
         val second = dialect.surplusAnswer(headOf(response))
         open.surplusAnswered(holding.answered.life) // first, so that the connection carries no other request
-        when (val outcome = AnswerHold.afterSecondAnswer(holding.answered, second)) {
+        val hasSecondAnswerBody = open.isSecondAnswerBody(holding.answered.life, holding.answered.body)
+        when (val outcome = AnswerHold.afterSecondAnswer(holding.answered, second, hasSecondAnswerBody)) {
             HoldOutcome.PassOn -> {
                 passOn(context, holding.answered, holding.end)
                 channelRead(context, response)
