Bodies of second answers are known for as long as their server's surplus answers are remembered

They are kept with the surplus answers (10 minutes), and a success with such a body is held also after the isolation.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
@@ -16,18 +16,19 @@
     /**
      * Decides on the answer with [status] to [order], which is complete at [now].
      *
-     * Only a plain success of a server that [isIsolated] is held, for [longest] or a share of the time left.
+     * Only a plain success that [isDoubtful] is held, for [longest] or a share of the time left: one of an isolated server,
+     * or with a body that its server was seen to write as a second answer.
      */
     fun begin(
         order: RunOrder,
         purpose: CallPurpose,
         status: Int,
-        isIsolated: Boolean,
+        isDoubtful: Boolean,
         longest: Duration,
         now: Instant,
     ): HoldStart {
         val isPlain = purpose == CallPurpose.RUN && !order.expectsEvents
-        if (!isIsolated || !isPlain || status !in SUCCESSES) return HoldStart.PassOn
+        if (!isDoubtful || !isPlain || status !in SUCCESSES) return HoldStart.PassOn
         val duration = minOf(longest, (order.deadline - now) * SHARE_OF_TIME_LEFT)
         return if (duration >= SHORTEST) HoldStart.Hold(duration) else HoldStart.PassOn
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionIsolation.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionIsolation.kt
@@ -58,6 +58,13 @@
         now: Instant,
     ): Boolean = answers.byLife[life]?.let { now < it.isolatedUntil } == true
 
+    /** Returns true if a surplus answer of [life] is remembered at [now], also after its isolation. */
+    fun isRemembered(
+        answers: SurplusAnswers,
+        life: BackendLife,
+        now: Instant,
+    ): Boolean = answers.byLife[life]?.let { now - it.lastSeen < MEMORY_TIME } == true
+
     /** Returns for how long [life] is isolated by [after] if it is not by [before] at [now]; null otherwise. */
     fun begun(
         before: SurplusAnswers,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -197,9 +197,10 @@
     ) {
         val now = clock.now()
         val (order, purpose) = answering.call
-        val isIsolated = open.isIsolated(order.backend.life)
+        val life = order.backend.life
         val answered = answering.ended(now)
-        when (val start = AnswerHold.begin(order, purpose, answering.status, isIsolated, longestHold, now)) {
+        val isDoubtful = open.isIsolated(life) || open.isSecondAnswerBody(life, answered.body)
+        when (val start = AnswerHold.begin(order, purpose, answering.status, isDoubtful, longestHold, now)) {
             HoldStart.PassOn -> {
                 passOn(context, answered, end)
             }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
@@ -67,7 +67,7 @@
                 Transition(next, ConnectionIsolation.begun(known, next, life, now))
             }
         if (begun == null) return false
-        table.update { it.copy(secondAnswers = it.secondAnswers.remove(life)) }
+        updateSecondAnswers(life) { it.copy(isReported = false) }
         observer.isolated(life, begun)
         return true
     }
@@ -91,13 +91,13 @@
         updateSecondAnswers(first.life) { SecondAnswerBodies.contradicted(it, body) }
     }
 
-    /** Returns true if [body] is one that the isolated server [life] writes as its second answer. */
+    /** Returns true if [body] is one that the server [life] was seen to write as its second answer. */
     fun isSecondAnswerBody(
         life: BackendLife,
         body: Long?,
     ): Boolean {
         val known = table.snapshot().secondAnswers[life] ?: return false
-        return isIsolated(life) && SecondAnswerBodies.isKnown(known, body)
+        return isRemembered(life) && SecondAnswerBodies.isKnown(known, body)
     }
 
     /** Notes that an answer of [life] is reported as not believed; returns false if that was so before while it is isolated. */
@@ -108,6 +108,9 @@
         return true
     }
 
+    private fun isRemembered(life: BackendLife): Boolean =
+        ConnectionIsolation.isRemembered(surplus.snapshot(), life, clock.now())
+
     private fun updateSecondAnswers(
         life: BackendLife,
         change: (SecondAnswers) -> SecondAnswers,
@@ -116,7 +119,7 @@
             table
                 .snapshot()
                 .secondAnswers.keys
-                .filterNot(::isIsolated)
+                .filterNot(::isRemembered)
         table.update { known ->
             val kept = outdated.fold(known.secondAnswers) { answers, other -> answers.remove(other) }
             known.copy(secondAnswers = kept.put(life, change(kept[life] ?: SecondAnswers.NONE)))
@@ -157,7 +160,7 @@
         observer.closed(record.life, record.history, record.lastRequestId, reason, clock.now())
     }
 
-    /** [opened] is the number of connections opened so far; [secondAnswers] has those of isolated servers. */
+    /** [opened] is the number of connections opened so far; [secondAnswers] has those of servers that are remembered. */
     private data class Connections(
         val opened: Long,
         val records: PersistentMap<HttpConnection, ConnectionRecord>,
