Keep more copied bodies than bodies of second answers

Cause (found by the review): eight copies of other bodies pushed a copied body out of memory, after which a true answer with it was not believed. SecondAnswerBodiesTest: failed before.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SecondAnswerBodies.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SecondAnswerBodies.kt
@@ -30,16 +30,16 @@
         second: Long,
     ): SecondAnswers =
         if (first == second) {
-            known.copy(copied = known.copied.withNewest(second))
+            known.copy(copied = known.copied.withNewest(second, KEPT_COPIES))
         } else {
-            known.copy(differing = known.differing.withNewest(second))
+            known.copy(differing = known.differing.withNewest(second, KEPT_BODIES))
         }
 
     /** Adds the body [contradicted] of a first answer to whose request a second one with another status came. */
     fun contradicted(
         known: SecondAnswers,
         contradicted: Long,
-    ): SecondAnswers = known.copy(differing = known.differing.withNewest(contradicted))
+    ): SecondAnswers = known.copy(differing = known.differing.withNewest(contradicted, KEPT_BODIES))
 
     /** Returns true if a second answer with another status shows that [first] may be the false one. */
     fun isContradiction(
@@ -56,14 +56,20 @@
         body: Long?,
     ): Boolean = body != null && body in known.differing && body !in known.copied
 
-    private fun PersistentList<Long>.withNewest(body: Long): PersistentList<Long> {
+    private fun PersistentList<Long>.withNewest(
+        body: Long,
+        kept: Int,
+    ): PersistentList<Long> {
         val others = remove(body)
-        return (if (others.size < KEPT_BODIES) others else others.removeAt(0)).add(body)
+        return (if (others.size < kept) others else others.removeAt(0)).add(body)
     }
 
-    /** The bodies that are kept of a server, of each kind. */
+    /** The bodies that are kept of a server's second answers that differ from the first ones. */
     const val KEPT_BODIES = 8
 
+    /** The bodies that are kept of a server's copies, many more: a sound server that copies writes a new one each time. */
+    const val KEPT_COPIES = 128
+
     /** The length of the longest body that is compared. */
     const val MAXIMUM_BYTES = 4096
 }
