Reports name for how long a surplus answer isolates its server

Cause (found by the review): a report had only the age, so a gateway that had just started took a server that the others isolate for up to four minutes for a sound one after 30 s.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionIsolation.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionIsolation.kt
@@ -27,17 +27,21 @@
     /**
      * Records that [life] wrote a surplus answer that arrived at another gateway at [seenAt], as told at [now].
      *
-     * What is known of a later one stays.
+     * It isolates the server for [isolationTime] at that gateway. What is known of a later one stays.
      */
     fun surplusReported(
         answers: SurplusAnswers,
         life: BackendLife,
         seenAt: Instant,
+        isolationTime: Duration,
         now: Instant,
     ): SurplusAnswers {
         val isKnown = answers.byLife[life]?.let { seenAt <= it.lastSeen } == true
         if (isKnown || now - seenAt >= MEMORY_TIME) return answers
-        return recorded(answers, life, minOf(seenAt, now), now) { it }
+        val reported = minOf(isolationTime, MAXIMUM_ISOLATION_TIME)
+        return recorded(answers, life, minOf(seenAt, now), now) {
+            it.copy(isolationTime = maxOf(it.isolationTime, reported))
+        }
     }
 
     /**
@@ -76,14 +80,15 @@
         return after.byLife[life]?.isolationTime
     }
 
-    /** Returns the ages at [now] of the surplus answers to this gateway itself that isolate their servers. */
-    fun ownAges(
+    /** Returns the surplus answers to this gateway itself that isolate their servers at [now]. */
+    fun own(
         answers: SurplusAnswers,
         now: Instant,
-    ): Map<BackendLife, Duration> =
+    ): Map<BackendLife, OwnSurplus> =
         answers.byLife
-            .mapNotNull { (life, record) -> record.ownLastSeen?.let { life to now - it } }
-            .filter { (life, age) -> answers.byLife.getValue(life).isolationTime > age }
+            .mapNotNull { (life, record) ->
+                record.ownLastSeen?.let { life to OwnSurplus(now - it, record.isolationTime) }
+            }.filter { (_, own) -> own.age < own.isolationTime }
             .toMap()
 
     /** Returns how many servers are isolated at [now]. */
@@ -138,3 +143,9 @@
     /** A server that has written no surplus answer for this time is isolated as if for the first time. */
     val MEMORY_TIME: Duration = 10.minutes
 }
+
+/** The last surplus answer of a server to this gateway arrived [age] ago and isolates it for [isolationTime]. */
+data class OwnSurplus(
+    val age: Duration,
+    val isolationTime: Duration,
+)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/SurplusGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/SurplusGossip.kt
@@ -30,9 +30,9 @@
         now: Instant,
     ): PersistentList<ReportedSurplus> =
         ConnectionIsolation
-            .ownAges(surplus.snapshot(), now)
+            .own(surplus.snapshot(), now)
             .filterKeys { it in registered }
-            .map { (life, age) -> ReportedSurplus(life.code, age) }
+            .map { (life, own) -> ReportedSurplus(life.code, own.age, own.isolationTime) }
             .sortedBy { it.age }
             .take(MAXIMUM_ENTRIES)
             .toPersistentList()
@@ -48,7 +48,7 @@
             val seenAt = now - entry.age
             val begun =
                 surplus.transition { known ->
-                    val next = ConnectionIsolation.surplusReported(known, life, seenAt, now)
+                    val next = ConnectionIsolation.surplusReported(known, life, seenAt, entry.isolationTime, now)
                     Transition(next, ConnectionIsolation.begun(known, next, life, now))
                 } ?: continue
             observations.event(Event.BackendIsolated(life, begun, IsolationOrigin.Report(report.sender)))
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
@@ -73,7 +73,11 @@
         val history = newConnectionHistory(number = 1)
         val first =
             AnsweredRequest("own", backend.life, history, status = 200, signature = null, now, now, body = null)
-        return AnswerHold.afterSecondAnswer(first, SurplusAnswer(ids, status, signature = null), hasSecondAnswerBody = false)
+        return AnswerHold.afterSecondAnswer(
+            first,
+            SurplusAnswer(ids, status, signature = null),
+            hasSecondAnswerBody = false,
+        )
     }
 
     private fun begin(
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/ConnectionIsolationTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/ConnectionIsolationTest.kt
@@ -81,9 +81,30 @@
     @Test
     fun `a reported surplus answer counts from its own time, never later than now and never back`() {
         val now = start + 20.seconds
-        val older = ConnectionIsolation.surplusReported(seen, life, start - 5.seconds, now)
-        val newer = ConnectionIsolation.surplusReported(seen, life, start + 8.seconds, now)
-        val future = ConnectionIsolation.surplusReported(seen, life, now + 8.seconds, now)
+        val older =
+            ConnectionIsolation.surplusReported(
+                seen,
+                life,
+                start - 5.seconds,
+                ConnectionIsolation.ISOLATION_TIME,
+                now,
+            )
+        val newer =
+            ConnectionIsolation.surplusReported(
+                seen,
+                life,
+                start + 8.seconds,
+                ConnectionIsolation.ISOLATION_TIME,
+                now,
+            )
+        val future =
+            ConnectionIsolation.surplusReported(
+                seen,
+                life,
+                now + 8.seconds,
+                ConnectionIsolation.ISOLATION_TIME,
+                now,
+            )
 
         listOf(older, newer, future).map { it.byLife[life]?.lastSeen } shouldBe listOf(start, start + 8.seconds, now)
         listOf(older, newer, future).map { it.byLife[life]?.ownLastSeen } shouldBe listOf(start, start, start)
@@ -94,7 +115,14 @@
     fun `a reported surplus answer that is older than the isolation time isolates nobody`() {
         val now = start + ConnectionIsolation.ISOLATION_TIME
 
-        val known = ConnectionIsolation.surplusReported(SurplusAnswers.NONE, life, start, now)
+        val known =
+            ConnectionIsolation.surplusReported(
+                SurplusAnswers.NONE,
+                life,
+                start,
+                ConnectionIsolation.ISOLATION_TIME,
+                now,
+            )
 
         ConnectionIsolation.isIsolated(known, life, now) shouldBe false
     }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/SurplusGossipTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/SurplusGossipTest.kt
@@ -89,7 +89,7 @@
     @Test
     fun `lives that are not registered and lives of other servers are left alone`() {
         val gateway = Gateway("10.0.0.2")
-        val foreign = ReportedSurplus(BackendLife("elsewhere", 1).code, age = 1.seconds)
+        val foreign = ReportedSurplus(BackendLife("elsewhere", 1).code, age = 1.seconds, isolationTime = 30.seconds)
         val report = Gateway("10.0.0.1").reportAt(now).copy(surplus = persistentListOf(foreign))
 
         gateway.gossip.receive(report, now)
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
@@ -157,6 +157,7 @@
             servedAgesMilliseconds = report.served.map { millisecondsOf(it.age) },
             surplusLives = report.surplus.map { it.lifeCode },
             surplusAgesMilliseconds = report.surplus.map { millisecondsOf(it.age) },
+            surplusIsolationsMilliseconds = report.surplus.map { millisecondsOf(it.isolationTime) },
             limitLives = report.limits.map { it.lifeCode },
             limitsPerSecond = report.limits.map { numberOf(it.word) },
             limitAgesMilliseconds = report.limits.map { millisecondsOf(it.age) },
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
@@ -44,6 +44,7 @@
     @CborLabel(25) val servedAgesMilliseconds: List<Int> = emptyList(),
     @CborLabel(30) val surplusLives: List<Int> = emptyList(),
     @CborLabel(31) val surplusAgesMilliseconds: List<Int> = emptyList(),
+    @CborLabel(32) val surplusIsolationsMilliseconds: List<Int> = emptyList(),
     @CborLabel(34) val limitLives: List<Int> = emptyList(),
     @CborLabel(35) val limitsPerSecond: List<Double> = emptyList(),
     @CborLabel(36) val limitAgesMilliseconds: List<Int> = emptyList(),
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerCodecTest.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerCodecTest.kt
@@ -83,9 +83,10 @@
                 configurationVersion = 1,
                 surplusLives = listOf(6, 7),
                 surplusAgesMilliseconds = listOf(250),
+                surplusIsolationsMilliseconds = listOf(30_000, 30_000),
             )
 
-        surplusOf(message) shouldBe listOf(ReportedSurplus(6, 250.milliseconds))
+        surplusOf(message) shouldBe listOf(ReportedSurplus(6, 250.milliseconds, 30_000.milliseconds))
     }
 
     @Test
@@ -112,7 +113,7 @@
             (1..64L).map { ReportedCrash(CrashSubject.Part(Long.MAX_VALUE - it), Int.MIN_VALUE, 120_000.milliseconds) }
         val served = (1..64L).map { ReportedServed(CrashSubject.Part(Long.MIN_VALUE + it), 5_000.milliseconds) }
 
-        val surplus = (1..64).map { ReportedSurplus(Int.MIN_VALUE + it, 240_000.milliseconds) }
+        val surplus = (1..64).map { ReportedSurplus(Int.MIN_VALUE + it, 240_000.milliseconds, 240_000.milliseconds) }
         val limits = limits(64)
 
         val full =
@@ -210,7 +211,11 @@
                 ReportedCrash(CrashSubject.Part(-98), 5, 90_000.milliseconds),
             ),
         served = persistentListOf(ReportedServed(CrashSubject.Part(97), 30.milliseconds)),
-        surplus = persistentListOf(ReportedSurplus(6, 250.milliseconds), ReportedSurplus(-7, 29_000.milliseconds)),
+        surplus =
+            persistentListOf(
+                ReportedSurplus(6, 250.milliseconds, 30_000.milliseconds),
+                ReportedSurplus(-7, 29_000.milliseconds, 60_000.milliseconds),
+            ),
         limits =
             persistentListOf(
                 ReportedLimit(6, ReportedLimitWord.Named(4.3), 250.milliseconds, demand = 12.5),
--- a/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
@@ -93,10 +93,11 @@
     val age: Duration,
 )
 
-/** The last surplus answer of a backend server to the sender arrived [age] ago. */
+/** The last surplus answer of a backend server to the sender arrived [age] ago; it isolates it for [isolationTime]. */
 data class ReportedSurplus(
     val lifeCode: Int,
     val age: Duration,
+    val isolationTime: Duration,
 )
 
 /** A request with [subject], which is suspected of crashes, was served completely [age] ago. */
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerReviewTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerReviewTest.kt
@@ -125,7 +125,13 @@
     /** Guards against an at-most-once call that is sent once more since a refusal stood before the answer to its run. */
     @Test
     fun `a refusal that a success contradicts is not believed`() {
-        val result = afterLearning { output, id -> write(output, answerBytes(503, "", "Request-Id: $id") + ok(id, "ran")) }
+        val result =
+            afterLearning {
+                output,
+                id,
+                ->
+                write(output, answerBytes(503, "", "Request-Id: $id") + ok(id, "ran"))
+            }
 
         println("refusal before a success: $result")
         result.second shouldNotBe AttemptEvent.Refused(AttemptRefusal.AT_CAPACITY)
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/IsolatedServerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/IsolatedServerTest.kt
@@ -63,7 +63,9 @@
             val life = orderTo(backend.address, "request").backend.life
             val surplus = createSurplusAnswers()
             val informed = createDirectConnections(vertx, clock = clock, surplus = surplus)
-            surplus.update { ConnectionIsolation.surplusReported(it, life, clock.now() - 1.seconds, clock.now()) }
+            val seenAt = clock.now() - 1.seconds
+            val time = ConnectionIsolation.ISOLATION_TIME
+            surplus.update { ConnectionIsolation.surplusReported(it, life, seenAt, time, clock.now()) }
 
             val broken = List(CALLS) { endOf(backend, "request-$it", informed) }.count { it != AttemptEvent.End }
 
