--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerReviewTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerReviewTest.kt
@@ -43,7 +43,7 @@
         result shouldNotBe (SECOND to AttemptEvent.End)
     }
 
-    /** Guards against a second answer that is passed on because a nameless answer stands before its failure. */
+    /** Guards against a success that is passed on because a nameless answer stands before its failure. */
     @Test
     fun `a success is not released by an answer without an id before its failure`() {
         val result =
@@ -122,10 +122,11 @@
         }
     }
 
-    /** Guards against an at-most-once call that is sent once more since a refusal stood before the answer to its run. */
+    /** Guards against a second run of an at-most-once call since a refusal stood before its answer. */
     @Test
     fun `a refusal that a success contradicts is not believed`() {
-        val result = afterLearning { output, id -> write(output, answerBytes(503, "", "Request-Id: $id") + ok(id, "ran")) }
+        val result =
+            afterLearning { output, id -> write(output, answerBytes(503, "", "Request-Id: $id") + ok(id, "ran")) }
 
         println("refusal before a success: $result")
         result.second shouldNotBe AttemptEvent.Refused(AttemptRefusal.AT_CAPACITY)
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/SmallBodyTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/SmallBodyTest.kt
@@ -8,7 +8,7 @@
 import io.netty.handler.codec.http.HttpVersion
 
 class SmallBodyTest : AnnotationSpec() {
-    /** Guards against an exception, with a stack trace on standard output, for each answer whose length can't be read. */
+    /** Guards against an exception in the filter for each answer whose length can't be read. */
     @Test
     fun `a length that is no number is taken for none`() {
         for (length in listOf("abc", "", "2, 3", "99999999999999999999")) {
