--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/ClientConnecting.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/ClientConnecting.kt
@@ -2,6 +2,7 @@
 
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpClosedException
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.RequestOptions
 import kotlinx.coroutines.CancellationException
@@ -23,13 +24,20 @@
             .setHost(address.ip)
             .setPort(address.port)
             .setURI(head.target)
-    val connecting = request(options)
-    val connected =
-        try {
-            connecting.awaitResult()
-        } catch (cancellation: CancellationException) {
-            connecting.onSuccess { it.connection().close() } // otherwise the pool would never get it back
-            throw cancellation
-        }
-    return if (connected.succeeded()) connected.result() else null
+    repeat(MAXIMUM_TRIES) {
+        val connecting = request(options)
+        val connected =
+            try {
+                connecting.awaitResult()
+            } catch (cancellation: CancellationException) {
+                connecting.onSuccess { it.connection().close() } // otherwise the pool would never get it back
+                throw cancellation
+            }
+        if (connected.succeeded()) return connected.result()
+        if (connected.cause() !is HttpClosedException) return null
+    }
+    return null
 }
+
+/** The pool may return kept connections that their server has just closed; nothing was sent on them. */
+private const val MAXIMUM_TRIES = 3
