An answer that does not name the request does not end the hold of the one before it

Cause (found by the review): a nameless answer between a success and its failure released the success. It is held on until its time is over. AnswerHoldTest expected the release; it expects now that the answer waits, which rejects no less.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
@@ -36,6 +36,7 @@
     /**
      * Decides on the held answer [first] when [second] arrives behind it.
      *
+     * An answer that does not name the request says nothing of it, and one that does may follow.
      * If the first one [hasSecondAnswerBody], the second one is the true answer or its copy; the first is not believed.
      */
     fun afterSecondAnswer(
@@ -45,18 +46,16 @@
     ): HoldOutcome {
         val isOfSameRequest = second.requestIds.distinct() == listOf(first.requestId)
         return when {
-            isOfSameRequest && second.status != first.status -> HoldOutcome.Reject(AnswerContradiction.OTHER_STATUS)
-            hasSecondAnswerBody -> HoldOutcome.Reject(AnswerContradiction.SECOND_ANSWER_BODY)
-            else -> HoldOutcome.PassOn
+            !isOfSameRequest -> HoldOutcome.Wait
+            second.status != first.status -> HoldEnd.Reject(AnswerContradiction.OTHER_STATUS)
+            hasSecondAnswerBody -> HoldEnd.Reject(AnswerContradiction.SECOND_ANSWER_BODY)
+            else -> HoldEnd.PassOn
         }
     }
 
     /** Decides on a held answer that stands alone when its time is over or its connection ends. */
-    fun alone(hasSecondAnswerBody: Boolean): HoldOutcome =
-        when (hasSecondAnswerBody) {
-            true -> HoldOutcome.Reject(AnswerContradiction.SECOND_ANSWER_BODY)
-            false -> HoldOutcome.PassOn
-        }
+    fun alone(hasSecondAnswerBody: Boolean): HoldEnd =
+        if (hasSecondAnswerBody) HoldEnd.Reject(AnswerContradiction.SECOND_ANSWER_BODY) else HoldEnd.PassOn
 
     /** How long an answer is held at most unless the settings say otherwise. */
     val DEFAULT_LONGEST: Duration = 100.milliseconds
@@ -76,14 +75,20 @@
     ) : HoldStart
 }
 
-/** How the hold of an answer ends. */
+/** What becomes of a held answer. */
 sealed interface HoldOutcome {
-    data object PassOn : HoldOutcome
+    /** It is held on. */
+    data object Wait : HoldOutcome
+}
+
+/** How the hold of an answer ends. */
+sealed interface HoldEnd : HoldOutcome {
+    data object PassOn : HoldEnd
 
     /** Neither answer is believed. */
     data class Reject(
         val contradiction: AnswerContradiction,
-    ) : HoldOutcome
+    ) : HoldEnd
 }
 
 /** Why a success is not believed. */
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
@@ -55,15 +55,15 @@
     /** Guards against one of two answers that exclude each other being believed. */
     @Test
     fun `a second answer to the same request with another status rejects the first`() {
-        val rejected = HoldOutcome.Reject(AnswerContradiction.OTHER_STATUS)
+        val rejected = HoldEnd.Reject(AnswerContradiction.OTHER_STATUS)
         after(listOf("own"), 500) shouldBe rejected
         after(listOf("own", "own"), 504) shouldBe rejected
         after(listOf("own"), 204) shouldBe rejected
 
-        after(listOf("own"), 200) shouldBe HoldOutcome.PassOn
-        after(listOf("other"), 500) shouldBe HoldOutcome.PassOn
-        after(listOf("own", "other"), 500) shouldBe HoldOutcome.PassOn
-        after(emptyList(), 500) shouldBe HoldOutcome.PassOn
+        after(listOf("own"), 200) shouldBe HoldEnd.PassOn
+        after(listOf("other"), 500) shouldBe HoldOutcome.Wait
+        after(listOf("own", "other"), 500) shouldBe HoldOutcome.Wait
+        after(emptyList(), 500) shouldBe HoldOutcome.Wait
     }
 
     private fun after(
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -20,6 +20,7 @@
 import org.acaciaflow.coordination.connection.AnsweredRequest
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionObserver
+import org.acaciaflow.coordination.connection.HoldEnd
 import org.acaciaflow.coordination.connection.HoldOutcome
 import org.acaciaflow.coordination.connection.HoldStart
 import org.acaciaflow.coordination.connection.ScreeningDecision
@@ -240,7 +241,7 @@
             }
 
             else -> {
-                ReferenceCountUtil.release(message) // part of an interim answer
+                ReferenceCountUtil.release(message) // part of an interim answer, or of one that does not name the request
             }
         }
     }
@@ -254,12 +255,16 @@
         open.surplusAnswered(holding.answered.life) // first, so that the connection carries no other request
         val hasSecondAnswerBody = open.isSecondAnswerBody(holding.answered.life, holding.answered.body)
         when (val outcome = AnswerHold.afterSecondAnswer(holding.answered, second, hasSecondAnswerBody)) {
-            HoldOutcome.PassOn -> {
+            HoldOutcome.Wait -> {
+                ReferenceCountUtil.release(response)
+            }
+
+            HoldEnd.PassOn -> {
                 passOn(context, holding.answered, holding.end)
                 channelRead(context, response)
             }
 
-            is HoldOutcome.Reject -> {
+            is HoldEnd.Reject -> {
                 ReferenceCountUtil.release(response)
                 open.contradictionSeen(holding.answered, second)
                 reject(context, holding, second, outcome.contradiction)
@@ -275,12 +280,12 @@
         if (held !is Reading.Holding || reading !== held) return
         val answered = held.answered
         when (val outcome = AnswerHold.alone(open.isSecondAnswerBody(answered.life, answered.body))) {
-            HoldOutcome.PassOn -> {
+            HoldEnd.PassOn -> {
                 passOn(context, answered, held.end)
                 context.fireChannelReadComplete()
             }
 
-            is HoldOutcome.Reject -> {
+            is HoldEnd.Reject -> {
                 reject(context, held, second = null, outcome.contradiction)
             }
         }
