--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/LimitGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/LimitGossip.kt
@@ -4,7 +4,6 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import org.acaciaflow.coordination.limit.LimitBudget
-import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.fleet.Fleet
 import org.acaciaflow.state.identity.HostAddress
@@ -55,11 +54,8 @@
         if (reported.isEmpty()) return
         val entries = fleet.snapshot().entries
         val backends = reported.associateWith { lives[it.lifeCode]?.let { life -> entries[life.instance] } }
-        val words = mutableMapOf<BackendEntry, LimitWord>()
+        val words = backends.mapNotNull { (limit, backend) -> backend?.let { it to wordOf(limit, now) } }.toMap()
         val demands = backends.mapNotNull { (limit, backend) -> backend?.let { it.pool to limit.demand } }.toMap()
-        for ((limit, backend) in backends) {
-            if (backend != null) words[backend] = wordOf(limit, now)
-        }
         budget.reported(sender, words, demands, now)
     }
 
