--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/limit/LimitStage.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/limit/LimitStage.kt
@@ -74,7 +74,8 @@
         services.flatMap { service ->
             hosts.map { host ->
                 """{"name":"$service-$host","host":"$host","prefix":"/$service/","kind":"idempotent",""" +
-                    """"timeout_ms":2000,"target_latency_ms":200,"priority":1,"service":"$service","max_attempts":2,""" +
+                    """"timeout_ms":2000,"target_latency_ms":200,"priority":1,""" +
+                    """"service":"$service","max_attempts":2,""" +
                     """"sticky":false,"resumable":false,"gap_aim_ms":200}"""
             }
         }
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/limit/LimitingServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/limit/LimitingServer.kt
@@ -64,7 +64,8 @@
         limit: Double?,
     ): String {
         val limitField = limit?.let { "Server-Limit: $it\r\n" }.orEmpty()
-        return "HTTP/1.1 200 OK\r\nRequest-Id: $requestId\r\nServer-Stamp: $stamp\r\n${limitField}Content-Length: 2\r\n\r\nok"
+        return "HTTP/1.1 200 OK\r\nRequest-Id: $requestId\r\nServer-Stamp: $stamp\r\n" +
+            "${limitField}Content-Length: 2\r\n\r\nok"
     }
 
     private companion object {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -241,7 +241,7 @@
             }
 
             else -> {
-                ReferenceCountUtil.release(message) // part of an interim answer, or of one that does not name the request
+                ReferenceCountUtil.release(message) // of an interim answer, or one that does not name the request
             }
         }
     }
