--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
@@ -43,18 +43,15 @@
         first: AnsweredRequest,
         second: SurplusAnswer,
         hasSecondAnswerBody: Boolean,
-    ): HoldOutcome {
-        val isOfSameRequest = second.requestIds.distinct() == listOf(first.requestId)
-        return when {
-            !isOfSameRequest -> HoldOutcome.Wait
+    ): HoldOutcome =
+        when {
+            !second.requestIds.nameOnly(first.requestId) -> HoldOutcome.Wait
             second.status != first.status -> HoldEnd.Reject(AnswerContradiction.OTHER_STATUS)
-            hasSecondAnswerBody -> HoldEnd.Reject(AnswerContradiction.SECOND_ANSWER_BODY)
-            else -> HoldEnd.PassOn
+            else -> uncontradicted(hasSecondAnswerBody)
         }
-    }
 
-    /** Decides on a held answer that stands alone when its time is over or its connection ends. */
-    fun alone(hasSecondAnswerBody: Boolean): HoldEnd =
+    /** Decides on a held answer that nothing contradicts when its hold ends. */
+    fun uncontradicted(hasSecondAnswerBody: Boolean): HoldEnd =
         if (hasSecondAnswerBody) HoldEnd.Reject(AnswerContradiction.SECOND_ANSWER_BODY) else HoldEnd.PassOn
 
     /** How long an answer is held at most unless the settings say otherwise. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerOwner.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerOwner.kt
@@ -23,7 +23,7 @@
             last: AnsweredRequest,
             answerIds: List<String>,
         ): AnswerOwner =
-            if (answerIds.distinct() == listOf(last.requestId)) EARLIER_REQUEST else of(last.history, answerIds)
+            if (answerIds.nameOnly(last.requestId)) EARLIER_REQUEST else of(last.history, answerIds)
 
         /** Returns the owner of an answer with the ids [answerIds], received on the connection with [history]. */
         fun of(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerScreening.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerScreening.kt
@@ -15,7 +15,7 @@
         answerIds: List<String>,
         skipped: Int,
     ): ScreeningDecision {
-        if (answerIds.distinct() == listOf(requestId)) return ScreeningDecision.Pass
+        if (answerIds.nameOnly(requestId)) return ScreeningDecision.Pass
         val isLate = AnswerOwner.of(history, answerIds) == AnswerOwner.EARLIER_REQUEST
         return if (isLate && skipped < MAXIMUM_SKIPPED) ScreeningDecision.Skip else ScreeningDecision.Pass
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SecondAnswerBodies.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SecondAnswerBodies.kt
@@ -17,7 +17,7 @@
     fun isTelling(
         first: AnsweredRequest,
         second: SurplusAnswer,
-    ): Boolean = second.requestIds.distinct() == listOf(first.requestId) && second.status in AnswerHold.SUCCESSES
+    ): Boolean = second.requestIds.nameOnly(first.requestId) && second.status in AnswerHold.SUCCESSES
 
     /**
      * Adds the body [second] of a second answer to [known].
@@ -46,7 +46,7 @@
         first: AnsweredRequest,
         second: SurplusAnswer,
     ): Boolean =
-        second.requestIds.distinct() == listOf(first.requestId) &&
+        second.requestIds.nameOnly(first.requestId) &&
             first.status in AnswerHold.SUCCESSES &&
             second.status !in AnswerHold.SUCCESSES
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
@@ -25,6 +25,9 @@
     }
 }
 
+/** Returns true if the ids of an answer name the request [requestId], and no other. */
+internal fun List<String>.nameOnly(requestId: String): Boolean = distinct() == listOf(requestId)
+
 /**
  * A request that [life] answered over a connection that had carried [history] before it.
  *
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -279,7 +279,7 @@
     ) {
         if (held !is Reading.Holding || reading !== held) return
         val answered = held.answered
-        when (val outcome = AnswerHold.alone(open.isSecondAnswerBody(answered.life, answered.body))) {
+        when (val outcome = AnswerHold.uncontradicted(open.isSecondAnswerBody(answered.life, answered.body))) {
             HoldEnd.PassOn -> {
                 passOn(context, answered, held.end)
                 context.fireChannelReadComplete()
