--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitBudget.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitBudget.kt
@@ -53,7 +53,10 @@
         requestId: String,
         urgency: Int,
         now: Instant,
-    ): Boolean = standing(tables.limits.snapshot(), life, requestId, urgency, now) !is LimitStanding.HeldBack
+    ): Boolean {
+        val limit = tables.limits.snapshot().byLife[life]
+        return LimitTokens.standing(limit, requestId, urgency, now) !is LimitStanding.HeldBack
+    }
 
     /** Returns true, and takes a token if one is needed, if the request [requestId] may be sent to [life] at [now]. */
     fun claim(
@@ -80,15 +83,6 @@
         now: Instant,
     ): Duration = tables.limits.transition { LimitPolicy.returning(it, pool, now) }
 
-    /** Returns whether the request [requestId] may be sent to [life] at [now], as of the state [limits]. */
-    fun standing(
-        limits: ServerLimits,
-        life: BackendLife,
-        requestId: String,
-        urgency: Int,
-        now: Instant,
-    ): LimitStanding = LimitTokens.standing(limits.byLife[life], requestId, urgency, now)
-
     /** Declares this gateway's demands for a report at [now], and computes its parts from those of all gateways. */
     fun declare(now: Instant): ServerLimits {
         if (tables.limits
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/limit/LimitSimulation.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/limit/LimitSimulation.kt
@@ -218,7 +218,7 @@
         fun standing(
             server: BackendEntry,
             now: Instant,
-        ): LimitStanding = budget.standing(tables.limits.snapshot(), server.life, "request", urgency = 0, now)
+        ): LimitStanding = LimitTokens.standing(tables.limits.snapshot().byLife[server.life], "request", urgency = 0, now)
 
         fun receive(
             sender: Gateway,
