--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerOwner.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerOwner.kt
@@ -22,8 +22,7 @@
         fun of(
             last: AnsweredRequest,
             answerIds: List<String>,
-        ): AnswerOwner =
-            if (answerIds.nameOnly(last.requestId)) EARLIER_REQUEST else of(last.history, answerIds)
+        ): AnswerOwner = if (answerIds.nameOnly(last.requestId)) EARLIER_REQUEST else of(last.history, answerIds)
 
         /** Returns the owner of an answer with the ids [answerIds], received on the connection with [history]. */
         fun of(
