Use one type for how a gateway learned what a server says of itself

LimitOrigin was LeavingOrigin written again; both are NoticeOrigin now. The log lines read as before, since they name only its cases. Passed on this tree: 16 test classes of connections, limits, notices and events (AnswerHoldTest to LayerOrderTest, HeldAnswerTest and LimitedBackendTest among them).

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -182,7 +182,7 @@
     /** [life] is known to be leaving for the first time; it gets no new work. */
     data class BackendLeaving(
         val life: BackendLife,
-        val origin: LeavingOrigin,
+        val origin: NoticeOrigin,
     ) : Event(EventKind.BACKEND_LEAVING)
 
     /** The answer of [life] to [requestId] had an unreadable notice, which begins with [text]. */
@@ -251,7 +251,7 @@
     data class BackendLimited(
         val life: BackendLife,
         val perSecond: Double,
-        val origin: LimitOrigin,
+        val origin: NoticeOrigin,
     ) : Event(EventKind.BACKEND_LIMITED)
 
     /** The limit of [life] changed by a third or more since the last event. */
@@ -259,13 +259,13 @@
         val life: BackendLife,
         val former: Double,
         val perSecond: Double,
-        val origin: LimitOrigin,
+        val origin: NoticeOrigin,
     ) : Event(EventKind.BACKEND_LIMIT_CHANGED)
 
     /** [life] names no limit any more. */
     data class BackendLimitEnded(
         val life: BackendLife,
-        val origin: LimitOrigin,
+        val origin: NoticeOrigin,
     ) : Event(EventKind.BACKEND_LIMIT_ENDED)
 
     data class PeerHeard(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/BackendAvailability.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/BackendAvailability.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.collections.immutable.toPersistentSet
 import org.acaciaflow.coordination.event.Event
-import org.acaciaflow.coordination.event.LeavingOrigin
+import org.acaciaflow.coordination.event.NoticeOrigin
 import org.acaciaflow.coordination.limit.LimitBudget
 import org.acaciaflow.coordination.port.LeavingNotice
 import org.acaciaflow.coordination.port.LimitNotice
@@ -83,7 +83,7 @@
         val life = order.backend.life
         when (notice) {
             LeavingNotice.Absent -> Unit
-            LeavingNotice.Leaving -> markLeaving(fleet, observations, life, LeavingOrigin.Answer(order.requestId))
+            LeavingNotice.Leaving -> markLeaving(fleet, observations, life, NoticeOrigin.Answer(order.requestId))
             is LeavingNotice.Unreadable -> unreadable(life, order.requestId, notice.text)
         }
     }
@@ -170,7 +170,7 @@
     fleet: SharedTable<Fleet>,
     observations: Observations,
     life: BackendLife,
-    origin: LeavingOrigin,
+    origin: NoticeOrigin,
 ) {
     if (life in fleet.snapshot().leaving) return
     val added = fleet.transition { Transition(FleetChanges.leaving(it, life), life !in it.leaving) }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitBudget.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/limit/LimitBudget.kt
@@ -1,7 +1,7 @@
 package org.acaciaflow.coordination.limit
 
 import org.acaciaflow.coordination.event.Event
-import org.acaciaflow.coordination.event.LimitOrigin
+import org.acaciaflow.coordination.event.NoticeOrigin
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.relay.RelayTables
 import org.acaciaflow.state.fleet.BackendEntry
@@ -32,7 +32,7 @@
         requestId: String,
         perSecond: Double,
         now: Instant,
-    ) = record(backend, LimitOrigin.Answer(requestId), now) { LimitWords.named(perSecond, now) }
+    ) = record(backend, NoticeOrigin.Answer(requestId), now) { LimitWords.named(perSecond, now) }
 
     /** Records that [backend] named no limit in the answer at [now] to the request [requestId], sent at [sentAt]. */
     fun unnamed(
@@ -42,7 +42,7 @@
         now: Instant,
     ) {
         if (backend.life !in tables.limits.snapshot().byLife) return
-        record(backend, LimitOrigin.Answer(requestId), now) { former ->
+        record(backend, NoticeOrigin.Answer(requestId), now) { former ->
             former?.let { LimitWords.unnamed(it, sentAt, now) }
         }
     }
@@ -109,14 +109,14 @@
     ) {
         if (demands.isNotEmpty()) tables.limits.update { LimitPolicy.demanded(it, peer, demands) }
         for ((backend, word) in words) {
-            record(backend, LimitOrigin.Report(peer), now) { former -> LimitWords.reported(former, word) }
+            record(backend, NoticeOrigin.Report(peer), now) { former -> LimitWords.reported(former, word) }
         }
     }
 
     /** Records the word that [next] decides on; the part changes only with the word. */
     private fun record(
         backend: BackendEntry,
-        origin: LimitOrigin,
+        origin: NoticeOrigin,
         now: Instant,
         next: (LimitWord?) -> LimitWord?,
     ) {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
@@ -4,7 +4,7 @@
 import org.acaciaflow.coordination.crash.CrashRecorder
 import org.acaciaflow.coordination.engine.PromptCaches
 import org.acaciaflow.coordination.event.Event
-import org.acaciaflow.coordination.event.LeavingOrigin
+import org.acaciaflow.coordination.event.NoticeOrigin
 import org.acaciaflow.coordination.fleet.markLeaving
 import org.acaciaflow.coordination.limit.LimitBudget
 import org.acaciaflow.coordination.load.RemoteLoads
@@ -156,7 +156,7 @@
         report: PeerReport,
         lives: Map<Int, BackendLife>,
     ) {
-        val origin = LeavingOrigin.Report(report.sender)
+        val origin = NoticeOrigin.Report(report.sender)
         report.leaving.mapNotNull { lives[it] }.forEach { markLeaving(tables.fleet, observations, it, origin) }
     }
 
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/BackendAvailabilityTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/BackendAvailabilityTest.kt
@@ -5,7 +5,7 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.persistentListOf
 import org.acaciaflow.coordination.event.Event
-import org.acaciaflow.coordination.event.LeavingOrigin
+import org.acaciaflow.coordination.event.NoticeOrigin
 import org.acaciaflow.coordination.limit.LimitBudget
 import org.acaciaflow.coordination.peer.GatewayIdentity
 import org.acaciaflow.coordination.peer.LoadExchange
@@ -45,7 +45,7 @@
 
         gateway.permission() shouldBe SendPermission.Denied(AttemptRefusal.LEAVING)
         gateway.observations.events shouldContainExactly
-            listOf(Event.BackendLeaving(server.life, LeavingOrigin.Answer("request-0")))
+            listOf(Event.BackendLeaving(server.life, NoticeOrigin.Answer("request-0")))
     }
 
     @Test
@@ -106,7 +106,7 @@
         first.permission() shouldBe SendPermission.Denied(AttemptRefusal.LEAVING)
         second.permission() shouldBe SendPermission.Denied(AttemptRefusal.LEAVING)
         second.observations.events.filterIsInstance<Event.BackendLeaving>() shouldContainExactly
-            listOf(Event.BackendLeaving(server.life, LeavingOrigin.Report(HostAddress("10.0.0.1", 1))))
+            listOf(Event.BackendLeaving(server.life, NoticeOrigin.Report(HostAddress("10.0.0.1", 1))))
     }
 
     @Test
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/limit/LimitGossipTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/limit/LimitGossipTest.kt
@@ -5,7 +5,7 @@
 import io.kotest.matchers.comparables.shouldBeGreaterThanOrEqualTo
 import io.kotest.matchers.shouldBe
 import org.acaciaflow.coordination.event.Event
-import org.acaciaflow.coordination.event.LimitOrigin
+import org.acaciaflow.coordination.event.NoticeOrigin
 import org.acaciaflow.coordination.peer.GatewayIdentity
 import org.acaciaflow.coordination.peer.LoadExchange
 import org.acaciaflow.coordination.peer.PeerGossip
@@ -37,8 +37,8 @@
 
         other.observations.events.filter { it is Event.BackendLimited || it is Event.BackendLimitEnded } shouldBe
             listOf(
-                Event.BackendLimited(server.life, 4.3, LimitOrigin.Report(one.address)),
-                Event.BackendLimitEnded(server.life, LimitOrigin.Report(one.address)),
+                Event.BackendLimited(server.life, 4.3, NoticeOrigin.Report(one.address)),
+                Event.BackendLimitEnded(server.life, NoticeOrigin.Report(one.address)),
             )
     }
 
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/limit/LimitSimulation.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/limit/LimitSimulation.kt
@@ -218,7 +218,8 @@
         fun standing(
             server: BackendEntry,
             now: Instant,
-        ): LimitStanding = LimitTokens.standing(tables.limits.snapshot().byLife[server.life], "request", urgency = 0, now)
+        ): LimitStanding =
+            LimitTokens.standing(tables.limits.snapshot().byLife[server.life], "request", urgency = 0, now)
 
         fun receive(
             sender: Gateway,
