Log broken connections with their request and reason, not as errors of the HTTP library

Cause: Vert.x logs the failure of a connection or request that has no exception handler. Backend servers and callers cause these failures; they reach the gateway by another way too (the answer fails, the connection closes).

Now the failure is the reason of the line `disconnected` and of its counter (answer-malformed, connection-failed), so it names request, server and connection; those of callers are counted by reason.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionCloseReason.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionCloseReason.kt
@@ -37,6 +37,12 @@
     /** The request in progress was given up before its answer was complete. */
     REQUEST_ABANDONED("request-abandoned"),
 
+    /** It brought bytes that are no answer. */
+    ANSWER_MALFORMED("answer-malformed"),
+
+    /** It was reset, or failed otherwise. */
+    CONNECTION_FAILED("connection-failed"),
+
     /** Its server closed it, or it was idle for too long. */
     ENDED("ended"),
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
@@ -49,6 +49,9 @@
     /** A connection to a backend server ended for [reason]. */
     fun connectionClosed(reason: ConnectionCloseReason)
 
+    /** A connection of a caller failed. */
+    fun callerConnectionFailed(reason: CallerConnectionFailure)
+
     fun storeFailed(reason: StoreFailure)
 
     /** A frame that belongs to no attempt in progress was dropped. */
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeObservations.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeObservations.kt
@@ -4,6 +4,7 @@
 import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.port.CallerConnectionFailure
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreFailure
 import org.acaciaflow.coordination.retry.RetryReason
@@ -48,6 +49,8 @@
 
     override fun answerContradicted(contradiction: AnswerContradiction) = Unit
 
+    override fun callerConnectionFailed(reason: CallerConnectionFailure) = Unit
+
     override fun connectionClosed(reason: ConnectionCloseReason) = Unit
 
     override fun noticeUnreadable() {
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/GatewayProcess.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/GatewayProcess.kt
@@ -37,6 +37,11 @@
         process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start()
     }
 
+    /** Where callers connect. */
+    val ip: String get() = place.ip
+
+    val port: Int get() = ports[0]
+
     /** Posts to [path] and returns the status. */
     fun call(
         path: String,
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/NoOpObservations.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/NoOpObservations.kt
@@ -4,6 +4,7 @@
 import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.port.CallerConnectionFailure
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreFailure
 import org.acaciaflow.coordination.relay.Decision
@@ -42,6 +43,8 @@
 
     override fun answerContradicted(contradiction: AnswerContradiction) = Unit
 
+    override fun callerConnectionFailed(reason: CallerConnectionFailure) = Unit
+
     override fun connectionClosed(reason: ConnectionCloseReason) = Unit
 
     override fun storeFailed(reason: StoreFailure) = Unit
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -143,7 +143,6 @@
             }
 
             is SendPermission.Denied -> {
-                request.exceptionHandler { } // the close is logged with its reason
                 open.close(request.connection(), ConnectionCloseReason.SENDING_DENIED)
                 Sending.NotSent(permission.reason)
             }
@@ -162,14 +161,12 @@
                 is ReuseDecision.Use -> {
                     val lateAnswers = filterOf(request.connection())
                     if (lateAnswers != null) return Connected(request, decision.history, lateAnswers)
-                    request.exceptionHandler { } // nothing was sent
                     open.ended(request.connection())
                     request.connection().close()
                     closedConnections += 1 // the pool may not have noticed yet that it was closed
                 }
 
                 is ReuseDecision.Close -> {
-                    request.exceptionHandler { } // the close is logged with its reason
                     // Waits, so that the pool can't return it again.
                     open.close(request.connection(), decision.reason).awaitResult()
                 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
@@ -22,6 +22,7 @@
 import org.acaciaflow.state.table.SharedTable
 import org.acaciaflow.state.table.Transition
 import org.acaciaflow.state.table.createSharedTable
+import java.io.IOException
 import kotlin.time.Clock
 
 /** The open connections to backend servers, what each has carried and why it is closed. */
@@ -50,7 +51,10 @@
                 }
             }
         val isNew = decision is ReuseDecision.Use && decision.history.carried.isEmpty()
-        if (isNew) connection.closeHandler { ended(connection) }
+        if (isNew) {
+            connection.exceptionHandler { closing(connection, reasonOf(it)) }
+            connection.closeHandler { ended(connection) }
+        }
         return decision
     }
 
@@ -108,6 +112,12 @@
         return true
     }
 
+    private fun reasonOf(failure: Throwable): ConnectionCloseReason =
+        when (failure) {
+            is IOException -> ConnectionCloseReason.CONNECTION_FAILED
+            else -> ConnectionCloseReason.ANSWER_MALFORMED
+        }
+
     private fun isRemembered(life: BackendLife): Boolean =
         ConnectionIsolation.isRemembered(surplus.snapshot(), life, clock.now())
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/VertxHttpCalls.kt
@@ -59,6 +59,7 @@
         isAnswer: (HttpResult.Answered) -> Boolean,
     ): HttpResult {
         val request = client.connect(address, head) ?: return HttpResult.Unreachable
+        request.connection().exceptionHandler { } // the call fails as well
         val result = exchange(request, head, body)
         if (result !is HttpResult.Answered || isAnswer(result)) return result
         request.connection().close().awaitResult() // so that the next call can't get it from the pool
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
@@ -14,12 +14,14 @@
 import kotlinx.coroutines.launch
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.CallAcceptor
+import org.acaciaflow.coordination.port.CallerConnectionFailure
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.protocol.http.HopByHopHeaders
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.state.work.HeaderField
+import java.io.IOException
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
@@ -55,7 +57,9 @@
         return vertx
             .createHttpServer(options)
             .requestHandler(router)
-            .listen(address.port, address.ip)
+            .connectionHandler { connection ->
+                connection.exceptionHandler { observations.callerConnectionFailed(failureOf(it)) }
+            }.listen(address.port, address.ip)
             .coAwait()
             .also { server = it }
     }
@@ -119,6 +123,12 @@
         }
     }
 
+    private fun failureOf(failure: Throwable): CallerConnectionFailure =
+        when (failure) {
+            is IOException -> CallerConnectionFailure.FAILED
+            else -> CallerConnectionFailure.REQUEST_MALFORMED
+        }
+
     /** False for a target that the HTTP client, which encodes targets as UTF-8, would not send as it came. */
     private fun isVisibleAscii(target: String): Boolean = target.all { it in '!'..'~' }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/ClientConnecting.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/ClientConnecting.kt
@@ -33,7 +33,7 @@
                 connecting.onSuccess { it.connection().close() } // otherwise the pool would never get it back
                 throw cancellation
             }
-        if (connected.succeeded()) return connected.result()
+        if (connected.succeeded()) return connected.result().exceptionHandler { } // the answer fails as well
         if (connected.cause() !is HttpClosedException) return null
     }
     return null
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
@@ -8,6 +8,7 @@
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.event.EventLevel
+import org.acaciaflow.coordination.port.CallerConnectionFailure
 import org.acaciaflow.coordination.port.LoopSupervisor
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreFailure
@@ -85,6 +86,9 @@
     override fun connectionClosed(reason: ConnectionCloseReason) =
         count(Meters.CONNECTIONS_CLOSED, "reason", reason.code)
 
+    override fun callerConnectionFailed(reason: CallerConnectionFailure) =
+        count(Meters.CALLER_CONNECTIONS_FAILED, "reason", reason.code)
+
     override fun storeFailed(reason: StoreFailure) = count(Meters.STORE_FAILURES, "reason", reason.code)
 
     override fun strayFrameDropped() = strayFrames.increment()
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
@@ -25,6 +25,7 @@
     const val ANSWERS_FOREIGN = "acaciaflow.backends.answers.foreign"
     const val ANSWERS_CONTRADICTED = "acaciaflow.backends.answers.contradicted"
     const val CONNECTIONS_CLOSED = "acaciaflow.backends.connections.closed"
+    const val CALLER_CONNECTIONS_FAILED = "acaciaflow.callers.connections.failed"
     const val NOTICES_UNREADABLE = "acaciaflow.backends.notices.unreadable"
 
     val ALL =
@@ -53,5 +54,6 @@
             ANSWERS_FOREIGN,
             ANSWERS_CONTRADICTED,
             CONNECTIONS_CLOSED,
+            CALLER_CONNECTIONS_FAILED,
         )
 }
