Soak: second answers with bodies of their own, rare or dense, with true or bare heads

New mixes: each second answer has a body drawn for its arrival (two bytes, or as long as the true one) with the fields of a true success or with Server-Stamp, Request-Id and Content-Length only, 60 to 100 ms after its request, at 4 or 35 in 100 arrivals, at all plain servers or all but one; slow failures as before, and connections that end soon behind a lone success. True successes of plain servers get a Content-Type and a Server-Load, so that a bare head differs from theirs. The draws of the existing mixes are unchanged.

The summary counts wrong answers by kind (alone, before 500, before 504, after a resend) and route, and how many were the first second answer of their server's life.

--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/FaultMix.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/FaultMix.kt
@@ -106,6 +106,8 @@
                 StutterMomentKind.WITH_NEXT_REQUEST -> StutterMoment.WithNextRequest
                 StutterMomentKind.AFTER_ARRIVAL ->
                     StutterMoment.AfterArrival(random.nextLong(EARLIEST_AFTER_ARRIVAL, LATEST_AFTER_ARRIVAL + 1))
+                StutterMomentKind.SOON_AFTER_ARRIVAL ->
+                    StutterMoment.AfterArrival(random.nextLong(EARLIEST_SOON, LATEST_SOON + 1))
             }
         val content = stutterContents.randomOrNull(random) ?: return null
         return Stutter(moment, content).takeIf { isDrawn }
@@ -136,6 +138,8 @@
         /** Behind a sound run of the mixes that have this moment, and before most of their slow failures. */
         private const val EARLIEST_AFTER_ARRIVAL = 80L
         private const val LATEST_AFTER_ARRIVAL = 200L
+        private const val EARLIEST_SOON = 60L
+        private const val LATEST_SOON = 100L
         private const val CONTINUE = 100
         private const val EARLY_HINTS = 103
     }
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServer.kt
@@ -24,14 +24,20 @@
         plan: ArrivalPlan,
     ): SuccessReply {
         val body = plainBody(arrival.stamp)
-        return SuccessReply(reply(OK, arrival.requestId, arrival.stamp, body, plan.closingFields, plan.framing), body)
+        return SuccessReply(plainSuccess(arrival, plan, body), body)
     }
 
     override fun answersWithoutBody(purpose: ArrivalPurpose): Boolean = true
+}
 
-    private companion object {
-        const val OK = 200
-    }
+/** An answer with status 200 to [arrival], with the head that true successes of plain servers have. */
+internal fun plainSuccess(
+    arrival: ServerArrival,
+    plan: ArrivalPlan,
+    body: String,
+): Reply {
+    val fields = PLAIN_SUCCESS_FIELDS + plan.closingFields
+    return reply(OK, arrival.requestId, arrival.stamp, body, fields, plan.framing)
 }
 
 /** The body of a plain server's answer with success to the arrival with [stamp]: its stamp, then text of some length. */
@@ -41,4 +47,6 @@
     return (listOf(stamp) + words).joinToString(" ")
 }
 
+private val PLAIN_SUCCESS_FIELDS = listOf("Content-Type: text/plain", "Server-Load: 1,0,8")
+private const val OK = 200
 private const val LONGEST_BODY_WORDS = 200
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Reply.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Reply.kt
@@ -54,6 +54,16 @@
     return Reply(requestId, stamp, status, persistentListOf(text))
 }
 
+/** An answer with status 200 that has the fields `Server-Stamp`, `Request-Id` and `Content-Length` only, in this order. */
+internal fun bareSuccess(
+    requestId: String,
+    stamp: String,
+    body: String,
+): Reply {
+    val fields = listOf("Server-Stamp: $stamp", "Request-Id: $requestId", "Content-Length: ${body.length}")
+    return Reply(requestId, stamp, OK, persistentListOf(headText(OK, null, null, fields) + body))
+}
+
 /** An answer with status 200 whose body is a stream of [events], each in a chunk and a piece of its own. */
 internal fun streamReply(
     requestId: String,
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SlowFailures.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SlowFailures.kt
@@ -12,6 +12,8 @@
     val hang: Double = 0.0,
     /** 500 after work, of which nothing is written because the connection ends. */
     val lost: Double = 0.0,
+    /** As [lost], after so little work that the connection ends soon behind a second answer counted from the arrival. */
+    val lostSoon: Double = 0.0,
 ) {
     /** Draws the slow failure of an arrival, null if it has none. */
     fun draw(random: Random): SlowFailure? {
@@ -22,13 +24,21 @@
                 timeLimit to SlowFailure(Verdict.OwnTimeLimit, delivery = null),
                 hang to SlowFailure(Verdict.OwnTimeLimit, Delivery.Mute),
                 lost to SlowFailure(error, Delivery.Lost(closes = true)),
+                lostSoon to SlowFailure(error.shortened(), Delivery.Lost(closes = true)),
             )
         return choose(random, choices)
     }
 
+    private fun Verdict.SlowServerError.shortened() =
+        copy(
+            milliseconds =
+                SHORTEST_WORK_MILLISECONDS + (milliseconds - SHORTEST_WORK_MILLISECONDS) / SHORTENED_BY,
+        )
+
     private companion object {
         const val SHORTEST_WORK_MILLISECONDS = 100L
         const val LONGEST_WORK_MILLISECONDS = 900L
+        const val SHORTENED_BY = 20
     }
 }
 
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakMix.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakMix.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.daemon.soak
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 
 /** The faults of servers that a soak can be run with, by the name that the command line takes. */
@@ -9,6 +10,7 @@
     val plainServers: Int = 3,
     /** How many of the [plainServers] are sound. */
     val soundPlainServers: Int = 0,
+    val engineFaults: FaultMix = faults,
 ) {
     QUIET("quiet", SOUND_SERVERS),
     STUTTER("stutter", SOUND_SERVERS.copy(stutter = 0.4)),
@@ -31,6 +33,42 @@
         plainServers = 4,
         soundPlainServers = 2,
     ),
+
+    /** Few second answers, each with a body of its own and the head of a true success, at all plain servers. */
+    RARE_OWN_BODIES("rare-own-bodies", RARE_OWN_BODY_SERVERS, plainServers = 4, engineFaults = SOUND_SERVERS),
+
+    /** The same beside one sound plain server. */
+    RARE_OWN_BODIES_MOST(
+        "rare-own-bodies-most",
+        RARE_OWN_BODY_SERVERS,
+        plainServers = 5,
+        soundPlainServers = 1,
+        engineFaults = SOUND_SERVERS,
+    ),
+
+    /** Few second answers, each with a body of its own and a bare head, at all plain servers. */
+    RARE_BARE_HEADS(
+        "rare-bare-heads",
+        RARE_OWN_BODY_SERVERS.copy(stutterContents = ownBodies(OwnHead.BARE)),
+        plainServers = 4,
+        engineFaults = SOUND_SERVERS,
+    ),
+
+    /** Many second answers, each with a body of its own and the head of a true success, at all plain servers. */
+    DENSE_OWN_BODIES(
+        "dense-own-bodies",
+        RARE_OWN_BODY_SERVERS.copy(stutter = 0.35),
+        plainServers = 4,
+        engineFaults = SOUND_SERVERS,
+    ),
+
+    /** As rare-own-bodies, but no slow failure arrives: connections stay silent, or end, the most soon behind a success. */
+    LONE_SUCCESSES(
+        "lone-successes",
+        RARE_OWN_BODY_SERVERS.copy(slowFailures = SlowFailures(hang = 0.08, lost = 0.06, lostSoon = 0.14)),
+        plainServers = 4,
+        engineFaults = SOUND_SERVERS,
+    ),
     ;
 
     /** The faults of the plain server with [number], which counts from 0. */
@@ -73,3 +111,17 @@
         longestWorkMilliseconds = 20,
         slowFailures = SlowFailures(serverError = 0.1, timeLimit = 0.05, hang = 0.02, lost = 0.02),
     )
+
+private val RARE_OWN_BODY_SERVERS =
+    SOUND_SERVERS.copy(
+        serverError = 0.03,
+        refusal = 0.03,
+        stutter = 0.04,
+        stutterMoments = persistentListOf(StutterMomentKind.SOON_AFTER_ARRIVAL),
+        stutterContents = ownBodies(OwnHead.TRUE_FORM),
+        longestWorkMilliseconds = 40,
+        slowFailures = SlowFailures(serverError = 0.14, timeLimit = 0.06, hang = 0.03, lost = 0.02, lostSoon = 0.03),
+    )
+
+private fun ownBodies(head: OwnHead): PersistentList<StutterContent> =
+    persistentListOf(StutterContent.OwnBody(head, OwnLength.SHORT), StutterContent.OwnBody(head, OwnLength.FULL))
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakOutput.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakOutput.kt
@@ -4,7 +4,7 @@
 import java.nio.file.Path
 import kotlin.io.path.writeText
 
-/** The counts of a soak: one line for all answers, one for the wrong ones, one for the plain service. */
+/** The counts of a soak: one line for all answers, two for the wrong ones, one for the plain service. */
 internal fun summaryOf(result: SoakResult): String {
     val answers = result.calls.mapNotNull { it.outcome as? CallOutcome.Answered }
     val (successes, others) = answers.partition { it.isSuccess && it.whole }
@@ -25,7 +25,18 @@
     val endings = countsInOrder(wrong.map { it.ending }) { it.text }
     val routes = countsInOrder(wrong.map { it.route }) { it.text }
     val warnings = countsInOrder(wrong.map { it.warning }) { it.text }
-    return "  wrong answers ${wrong.size}: by end of the run $endings, by route $routes, by warning $warnings\n"
+    return "  wrong answers ${wrong.size}: by end of the run $endings, by route $routes, by warning $warnings\n" +
+        wrongKindsText(wrong)
+}
+
+private fun wrongKindsText(wrong: List<WrongAnswer>): String {
+    val kindsOf = { answers: List<WrongAnswer> -> countsInOrder(answers.map { it.kind }) { it.text } }
+    val byRoute =
+        wrong.groupBy { it.route }.toSortedMap().map { (route, ofRoute) ->
+            "${route.text} ${kindsOf(ofRoute)}"
+        }
+    return "  wrong answers by kind ${kindsOf(wrong)}, of these ${byRoute.joinToString().ifEmpty { "none" }}; " +
+        "first second answer of its server's life ${wrong.count { it.isFirstOfLife }}\n"
 }
 
 private fun <T : Enum<T>> countsInOrder(
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakPlay.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakPlay.kt
@@ -79,7 +79,7 @@
 
     private fun engines(stage: EngineStage): List<SoakServer> =
         List(shape.enginesOfEachStage) {
-            EngineSoakServer("i-${stage.text}-$it", ENGINE_SERVICE, stage, run, shape.mix.faults)
+            EngineSoakServer("i-${stage.text}-$it", ENGINE_SERVICE, stage, run, shape.mix.engineFaults)
         }
 
     private fun register(server: SoakServer) = store.put("servers/${server.instance}", server.entry())
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakServer.kt
@@ -163,7 +163,7 @@
     ) {
         val success = success(arrival, plan)
         val truth = trueAnswer(arrival, plan, success)
-        val second = plan.stutter?.let { secondAnswer(it.content, arrival, truth.reply, success.reply) }
+        val second = plan.stutter?.let { secondAnswer(it.content, arrival, plan, truth.reply, success) }
         run.account.ended(arrival.stamp, truth.outcome)
         if (second != null) writer.planSecondAnswer(second)
         Thread.sleep(plan.workMilliseconds + plan.verdict.extraMilliseconds)
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Stutter.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Stutter.kt
@@ -53,6 +53,30 @@
 
     /** 200 with a body of two bytes, without an id. */
     data object WithoutId : StutterContent
+
+    /** 200 with a body that is drawn for the arrival and is not that of the true answer. */
+    data class OwnBody(
+        val head: OwnHead,
+        val length: OwnLength,
+    ) : StutterContent
+}
+
+/** The head of a second answer with a body of its own. */
+internal enum class OwnHead {
+    /** The fields of a true success of the plain service, in their order. */
+    TRUE_FORM,
+
+    /** `Server-Stamp`, `Request-Id` and `Content-Length` only. */
+    BARE,
+}
+
+/** The length of a second answer's own body. */
+internal enum class OwnLength {
+    /** Two bytes. */
+    SHORT,
+
+    /** As long as the body that the run has or would have had. */
+    FULL,
 }
 
 /** The moments that a [FaultMix] can switch on. */
@@ -62,8 +86,13 @@
     LATER,
     WITH_NEXT_REQUEST,
     AFTER_ARRIVAL,
+
+    /** Like [AFTER_ARRIVAL], within a shorter range of times. */
+    SOON_AFTER_ARRIVAL,
 }
 
 /** The moments that are counted from the true answer: there the second answer never comes first. */
 internal val MOMENTS_BEHIND_TRUE_ANSWER: PersistentList<StutterMomentKind> =
-    StutterMomentKind.entries.minus(StutterMomentKind.AFTER_ARRIVAL).toPersistentList()
+    StutterMomentKind.entries
+        .minus(setOf(StutterMomentKind.AFTER_ARRIVAL, StutterMomentKind.SOON_AFTER_ARRIVAL))
+        .toPersistentList()
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/TrueAnswer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/TrueAnswer.kt
@@ -1,5 +1,7 @@
 package org.acaciaflow.daemon.soak
 
+import kotlin.random.Random
+
 /** The answer that belongs to an arrival, as it would be written whole, and the [outcome] that it tells. */
 internal data class TrueAnswer(
     val reply: Reply,
@@ -29,24 +31,47 @@
         Verdict.Misdirected -> rejected(MISDIRECTED, arrival, plan, listOf("Instance-Id: ${arrival.instance}"))
     }
 
-/** The second answer of the kind [content] to [arrival], in one piece. */
+/** The second answer of the kind [content] to [arrival] with [plan], in one piece. */
 internal fun secondAnswer(
     content: StutterContent,
     arrival: ServerArrival,
+    plan: ArrivalPlan,
     truth: Reply,
-    success: Reply,
+    success: SuccessReply,
 ): Reply {
     val (requestId, stamp) = arrival.requestId to arrival.stamp
     return when (content) {
         StutterContent.SmallSuccess -> reply(OK, requestId, stamp, "ok")
         StutterContent.ExactCopy -> truth.joined()
-        StutterContent.WholeSuccess -> success.joined()
+        StutterContent.WholeSuccess -> success.reply.joined()
         StutterContent.Failure -> reply(SERVER_ERROR, requestId, stamp, "failed afterwards")
         StutterContent.EventStream -> streamReply(requestId, stamp, eventsOf(arrival)).joined()
         StutterContent.WithoutId -> reply(OK, null, stamp, "ok")
+        is StutterContent.OwnBody -> {
+            val body = ownBody(content.length, stamp, success.body.length)
+            when (content.head) {
+                OwnHead.TRUE_FORM -> plainSuccess(arrival, plan, body)
+                OwnHead.BARE -> bareSuccess(requestId, stamp, body)
+            }
+        }
     }
 }
 
+/** The body that only the second answer to the arrival with [stamp] has; [fullLength] is that of its true success. */
+private fun ownBody(
+    length: OwnLength,
+    stamp: String,
+    fullLength: Int,
+): String {
+    val random = Random(stamp.hashCode() + 1)
+    val characters =
+        when (length) {
+            OwnLength.SHORT -> SHORT_BODY
+            OwnLength.FULL -> fullLength
+        }
+    return String(CharArray(characters) { OWN_CHARACTERS.random(random) })
+}
+
 private fun failed(
     status: Int,
     arrival: ServerArrival,
@@ -72,6 +97,8 @@
     )
 }
 
+private val OWN_CHARACTERS = '!'..'~'
+private const val SHORT_BODY = 2
 private const val OK = 200
 private const val MISDIRECTED = 421
 private const val SERVER_ERROR = 500
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/WrongAnswer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/WrongAnswer.kt
@@ -8,7 +8,35 @@
     val ending: RunEnding,
     val route: RouteKind,
     val warning: Warning,
-)
+    /** True if the request had reached a server before the arrival that the answer claims to tell of. */
+    val isAfterResend: Boolean,
+    /** True if it was the first second answer that this life of the server wrote. */
+    val isFirstOfLife: Boolean,
+) {
+    /** What followed the wrong answer, or why it could come at all. */
+    val kind: WrongAnswerKind
+        get() =
+            when {
+                isAfterResend -> WrongAnswerKind.AFTER_RESEND
+                else -> ending.kind
+            }
+}
+
+/** The kinds of wrong answers; [text] is the name in the summary. */
+internal enum class WrongAnswerKind(
+    val text: String,
+) {
+    /** Nothing came behind it: the connection stayed silent or ended. */
+    ALONE("alone"),
+    BEFORE_SERVER_ERROR("before 500"),
+    BEFORE_TIME_LIMIT("before 504"),
+
+    /** The request had been sent to a server before. */
+    AFTER_RESEND("after a resend"),
+
+    /** The run succeeded with another body, had not begun or had not ended. */
+    OTHER("other"),
+}
 
 /** How a server ended a run, by its account; [text] is its name in the summary. */
 internal enum class RunEnding(
@@ -28,6 +56,16 @@
     NO_RUN("no run"),
 }
 
+/** The kind of a wrong answer to a request that was sent to one server once. */
+private val RunEnding.kind: WrongAnswerKind
+    get() =
+        when (this) {
+            RunEnding.SERVER_ERROR -> WrongAnswerKind.BEFORE_SERVER_ERROR
+            RunEnding.TIME_LIMIT -> WrongAnswerKind.BEFORE_TIME_LIMIT
+            RunEnding.HANG, RunEnding.LOST -> WrongAnswerKind.ALONE
+            RunEnding.SOUND, RunEnding.NO_RUN -> WrongAnswerKind.OTHER
+        }
+
 /** The kinds of routes, by what a gateway may do with their requests. */
 internal enum class RouteKind(
     val text: String,
@@ -64,7 +102,9 @@
 ) {
     private val callsById = calls.associateBy { it.requestId }
     private val arrivalsByStamp = entries.arrivals.associateBy { it.stamp }
+    private val arrivalsById = entries.arrivals.groupBy { it.requestId }
     private val surplus = surplusAnswers().groupBy { it.stamp?.let(::lifeOf) }
+    private val firstOfLives = firstSecondAnswers()
 
     fun of(breaches: List<Breach>): ImmutableList<WrongAnswer> =
         breaches
@@ -79,6 +119,8 @@
             ending = arrival?.let(::endingOf) ?: RunEnding.NO_RUN,
             route = call.kind.route,
             warning = arrival?.let { warningOf(it, call) } ?: Warning.NONE,
+            isAfterResend = arrival != null && arrivalsById.getValue(arrival.requestId).first() != arrival,
+            isFirstOfLife = arrival != null && firstOfLives[lifeOf(arrival.stamp)] == arrival.stamp,
         )
     }
 
@@ -107,6 +149,14 @@
         }
     }
 
+    /** The stamps of the first second answers, by the lives of servers. */
+    private fun firstSecondAnswers(): Map<String, String> =
+        entries.writings
+            .filter { it.kind == WritingKind.SECOND_ANSWER }
+            .mapNotNull { it.stamp }
+            .distinctBy(::lifeOf)
+            .associateBy(::lifeOf)
+
     private fun surplusAnswers(): List<ServerWriting> =
         entries.writings
             .filter { it.requestId != null }
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/WrongAnswerTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/WrongAnswerTest.kt
@@ -46,6 +46,57 @@
         wrongAnswerOf(entries, call("a", "i-1.1.2")).ending shouldBe RunEnding.NO_RUN
     }
 
+    // Guards against successes that stand alone being counted with those that a failure contradicts.
+    @Test
+    fun `a wrong answer is counted by what came behind it, and apart if its request was sent before`() {
+        val kinds =
+            mapOf(
+                Pair(500, Delivery.Whole) to WrongAnswerKind.BEFORE_SERVER_ERROR,
+                Pair(504, Delivery.Whole) to WrongAnswerKind.BEFORE_TIME_LIMIT,
+                Pair(504, Delivery.Mute) to WrongAnswerKind.ALONE,
+                Pair(500, Delivery.Lost(closes = true)) to WrongAnswerKind.ALONE,
+                Pair(200, Delivery.Whole) to WrongAnswerKind.OTHER,
+            )
+        for ((run, kind) in kinds) {
+            val (status, delivery) = run
+            val entries =
+                AccountEntries(
+                    arrivals = persistentListOf(arrival("a", "i-1.1.1")),
+                    outcomes = persistentMapOf("i-1.1.1" to ServerOutcome.Answered(status, "whole", false)),
+                    plans = persistentMapOf("i-1.1.1" to plan(delivery)),
+                )
+            val resent = entries.copy(arrivals = entries.arrivals.add(0, arrival("a", "i-2.1.1", "i-2")))
+
+            withClue(run) {
+                wrongAnswerOf(entries, call("a", "i-1.1.1")).kind shouldBe kind
+                wrongAnswerOf(resent, call("a", "i-1.1.1")).kind shouldBe WrongAnswerKind.AFTER_RESEND
+                wrongAnswerOf(resent, call("a", "i-2.1.1")).kind shouldBe WrongAnswerKind.OTHER
+            }
+        }
+    }
+
+    @Test
+    fun `a wrong answer is the first of a server's life if that life wrote no second answer before`() {
+        val second = { stamp: String -> writing("a", stamp, at = 1).copy(kind = WritingKind.SECOND_ANSWER) }
+        val first =
+            mapOf(
+                listOf("i-1.1.9") to true,
+                listOf("i-1.1.9", "i-1.1.1") to true,
+                listOf("i-1.2.1", "i-2.1.1", "i-1.1.9") to true,
+                listOf("i-1.1.1", "i-1.1.9") to false,
+                emptyList<String>() to false,
+            )
+        for ((stamps, isFirst) in first) {
+            val entries =
+                AccountEntries(
+                    arrivals = persistentListOf(arrival("a", "i-1.1.9")),
+                    writings = stamps.map(second).toPersistentList(),
+                )
+
+            withClue(stamps) { wrongAnswerOf(entries, call("a", "i-1.1.9")).isFirstOfLife shouldBe isFirst }
+        }
+    }
+
     @Test
     fun `a wrong answer is counted by the kind of its route`() {
         val routes =
--- a/soak.sh
+++ b/soak.sh
@@ -9,15 +9,16 @@
 
   --seeds     the seed or seeds to play, one after the other (1)
   --seconds   how long each of them sends requests (20)
-  --mix       quiet, stutter, stutter-and-failures, lost-answers, everything, early-second-answers or
-              early-second-answers-half (stutter-and-failures)
+  --mix       quiet, stutter, stutter-and-failures, lost-answers, everything, early-second-answers,
+              early-second-answers-half, rare-own-bodies, rare-own-bodies-most, rare-bare-heads,
+              dense-own-bodies or lone-successes (stutter-and-failures)
   --gateways  gateway processes (2)
   --callers   callers, each in a thread (30)
   --gateway-jar  the jar of another build of the gateway, to compare with (this one)
 
-Prints three lines for each seed: all counts, the wrong answers by kind, and the plain service. A seed with breaches
+Prints four lines for each seed: all counts, the wrong answers in two lines, and the plain service. A seed with breaches
 leaves the breaches and the gateways' logs in daemon/target/soak/. Breaches that the server's own first answer caused,
-as in "everything" and "early-second-answers", are counted as ...-BY-SERVER and do not fail the run.
+as in "everything" and the mixes from "early-second-answers" on, are counted as ...-BY-SERVER and do not fail the run.
 TEXT
     exit 2
 }
