Log the form of answers: the names of a head's fields in order

Cause: no line has the form of an answer that was passed on, so a second answer of a bare form can't be told from a true success whose account changed later (hypotheses 1 and 3 of docs/incidents/2026-12-06-success-that-stands-alone.md). Change: an answer's form is its status and the lower-case names of its head's fields in order, without those of the connection, the framing and the time. `concluded` has `form`; `unrequested-answer` and `contradicted-answer`, and their events AF1217 and AF1219, have it for both answers.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
@@ -86,6 +86,8 @@
                 after = now - last.at,
                 signature = answer.signature,
                 lastSignature = last.signature,
+                form = answer.form,
+                lastForm = last.form,
                 connection = last.history.number,
             ),
         )
@@ -117,6 +119,8 @@
                 after = now - answered.at,
                 signature = answered.signature,
                 secondSignature = second?.signature,
+                form = answered.form,
+                secondForm = second?.form,
                 connection = answered.history.number,
             ),
         )
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
@@ -1,12 +1,13 @@
 package org.acaciaflow.coordination.connection
 
+import org.acaciaflow.state.connection.AnswerForm
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.fleet.BackendLife
 import kotlin.time.Duration
 import kotlin.time.Instant
 
 /**
- * An answer that a connection brought beside the one to a request in progress, with the ids and status of its head.
+ * An answer that a connection brought beside the one to a request in progress, with the ids, status and form of its head.
  *
  * [signature] is what its server signed it with, shortened for the log; null if it has none.
  */
@@ -14,6 +15,7 @@
     val requestIds: List<String>,
     val status: Int,
     val signature: String?,
+    val form: AnswerForm,
 ) {
     /** The ids, shortened for the log. */
     val shownIds: String
@@ -31,7 +33,7 @@
 /**
  * A request that [life] answered over a connection that had carried [history] before it.
  *
- * The request was sent at [sentAt], and the answer with [status] and [signature] was complete at [at].
+ * The request was sent at [sentAt], and the answer with [status], [signature] and [form] was complete at [at].
  * [body] is the fingerprint of its body; null if that is empty or longer than [SecondAnswerBodies.MAXIMUM_BYTES].
  */
 data class AnsweredRequest(
@@ -40,6 +42,7 @@
     val history: ConnectionHistory,
     val status: Int,
     val signature: String?,
+    val form: AnswerForm,
     val sentAt: Instant,
     val at: Instant,
     val body: Long?,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -7,6 +7,7 @@
 import org.acaciaflow.coordination.port.StoreFailure
 import org.acaciaflow.coordination.port.StoreKey
 import org.acaciaflow.coordination.routing.ConfigurationOrigin
+import org.acaciaflow.state.connection.AnswerForm
 import org.acaciaflow.state.crash.CrashSubject
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
@@ -218,14 +219,16 @@
         val after: Duration,
         val signature: String?,
         val lastSignature: String?,
+        val form: AnswerForm,
+        val lastForm: AnswerForm,
         val connection: Long,
     ) : Event(EventKind.BACKEND_ANSWER_UNREQUESTED)
 
     /**
      * The success of [life] for [requestId] was not believed.
      *
-     * It was complete [took] after the sending; [after] that it was contradicted. [secondStatus] and [secondSignature]
-     * are those of the second answer, null if there was none.
+     * It was complete [took] after the sending; [after] that it was contradicted. [secondStatus], [secondSignature]
+     * and [secondForm] are those of the second answer, null if there was none.
      */
     data class BackendAnswerContradicted(
         val life: BackendLife,
@@ -237,6 +240,8 @@
         val after: Duration,
         val signature: String?,
         val secondSignature: String?,
+        val form: AnswerForm,
+        val secondForm: AnswerForm?,
         val connection: Long,
     ) : Event(EventKind.BACKEND_ANSWER_CONTRADICTED)
 
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
@@ -6,6 +6,7 @@
 import org.acaciaflow.coordination.port.CallPurpose
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.connection.AnswerForm
 import org.acaciaflow.state.connection.newConnectionHistory
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.fleet.BackendLife
@@ -71,11 +72,12 @@
         status: Int,
     ): HoldOutcome {
         val history = newConnectionHistory(number = 1)
+        val form = AnswerForm(status, persistentListOf())
         val first =
-            AnsweredRequest("own", backend.life, history, status = 200, signature = null, now, now, body = null)
+            AnsweredRequest("own", backend.life, history, status = 200, signature = null, form, now, now, body = null)
         return AnswerHold.afterSecondAnswer(
             first,
-            SurplusAnswer(ids, status, signature = null),
+            SurplusAnswer(ids, status, signature = null, form),
             hasSecondAnswerBody = false,
         )
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/AnswerReader.kt
@@ -8,6 +8,7 @@
 import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.protocol.dialect.isOfAddressedServer
+import org.acaciaflow.protocol.http.answerFormOf
 import org.acaciaflow.state.connection.AnswerOrigin
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.work.AnswerHead
@@ -53,7 +54,13 @@
     fun originOf(
         call: SentCall,
         head: AnswerHead,
-    ): AnswerOrigin = AnswerOrigin(call.order.backend.life, call.history.number, dialect.shownSignature(head))
+    ): AnswerOrigin =
+        AnswerOrigin(
+            call.order.backend.life,
+            call.history.number,
+            dialect.shownSignature(head),
+            answerFormOf(head),
+        )
 }
 
 /** The signature of the answer with [head], shortened for the log; null if it has none. */
@@ -61,6 +68,6 @@
 
 /** The answer with [head], which is not the one to a request in progress. */
 internal fun BackendDialect.surplusAnswer(head: AnswerHead): SurplusAnswer =
-    SurplusAnswer(answerIds(head), head.status, shownSignature(head))
+    SurplusAnswer(answerIds(head), head.status, shownSignature(head), answerFormOf(head))
 
 private const val SHOWN_CHARACTERS = 80
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -152,7 +152,7 @@
             ScreeningDecision.Pass -> {
                 answer(
                     context,
-                    Reading.Answering(awaiting.call, head.status, answer.signature, SmallBody(response)),
+                    Reading.Answering(awaiting.call, head.status, answer.signature, answer.form, SmallBody(response)),
                     response,
                 )
             }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/Reading.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/Reading.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.LastHttpContent
 import org.acaciaflow.coordination.connection.AnsweredRequest
+import org.acaciaflow.state.connection.AnswerForm
 import kotlin.time.Instant
 
 /** What a connection is read for. */
@@ -18,11 +19,12 @@
         val since: Awaiting,
     ) : Reading
 
-    /** The rest of the answer to [call], whose head has [status] and [signature]. */
+    /** The rest of the answer to [call], whose head has [status], [signature] and [form]. */
     class Answering(
         val call: SentCall,
         val status: Int,
         private val signature: String?,
+        private val form: AnswerForm,
         val body: SmallBody,
     ) : Reading {
         fun ended(now: Instant): AnsweredRequest =
@@ -32,6 +34,7 @@
                 history = call.history,
                 status = status,
                 signature = signature,
+                form = form,
                 sentAt = call.sentAt,
                 at = now,
                 body = body.fingerprint,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -80,7 +80,8 @@
             " last-took-ms=${decision.last.took.inWholeMilliseconds}" +
             " after-ms=${(decision.at - decision.last.at).inWholeMilliseconds}" +
             " signature=${decision.answer.signature ?: "none"}" +
-            " last-signature=${decision.last.signature ?: "none"}"
+            " last-signature=${decision.last.signature ?: "none"}" +
+            " form=${decision.answer.form} last-form=${decision.last.form}"
 
     private fun contradictedAnswer(decision: Decision.ContradictedAnswer): String =
         commonFields("contradicted-answer", decision) + " backend=${decision.answered.life.instance}" +
@@ -90,7 +91,8 @@
             " second-status=${decision.second?.status ?: "none"}" +
             " after-ms=${(decision.at - decision.answered.at).inWholeMilliseconds}" +
             " signature=${decision.answered.signature ?: "none"}" +
-            " second-signature=${decision.second?.signature ?: "none"}"
+            " second-signature=${decision.second?.signature ?: "none"}" +
+            " form=${decision.answered.form} second-form=${decision.second?.form ?: "none"}"
 
     private fun disconnected(decision: Decision.Disconnected): String =
         commonFields("disconnected", decision) + " backend=${decision.life.instance}" +
@@ -133,10 +135,10 @@
             " last-event=${decision.progress.lastEvent ?: "none"}" + originFields(decision.progress.origin)
     }
 
-    /** The server, connection and signature of the answer whose head the caller got. */
+    /** The server, connection, signature and form of the answer whose head the caller got. */
     private fun originFields(origin: AnswerOrigin?): String =
         " answered-by=${origin?.life?.instance ?: "none"} connection=${origin?.connection ?: "none"}" +
-            " signature=${origin?.signature ?: "none"}"
+            " signature=${origin?.signature ?: "none"} form=${origin?.form ?: "none"}"
 
     private fun outcomeOf(conclusion: Conclusion): String =
         when (conclusion) {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/UnrequestedAnswerTest.kt
@@ -54,6 +54,8 @@
         listOf(reported.lastStatus, reported.status) shouldContainExactly listOf(500, 200)
         listOf(reported.lastRequestId, reported.requestId) shouldContainExactly listOf("request-1", "request-1")
         listOf(reported.lastSignature, reported.signature) shouldContainExactly listOf("first", "second")
+        listOf(reported.lastForm, reported.form).map { "$it" } shouldContainExactly
+            listOf("500:request-id,signature", "200:request-id,signature")
         reported.lastTook shouldBeGreaterThanOrEqualTo 40.milliseconds
         reported.after shouldBeGreaterThanOrEqualTo 40.milliseconds
         recorded.closeReasons() shouldContain ConnectionCloseReason.ANSWER_UNREQUESTED
--- a/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
@@ -2,6 +2,8 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.string.shouldEndWith
+import kotlinx.collections.immutable.persistentListOf
 import org.acaciaflow.coordination.connection.AnswerContradiction
 import org.acaciaflow.coordination.connection.AnswerOwner
 import org.acaciaflow.coordination.connection.AnsweredRequest
@@ -12,6 +14,8 @@
 import org.acaciaflow.coordination.relay.Conclusion
 import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.coordination.relay.RelayProgress
+import org.acaciaflow.state.connection.AnswerForm
+import org.acaciaflow.state.connection.AnswerOrigin
 import org.acaciaflow.state.connection.newConnectionHistory
 import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.transport.rehearsal.SampleRequest
@@ -25,9 +29,10 @@
     private val request = SampleRequest.at(at)
     private val backend = SampleRequest.BACKEND
     private val history = newConnectionHistory(number = 7).carrying("r0")
-    private val lateAnswer = SurplusAnswer(listOf("r0"), status = 200, signature = "s1")
+    private val form = AnswerForm(200, persistentListOf("content-type", "request-id"))
+    private val lateAnswer = SurplusAnswer(listOf("r0"), status = 200, signature = "s1", form)
     private val answered =
-        AnsweredRequest("r0", backend.life, history, status = 500, signature = "s0", sentAt = at, at = at, body = null)
+        AnsweredRequest("r0", backend.life, history, 500, signature = "s0", form, sentAt = at, at = at, body = null)
     private val path = EnginePath.LocalPrefill(backend, work = 4.milliseconds, predicted = 10.milliseconds)
 
     @Test
@@ -58,6 +63,17 @@
         }
     }
 
+    /** Guards against a success of which the log doesn't tell that its form is that of second answers. */
+    @Test
+    fun `the line of a passed on answer has the form of its head`() {
+        val origin = AnswerOrigin(backend.life, connection = 7, signature = null, form)
+        val progress = RelayProgress.INITIAL.copy(origin = origin)
+
+        val line = DecisionFormatter.format(Decision.Concluded(request, Conclusion.Delivered(200), progress, at))
+
+        line shouldEndWith " form=200:content-type,request-id"
+    }
+
     private fun keysOf(line: String): List<String> =
         Regex("(?<=^| )([a-z-]+)=")
             .findAll(line.trim())
