--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -55,9 +55,10 @@
     private val calls: HttpCalls,
     private val scope: CoroutineScope,
     private val clock: Clock,
-    private val answerHold: Duration = AnswerHold.DEFAULT_LONGEST,
+    answerHold: Duration = AnswerHold.DEFAULT_LONGEST,
 ) : BackendConnections {
     private val open = OpenConnections.create(surplus, observer, clock)
+    private val held = HeldAnswers(observer, open, answerHold, clock)
     private val answers = AnswerReader(dialect, availability, observer)
     private val client: HttpClient =
         vertx.createHttpClient(
@@ -179,7 +180,7 @@
     }
 
     private fun filterOf(connection: HttpConnection): LateAnswerFilter? =
-        LateAnswerFilter.of(connection, dialect, observer, open, answerHold, clock)
+        LateAnswerFilter.of(connection, dialect, observer, open, held, clock)
 
     private class Connected(
         val request: HttpClientRequest,
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/HeldAnswers.kt
@@ -0,0 +1,62 @@
+package org.acaciaflow.transport.direct
+
+import org.acaciaflow.coordination.connection.AnswerContradiction
+import org.acaciaflow.coordination.connection.AnswerHold
+import org.acaciaflow.coordination.connection.AnsweredRequest
+import org.acaciaflow.coordination.connection.ConnectionObserver
+import org.acaciaflow.coordination.connection.HoldEnd
+import org.acaciaflow.coordination.connection.HoldOutcome
+import org.acaciaflow.coordination.connection.HoldStart
+import org.acaciaflow.coordination.connection.SurplusAnswer
+import kotlin.time.Clock
+import kotlin.time.Duration
+
+/** Applies [AnswerHold] to the answers of backend servers, and reports those that are not believed. */
+internal class HeldAnswers(
+    private val observer: ConnectionObserver,
+    private val open: OpenConnections,
+    private val longest: Duration,
+    private val clock: Clock,
+) {
+    /** Decides whether the answer to [call], which is [answered], is held. */
+    fun begin(
+        call: SentCall,
+        answered: AnsweredRequest,
+    ): HoldStart {
+        val isDoubtful = open.isIsolated(answered.life) || hasSecondAnswerBody(answered)
+        return AnswerHold.begin(call.order, call.purpose, answered.status, isDoubtful, longest, answered.at)
+    }
+
+    /** Decides on the held answer [answered], behind which [second] has arrived. */
+    fun secondAnswered(
+        answered: AnsweredRequest,
+        second: SurplusAnswer,
+    ): HoldOutcome {
+        open.surplusAnswered(answered.life) // first, so that the connection carries no other request
+        val outcome = AnswerHold.afterSecondAnswer(answered, second, hasSecondAnswerBody(answered))
+        if (outcome is HoldEnd.Reject) {
+            open.contradictionSeen(answered, second)
+            report(answered, second, outcome.contradiction)
+        }
+        return outcome
+    }
+
+    /** Decides on the held answer [answered], behind which nothing has arrived when its hold ends. */
+    fun ended(answered: AnsweredRequest): HoldEnd {
+        val end = AnswerHold.uncontradicted(hasSecondAnswerBody(answered))
+        if (end is HoldEnd.Reject) report(answered, second = null, end.contradiction)
+        return end
+    }
+
+    private fun hasSecondAnswerBody(answered: AnsweredRequest): Boolean =
+        open.isSecondAnswerBody(answered.life, answered.body)
+
+    private fun report(
+        answered: AnsweredRequest,
+        second: SurplusAnswer?,
+        contradiction: AnswerContradiction,
+    ) {
+        val isFirst = open.contradictionReported(answered.life)
+        observer.contradicted(answered, second, contradiction, clock.now(), isFirst)
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/HttpMessages.kt
@@ -0,0 +1,34 @@
+package org.acaciaflow.transport.direct
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpStatusClass
+import kotlinx.collections.immutable.toPersistentList
+import org.acaciaflow.state.work.AnswerHead
+import org.acaciaflow.state.work.HeaderField
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** Returns true if [message] is no part of an answer, or one that could not be decoded. */
+internal fun isMalformed(message: Any): Boolean = message !is HttpObject || message.decoderResult().isFailure
+
+/** Returns true if the answer itself is still to come; 101 is the last one on its connection. */
+internal fun isInterim(response: HttpResponse): Boolean =
+    response.status().codeClass() == HttpStatusClass.INFORMATIONAL &&
+        response.status() != HttpResponseStatus.SWITCHING_PROTOCOLS
+
+internal fun headOf(response: HttpResponse): AnswerHead =
+    AnswerHead(
+        response.status().code(),
+        response.headers().map { HeaderField(it.key, it.value) }.toPersistentList(),
+    )
+
+/** Runs [action] on the event loop of this context after [duration]. */
+internal fun ChannelHandlerContext.after(
+    duration: Duration,
+    action: () -> Unit,
+) {
+    executor().schedule(action, duration.inWholeMicroseconds, TimeUnit.MICROSECONDS)
+}
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -6,16 +6,11 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.impl.HttpClientConnectionInternal
-import kotlinx.collections.immutable.toPersistentList
-import org.acaciaflow.coordination.connection.AnswerContradiction
-import org.acaciaflow.coordination.connection.AnswerHold
 import org.acaciaflow.coordination.connection.AnswerScreening
 import org.acaciaflow.coordination.connection.AnsweredRequest
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
@@ -25,11 +20,7 @@
 import org.acaciaflow.coordination.connection.HoldStart
 import org.acaciaflow.coordination.connection.ScreeningDecision
 import org.acaciaflow.coordination.connection.SecondAnswerBodies
-import org.acaciaflow.coordination.connection.SurplusAnswer
 import org.acaciaflow.protocol.dialect.BackendDialect
-import org.acaciaflow.state.work.AnswerHead
-import org.acaciaflow.state.work.HeaderField
-import java.util.concurrent.TimeUnit
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -48,7 +39,7 @@
     private val observer: ConnectionObserver,
     private val connection: HttpConnection,
     private val open: OpenConnections,
-    private val longestHold: Duration,
+    private val held: HeldAnswers,
     private val clock: Clock,
 ) : ChannelInboundHandlerAdapter() {
     @Volatile
@@ -196,12 +187,8 @@
         answering: Reading.Answering,
         end: LastHttpContent,
     ) {
-        val now = clock.now()
-        val (order, purpose) = answering.call
-        val life = order.backend.life
-        val answered = answering.ended(now)
-        val isDoubtful = open.isIsolated(life) || open.isSecondAnswerBody(life, answered.body)
-        when (val start = AnswerHold.begin(order, purpose, answering.status, isDoubtful, longestHold, now)) {
+        val answered = answering.ended(clock.now())
+        when (val start = held.begin(answering.call, answered)) {
             HoldStart.PassOn -> {
                 passOn(context, answered, end)
             }
@@ -224,69 +211,54 @@
         context.fireChannelRead(end)
     }
 
-    /** Takes what arrives behind a held answer. */
+    /** Takes what arrives behind a held answer: an interim answer, one to another request, or a second answer. */
     private fun hold(
         context: ChannelHandlerContext,
         holding: Reading.Holding,
         message: Any,
     ) {
-        when {
-            isMalformed(message) -> {
-                passOn(context, holding.answered, holding.end)
-                channelRead(context, message)
+        val outcome =
+            when {
+                isMalformed(message) -> HoldEnd.PassOn
+                message is HttpResponse && !isInterim(message) -> secondAnswered(holding, message)
+                else -> HoldOutcome.Wait
             }
-
-            message is HttpResponse && !isInterim(message) -> {
-                secondAnswered(context, holding, message)
-            }
-
-            else -> {
-                ReferenceCountUtil.release(message) // of an interim answer, or one that does not name the request
-            }
-        }
-    }
-
-    private fun secondAnswered(
-        context: ChannelHandlerContext,
-        holding: Reading.Holding,
-        response: HttpResponse,
-    ) {
-        val second = dialect.surplusAnswer(headOf(response))
-        open.surplusAnswered(holding.answered.life) // first, so that the connection carries no other request
-        val hasSecondAnswerBody = open.isSecondAnswerBody(holding.answered.life, holding.answered.body)
-        when (val outcome = AnswerHold.afterSecondAnswer(holding.answered, second, hasSecondAnswerBody)) {
+        when (outcome) {
             HoldOutcome.Wait -> {
-                ReferenceCountUtil.release(response)
+                ReferenceCountUtil.release(message)
             }
 
             HoldEnd.PassOn -> {
                 passOn(context, holding.answered, holding.end)
-                channelRead(context, response)
+                channelRead(context, message)
             }
 
             is HoldEnd.Reject -> {
-                ReferenceCountUtil.release(response)
-                open.contradictionSeen(holding.answered, second)
-                reject(context, holding, second, outcome.contradiction)
+                ReferenceCountUtil.release(message)
+                reject(context, holding)
             }
         }
     }
 
-    /** Ends the hold of an answer that stands alone if the connection is still in the state [held]. */
+    private fun secondAnswered(
+        holding: Reading.Holding,
+        response: HttpResponse,
+    ): HoldOutcome = held.secondAnswered(holding.answered, dialect.surplusAnswer(headOf(response)))
+
+    /** Ends the hold of an answer that stands alone if the connection is still in the state [holding]. */
     private fun endHold(
         context: ChannelHandlerContext,
-        held: Reading,
+        holding: Reading,
     ) {
-        if (held !is Reading.Holding || reading !== held) return
-        val answered = held.answered
-        when (val outcome = AnswerHold.uncontradicted(open.isSecondAnswerBody(answered.life, answered.body))) {
+        if (holding !is Reading.Holding || reading !== holding) return
+        when (held.ended(holding.answered)) {
             HoldEnd.PassOn -> {
-                passOn(context, answered, held.end)
+                passOn(context, holding.answered, holding.end)
                 context.fireChannelReadComplete()
             }
 
             is HoldEnd.Reject -> {
-                reject(context, held, second = null, outcome.contradiction)
+                reject(context, holding)
             }
         }
     }
@@ -295,11 +267,7 @@
     private fun reject(
         context: ChannelHandlerContext,
         holding: Reading.Holding,
-        second: SurplusAnswer?,
-        contradiction: AnswerContradiction,
     ) {
-        val isFirst = open.contradictionReported(holding.answered.life)
-        observer.contradicted(holding.answered, second, contradiction, clock.now(), isFirst)
         contradicted = holding.call
         reading = Reading.Nothing(last = null)
         ReferenceCountUtil.release(holding.end)
@@ -400,26 +368,6 @@
         context.close()
     }
 
-    private fun ChannelHandlerContext.after(
-        duration: Duration,
-        action: () -> Unit,
-    ) {
-        executor().schedule(action, duration.inWholeMicroseconds, TimeUnit.MICROSECONDS)
-    }
-
-    private fun isMalformed(message: Any): Boolean = message !is HttpObject || message.decoderResult().isFailure
-
-    /** Returns true if the answer itself is still to come; 101 is the last one on its connection. */
-    private fun isInterim(response: HttpResponse): Boolean =
-        response.status().codeClass() == HttpStatusClass.INFORMATIONAL &&
-            response.status() != HttpResponseStatus.SWITCHING_PROTOCOLS
-
-    private fun headOf(response: HttpResponse): AnswerHead =
-        AnswerHead(
-            response.status().code(),
-            response.headers().map { HeaderField(it.key, it.value) }.toPersistentList(),
-        )
-
     companion object {
         /** Returns the filter of [connection], added when it is first used; null if the connection has closed. */
         fun of(
@@ -427,14 +375,14 @@
             dialect: BackendDialect,
             observer: ConnectionObserver,
             open: OpenConnections,
-            longestHold: Duration,
+            held: HeldAnswers,
             clock: Clock,
         ): LateAnswerFilter? {
             val channel = (connection as HttpClientConnectionInternal).channelHandlerContext().channel()
             val pipeline = channel.pipeline()
             val filter =
                 pipeline.get(LateAnswerFilter::class.java)
-                    ?: LateAnswerFilter(dialect, observer, connection, open, longestHold, clock).also {
+                    ?: LateAnswerFilter(dialect, observer, connection, open, held, clock).also {
                         try {
                             pipeline.addBefore(VERTX_HANDLER, "late-answer-filter", it)
                         } catch (_: NoSuchElementException) {
