Don't believe a refusal of an at-most-once call that its server contradicts

What callers saw: an isolated server refuses an at-most-once call ("not run") and then writes the success of the same run; the call was sent to another server and ran twice.

Cause: the hold covered successes only; a refusal was believed at its head.

Why it works: the end of such a refusal is held back like that of a success, and DirectStream reports it only when its end has passed. Only isolated servers' refusals are held; the refusal of a repeatable call is not, since a second run of it does no harm, and a refusal that nothing contradicts stands.

The test now says that its call is an at-most-once call, as its comment did, and expects ANSWER_CONTRADICTED, not just no refusal. RunOrder has `repeatable` for this.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
@@ -4,32 +4,31 @@
 import org.acaciaflow.coordination.port.RunOrder
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Instant
 
 /**
- * Decides whether a success is held back until its server can no longer contradict it.
+ * Decides whether an answer is held back until its server can no longer contradict it.
  *
- * A server that answers twice may write a success before the failure of the same run, or in place of it. A second
- * answer with another status shows that one of the two is wrong, and nothing tells which.
+ * A server that answers twice may write a success before the failure of the same run, or in place of it, or refuse a
+ * request that it runs. A second answer with another status shows that one of the two is wrong, and nothing tells which.
  */
 object AnswerHold {
     /**
-     * Decides on the answer with [status] to [order], which is complete at [now].
+     * Decides on the answer to [order], which has just [answered] it.
      *
-     * Only a plain success that [isDoubtful] is held, for [longest] or a share of the time left: one of an isolated server,
-     * or with a body that its server was seen to write as a second answer.
+     * Only a plain one that [isDoubtful] is held, for [longest] or a share of the time left: one of an isolated server,
+     * or with a body that its server was seen to write as a second answer. A refusal is held if a second run would harm.
      */
     fun begin(
         order: RunOrder,
         purpose: CallPurpose,
-        status: Int,
+        answered: AnsweredRequest,
         isDoubtful: Boolean,
         longest: Duration,
-        now: Instant,
     ): HoldStart {
         val isPlain = purpose == CallPurpose.RUN && !order.expectsEvents
-        if (!isDoubtful || !isPlain || status !in SUCCESSES) return HoldStart.PassOn
-        val duration = minOf(longest, (order.deadline - now) * SHARE_OF_TIME_LEFT)
+        val matters = if (answered.isRefusal) !order.repeatable else answered.status in SUCCESSES
+        if (!isDoubtful || !isPlain || !matters) return HoldStart.PassOn
+        val duration = minOf(longest, (order.deadline - answered.at) * SHARE_OF_TIME_LEFT)
         return if (duration >= SHORTEST) HoldStart.Hold(duration) else HoldStart.PassOn
     }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
@@ -31,7 +31,8 @@
 /**
  * A request that [life] answered over a connection that had carried [history] before it.
  *
- * The request was sent at [sentAt], and the answer with [status] and [signature] was complete at [at].
+ * The request was sent at [sentAt], and the answer with [status] and [signature] was complete at [at]. An answer that
+ * [isRefusal] says that the request has not run.
  * [body] is the fingerprint of its body; null if that is empty or longer than [SecondAnswerBodies.MAXIMUM_BYTES].
  */
 data class AnsweredRequest(
@@ -39,6 +40,7 @@
     val life: BackendLife,
     val history: ConnectionHistory,
     val status: Int,
+    val isRefusal: Boolean,
     val signature: String?,
     val sentAt: Instant,
     val at: Instant,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/RunOrder.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/RunOrder.kt
@@ -12,7 +12,7 @@
  * [call] holds only those of the caller's headers that may be forwarded. [timeLeft] is the time until the caller's
  * [deadline] when the order is given. [resumeAfter] is the last event that the caller has. [source] is where the engine
  * fetches the KV cache of the prompt; null when there is none to fetch. A success has to be an event stream if
- * [expectsEvents] is true.
+ * [expectsEvents] is true. A request that is not [repeatable] runs at most once.
  */
 data class RunOrder(
     val backend: BackendEntry,
@@ -24,6 +24,7 @@
     val resumeAfter: String?,
     val source: CacheSource?,
     val expectsEvents: Boolean,
+    val repeatable: Boolean,
 )
 
 /** KV cache that the engine at [engine] holds under [handle] until it is fetched, which is possible once. */
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
@@ -43,6 +43,16 @@
         for (status in listOf(101, 304, 400, 500, 503)) begin(status = status) shouldBe HoldStart.PassOn
     }
 
+    /** Guards against a second run of a call that may run once, since a refusal stood before its answer. */
+    @Test
+    fun `a refusal of an isolated server is held if the call may run at most once`() {
+        begin(status = 503, isRefusal = true, repeatable = false) shouldBe HoldStart.Hold(200.milliseconds)
+
+        begin(status = 503, isRefusal = true) shouldBe HoldStart.PassOn
+        begin(status = 503, isRefusal = true, repeatable = false, isIsolated = false) shouldBe HoldStart.PassOn
+        begin(status = 503, repeatable = false) shouldBe HoldStart.PassOn
+    }
+
     /** Guards against a hold that outlasts the request, or leaves no time to send it elsewhere. */
     @Test
     fun `the hold is bounded by a share of the time left`() {
@@ -69,19 +79,32 @@
     private fun after(
         ids: List<String>,
         status: Int,
-    ): HoldOutcome {
-        val history = newConnectionHistory(number = 1)
-        val first =
-            AnsweredRequest("own", backend.life, history, status = 200, signature = null, now, now, body = null)
-        return AnswerHold.afterSecondAnswer(
-            first,
+    ): HoldOutcome =
+        AnswerHold.afterSecondAnswer(
+            answered(status = 200),
             SurplusAnswer(ids, status, signature = null),
             hasSecondAnswerBody = false,
         )
-    }
+
+    private fun answered(
+        status: Int,
+        isRefusal: Boolean = false,
+    ) = AnsweredRequest(
+        requestId = "own",
+        life = backend.life,
+        history = newConnectionHistory(number = 1),
+        status = status,
+        isRefusal = isRefusal,
+        signature = null,
+        sentAt = now,
+        at = now,
+        body = null,
+    )
 
     private fun begin(
         status: Int = 200,
+        isRefusal: Boolean = false,
+        repeatable: Boolean = true,
         isIsolated: Boolean = true,
         expectsEvents: Boolean = false,
         purpose: CallPurpose = CallPurpose.RUN,
@@ -99,7 +122,8 @@
                 resumeAfter = null,
                 source = null,
                 expectsEvents = expectsEvents,
+                repeatable = repeatable,
             )
-        return AnswerHold.begin(order, purpose, status, isIsolated, longest, now)
+        return AnswerHold.begin(order, purpose, answered(status, isRefusal), isIsolated, longest)
     }
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/BackendAvailabilityTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/BackendAvailabilityTest.kt
@@ -240,6 +240,7 @@
             resumeAfter = null,
             source = null,
             expectsEvents = false,
+            repeatable = true,
         )
 
     private inner class Gateway(
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/CarrierConnection.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/CarrierConnection.kt
@@ -15,6 +15,9 @@
     val hasSkipped: Boolean
         get() = lateAnswers?.hasSkipped == true
 
+    /** Returns true while the whole answer to [call] is held back. */
+    fun isHeld(call: SentCall): Boolean = lateAnswers?.isHeld(call) == true
+
     /** Returns true if the answer to [call] arrived whole and its server has contradicted it. */
     fun isContradicted(call: SentCall): Boolean = lateAnswers?.isContradicted(call) == true
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -2,6 +2,8 @@
 
 import io.vertx.core.Future
 import io.vertx.core.http.HttpClientResponse
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.port.AttemptEvent
@@ -104,8 +106,9 @@
         answer.closed?.awaitResult() // so that a retry can't get the connection from the pool
         val event =
             eventFor(answer.verdict) ?: return AttemptEvent.Head(answer.head, answers.originOf(call, answer.head))
-        if (event is AttemptEvent.Refused) drain(answer.body)
-        return event
+        if (event !is AttemptEvent.Refused) return event
+        drain(answer.body)
+        return if (carrier.isContradicted(call)) AttemptEvent.Broken(MayHaveRun.ANSWER_CONTRADICTED) else event
     }
 
     private fun reasonOfBreak(): MayHaveRun =
@@ -115,11 +118,19 @@
     private fun reasonOfFailure(): MayHaveRun =
         if (carrier.hasSkipped) MayHaveRun.ANSWER_OF_OTHER_REQUEST else MayHaveRun.BACKEND_CRASHED
 
-    /** Drains the body of a refusal if it is short and comes at once, so that the connection can be reused. */
-    private suspend fun drain(channel: BodyChannel) {
-        val body = withTimeoutOrNull(REFUSAL_BODY_TIMEOUT) { channel.readWhole(REFUSAL_BODY_BYTES) }
-        complete = body is BoundedBody.Whole
-    }
+    /**
+     * Drains the body of a refusal if it is short and comes at once, so that the connection can be reused.
+     *
+     * Waits on while the end of the refusal is held back.
+     */
+    private suspend fun drain(channel: BodyChannel) =
+        coroutineScope {
+            val reading = async { channel.readWhole(REFUSAL_BODY_BYTES) }
+            val prompt = withTimeoutOrNull(REFUSAL_BODY_TIMEOUT) { reading.await() }
+            val body = if (prompt == null && carrier.isHeld(call)) reading.await() else prompt
+            reading.cancel()
+            complete = body is BoundedBody.Whole
+        }
 
     /** An answer whose head has arrived; [closed] is the close of its connection if it is of another request. */
     private class OpenedAnswer(
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/HeldAnswers.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/HeldAnswers.kt
@@ -24,7 +24,7 @@
         answered: AnsweredRequest,
     ): HoldStart {
         val isDoubtful = open.isIsolated(answered.life) || hasSecondAnswerBody(answered)
-        return AnswerHold.begin(call.order, call.purpose, answered.status, isDoubtful, longest, answered.at)
+        return AnswerHold.begin(call.order, call.purpose, answered, isDoubtful, longest)
     }
 
     /** Decides on the held answer [answered], behind which [second] has arrived. */
@@ -49,7 +49,7 @@
     }
 
     private fun hasSecondAnswerBody(answered: AnsweredRequest): Boolean =
-        open.isSecondAnswerBody(answered.life, answered.body)
+        !answered.isRefusal && open.isSecondAnswerBody(answered.life, answered.body)
 
     private fun report(
         answered: AnsweredRequest,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -20,7 +20,9 @@
 import org.acaciaflow.coordination.connection.HoldStart
 import org.acaciaflow.coordination.connection.ScreeningDecision
 import org.acaciaflow.coordination.connection.SecondAnswerBodies
+import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
+import org.acaciaflow.state.work.AnswerHead
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -29,7 +31,7 @@
  * Skips late answers to earlier requests of a connection, so that the answer behind them is read; reports those that
  * arrive while no request is in progress.
  *
- * The end of a plain success of an isolated server is held back for a moment, so that a second answer can contradict it.
+ * The end of a plain answer of an isolated server is held back for a moment, so that a second answer can contradict it.
  * Until the end has passed, Vert.x keeps the connection for its request.
  *
  * Vert.x takes the first answer that arrives for the one to the request in progress, so they are skipped before it.
@@ -76,6 +78,9 @@
             is Reading.ReadingSecond, is Reading.Nothing -> false
         }
 
+    /** Returns true while the whole answer to [call] is held back. */
+    fun isHeld(call: SentCall): Boolean = (reading as? Reading.Holding)?.call === call
+
     /** Returns true if the answer to [call] arrived whole and is not believed. */
     fun isContradicted(call: SentCall): Boolean = contradicted === call
 
@@ -141,9 +146,10 @@
         val answer = dialect.surplusAnswer(head)
         when (decide(awaiting, response, answer.requestIds)) {
             ScreeningDecision.Pass -> {
+                val isRefusal = isRefusal(awaiting.call, head)
                 answer(
                     context,
-                    Reading.Answering(awaiting.call, head.status, answer.signature, SmallBody(response)),
+                    Reading.Answering(awaiting.call, head.status, isRefusal, answer.signature, SmallBody(response)),
                     response,
                 )
             }
@@ -159,6 +165,11 @@
         }
     }
 
+    private fun isRefusal(
+        call: SentCall,
+        head: AnswerHead,
+    ): Boolean = dialect.classifyAnswer(call.order, call.purpose, head) is AnswerVerdict.NotExecuted
+
     /** Passes on a part of the answer to the request in progress. */
     private fun answer(
         context: ChannelHandlerContext,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/Reading.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/Reading.kt
@@ -18,10 +18,11 @@
         val since: Awaiting,
     ) : Reading
 
-    /** The rest of the answer to [call], whose head has [status] and [signature]. */
+    /** The rest of the answer to [call], whose head has [status] and [signature], and is a refusal if [isRefusal]. */
     class Answering(
         val call: SentCall,
-        val status: Int,
+        private val status: Int,
+        private val isRefusal: Boolean,
         private val signature: String?,
         val body: SmallBody,
     ) : Reading {
@@ -31,6 +32,7 @@
                 life = call.order.backend.life,
                 history = call.history,
                 status = status,
+                isRefusal = isRefusal,
                 signature = signature,
                 sentAt = call.sentAt,
                 at = now,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerReviewTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerReviewTest.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.transport.direct
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
@@ -126,10 +127,47 @@
     @Test
     fun `a refusal that a success contradicts is not believed`() {
         val result =
-            afterLearning { output, id -> write(output, answerBytes(503, "", "Request-Id: $id") + ok(id, "ran")) }
+            afterLearning(repeatable = false) { output, id ->
+                write(output, answerBytes(503, "", "Request-Id: $id") + ok(id, "ran"))
+            }
 
         println("refusal before a success: $result")
-        result.second shouldNotBe AttemptEvent.Refused(AttemptRefusal.AT_CAPACITY)
+        result.second shouldBe CONTRADICTED
+    }
+
+    /** Guards against the same where the success comes after the time that a refusal's body is waited for. */
+    @Test
+    fun `a refusal that a success contradicts later within the hold is not believed`() {
+        val result =
+            afterLearning(repeatable = false) { output, id ->
+                write(output, answerBytes(503, "full", "Request-Id: $id"))
+                Thread.sleep(200)
+                write(output, ok(id, "ran"))
+            }
+
+        println("refusal 200 ms before a success: $result")
+        result.second shouldBe CONTRADICTED
+    }
+
+    /** Guards against a true refusal that is lost, so that its call is not sent elsewhere. */
+    @Test
+    fun `a refusal that nothing contradicts is believed`() {
+        val scripts =
+            mapOf<String, RawBackend.(OutputStream, String) -> Unit>(
+                "alone" to { output, id -> write(output, refused(id)) },
+                "twice" to { output, id -> write(output, refused(id) + refused(id)) },
+                "with the body of second answers" to { output, id -> write(output, refused(id, SECOND)) },
+                "and the connection ends" to { output, id ->
+                    write(output, refused(id))
+                    output.close()
+                },
+            )
+        for ((name, script) in scripts) {
+            withClue(name) {
+                afterLearning(repeatable = false, script).second shouldBe
+                    AttemptEvent.Refused(AttemptRefusal.AT_CAPACITY)
+            }
+        }
     }
 
     /** Guards against a server that counts as unreachable because the pool returned a connection that it had closed. */
@@ -150,7 +188,10 @@
     }
 
     /** Returns what a request gets whose server, known to write [SECOND] behind true answers, answers by [script]. */
-    private fun afterLearning(script: RawBackend.(OutputStream, String) -> Unit): Pair<String, AttemptEvent> =
+    private fun afterLearning(
+        repeatable: Boolean = true,
+        script: RawBackend.(OutputStream, String) -> Unit,
+    ): Pair<String, AttemptEvent> =
         stuttering { output, id ->
             if (id == LEARNING) write(output, ok(id, "body of $id") + ok(id, SECOND)) else script(output, id)
         }.use { backend ->
@@ -158,7 +199,7 @@
                 val connections = isolating(backend)
                 resultOf(connections, backend, LEARNING).second shouldBe AttemptEvent.End
                 delay(100.milliseconds)
-                resultOf(connections, backend, "request-1")
+                resultOf(connections, backend, "request-1", repeatable)
             }
         }
 
@@ -181,14 +222,22 @@
         connections: DirectConnections,
         backend: RawBackend,
         id: String,
+        repeatable: Boolean = true,
     ): Pair<String, AttemptEvent> =
-        withTimeout(3.seconds) { readToEnd(connections.open(orderTo(backend.address, id), emptyBody())) }
+        withTimeout(3.seconds) {
+            readToEnd(connections.open(orderTo(backend.address, id, repeatable = repeatable), emptyBody()))
+        }
 
     private fun ok(
         id: String,
         body: String,
     ): String = answerBytes(200, body, "Request-Id: $id")
 
+    private fun refused(
+        id: String,
+        body: String = "",
+    ): String = answerBytes(503, body, "Request-Id: $id")
+
     private fun failed(id: String): String = answerBytes(500, "failed", "Request-Id: $id")
 
     private class AdvancedClock : Clock {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/LeavingNoticesTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/LeavingNoticesTest.kt
@@ -176,6 +176,7 @@
         resumeAfter = null,
         source = null,
         expectsEvents = false,
+        repeatable = true,
     )
 
     private object EmptyBody : CallBody {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
@@ -37,6 +37,7 @@
     address: HostAddress,
     requestId: String,
     method: String = "POST",
+    repeatable: Boolean = true,
 ): RunOrder =
     RunOrder(
         backend =
@@ -57,6 +58,7 @@
         resumeAfter = null,
         source = null,
         expectsEvents = false,
+        repeatable = repeatable,
     )
 
 /** Creates connections to servers that speak [TestDialect]. */
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
@@ -266,6 +266,7 @@
                 resumeAfter = null,
                 source = null,
                 expectsEvents = false,
+                repeatable = true,
             )
     }
 
--- a/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
@@ -27,7 +27,17 @@
     private val history = newConnectionHistory(number = 7).carrying("r0")
     private val lateAnswer = SurplusAnswer(listOf("r0"), status = 200, signature = "s1")
     private val answered =
-        AnsweredRequest("r0", backend.life, history, status = 500, signature = "s0", sentAt = at, at = at, body = null)
+        AnsweredRequest(
+            "r0",
+            backend.life,
+            history,
+            status = 500,
+            isRefusal = false,
+            "s0",
+            sentAt = at,
+            at = at,
+            body = null,
+        )
     private val path = EnginePath.LocalPrefill(backend, work = 4.milliseconds, predicted = 10.milliseconds)
 
     @Test
