Don't abort a run whose answer is held as stalled

What callers saw: a repeatable plain call whose whole answer was held when its stall timeout (twice the route's target, at least 300 ms) passed was sent to another server, and the first one was counted as failing.

Cause: the stall watchdog saw an answer without an end, and could not tell a held one from one that has not arrived.

Why it works: AttemptStream says whether its answer is held, and the watchdog does not count that time.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/AttemptStream.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/AttemptStream.kt
@@ -11,6 +11,10 @@
     /** Waits for the next part. [AttemptEvent.End], [AttemptEvent.Refused] and [AttemptEvent.Broken] end the stream. */
     suspend fun next(): AttemptEvent
 
+    /** True while the whole answer has arrived and its end is held back. */
+    val isHeld: Boolean
+        get() = false
+
     /** Cancels the attempt; [next] then returns [AttemptEvent.Broken]. May be called from any thread. */
     fun cancel()
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StallWatchdog.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StallWatchdog.kt
@@ -15,6 +15,8 @@
 /**
  * Aborts a run that makes no progress for longer than [stallTimeouts], so that it can be retried elsewhere.
  *
+ * An answer that is held back has arrived, so it does not stall.
+ *
  * The process may not have run for a while, so that data has arrived and is not read yet. The sockets are therefore read
  * before a run is aborted.
  */
@@ -61,24 +63,28 @@
     }
 
     private suspend fun watch(stream: AttemptStream) {
-        while (!isStalled(clock.now()) || !isStalledAfterReads()) delay(CHECK_INTERVAL)
+        while (!isStalled(stream, clock.now()) || !isStalledAfterReads(stream)) delay(CHECK_INTERVAL)
         stalled = true
         stream.cancel()
     }
 
     /** Reads the sockets, again while more of the answer is found, and returns true if the run still looks stalled. */
-    private suspend fun isStalledAfterReads(): Boolean {
+    private suspend fun isStalledAfterReads(stream: AttemptStream): Boolean {
         val readUntil = clock.now() + LONGEST_READ
         do {
             val readBefore = eventsRead
             socketReads.awaitNext()
             val now = clock.now()
-            if (!isStalled(now)) return false
+            if (!isStalled(stream, now)) return false
         } while (eventsRead > readBefore && now < readUntil)
         return true
     }
 
-    private fun isStalled(now: Instant): Boolean {
+    private fun isStalled(
+        stream: AttemptStream,
+        now: Instant,
+    ): Boolean {
+        if (stream.isHeld) return false
         val last = lastProgressAt
         val limit = if (last == null) stallTimeouts.firstData else stallTimeouts.betweenData
         if (limit != null && now - (last ?: startedAt) > limit) return true
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestRelayTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/RequestRelayTest.kt
@@ -23,6 +23,7 @@
 import org.acaciaflow.state.route.RequestKind
 import org.acaciaflow.state.route.Route
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
 
 class RequestRelayTest : AnnotationSpec() {
     private val services = listOf(backend("one"), backend("second"), backend("third-1"))
@@ -120,6 +121,19 @@
                 .keys shouldBe setOf(lives.first())
         }
 
+    /** Guards against a sound answer that is thrown away, and a server blamed, because the answer is held. */
+    @Test
+    fun `an answer that is held for longer than a stall is no stall`() =
+        runTest {
+            val connections = ScriptedConnections(mutableListOf(Reaction.Held(1.seconds)))
+            val caller = FakeCaller()
+
+            relay(route(RequestKind.Idempotent), services, connections).accept(caller)
+
+            connections.orders shouldHaveSize 1
+            caller.text shouldBe "answer"
+        }
+
     /** Guards against an at-most-once call that is sent again, or reported as delivered or not run. */
     @Test
     fun `a contradicted success of an at-most-once call is its failure`() =
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -38,6 +38,9 @@
     @Volatile
     private var complete = false
 
+    override val isHeld: Boolean
+        get() = carrier.isHeld(call)
+
     override suspend fun next(): AttemptEvent {
         val channel = body ?: return head()
         return when (val part = channel.next()) {
