--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/Reading.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/Reading.kt
@@ -19,10 +19,13 @@
         val since: Awaiting,
     ) : Reading
 
-    /** The rest of the answer to [call], whose head has [status], [signature] and [form]. */
+    /**
+     * The rest of the answer to [call], whose head has [status], [signature] and [form], and is a refusal if [isRefusal].
+     */
     class Answering(
         val call: SentCall,
-        val status: Int,
+        private val status: Int,
+        private val isRefusal: Boolean,
         private val signature: String?,
         private val form: AnswerForm,
         val body: SmallBody,
@@ -33,6 +36,7 @@
                 life = call.order.backend.life,
                 history = call.history,
                 status = status,
+                isRefusal = isRefusal,
                 signature = signature,
                 form = form,
                 sentAt = call.sentAt,
