Hold answers for as long as their pool's contradictions take

What callers saw: a success of an isolated server whose failure came more than 100 ms later.

Cause: the hold lasted 100 ms and a quarter of the time left at most; most failures are later.

Why it works: the limit is 400 ms (answer_hold_ms) and half of the time left; a call that may be sent elsewhere keeps twice the time of its run, a success that can't be asked for again is held for up to three quarters.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
@@ -17,6 +17,7 @@
      *
      * Only a plain one that [isDoubtful] is held, for [longest] or a share of the time left: one of an isolated server,
      * or with a body that its server was seen to write as a second answer. A refusal is held if a second run would harm.
+     * A call that may be sent to another server keeps the time for that.
      */
     fun begin(
         order: RunOrder,
@@ -28,7 +29,15 @@
         val isPlain = purpose == CallPurpose.RUN && !order.expectsEvents
         val matters = if (answered.isRefusal) !order.repeatable else answered.status in SUCCESSES
         if (!isDoubtful || !isPlain || !matters) return HoldStart.PassOn
-        val duration = minOf(longest, (order.deadline - answered.at) * SHARE_OF_TIME_LEFT)
+        val left = order.deadline - answered.at
+        val mayBeSentElsewhere = order.repeatable || answered.isRefusal
+        val available =
+            if (mayBeSentElsewhere) {
+                minOf(left * SHARE_BEFORE_ANOTHER_RUN, left - answered.took * RUNS_LEFT)
+            } else {
+                left * SHARE_WITHOUT_ANOTHER_RUN
+            }
+        val duration = minOf(longest, available)
         return if (duration >= SHORTEST) HoldStart.Hold(duration) else HoldStart.PassOn
     }
 
@@ -45,21 +54,32 @@
     ): HoldOutcome =
         when {
             !second.requestIds.nameOnly(first.requestId) -> HoldOutcome.Wait
-            second.status != first.status -> HoldEnd.Reject(AnswerContradiction.OTHER_STATUS)
+            contradicts(first, second) -> HoldEnd.Reject(AnswerContradiction.OTHER_STATUS)
             else -> uncontradicted(hasSecondAnswerBody)
         }
 
+    /** Returns true if [second] shows that the success or refusal [first] may be wrong. */
+    fun contradicts(
+        first: AnsweredRequest,
+        second: SurplusAnswer,
+    ): Boolean =
+        second.requestIds.nameOnly(first.requestId) &&
+            second.status != first.status &&
+            (first.isRefusal || first.status in SUCCESSES)
+
     /** Decides on a held answer that nothing contradicts when its hold ends. */
     fun uncontradicted(hasSecondAnswerBody: Boolean): HoldEnd =
         if (hasSecondAnswerBody) HoldEnd.Reject(AnswerContradiction.SECOND_ANSWER_BODY) else HoldEnd.PassOn
 
     /** How long an answer is held at most unless the settings say otherwise. */
-    val DEFAULT_LONGEST: Duration = 100.milliseconds
+    val DEFAULT_LONGEST: Duration = 400.milliseconds
 
     internal val SUCCESSES = 200..299
 
     private val SHORTEST: Duration = 1.milliseconds // the resolution of timers
-    private const val SHARE_OF_TIME_LEFT = 0.25 // leaves time to send the request elsewhere
+    private const val SHARE_BEFORE_ANOTHER_RUN = 0.5
+    private const val SHARE_WITHOUT_ANOTHER_RUN = 0.75 // leaves time to pass the answer on
+    private const val RUNS_LEFT = 2 // another run may be slower than this one
 }
 
 /** What becomes of an answer that has arrived whole. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
@@ -2,6 +2,7 @@
 
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.state.identity.PoolName
 import kotlin.time.Duration
 import kotlin.time.Instant
 
@@ -29,7 +30,7 @@
 internal fun List<String>.nameOnly(requestId: String): Boolean = distinct() == listOf(requestId)
 
 /**
- * A request that [life] answered over a connection that had carried [history] before it.
+ * A request that [life] of [pool] answered over a connection that had carried [history] before it.
  *
  * The request was sent at [sentAt], and the answer with [status] and [signature] was complete at [at]. An answer that
  * [isRefusal] says that the request has not run.
@@ -38,6 +39,7 @@
 data class AnsweredRequest(
     val requestId: String,
     val life: BackendLife,
+    val pool: PoolName,
     val history: ConnectionHistory,
     val status: Int,
     val isRefusal: Boolean,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/HeldAnswers.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/HeldAnswers.kt
@@ -24,7 +24,7 @@
         answered: AnsweredRequest,
     ): HoldStart {
         val isDoubtful = open.isIsolated(answered.life) || hasSecondAnswerBody(answered)
-        return AnswerHold.begin(call.order, call.purpose, answered, isDoubtful, longest)
+        return AnswerHold.begin(call.order, call.purpose, answered, isDoubtful, open.holdLength(answered.pool, longest))
     }
 
     /** Decides on the held answer [answered], behind which [second] has arrived. */
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
@@ -4,30 +4,36 @@
 import io.vertx.core.http.HttpConnection
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
+import org.acaciaflow.coordination.connection.AnswerHold
 import org.acaciaflow.coordination.connection.AnsweredRequest
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionIsolation
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.connection.ConnectionReuse
+import org.acaciaflow.coordination.connection.HoldLength
 import org.acaciaflow.coordination.connection.ReuseDecision
 import org.acaciaflow.coordination.connection.SecondAnswerBodies
 import org.acaciaflow.coordination.connection.SurplusAnswer
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.state.connection.ConnectionHistory
+import org.acaciaflow.state.connection.ContradictionDelays
 import org.acaciaflow.state.connection.SecondAnswers
 import org.acaciaflow.state.connection.SurplusAnswers
 import org.acaciaflow.state.connection.newConnectionHistory
 import org.acaciaflow.state.fleet.BackendLife
+import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.lock.LockOrder
 import org.acaciaflow.state.table.SharedTable
 import org.acaciaflow.state.table.Transition
 import org.acaciaflow.state.table.createSharedTable
 import kotlin.time.Clock
+import kotlin.time.Duration
 
 /** The open connections to backend servers, what each has carried and why it is closed. */
 internal class OpenConnections private constructor(
     private val table: SharedTable<Connections>,
     private val surplus: SharedTable<SurplusAnswers>,
+    private val delays: SharedTable<ContradictionDelays>,
     private val observer: ConnectionObserver,
     private val clock: Clock,
 ) {
@@ -81,16 +87,26 @@
         second: Long,
     ) = updateSecondAnswers(first.life) { SecondAnswerBodies.recorded(it, first.body, second) }
 
-    /** Notes that the server whose answer was [first] has reported a failure of the same request in [second]. */
+    /** Notes that [second] arrived behind [first], from the same server, if it contradicts it. */
     fun contradictionSeen(
         first: AnsweredRequest,
         second: SurplusAnswer,
     ) {
+        if (AnswerHold.contradicts(first, second)) {
+            val now = clock.now()
+            delays.update { HoldLength.recorded(it, first.pool, now - first.at, now) }
+        }
         val body = first.body ?: return
         if (!SecondAnswerBodies.isContradiction(first, second)) return
         updateSecondAnswers(first.life) { SecondAnswerBodies.contradicted(it, body) }
     }
 
+    /** Returns for how long an answer of a server of [pool] is held at most; [longest] is the limit by the settings. */
+    fun holdLength(
+        pool: PoolName,
+        longest: Duration,
+    ): Duration = HoldLength.of(delays.snapshot(), pool, longest, clock.now())
+
     /** Returns true if [body] is one that the server [life] was seen to write as its second answer. */
     fun isSecondAnswerBody(
         life: BackendLife,
@@ -193,7 +209,8 @@
             clock: Clock,
         ): OpenConnections {
             val table = createSharedTable(LockOrder.BACKEND_CONNECTIONS, NONE)
-            return OpenConnections(table, surplus, observer, clock)
+            val delays = createSharedTable(LockOrder.CONTRADICTION_DELAYS, ContradictionDelays.NONE)
+            return OpenConnections(table, surplus, delays, observer, clock)
         }
 
         private val NONE = Connections(opened = 0, persistentHashMapOf(), persistentHashMapOf())
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/Reading.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/Reading.kt
@@ -30,6 +30,7 @@
             AnsweredRequest(
                 requestId = call.order.requestId,
                 life = call.order.backend.life,
+                pool = call.order.backend.pool,
                 history = call.history,
                 status = status,
                 isRefusal = isRefusal,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerTest.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.withTimeout
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionObserver
+import org.acaciaflow.coordination.connection.HoldLength
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.state.refusal.MayHaveRun
@@ -234,6 +235,31 @@
         time shouldBeLessThan 600.milliseconds
     }
 
+    /** Guards against callers that wait for the longest time although failures follow much sooner. */
+    @Test
+    fun `an answer is held no longer than contradictions of its pool take`() {
+        stuttering { output, id ->
+            write(output, ok(id))
+            if (id.startsWith("failed")) {
+                Thread.sleep(20)
+                write(output, failed(id))
+            }
+        }.use { backend ->
+            runBlocking {
+                val connections = isolating(backend, 2.seconds)
+                repeat(HoldLength.SUFFICIENT) {
+                    endOf(connections, orderTo(backend.address, "failed-$it")) shouldBe CONTRADICTED
+                }
+                val time =
+                    measureTimedValue { endOf(connections, orderTo(backend.address, "lone-1", "HEAD")) }.duration
+
+                println("held for $time after contradictions 20 ms late")
+                time shouldBeGreaterThanOrEqualTo HoldLength.SHORTEST
+                time shouldBeLessThan 1.seconds
+            }
+        }
+    }
+
     /** Guards against callers of sound servers that wait for a second answer which never comes. */
     @Test
     fun `a server that is not isolated is not waited for`() {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
@@ -30,6 +30,7 @@
         AnsweredRequest(
             "r0",
             backend.life,
+            backend.pool,
             history,
             status = 500,
             isRefusal = false,
