--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
@@ -77,7 +77,7 @@
     /** Guards against a hold whose length is learned from answers that contradict nothing which is ever held. */
     @Test
     fun `only a success or a refusal is contradicted`() {
-        val other = SurplusAnswer(listOf("own"), status = 500, signature = null)
+        val other = SurplusAnswer(listOf("own"), status = 500, signature = null, formOf(status = 500))
         AnswerHold.contradicts(answered(status = 200), other) shouldBe true
         AnswerHold.contradicts(answered(status = 503, isRefusal = true), other) shouldBe true
 
