Don't believe a success with the form of second answers where true ones have another

Cause: isolation, the hold and the comparison of bodies begin with the first surplus answer of that very server. Before it, a second answer that comes before its failure, or in its place, is passed on. That the users' second answers have a form of their own is suspected, not shown. Change: the forms of plain successes that were passed on are counted for each pool, route and method; those of identified second answers are remembered for 10 minutes, of all servers. A success with such a form, where true answers have another one, is skipped like a late answer; the true answer behind it is passed on. If none begins in time the attempt ends as answer-contradicted. It works since a second answer names its request but is not written by the run: its head lacks what the run adds. Where the true answers have the form, or too few are known, nothing changes. A success of a usual form whose server's second answers all had another one is not held any more.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
@@ -97,4 +97,7 @@
 
     /** It has a body that the server writes as its second answer to other requests. */
     SECOND_ANSWER_BODY("second-answer-body"),
+
+    /** Its head has the form of second answers, and the true answers to like calls have another one. */
+    SECOND_ANSWER_FORM("second-answer-form"),
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerScreening.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerScreening.kt
@@ -7,17 +7,25 @@
     /**
      * Decides on an answer with the ids [answerIds] that arrives after the request [requestId] was sent.
      *
-     * [history] is what the connection carried before the request, and [skipped] the number of answers skipped since.
+     * [history] is what the connection carried before the request, and [skipped] the number of answers skipped since. An
+     * answer that [isDoubted] may be a second one although it names the request; [hasKnownEnd] is true if it can be skipped.
      */
     fun decide(
         history: ConnectionHistory,
         requestId: String,
         answerIds: List<String>,
         skipped: Int,
+        isDoubted: Boolean,
+        hasKnownEnd: Boolean,
     ): ScreeningDecision {
-        if (answerIds.nameOnly(requestId)) return ScreeningDecision.Pass
-        val isLate = AnswerOwner.of(history, answerIds) == AnswerOwner.EARLIER_REQUEST
-        return if (isLate && skipped < MAXIMUM_SKIPPED) ScreeningDecision.Skip else ScreeningDecision.Pass
+        val maySkip = hasKnownEnd && skipped < MAXIMUM_SKIPPED
+        val isOwn = answerIds.nameOnly(requestId)
+        return when {
+            isOwn && !isDoubted -> ScreeningDecision.Pass
+            isOwn -> if (maySkip) ScreeningDecision.SkipDoubted else ScreeningDecision.Reject
+            AnswerOwner.of(history, answerIds) != AnswerOwner.EARLIER_REQUEST -> ScreeningDecision.Pass
+            else -> if (maySkip) ScreeningDecision.Skip else ScreeningDecision.Pass
+        }
     }
 
     /** The late answers that are skipped for one request at most. */
@@ -31,4 +39,10 @@
 
     /** It is the late answer to an earlier request, and the true one may follow it. */
     data object Skip : ScreeningDecision
+
+    /** It names the request and is not believed; the true answer may follow it. */
+    data object SkipDoubted : ScreeningDecision
+
+    /** It is not believed, and what follows it can't be read. */
+    data object Reject : ScreeningDecision
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SurplusAnswer.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.coordination.connection
 
 import org.acaciaflow.state.connection.AnswerForm
+import org.acaciaflow.state.connection.AnswerScope
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.fleet.BackendLife
 import kotlin.time.Duration
@@ -34,7 +35,8 @@
  * A request that [life] answered over a connection that had carried [history] before it.
  *
  * The request was sent at [sentAt], and the answer with [status], [signature] and [form] was complete at [at].
- * [body] is the fingerprint of its body; null if that is empty or longer than [SecondAnswerBodies.MAXIMUM_BYTES].
+ * [scope] has the calls whose answers are compared with it; null unless the call is a plain one. [body] is the fingerprint
+ * of its body; null if that is empty or longer than [SecondAnswerBodies.MAXIMUM_BYTES].
  */
 data class AnsweredRequest(
     val requestId: String,
@@ -43,6 +45,7 @@
     val status: Int,
     val signature: String?,
     val form: AnswerForm,
+    val scope: AnswerScope?,
     val sentAt: Instant,
     val at: Instant,
     val body: Long?,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/RunOrder.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/RunOrder.kt
@@ -2,6 +2,7 @@
 
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.identity.RouteName
 import org.acaciaflow.state.work.CallHead
 import kotlin.time.Duration
 import kotlin.time.Instant
@@ -11,7 +12,7 @@
  *
  * [call] holds only those of the caller's headers that may be forwarded. [timeLeft] is the time until the caller's
  * [deadline] when the order is given. [resumeAfter] is the last event that the caller has. [source] is where the engine
- * fetches the KV cache of the prompt; null when there is none to fetch. A success has to be an event stream if
+ * fetches the KV cache of the prompt; null when there is none to fetch. [route] is the one that the call took. A success has to be an event stream if
  * [expectsEvents] is true.
  */
 data class RunOrder(
@@ -24,6 +25,7 @@
     val resumeAfter: String?,
     val source: CacheSource?,
     val expectsEvents: Boolean,
+    val route: RouteName,
 )
 
 /** KV cache that the engine at [engine] holds under [handle] until it is fetched, which is possible once. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/NextStep.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/NextStep.kt
@@ -85,4 +85,5 @@
         resumeAfter = progress.lastEvent ?: request.facts.resumeAfter,
         source = source,
         expectsEvents = request.route.kind is RequestKind.EventStream,
+        route = request.route.name,
     )
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayTables.kt
@@ -8,6 +8,7 @@
 import org.acaciaflow.coordination.peer.RecentReads
 import org.acaciaflow.coordination.routing.KnownRouting
 import org.acaciaflow.state.buffer.BufferUse
+import org.acaciaflow.state.connection.AnswerForms
 import org.acaciaflow.state.connection.SurplusAnswers
 import org.acaciaflow.state.crash.CrashReports
 import org.acaciaflow.state.fleet.BackendLife
@@ -51,6 +52,7 @@
     val answerBuffers: SharedTable<BufferUse>,
     val retryWindows: SharedTable<PersistentMap<PoolName, RetryWindow>>,
     val surplus: SharedTable<SurplusAnswers>,
+    val forms: SharedTable<AnswerForms>,
 )
 
 /** Creates the tables of a starting gateway, which are all empty. */
@@ -75,4 +77,5 @@
         answerBuffers = createSharedTable(LockOrder.ANSWER_BUFFERS, BufferUse.NONE),
         retryWindows = createSharedTable(LockOrder.RETRY_WINDOWS, persistentMapOf()),
         surplus = createSharedTable(LockOrder.SURPLUS_ANSWERS, SurplusAnswers.NONE),
+        forms = createSharedTable(LockOrder.ANSWER_FORMS, AnswerForms.NONE),
     )
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
@@ -13,6 +13,7 @@
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.identity.RouteName
 import org.acaciaflow.state.work.CallHead
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -74,7 +75,18 @@
         val history = newConnectionHistory(number = 1)
         val form = AnswerForm(status, persistentListOf())
         val first =
-            AnsweredRequest("own", backend.life, history, status = 200, signature = null, form, now, now, body = null)
+            AnsweredRequest(
+                "own",
+                backend.life,
+                history,
+                status = 200,
+                signature = null,
+                form,
+                scope = null,
+                now,
+                now,
+                body = null,
+            )
         return AnswerHold.afterSecondAnswer(
             first,
             SurplusAnswer(ids, status, signature = null, form),
@@ -101,6 +113,7 @@
                 resumeAfter = null,
                 source = null,
                 expectsEvents = expectsEvents,
+                route = RouteName("route"),
             )
         return AnswerHold.begin(order, purpose, status, isIsolated, longest, now)
     }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerScreeningTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerScreeningTest.kt
@@ -29,10 +29,29 @@
     /** Guards against a connection that is read without end for an answer that does not come. */
     @Test
     fun `a bounded number of late answers is skipped`() {
-        AnswerScreening.decide(history, "own", listOf("earlier"), AnswerScreening.MAXIMUM_SKIPPED) shouldBe
-            ScreeningDecision.Pass
+        decide("earlier", skipped = AnswerScreening.MAXIMUM_SKIPPED) shouldBe ScreeningDecision.Pass
+        decide("own", skipped = AnswerScreening.MAXIMUM_SKIPPED, isDoubted = true) shouldBe ScreeningDecision.Reject
     }
 
-    private fun decide(vararg answerIds: String): ScreeningDecision =
-        AnswerScreening.decide(history, "own", answerIds.toList(), skipped = 0)
+    /** Guards against a true answer that is taken for the rest of a late one whose end can't be found. */
+    @Test
+    fun `an answer without a known end is not skipped`() {
+        decide("earlier", hasKnownEnd = false) shouldBe ScreeningDecision.Pass
+        decide("own", hasKnownEnd = false) shouldBe ScreeningDecision.Pass
+        decide("own", hasKnownEnd = false, isDoubted = true) shouldBe ScreeningDecision.Reject
+    }
+
+    /** Guards against a wrong success that is passed on because it has the id of the request. */
+    @Test
+    fun `an answer to the request in progress that is doubted is skipped`() {
+        decide("own", isDoubted = true) shouldBe ScreeningDecision.SkipDoubted
+        decide("earlier", isDoubted = true) shouldBe ScreeningDecision.Skip
+    }
+
+    private fun decide(
+        vararg answerIds: String,
+        skipped: Int = 0,
+        isDoubted: Boolean = false,
+        hasKnownEnd: Boolean = true,
+    ): ScreeningDecision = AnswerScreening.decide(history, "own", answerIds.toList(), skipped, isDoubted, hasKnownEnd)
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/BackendAvailabilityTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/BackendAvailabilityTest.kt
@@ -19,6 +19,7 @@
 import org.acaciaflow.coordination.relay.route
 import org.acaciaflow.coordination.relay.tablesWith
 import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.identity.RouteName
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.route.RequestKind
 import org.acaciaflow.state.work.CallHead
@@ -240,6 +241,7 @@
             resumeAfter = null,
             source = null,
             expectsEvents = false,
+            route = RouteName("route"),
         )
 
     private inner class Gateway(
--- a/state/src/main/kotlin/org/acaciaflow/state/connection/AnswerForm.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/connection/AnswerForm.kt
@@ -9,8 +9,7 @@
     val names: PersistentList<String>,
 ) {
     /** Stands for this form in tables and in messages between gateways; the same in every process. */
-    val fingerprint: Long
-        get() = fingerprintOf(names.joinToString(separator = ",", prefix = "$status:"))
+    val fingerprint: Long = fingerprintOf(names.joinToString(separator = ",", prefix = "$status:"))
 
     /** The form in one word for the log, shortened. */
     override fun toString(): String = names.joinToString(separator = ",", prefix = "$status:").take(SHOWN_CHARACTERS)
--- a/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/lock/LockOrder.kt
@@ -37,6 +37,7 @@
     RETRY_WINDOWS(72),
     EXCHANGES(80),
     SURPLUS_ANSWERS(82),
+    ANSWER_FORMS(83),
     BACKEND_CONNECTIONS(85),
     LINKS(90),
     STREAMS(100),
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectConnections.kt
@@ -26,11 +26,14 @@
 import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.protocol.dialect.HttpCalls
+import org.acaciaflow.state.connection.AnswerForms
 import org.acaciaflow.state.connection.ConnectionHistory
 import org.acaciaflow.state.connection.SurplusAnswers
+import org.acaciaflow.state.lock.LockOrder
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.table.SharedTable
+import org.acaciaflow.state.table.createSharedTable
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.transport.http.BoundedBody
@@ -56,8 +59,10 @@
     private val scope: CoroutineScope,
     private val clock: Clock,
     private val answerHold: Duration = AnswerHold.DEFAULT_LONGEST,
+    answerForms: SharedTable<AnswerForms> = createSharedTable(LockOrder.ANSWER_FORMS, AnswerForms.NONE),
 ) : BackendConnections {
     private val open = OpenConnections.create(surplus, observer, clock)
+    private val forms = ObservedForms(answerForms, clock)
     private val answers = AnswerReader(dialect, availability, observer)
     private val client: HttpClient =
         vertx.createHttpClient(
@@ -179,7 +184,7 @@
     }
 
     private fun filterOf(connection: HttpConnection): LateAnswerFilter? =
-        LateAnswerFilter.of(connection, dialect, observer, open, answerHold, clock)
+        LateAnswerFilter.of(connection, dialect, observer, open, forms, answerHold, clock)
 
     private class Connected(
         val request: HttpClientRequest,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/DirectStream.kt
@@ -113,7 +113,11 @@
 
     /** A connection that brought late answers and then broke off is no sign of a crash. */
     private fun reasonOfFailure(): MayHaveRun =
-        if (carrier.hasSkipped) MayHaveRun.ANSWER_OF_OTHER_REQUEST else MayHaveRun.BACKEND_CRASHED
+        when {
+            carrier.isContradicted(call) -> MayHaveRun.ANSWER_CONTRADICTED
+            carrier.hasSkipped -> MayHaveRun.ANSWER_OF_OTHER_REQUEST
+            else -> MayHaveRun.BACKEND_CRASHED
+        }
 
     /** Drains the body of a refusal if it is short and comes at once, so that the connection can be reused. */
     private suspend fun drain(channel: BodyChannel) {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -25,7 +25,9 @@
 import org.acaciaflow.coordination.connection.HoldStart
 import org.acaciaflow.coordination.connection.ScreeningDecision
 import org.acaciaflow.coordination.connection.SecondAnswerBodies
+import org.acaciaflow.coordination.connection.SecondAnswerForms
 import org.acaciaflow.coordination.connection.SurplusAnswer
+import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.HeaderField
@@ -48,6 +50,7 @@
     private val observer: ConnectionObserver,
     private val connection: HttpConnection,
     private val open: OpenConnections,
+    private val forms: ObservedForms,
     private val longestHold: Duration,
     private val clock: Clock,
 ) : ChannelInboundHandlerAdapter() {
@@ -148,8 +151,14 @@
     ) {
         val head = headOf(response)
         val answer = dialect.surplusAnswer(head)
-        when (decide(awaiting, response, answer.requestIds)) {
+        when (decide(awaiting, response, answer)) {
             ScreeningDecision.Pass -> {
+                if (isRefusedAfterSuccess(awaiting.call, head)) {
+                    ReferenceCountUtil.release(response)
+                    closeContradicted(context)
+                    return
+                }
+                contradicted = null
                 answer(
                     context,
                     Reading.Answering(awaiting.call, head.status, answer.signature, answer.form, SmallBody(response)),
@@ -161,13 +170,70 @@
                 val call = awaiting.call
                 observer.skipped(call.order, call.history, answer, clock.now(), isFirst = !reported)
                 open.surplusAnswered(call.order.backend.life)
+                forms.lateSeen(call.order, answer)
                 reported = true
                 skip(context, awaiting.copy(skipped = awaiting.skipped + 1), response)
                 closeIfUnfinishedLater(context)
             }
+
+            ScreeningDecision.SkipDoubted -> {
+                doubt(awaiting.call, answer, SmallBody(response))
+                skip(context, awaiting.copy(skipped = awaiting.skipped + 1), response)
+                closeIfUnfinishedLater(context)
+                closeUnlessAnswered(context, awaiting.call)
+            }
+
+            ScreeningDecision.Reject -> {
+                doubt(awaiting.call, answer, SmallBody(response))
+                ReferenceCountUtil.release(response)
+                closeContradicted(context)
+            }
         }
     }
 
+    /** Reports that [answer], which names the request of [call], is not believed. */
+    private fun doubt(
+        call: SentCall,
+        answer: SurplusAnswer,
+        body: SmallBody,
+    ) {
+        val now = clock.now()
+        val life = call.order.backend.life
+        open.surplusAnswered(life) // first, so that the connection carries no other request
+        val answered = Reading.Answering(call, answer.status, answer.signature, answer.form, body).ended(now)
+        val isFirst = open.contradictionReported(life)
+        observer.contradicted(answered, second = null, AnswerContradiction.SECOND_ANSWER_FORM, now, isFirst)
+        contradicted = call
+    }
+
+    /** Closes the connection unless another answer to [call] begins soon. */
+    private fun closeUnlessAnswered(
+        context: ChannelHandlerContext,
+        call: SentCall,
+    ) {
+        val waiting = SecondAnswerForms.waitingTime(call.order, longestHold, clock.now())
+        context.after(waiting) {
+            val current = reading
+            val isAwaited = current is Reading.Awaiting && current.call === call
+            val isSkipping = current is Reading.Skipping && current.since.call === call
+            if (isAwaited || isSkipping) closeContradicted(context)
+        }
+    }
+
+    /** Returns true if an answer with [head] says that [call] has not run, after a success that was not believed. */
+    private fun isRefusedAfterSuccess(
+        call: SentCall,
+        head: AnswerHead,
+    ): Boolean =
+        isContradicted(call) && dialect.classifyAnswer(call.order, call.purpose, head) is AnswerVerdict.NotExecuted
+
+    /** Closes the connection, which breaks its request off. */
+    private fun closeContradicted(context: ChannelHandlerContext) {
+        reading = Reading.Nothing(last = null)
+        open.closing(connection, ConnectionCloseReason.ANSWER_CONTRADICTED)
+        context.close()
+    }
+
     /** Passes on a part of the answer to the request in progress. */
     private fun answer(
         context: ChannelHandlerContext,
@@ -200,7 +266,8 @@
         val (order, purpose) = answering.call
         val life = order.backend.life
         val answered = answering.ended(now)
-        val isDoubtful = open.isIsolated(life) || open.isSecondAnswerBody(life, answered.body)
+        val mayBeSecond = open.isIsolated(life) && !forms.isRecognisable(answered)
+        val isDoubtful = mayBeSecond || open.isSecondAnswerBody(life, answered.body)
         when (val start = AnswerHold.begin(order, purpose, answering.status, isDoubtful, longestHold, now)) {
             HoldStart.PassOn -> {
                 passOn(context, answered, end)
@@ -219,6 +286,7 @@
         answered: AnsweredRequest,
         end: LastHttpContent,
     ) {
+        forms.passedOn(answered)
         // The state changes first: the end of the answer may free the connection for the next request at once.
         reading = Reading.Nothing(answered)
         context.fireChannelRead(end)
@@ -252,6 +320,7 @@
         response: HttpResponse,
     ) {
         val second = dialect.surplusAnswer(headOf(response))
+        forms.secondSeen(holding.answered, second)
         open.surplusAnswered(holding.answered.life) // first, so that the connection carries no other request
         val hasSecondAnswerBody = open.isSecondAnswerBody(holding.answered.life, holding.answered.body)
         when (val outcome = AnswerHold.afterSecondAnswer(holding.answered, second, hasSecondAnswerBody)) {
@@ -320,6 +389,7 @@
             val isFirst = open.surplusAnswered(last.life)
             observer.unrequested(answer, last, clock.now(), isFirst)
             open.contradictionSeen(last, answer)
+            forms.secondSeen(last, answer)
             reading = Reading.Nothing(last = null)
             val body = SmallBody(message)
             if (endsAreKnown && !body.isLong && SecondAnswerBodies.isTelling(last, answer)) {
@@ -364,12 +434,18 @@
     private fun decide(
         awaiting: Reading.Awaiting,
         response: HttpResponse,
-        answerIds: List<String>,
+        answer: SurplusAnswer,
     ): ScreeningDecision {
         val call = awaiting.call
-        val hasKnownEnd = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
-        if (!endsAreKnown || !hasKnownEnd) return ScreeningDecision.Pass
-        return AnswerScreening.decide(call.history, call.order.requestId, answerIds, awaiting.skipped)
+        val hasLength = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+        return AnswerScreening.decide(
+            call.history,
+            call.order.requestId,
+            answer.requestIds,
+            awaiting.skipped,
+            isDoubted = forms.isDoubted(call, answer.form),
+            hasKnownEnd = endsAreKnown && hasLength,
+        )
     }
 
     /** Discards a part of a late answer; closes the connection if the answer is malformed or too large. */
@@ -427,6 +503,7 @@
             dialect: BackendDialect,
             observer: ConnectionObserver,
             open: OpenConnections,
+            forms: ObservedForms,
             longestHold: Duration,
             clock: Clock,
         ): LateAnswerFilter? {
@@ -434,7 +511,7 @@
             val pipeline = channel.pipeline()
             val filter =
                 pipeline.get(LateAnswerFilter::class.java)
-                    ?: LateAnswerFilter(dialect, observer, connection, open, longestHold, clock).also {
+                    ?: LateAnswerFilter(dialect, observer, connection, open, forms, longestHold, clock).also {
                         try {
                             pipeline.addBefore(VERTX_HANDLER, "late-answer-filter", it)
                         } catch (_: NoSuchElementException) {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/Reading.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/Reading.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.LastHttpContent
 import org.acaciaflow.coordination.connection.AnsweredRequest
+import org.acaciaflow.coordination.connection.SecondAnswerForms
 import org.acaciaflow.state.connection.AnswerForm
 import kotlin.time.Instant
 
@@ -35,6 +36,7 @@
                 status = status,
                 signature = signature,
                 form = form,
+                scope = SecondAnswerForms.scopeOf(call.order, call.purpose),
                 sentAt = call.sentAt,
                 at = now,
                 body = body.fingerprint,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -69,6 +69,7 @@
             runtime.workers.scope,
             clock,
             settings.answerHold,
+            tables.forms,
         )
     registerConnectionGauge(runtime.registry, connections)
     val ports =
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/LeavingNoticesTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/LeavingNoticesTest.kt
@@ -28,6 +28,7 @@
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.identity.RouteName
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.work.CallHead
 import kotlin.time.Duration.Companion.seconds
@@ -176,6 +177,7 @@
         resumeAfter = null,
         source = null,
         expectsEvents = false,
+        route = RouteName("route"),
     )
 
     private object EmptyBody : CallBody {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/TestCalls.kt
@@ -23,6 +23,7 @@
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.identity.RouteName
 import org.acaciaflow.state.lock.LockOrder
 import org.acaciaflow.state.table.SharedTable
 import org.acaciaflow.state.table.createSharedTable
@@ -57,6 +58,7 @@
         resumeAfter = null,
         source = null,
         expectsEvents = false,
+        route = RouteName("route"),
     )
 
 /** Creates connections to servers that speak [TestDialect]. */
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
@@ -30,6 +30,7 @@
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.identity.RouteName
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.CallHead
@@ -266,6 +267,7 @@
                 resumeAfter = null,
                 source = null,
                 expectsEvents = false,
+                route = RouteName("route"),
             )
     }
 
--- a/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
@@ -32,7 +32,7 @@
     private val form = AnswerForm(200, persistentListOf("content-type", "request-id"))
     private val lateAnswer = SurplusAnswer(listOf("r0"), status = 200, signature = "s1", form)
     private val answered =
-        AnsweredRequest("r0", backend.life, history, 500, signature = "s0", form, sentAt = at, at = at, body = null)
+        AnsweredRequest("r0", backend.life, history, 500, "s0", form, scope = null, sentAt = at, at = at, body = null)
     private val path = EnginePath.LocalPrefill(backend, work = 4.milliseconds, predicted = 10.milliseconds)
 
     @Test
