--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/NextStep.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/NextStep.kt
@@ -86,4 +86,5 @@
         source = source,
         expectsEvents = request.route.kind is RequestKind.EventStream,
         repeatable = request.route.kind.repeatable,
+        route = request.route.name,
     )
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
@@ -13,6 +13,7 @@
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.identity.RouteName
 import org.acaciaflow.state.work.CallHead
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -125,6 +126,7 @@
         isRefusal = isRefusal,
         signature = null,
         form = formOf(status),
+        scope = null,
         sentAt = now - took,
         at = now,
         body = null,
@@ -153,6 +155,7 @@
                 source = null,
                 expectsEvents = expectsEvents,
                 repeatable = repeatable,
+                route = RouteName("route"),
             )
         return AnswerHold.begin(order, purpose, answered(status, isRefusal, took), isIsolated, longest)
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/HeldAnswers.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/HeldAnswers.kt
@@ -7,6 +7,7 @@
 import org.acaciaflow.coordination.connection.HoldEnd
 import org.acaciaflow.coordination.connection.HoldOutcome
 import org.acaciaflow.coordination.connection.HoldStart
+import org.acaciaflow.coordination.connection.SecondAnswerForms
 import org.acaciaflow.coordination.connection.SurplusAnswer
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -15,6 +16,7 @@
 internal class HeldAnswers(
     private val observer: ConnectionObserver,
     private val open: OpenConnections,
+    private val forms: ObservedForms,
     private val longest: Duration,
     private val clock: Clock,
 ) {
@@ -23,7 +25,8 @@
         call: SentCall,
         answered: AnsweredRequest,
     ): HoldStart {
-        val isDoubtful = open.isIsolated(answered.life) || hasSecondAnswerBody(answered)
+        val mayBeSecond = open.isIsolated(answered.life) && !forms.isRecognisable(answered)
+        val isDoubtful = mayBeSecond || hasSecondAnswerBody(answered)
         return AnswerHold.begin(call.order, call.purpose, answered, isDoubtful, open.holdLength(answered.pool, longest))
     }
 
@@ -32,6 +35,7 @@
         answered: AnsweredRequest,
         second: SurplusAnswer,
     ): HoldOutcome {
+        forms.secondSeen(answered, second)
         open.surplusAnswered(answered.life) // first, so that the connection carries no other request
         val outcome = AnswerHold.afterSecondAnswer(answered, second, hasSecondAnswerBody(answered))
         if (outcome is HoldEnd.Reject) {
@@ -48,6 +52,15 @@
         return end
     }
 
+    /** Reports that [answered], which has the form of second answers, is not believed. */
+    fun doubted(answered: AnsweredRequest) {
+        open.surplusAnswered(answered.life) // first, so that the connection carries no other request
+        report(answered, second = null, AnswerContradiction.SECOND_ANSWER_FORM)
+    }
+
+    /** Returns how long the true answer to [call] is waited for behind one that is not believed. */
+    fun waitingTime(call: SentCall): Duration = SecondAnswerForms.waitingTime(call.order, longest, clock.now())
+
     private fun hasSecondAnswerBody(answered: AnsweredRequest): Boolean =
         !answered.isRefusal && open.isSecondAnswerBody(answered.life, answered.body)
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -20,6 +20,7 @@
 import org.acaciaflow.coordination.connection.HoldStart
 import org.acaciaflow.coordination.connection.ScreeningDecision
 import org.acaciaflow.coordination.connection.SecondAnswerBodies
+import org.acaciaflow.coordination.connection.SurplusAnswer
 import org.acaciaflow.protocol.dialect.AnswerVerdict
 import org.acaciaflow.protocol.dialect.BackendDialect
 import org.acaciaflow.state.work.AnswerHead
@@ -41,6 +42,7 @@
     private val observer: ConnectionObserver,
     private val connection: HttpConnection,
     private val open: OpenConnections,
+    private val forms: ObservedForms,
     private val held: HeldAnswers,
     private val clock: Clock,
 ) : ChannelInboundHandlerAdapter() {
@@ -144,9 +146,15 @@
     ) {
         val head = headOf(response)
         val answer = dialect.surplusAnswer(head)
-        when (decide(awaiting, response, answer.requestIds)) {
+        when (decide(awaiting, response, answer)) {
             ScreeningDecision.Pass -> {
                 val isRefusal = isRefusal(awaiting.call, head)
+                if (isRefusal && isContradicted(awaiting.call)) {
+                    ReferenceCountUtil.release(response)
+                    closeContradicted(context)
+                    return
+                }
+                contradicted = null
                 answer(
                     context,
                     Reading.Answering(
@@ -165,10 +173,24 @@
                 val call = awaiting.call
                 observer.skipped(call.order, call.history, answer, clock.now(), isFirst = !reported)
                 open.surplusAnswered(call.order.backend.life)
+                forms.lateSeen(call.order, answer)
                 reported = true
                 skip(context, awaiting.copy(skipped = awaiting.skipped + 1), response)
                 closeIfUnfinishedLater(context)
             }
+
+            ScreeningDecision.SkipDoubted -> {
+                doubt(awaiting.call, answer, SmallBody(response))
+                skip(context, awaiting.copy(skipped = awaiting.skipped + 1), response)
+                closeIfUnfinishedLater(context)
+                closeUnlessAnswered(context, awaiting.call)
+            }
+
+            ScreeningDecision.Reject -> {
+                doubt(awaiting.call, answer, SmallBody(response))
+                ReferenceCountUtil.release(response)
+                closeContradicted(context)
+            }
         }
     }
 
@@ -177,6 +199,39 @@
         head: AnswerHead,
     ): Boolean = dialect.classifyAnswer(call.order, call.purpose, head) is AnswerVerdict.NotExecuted
 
+    /** Reports that [answer], which names the request of [call], is not believed. */
+    private fun doubt(
+        call: SentCall,
+        answer: SurplusAnswer,
+        body: SmallBody,
+    ) {
+        val answering =
+            Reading.Answering(call, answer.status, isRefusal = false, answer.signature, answer.form, body)
+        held.doubted(answering.ended(clock.now()))
+        contradicted = call
+    }
+
+    /** Closes the connection unless another answer to [call] begins soon. */
+    private fun closeUnlessAnswered(
+        context: ChannelHandlerContext,
+        call: SentCall,
+    ) {
+        val waiting = held.waitingTime(call)
+        context.after(waiting) {
+            val current = reading
+            val isAwaited = current is Reading.Awaiting && current.call === call
+            val isSkipping = current is Reading.Skipping && current.since.call === call
+            if (isAwaited || isSkipping) closeContradicted(context)
+        }
+    }
+
+    /** Closes the connection, which breaks its request off. */
+    private fun closeContradicted(context: ChannelHandlerContext) {
+        reading = Reading.Nothing(last = null)
+        open.closing(connection, ConnectionCloseReason.ANSWER_CONTRADICTED)
+        context.close()
+    }
+
     /** Passes on a part of the answer to the request in progress. */
     private fun answer(
         context: ChannelHandlerContext,
@@ -224,6 +279,7 @@
         answered: AnsweredRequest,
         end: LastHttpContent,
     ) {
+        forms.passedOn(answered)
         // The state changes first: the end of the answer may free the connection for the next request at once.
         reading = Reading.Nothing(answered)
         context.fireChannelRead(end)
@@ -306,6 +362,7 @@
             val isFirst = open.surplusAnswered(last.life)
             observer.unrequested(answer, last, clock.now(), isFirst)
             open.contradictionSeen(last, answer)
+            forms.secondSeen(last, answer)
             reading = Reading.Nothing(last = null)
             val body = SmallBody(message)
             if (endsAreKnown && !body.isLong && SecondAnswerBodies.isTelling(last, answer)) {
@@ -350,12 +407,18 @@
     private fun decide(
         awaiting: Reading.Awaiting,
         response: HttpResponse,
-        answerIds: List<String>,
+        answer: SurplusAnswer,
     ): ScreeningDecision {
         val call = awaiting.call
-        val hasKnownEnd = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
-        if (!endsAreKnown || !hasKnownEnd) return ScreeningDecision.Pass
-        return AnswerScreening.decide(call.history, call.order.requestId, answerIds, awaiting.skipped)
+        val hasLength = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+        return AnswerScreening.decide(
+            call.history,
+            call.order.requestId,
+            answer.requestIds,
+            awaiting.skipped,
+            isDoubted = forms.isDoubted(call, answer.form),
+            hasKnownEnd = endsAreKnown && hasLength,
+        )
     }
 
     /** Discards a part of a late answer; closes the connection if the answer is malformed or too large. */
@@ -393,6 +456,7 @@
             dialect: BackendDialect,
             observer: ConnectionObserver,
             open: OpenConnections,
+            forms: ObservedForms,
             held: HeldAnswers,
             clock: Clock,
         ): LateAnswerFilter? {
@@ -400,7 +464,7 @@
             val pipeline = channel.pipeline()
             val filter =
                 pipeline.get(LateAnswerFilter::class.java)
-                    ?: LateAnswerFilter(dialect, observer, connection, open, held, clock).also {
+                    ?: LateAnswerFilter(dialect, observer, connection, open, forms, held, clock).also {
                         try {
                             pipeline.addBefore(VERTX_HANDLER, "late-answer-filter", it)
                         } catch (_: NoSuchElementException) {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/Reading.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/Reading.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.LastHttpContent
 import org.acaciaflow.coordination.connection.AnsweredRequest
+import org.acaciaflow.coordination.connection.SecondAnswerForms
 import org.acaciaflow.state.connection.AnswerForm
 import kotlin.time.Instant
 
@@ -40,6 +41,7 @@
                 isRefusal = isRefusal,
                 signature = signature,
                 form = form,
+                scope = SecondAnswerForms.scopeOf(call.order, call.purpose),
                 sentAt = call.sentAt,
                 at = now,
                 body = body.fingerprint,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/LeavingNoticesTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/LeavingNoticesTest.kt
@@ -28,6 +28,7 @@
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.identity.RouteName
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.work.CallHead
 import kotlin.time.Duration.Companion.seconds
@@ -177,6 +178,7 @@
         source = null,
         expectsEvents = false,
         repeatable = true,
+        route = RouteName("route"),
     )
 
     private object EmptyBody : CallBody {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
@@ -30,6 +30,7 @@
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.identity.RouteName
 import org.acaciaflow.state.refusal.MayHaveRun
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.CallHead
@@ -267,6 +268,7 @@
                 source = null,
                 expectsEvents = false,
                 repeatable = true,
+                route = RouteName("route"),
             )
     }
 
--- a/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/log/DecisionFormatterTest.kt
@@ -41,6 +41,7 @@
             isRefusal = false,
             "s0",
             form,
+            scope = null,
             sentAt = at,
             at = at,
             body = null,
