Tell peers the forms of second answers

Cause: forms of second answers were known only where they had arrived. Change: a report's surplus answers name up to 4 forms each, by fingerprint: those that the sender itself saw, no longer than 10 minutes ago, and that are usual in none of its pools. The receiver distrusts them like its own, but not where they are usual. They are not passed on, and don't release answers from the hold. Reports without them are read as before; old gateways skip the fields. A report with 64 surplus answers of 4 forms each fits into its datagram (PeerCodecTest).

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SecondAnswerForms.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SecondAnswerForms.kt
@@ -124,7 +124,7 @@
     /**
      * Returns true if [answered] can be told from the second answers of its server.
      *
-     * At least one of them must have been seen, and none with the form of true answers.
+     * At least one of them must have been seen by this gateway, and none with the form of true answers.
      */
     fun isRecognisable(
         known: AnswerForms,
@@ -139,6 +139,37 @@
         return differing.isNotEmpty() && differing.none { isUsual(known, scope, it, now) }
     }
 
+    /** Returns the newest forms of second answers of [life] to this gateway itself that are usual nowhere at [now]. */
+    fun own(
+        known: AnswerForms,
+        life: BackendLife,
+        now: Instant,
+    ): List<Long> =
+        known.second[life]
+            ?.differing
+            .orEmpty()
+            .filter { (form, seenAt) ->
+                isFresh(seenAt, now) && known.passedOn.keys.none { isUsual(known, it, form, now) }
+            }.entries
+            .sortedByDescending { it.value }
+            .take(REPORTED_FORMS)
+            .map { it.key }
+
+    /** Records that another gateway saw [life] write second answers of [forms] at [seenAt], as told at [now]. */
+    fun reported(
+        known: AnswerForms,
+        life: BackendLife,
+        forms: List<Long>,
+        seenAt: Instant,
+        now: Instant,
+    ): AnswerForms {
+        if (forms.isEmpty() || !isFresh(seenAt, now)) return known
+        val former = known.second[life] ?: SecondForms.NONE
+        val told =
+            forms.take(REPORTED_FORMS).fold(former.told) { kept, form -> withNewest(kept, form, minOf(seenAt, now)) }
+        return known.copy(second = withinBounds(known.second.put(life, former.copy(told = told)), now))
+    }
+
     /** Returns how long the true answer to [order] is waited for at [now] behind one that is not believed. */
     fun waitingTime(
         order: RunOrder,
@@ -161,7 +192,8 @@
         now: Instant,
     ): Boolean =
         known.second.values.any { second ->
-            second.differing[form]?.let { isFresh(it, now) } == true && form !in second.like
+            val seenAt = listOfNotNull(second.differing[form], second.told[form]).maxOrNull()
+            seenAt != null && isFresh(seenAt, now) && form !in second.like
         }
 
     private fun recorded(
@@ -202,7 +234,7 @@
     }
 
     private fun lastSeen(second: SecondForms): Instant =
-        (second.differing.values + second.like.values).maxOrNull() ?: Instant.DISTANT_PAST
+        (second.differing.values + second.like.values + second.told.values).maxOrNull() ?: Instant.DISTANT_PAST
 
     private fun isFresh(
         seenAt: Instant,
@@ -232,6 +264,9 @@
     /** The forms that are kept of a scope, and of a server's second answers. */
     const val KEPT_FORMS = 16
 
+    /** The forms of one server's second answers that a report has at most. */
+    const val REPORTED_FORMS = 4
+
     /** The servers whose second answers are kept. */
     const val KEPT_LIVES = 256
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/PeerGossip.kt
@@ -29,7 +29,7 @@
 ) {
     private val crashRecorder = CrashRecorder(tables.crashes, tables.startingAttempts, observations)
     private val crashGossip = CrashGossip(tables.crashes, crashRecorder)
-    private val surplusGossip = SurplusGossip(tables.surplus, observations)
+    private val surplusGossip = SurplusGossip(tables.surplus, tables.forms, observations)
     private val limitGossip = LimitGossip(tables.fleet, LimitBudget(tables, self.address, observations))
     private var sequence = 0L
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/SurplusGossip.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/peer/SurplusGossip.kt
@@ -3,9 +3,11 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import org.acaciaflow.coordination.connection.ConnectionIsolation
+import org.acaciaflow.coordination.connection.SecondAnswerForms
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.event.IsolationOrigin
 import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.state.connection.AnswerForms
 import org.acaciaflow.state.connection.SurplusAnswers
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.peer.PeerReport
@@ -17,6 +19,7 @@
 /** Selects what a report says of surplus answers, and applies what the reports of peers say. */
 internal class SurplusGossip(
     private val surplus: SharedTable<SurplusAnswers>,
+    private val forms: SharedTable<AnswerForms>,
     private val observations: Observations,
 ) {
     /**
@@ -28,14 +31,19 @@
     fun reported(
         registered: Set<BackendLife>,
         now: Instant,
-    ): PersistentList<ReportedSurplus> =
-        ConnectionIsolation
+    ): PersistentList<ReportedSurplus> {
+        val known = forms.snapshot()
+        return ConnectionIsolation
             .own(surplus.snapshot(), now)
             .filterKeys { it in registered }
-            .map { (life, own) -> ReportedSurplus(life.code, own.age, own.isolationTime) }
-            .sortedBy { it.age }
+            .entries
+            .sortedBy { (_, own) -> own.age }
             .take(MAXIMUM_ENTRIES)
-            .toPersistentList()
+            .map { (life, own) ->
+                val told = SecondAnswerForms.own(known, life, now).toPersistentList()
+                ReportedSurplus(life.code, own.age, own.isolationTime, told)
+            }.toPersistentList()
+    }
 
     /** Applies a report that arrived at [now]; [lives] are the registered servers by their codes. */
     fun receive(
@@ -46,6 +54,9 @@
         for (entry in report.surplus) {
             val life = lives[entry.lifeCode] ?: continue
             val seenAt = now - entry.age
+            if (entry.forms.isNotEmpty()) {
+                forms.update { SecondAnswerForms.reported(it, life, entry.forms, seenAt, now) }
+            }
             val begun =
                 surplus.transition { known ->
                     val next = ConnectionIsolation.surplusReported(known, life, seenAt, entry.isolationTime, now)
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/SecondAnswerFormsTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/SecondAnswerFormsTest.kt
@@ -137,6 +137,22 @@
         SecondAnswerForms.lateSeen(passing, orderOf(), late.copy(form = full), now).doubts(full) shouldBe false
     }
 
+    /** Guards against the first wrong success at each gateway, one after the other. */
+    @Test
+    fun `a form that a peer reported is not believed, and one that is usual here is`() {
+        val known = AnswerForms.NONE.passing(full)
+        val life = BackendLife("another", 1)
+        val forms = listOf(bare.fingerprint, full.fingerprint)
+        val told = SecondAnswerForms.reported(known, life, forms, now - 1.seconds, now)
+        val outdated =
+            SecondAnswerForms.reported(known, life, forms, now - ConnectionIsolation.MEMORY_TIME, now)
+
+        told.doubts(bare) shouldBe true
+        told.doubts(full) shouldBe false
+        outdated.doubts(bare) shouldBe false
+        told.recognises(full, server = "another") shouldBe false
+    }
+
     /** Guards against tables that grow with what servers and callers send. */
     @Test
     fun `what is known is bounded`() {
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/SurplusGossipTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/peer/SurplusGossipTest.kt
@@ -3,7 +3,9 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldNotContain
 import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
 import org.acaciaflow.coordination.connection.ConnectionIsolation
 import org.acaciaflow.coordination.event.Event
@@ -11,9 +13,13 @@
 import org.acaciaflow.coordination.relay.FakeObservations
 import org.acaciaflow.coordination.relay.backend
 import org.acaciaflow.coordination.relay.createRelayTables
+import org.acaciaflow.state.connection.AnswerScope
+import org.acaciaflow.state.connection.SecondForms
 import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.identity.RouteName
 import org.acaciaflow.state.peer.PeerReport
 import org.acaciaflow.state.peer.ReportedSurplus
 import kotlin.time.Duration
@@ -89,7 +95,8 @@
     @Test
     fun `lives that are not registered and lives of other servers are left alone`() {
         val gateway = Gateway("10.0.0.2")
-        val foreign = ReportedSurplus(BackendLife("elsewhere", 1).code, age = 1.seconds, isolationTime = 30.seconds)
+        val code = BackendLife("elsewhere", 1).code
+        val foreign = ReportedSurplus(code, age = 1.seconds, isolationTime = 30.seconds, persistentListOf(1L))
         val report = Gateway("10.0.0.1").reportAt(now).copy(surplus = persistentListOf(foreign))
 
         gateway.gossip.receive(report, now)
@@ -98,6 +105,10 @@
             .snapshot()
             .byLife.keys
             .shouldBeEmpty()
+        gateway.tables.forms
+            .snapshot()
+            .second.keys
+            .shouldBeEmpty()
         gateway.observations.events
             .filterIsInstance<Event.BackendIsolated>()
             .shouldBeEmpty()
@@ -118,6 +129,75 @@
             listOf(Event.BackendIsolated(life, 30.seconds, IsolationOrigin.Report(HostAddress("10.0.0.1", 7000))))
     }
 
+    /** Guards against a wrong success at a gateway that has seen no second answer itself. */
+    @Test
+    fun `a gateway learns from a peer which form the second answers have, and does not pass it on`() {
+        val gateways = (1..3).map { Gateway("10.0.0.$it") }
+        gateways.first().seen(life, now)
+        gateways
+            .first()
+            .tables.forms
+            .update { it.copy(second = it.second.put(life, secondForms(now, BARE))) }
+        val report = gateways[0].reportAt(now + 1.seconds)
+
+        gateways[1].gossip.receive(report, now + 1.seconds)
+        gateways[1].seen(life, now + 1.seconds)
+        val second = gateways[1].reportAt(now + 2.seconds)
+
+        report.surplus.single().forms shouldBe listOf(BARE)
+        second.surplus.single().forms shouldBe emptyList()
+        gateways[1]
+            .tables.forms
+            .snapshot()
+            .second[life]
+            ?.told shouldBe persistentHashMapOf(BARE to now)
+    }
+
+    /** Guards against peers that don't believe the true answers of a pool. */
+    @Test
+    fun `a form that is usual at the sender is not told, and at most four are`() {
+        val seeing = Gateway("10.0.0.1")
+        val scope = AnswerScope(PoolName("pool"), RouteName("route"), "GET")
+        seeing.seen(life, now)
+        seeing.tables.forms.update {
+            it.copy(
+                passedOn = it.passedOn.put(scope, persistentHashMapOf(BARE to 8)),
+                second = it.second.put(life, secondForms(now, BARE, 11, 12, 13, 14, 15)),
+            )
+        }
+
+        val told =
+            seeing
+                .reportAt(now + 1.seconds)
+                .surplus
+                .single()
+                .forms
+
+        told.size shouldBe 4
+        told shouldNotContain BARE
+    }
+
+    /** Guards against a form that is distrusted for ever since gateways tell each other of it. */
+    @Test
+    fun `a form is told while its own sighting is remembered`() {
+        val seeing = Gateway("10.0.0.1")
+        seeing.tables.forms.update { it.copy(second = it.second.put(life, secondForms(now, BARE))) }
+        val later = now + ConnectionIsolation.MEMORY_TIME
+        seeing.seen(life, later)
+
+        seeing
+            .reportAt(later)
+            .surplus
+            .single()
+            .forms shouldBe emptyList()
+    }
+
+    private fun secondForms(
+        at: Instant,
+        vararg forms: Long,
+    ): SecondForms =
+        forms.fold(SecondForms.NONE) { known, form -> known.copy(differing = known.differing.put(form, at)) }
+
     /** Guards against reports that outgrow their datagram. */
     @Test
     fun `a report has the 64 newest surplus answers`() {
@@ -141,6 +221,10 @@
         for (gateway in gateways) reports.forEach { gateway.gossip.receive(it, at + delay) }
     }
 
+    private companion object {
+        const val BARE = 7L
+    }
+
     private inner class Gateway(
         ip: String,
     ) {
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/SecondAnswerGatewayTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/SecondAnswerGatewayTest.kt
@@ -30,34 +30,52 @@
         play.mostRuns shouldBe 1
     }
 
+    /** Guards against a wrong success at a gateway that has seen no second answer, while another one has. */
+    @Test
+    fun `a gateway that was told the form of second answers passes on no success with it`() {
+        val play = play(method = "GET", kind = "idempotent", gateways = 2)
+
+        play.wrong.shouldBeEmpty()
+    }
+
+    /** Lets the first gateway see second answers, then sends calls whose first run fails through the last one. */
     private fun play(
         method: String,
         kind: String,
+        gateways: Int = 1,
     ): Play {
         val runs = ConcurrentHashMap<String, Int>()
         val servers =
             List(SERVERS) { number -> ScriptedServer("i-$number", PAUSE) { it, _ -> answers(it, number, runs) } }
         val store = StoreServer()
-        val place = gatewayPlaces(1, RETRY_SLACK).single()
-        store.put("op/config", claimsConfiguration(kind, listOf(place.ip)))
+        val places = gatewayPlaces(gateways, RETRY_SLACK)
+        store.put("op/config", claimsConfiguration(kind, places.map { it.ip }))
         servers.forEach { store.put("servers/${it.instance}", it.entry) }
-        val gateway = GatewayProcess(store.port, place)
+        val running = places.map { GatewayProcess(store.port, it) }
         try {
-            gateway.awaitReady()
-            repeat(SOUND_CALLS) { gateway.exchange(method, "/claims/$it", "sound-$it").body() shouldBe TRUE_BODY }
-            while ("AF1218" !in gateway.log()) {
+            running.forEach { it.awaitReady() }
+            for (gateway in running) {
+                repeat(SOUND_CALLS) {
+                    gateway.exchange(method, "/claims/0", "sound-${runs.size}").body() shouldBe
+                        TRUE_BODY
+                }
+            }
+            while ("AF1218" !in running.first().log()) {
                 val id = "doubled-${runs.size}"
-                gateway.exchange(method, "/claims/0", id).body() shouldBe TRUE_BODY
+                running.first().exchange(method, "/claims/0", id).body() shouldBe TRUE_BODY
                 Thread.sleep(2 * PAUSE)
             }
+            if (gateways > 1) Thread.sleep(REPORT_MILLISECONDS)
             val ids = List(CALLS) { "failing-$it" }
-            val answers = ids.map { gateway.exchange(method, "/claims/0", it) }
+            val answers = ids.map { running.last().exchange(method, "/claims/0", it) }
             val wrong = answers.filter { it.statusCode() == OK && it.body() != TRUE_BODY }.map { it.body() }
             val statuses = answers.map { it.statusCode() }
-            println("$method: ${statuses.groupingBy { it }.eachCount()}, wrong ${wrong.size} of $CALLS")
+            println(
+                "$method, gateways $gateways: ${statuses.groupingBy { it }.eachCount()}, wrong ${wrong.size} of $CALLS",
+            )
             return Play(statuses, wrong, ids.maxOf { runs[it] ?: 0 })
         } finally {
-            gateway.close()
+            running.forEach { it.close() }
             servers.forEach { it.close() }
             store.close()
         }
@@ -93,6 +111,7 @@
         const val CALLS = 30
         const val RETRY_SLACK = 100
         const val PAUSE = 300L
+        const val REPORT_MILLISECONDS = 2_000L
         const val OK = 200
         const val SERVER_ERROR = 500
         const val NOT_RUN = 503
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerCodec.kt
@@ -158,6 +158,8 @@
             surplusLives = report.surplus.map { it.lifeCode },
             surplusAgesMilliseconds = report.surplus.map { millisecondsOf(it.age) },
             surplusIsolationsMilliseconds = report.surplus.map { millisecondsOf(it.isolationTime) },
+            surplusFormCounts = report.surplus.map { it.forms.size },
+            surplusForms = report.surplus.flatMap { it.forms },
             limitLives = report.limits.map { it.lifeCode },
             limitsPerSecond = report.limits.map { numberOf(it.word) },
             limitAgesMilliseconds = report.limits.map { millisecondsOf(it.age) },
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/peer/PeerMessage.kt
@@ -11,7 +11,7 @@
  * for each reported prompt. [partKeys] and [partTokens] hold the parts of all prompts in order;
  * [readPartCounts] is the number of parts of each prompt. The `crash` lists have one entry for each reported crash, the
  * `served` lists one for each subject that was served; kinds are those of [CrashSubjectCode]. The `surplus` lists have one
- * entry for each surplus answer, the `limit` lists one for each reported limit, [LIMIT_ENDED] for one that has ended.
+ * entry for each surplus answer, [surplusForms] the forms of all of them in order, the `limit` lists one for each reported limit, [LIMIT_ENDED] for one that has ended.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -49,6 +49,8 @@
     @CborLabel(35) val limitsPerSecond: List<Double> = emptyList(),
     @CborLabel(36) val limitAgesMilliseconds: List<Int> = emptyList(),
     @CborLabel(37) val limitDemandThousandths: List<Int> = emptyList(),
+    @CborLabel(38) val surplusFormCounts: List<Int> = emptyList(),
+    @CborLabel(39) val surplusForms: List<Long> = emptyList(),
 )
 
 /** Codes of the kinds of crash subjects in [PeerMessage]. */
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerCodecTest.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerCodecTest.kt
@@ -86,7 +86,32 @@
                 surplusIsolationsMilliseconds = listOf(30_000, 30_000),
             )
 
-        surplusOf(message) shouldBe listOf(ReportedSurplus(6, 250.milliseconds, 30_000.milliseconds))
+        surplusOf(message) shouldBe
+            listOf(ReportedSurplus(6, 250.milliseconds, 30_000.milliseconds, persistentListOf()))
+    }
+
+    /** Guards against a surplus answer that is not heard of since its peer tells no forms, or unreadable ones. */
+    @Test
+    fun `surplus answers without forms, or with counts that don't add up, have none`() {
+        val counts = listOf(emptyList(), listOf(1, 2), listOf(-1, 3), listOf(Int.MAX_VALUE, 2), listOf(1, 0), listOf(2))
+        for (counted in counts) {
+            val message =
+                PeerMessage(
+                    form = PeerCodec.FORMAT_VERSION,
+                    address = "10.1.2.3:7000",
+                    startedAtMilliseconds = 1,
+                    sequence = 1,
+                    configurationVersion = 1,
+                    surplusLives = listOf(6, 7),
+                    surplusAgesMilliseconds = listOf(250, 250),
+                    surplusIsolationsMilliseconds = listOf(30_000, 30_000),
+                    surplusFormCounts = counted,
+                    surplusForms = listOf(1, 2),
+                )
+
+            val expected = if (counted == listOf(2)) listOf(listOf(1L, 2L), emptyList()) else List(2) { emptyList() }
+            surplusOf(message).map { it.forms } shouldBe expected
+        }
     }
 
     @Test
@@ -113,7 +138,10 @@
             (1..64L).map { ReportedCrash(CrashSubject.Part(Long.MAX_VALUE - it), Int.MIN_VALUE, 120_000.milliseconds) }
         val served = (1..64L).map { ReportedServed(CrashSubject.Part(Long.MIN_VALUE + it), 5_000.milliseconds) }
 
-        val surplus = (1..64).map { ReportedSurplus(Int.MIN_VALUE + it, 240_000.milliseconds, 240_000.milliseconds) }
+        val surplus =
+            (1..64).map {
+                ReportedSurplus(Int.MIN_VALUE + it, 240_000.milliseconds, 240_000.milliseconds, LARGEST_FORMS)
+            }
         val limits = limits(64)
 
         val full =
@@ -213,8 +241,9 @@
         served = persistentListOf(ReportedServed(CrashSubject.Part(97), 30.milliseconds)),
         surplus =
             persistentListOf(
-                ReportedSurplus(6, 250.milliseconds, 30_000.milliseconds),
-                ReportedSurplus(-7, 29_000.milliseconds, 60_000.milliseconds),
+                ReportedSurplus(6, 250.milliseconds, 30_000.milliseconds, persistentListOf(Long.MIN_VALUE, 3L)),
+                ReportedSurplus(-7, 29_000.milliseconds, 60_000.milliseconds, persistentListOf()),
+                ReportedSurplus(8, 29_000.milliseconds, 60_000.milliseconds, persistentListOf(-1L)),
             ),
         limits =
             persistentListOf(
@@ -222,4 +251,8 @@
                 ReportedLimit(-7, ReportedLimitWord.Ended, 0.milliseconds, demand = 0.0),
             ),
     )
+
+    private companion object {
+        val LARGEST_FORMS = List(4) { Long.MIN_VALUE }.toPersistentList()
+    }
 }
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerDatagramTest.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/peer/PeerDatagramTest.kt
@@ -90,7 +90,7 @@
             unheard = persistentListOf(3),
             crashes = persistentListOf(),
             served = persistentListOf(),
-            surplus = persistentListOf(ReportedSurplus(5, 20.milliseconds, 30_000.milliseconds)),
+            surplus = persistentListOf(ReportedSurplus(5, 20.milliseconds, 30_000.milliseconds, persistentListOf(7L))),
             limits =
                 persistentListOf(
                     ReportedLimit(SERVER.life.code, ReportedLimitWord.Named(4.3), 20.milliseconds, 2.0),
--- a/state/src/main/kotlin/org/acaciaflow/state/connection/AnswerForms.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/connection/AnswerForms.kt
@@ -32,13 +32,15 @@
 /**
  * The forms of second answers of one server, with the time at which each was last seen.
  *
- * [differing] has those that differ from true answers, [like] those that true answers have too.
+ * [differing] has those that differ from true answers, [like] those that true answers have too, [told] those that other
+ * gateways reported.
  */
 data class SecondForms(
     val differing: PersistentMap<Long, Instant>,
     val like: PersistentMap<Long, Instant>,
+    val told: PersistentMap<Long, Instant>,
 ) {
     companion object {
-        val NONE = SecondForms(persistentHashMapOf(), persistentHashMapOf())
+        val NONE = SecondForms(persistentHashMapOf(), persistentHashMapOf(), persistentHashMapOf())
     }
 }
--- a/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/peer/PeerReport.kt
@@ -93,11 +93,16 @@
     val age: Duration,
 )
 
-/** The last surplus answer of a backend server to the sender arrived [age] ago; it isolates it for [isolationTime]. */
+/**
+ * The last surplus answer of a backend server to the sender arrived [age] ago; it isolates it for [isolationTime].
+ *
+ * [forms] has the fingerprints of the forms of its second answers which are not those of true ones.
+ */
 data class ReportedSurplus(
     val lifeCode: Int,
     val age: Duration,
     val isolationTime: Duration,
+    val forms: PersistentList<Long>,
 )
 
 /** A request with [subject], which is suspected of crashes, was served completely [age] ago. */
