Soak: rare second answers at 16 servers

With four servers nearly all wrong answers come from servers that wrote second answers before; the record's one named answer came from a server that its gateway had not isolated.

--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakMix.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakMix.kt
@@ -54,6 +54,22 @@
         engineFaults = SOUND_SERVERS,
     ),
 
+    /** Rare second answers at many servers, so that most that come first are the first of their server's life. */
+    RARE_OWN_BODIES_MANY(
+        "rare-own-bodies-many",
+        RARE_OWN_BODY_SERVERS.copy(stutter = 0.02),
+        plainServers = 16,
+        engineFaults = SOUND_SERVERS,
+    ),
+
+    /** The same with bare heads. */
+    RARE_BARE_HEADS_MANY(
+        "rare-bare-heads-many",
+        RARE_OWN_BODY_SERVERS.copy(stutter = 0.02, stutterContents = ownBodies(OwnHead.BARE)),
+        plainServers = 16,
+        engineFaults = SOUND_SERVERS,
+    ),
+
     /** Many second answers, each with a body of its own and the head of a true success, at all plain servers. */
     DENSE_OWN_BODIES(
         "dense-own-bodies",
