Don't believe a held success whose connection ends unannounced

Cause: the end of the connection ended the hold, and the answer was passed on.

Why it works: an HTTP/1.1 server that closes behind an answer announces it with Connection: close, or frames the answer by it. Where it did neither, something went wrong after the success was written; the attempt ends as answer-contradicted, reason connection-ended. A close by this process, and a refusal's connection, change nothing.

HeldAnswerTest's "an answer whose connection ends while it is held is passed on at once" pinned the old behaviour for closes of any kind.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
@@ -71,6 +71,23 @@
     fun uncontradicted(hasSecondAnswerBody: Boolean): HoldEnd =
         if (hasSecondAnswerBody) HoldEnd.Reject(AnswerContradiction.SECOND_ANSWER_BODY) else HoldEnd.PassOn
 
+    /**
+     * Decides on the held answer [answered] when its connection ends.
+     *
+     * That [isExpected] if the answer announced it or this process closes the connection. A server that ends it for another
+     * reason may have failed behind a success; behind a refusal there is nothing to fail.
+     */
+    fun connectionEnded(
+        answered: AnsweredRequest,
+        isExpected: Boolean,
+        hasSecondAnswerBody: Boolean,
+    ): HoldEnd =
+        if (isExpected || answered.isRefusal) {
+            uncontradicted(hasSecondAnswerBody)
+        } else {
+            HoldEnd.Reject(AnswerContradiction.CONNECTION_ENDED)
+        }
+
     /** How long an answer is held at most unless the settings say otherwise. */
     val DEFAULT_LONGEST: Duration = 400.milliseconds
 
@@ -116,4 +133,7 @@
 
     /** It has a body that the server writes as its second answer to other requests. */
     SECOND_ANSWER_BODY("second-answer-body"),
+
+    /** Its connection ended just after it, which the answer had not announced. */
+    CONNECTION_ENDED("connection-ended"),
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/AnswerHoldTest.kt
@@ -73,6 +73,20 @@
             HoldStart.Hold(120.milliseconds)
     }
 
+    /** Guards against a success in place of a failure that is lost with its connection. */
+    @Test
+    fun `a held success whose connection ends unannounced is rejected`() {
+        val rejected = HoldEnd.Reject(AnswerContradiction.CONNECTION_ENDED)
+        val success = answered(status = 200)
+        AnswerHold.connectionEnded(success, isExpected = false, hasSecondAnswerBody = false) shouldBe rejected
+
+        AnswerHold.connectionEnded(success, isExpected = true, hasSecondAnswerBody = false) shouldBe HoldEnd.PassOn
+        AnswerHold.connectionEnded(success, isExpected = true, hasSecondAnswerBody = true) shouldBe
+            HoldEnd.Reject(AnswerContradiction.SECOND_ANSWER_BODY)
+        val refusal = answered(status = 503, isRefusal = true)
+        AnswerHold.connectionEnded(refusal, isExpected = false, hasSecondAnswerBody = false) shouldBe HoldEnd.PassOn
+    }
+
     /** Guards against a hold whose length is learned from answers that contradict nothing which is ever held. */
     @Test
     fun `only a success or a refusal is contradicted`() {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/HeldAnswers.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/HeldAnswers.kt
@@ -42,15 +42,28 @@
     }
 
     /** Decides on the held answer [answered], behind which nothing has arrived when its hold ends. */
-    fun ended(answered: AnsweredRequest): HoldEnd {
-        val end = AnswerHold.uncontradicted(hasSecondAnswerBody(answered))
-        if (end is HoldEnd.Reject) report(answered, second = null, end.contradiction)
-        return end
-    }
+    fun ended(answered: AnsweredRequest): HoldEnd =
+        AnswerHold.uncontradicted(hasSecondAnswerBody(answered)).also { reportAlone(answered, it) }
+
+    /** Decides on the held answer [answered], whose connection has ended as [isExpected] or not. */
+    fun connectionEnded(
+        answered: AnsweredRequest,
+        isExpected: Boolean,
+    ): HoldEnd =
+        AnswerHold
+            .connectionEnded(answered, isExpected, hasSecondAnswerBody(answered))
+            .also { reportAlone(answered, it) }
 
     private fun hasSecondAnswerBody(answered: AnsweredRequest): Boolean =
         !answered.isRefusal && open.isSecondAnswerBody(answered.life, answered.body)
 
+    private fun reportAlone(
+        answered: AnsweredRequest,
+        end: HoldEnd,
+    ) {
+        if (end is HoldEnd.Reject) report(answered, second = null, end.contradiction)
+    }
+
     private fun report(
         answered: AnsweredRequest,
         second: SurplusAnswer?,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/HttpMessages.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/HttpMessages.kt
@@ -1,10 +1,12 @@
 package org.acaciaflow.transport.direct
 
 import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
 import kotlinx.collections.immutable.toPersistentList
 import org.acaciaflow.state.work.AnswerHead
 import org.acaciaflow.state.work.HeaderField
@@ -19,6 +21,19 @@
     response.status().codeClass() == HttpStatusClass.INFORMATIONAL &&
         response.status() != HttpResponseStatus.SWITCHING_PROTOCOLS
 
+/** Returns true if the answer to a request with [method] says that its connection ends with it. */
+internal fun announcesClose(
+    response: HttpResponse,
+    method: String,
+): Boolean {
+    val isBodiless = method == HttpMethod.HEAD.name() || response.status() == HttpResponseStatus.NO_CONTENT
+    return !HttpUtil.isKeepAlive(response) || (!isBodiless && !hasKnownEnd(response))
+}
+
+/** Returns true if the head of the answer tells where its body ends; otherwise it ends with its connection. */
+internal fun hasKnownEnd(response: HttpResponse): Boolean =
+    HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+
 internal fun headOf(response: HttpResponse): AnswerHead =
     AnswerHead(
         response.status().code(),
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import io.vertx.core.http.HttpConnection
@@ -113,7 +112,7 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        endHold(context, reading)
+        endHoldWithConnection(context)
         context.fireChannelInactive()
     }
 
@@ -121,7 +120,7 @@
         context: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        endHold(context, reading) // Vert.x breaks off an answer whose end has not passed
+        endHoldWithConnection(context) // Vert.x breaks off an answer whose end has not passed
         context.fireExceptionCaught(cause)
     }
 
@@ -146,12 +145,17 @@
         val answer = dialect.surplusAnswer(head)
         when (decide(awaiting, response, answer.requestIds)) {
             ScreeningDecision.Pass -> {
-                val isRefusal = isRefusal(awaiting.call, head)
-                answer(
-                    context,
-                    Reading.Answering(awaiting.call, head.status, isRefusal, answer.signature, SmallBody(response)),
-                    response,
-                )
+                val call = awaiting.call
+                val answering =
+                    Reading.Answering(
+                        call,
+                        head.status,
+                        isRefusal(call, head),
+                        answer.signature,
+                        announcesClose(response, call.order.call.method),
+                        SmallBody(response),
+                    )
+                answer(context, answering, response)
             }
 
             ScreeningDecision.Skip -> {
@@ -205,7 +209,7 @@
             }
 
             is HoldStart.Hold -> {
-                val holding = Reading.Holding(answering.call, answered, end)
+                val holding = Reading.Holding(answering.call, answered, end, answering.announcesClose)
                 reading = holding
                 context.after(start.duration) { endHold(context, holding) }
             }
@@ -259,10 +263,24 @@
     /** Ends the hold of an answer that stands alone if the connection is still in the state [holding]. */
     private fun endHold(
         context: ChannelHandlerContext,
-        holding: Reading,
+        holding: Reading.Holding,
+    ) {
+        if (reading === holding) endHold(context, holding, held.ended(holding.answered))
+    }
+
+    /** Ends the hold of an answer whose connection has ended. */
+    private fun endHoldWithConnection(context: ChannelHandlerContext) {
+        val holding = reading as? Reading.Holding ?: return
+        val isExpected = holding.announcesClose || open.isClosing(connection)
+        endHold(context, holding, held.connectionEnded(holding.answered, isExpected))
+    }
+
+    private fun endHold(
+        context: ChannelHandlerContext,
+        holding: Reading.Holding,
+        end: HoldEnd,
     ) {
-        if (holding !is Reading.Holding || reading !== holding) return
-        when (held.ended(holding.answered)) {
+        when (end) {
             HoldEnd.PassOn -> {
                 passOn(context, holding.answered, holding.end)
                 context.fireChannelReadComplete()
@@ -346,8 +364,7 @@
         answerIds: List<String>,
     ): ScreeningDecision {
         val call = awaiting.call
-        val hasKnownEnd = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
-        if (!endsAreKnown || !hasKnownEnd) return ScreeningDecision.Pass
+        if (!endsAreKnown || !hasKnownEnd(response)) return ScreeningDecision.Pass
         return AnswerScreening.decide(call.history, call.order.requestId, answerIds, awaiting.skipped)
     }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/OpenConnections.kt
@@ -166,6 +166,9 @@
         }
     }
 
+    /** Returns true once this process is about to close [connection]. */
+    fun isClosing(connection: HttpConnection): Boolean = table.snapshot().records[connection]?.closing != null
+
     /** Drops what is known of [connection], which has closed. */
     fun ended(connection: HttpConnection) {
         val record =
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/Reading.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/Reading.kt
@@ -18,12 +18,17 @@
         val since: Awaiting,
     ) : Reading
 
-    /** The rest of the answer to [call], whose head has [status] and [signature], and is a refusal if [isRefusal]. */
+    /**
+     * The rest of the answer to [call], whose head has [status] and [signature], and is a refusal if [isRefusal].
+     *
+     * Its connection ends behind it if [announcesClose].
+     */
     class Answering(
         val call: SentCall,
         private val status: Int,
         private val isRefusal: Boolean,
         private val signature: String?,
+        val announcesClose: Boolean,
         val body: SmallBody,
     ) : Reading {
         fun ended(now: Instant): AnsweredRequest =
@@ -41,11 +46,16 @@
             )
     }
 
-    /** A second answer to [call], whose whole answer is [answered]; [end], the end of that answer, is held back. */
+    /**
+     * A second answer to [call], whose whole answer is [answered]; [end], the end of that answer, is held back.
+     *
+     * The connection ends behind the answer if [announcesClose].
+     */
     class Holding(
         val call: SentCall,
         val answered: AnsweredRequest,
         val end: LastHttpContent,
+        val announcesClose: Boolean,
     ) : Reading
 
     /** The rest of a second answer to the request of [last], after which the connection is closed. */
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
+import org.acaciaflow.coordination.connection.AnswerContradiction
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.connection.HoldLength
@@ -319,21 +320,63 @@
         }
     }
 
-    /** Guards against a whole answer that is lost, or late, because its connection ends while it is held. */
+    /** Guards against a wrong success whose failure is lost because its server ends the connection. */
     @Test
-    fun `an answer whose connection ends while it is held is passed on at once`() {
+    fun `a success whose connection ends unannounced while it is held is not believed`() {
+        val chunked = "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
         val shapes =
             mapOf<String, RawBackend.(OutputStream, String) -> Unit>(
                 "closed" to { output, id ->
                     write(output, ok(id))
                     output.close()
                 },
+                "closed later" to { output, id ->
+                    write(output, ok(id))
+                    Thread.sleep(50)
+                    output.close()
+                },
+                "chunked" to { output, id ->
+                    write(output, headOf(id) + chunked)
+                    output.close()
+                },
+                "reset" to { output, id ->
+                    write(output, ok(id))
+                    Thread.sleep(50)
+                    resetConnections()
+                },
+            )
+        for ((name, script) in shapes) {
+            val (end, time) = measureTimedValue { endBeside(script, LONG) }
+            println("$name: $end after $time")
+            withClue(name) { end shouldBe CONTRADICTED }
+            withClue(name) { time shouldBeLessThan LONG / 2 }
+        }
+        recorded.contradictions().map { it.contradiction }.toSet() shouldBe setOf(AnswerContradiction.CONNECTION_ENDED)
+    }
+
+    /** Guards against a whole answer that is lost, or late, because its connection ends as announced while it is held. */
+    @Test
+    fun `an answer whose connection ends as announced while it is held is passed on at once`() {
+        val shapes =
+            mapOf<String, RawBackend.(OutputStream, String) -> Unit>(
+                "closed" to { output, id ->
+                    write(output, "${headOf(id)}Connection: close\r\nContent-Length: 2\r\n\r\nok")
+                    output.close()
+                },
+                "closed, other case" to { output, id ->
+                    write(output, "${headOf(id)}connection: Keep-Alive, Close\r\nContent-Length: 2\r\n\r\nok")
+                    output.close()
+                },
+                "HTTP/1.0" to { output, id ->
+                    write(output, "HTTP/1.0 200 Status\r\nRequest-Id: $id\r\nContent-Length: 2\r\n\r\nok")
+                    output.close()
+                },
                 "without length" to { output, id ->
                     write(output, "${headOf(id)}\r\nok")
                     output.close()
                 },
                 "reset" to { output, id ->
-                    write(output, ok(id))
+                    write(output, "${headOf(id)}Connection: close\r\nContent-Length: 2\r\n\r\nok")
                     Thread.sleep(50)
                     resetConnections()
                 },
