Count held answers and the time that they were held

Whether the hold costs callers more than it saves could not be told from the meters: only answers that were not believed were counted.

acaciaflow.backends.answers.held is a timer, recorded once when a hold ends, however it ends (HeldAnswerTest "each hold is counted once with its time": lone, copied, contradicted and ended connections, 4 holds).

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/ConnectionObserver.kt
@@ -91,6 +91,12 @@
         )
     }
 
+    /** The hold of the answer [answered] ended at [now]. */
+    fun holdEnded(
+        answered: AnsweredRequest,
+        now: Instant,
+    ) = observations.answerHeld(now - answered.at)
+
     /**
      * The success [answered] is not believed for [contradiction], found at [now] by [second] if that isn't null.
      *
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/Observations.kt
@@ -43,6 +43,9 @@
     /** An answer of [owner] arrived on a connection in place of another one, or while no request was in progress. */
     fun foreignAnswer(owner: AnswerOwner)
 
+    /** An answer was held for [time], after which it was passed on or not believed. */
+    fun answerHeld(time: Duration)
+
     /** A success was not believed for [contradiction]. */
     fun answerContradicted(contradiction: AnswerContradiction)
 
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeObservations.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FakeObservations.kt
@@ -46,6 +46,8 @@
 
     override fun foreignAnswer(owner: AnswerOwner) = Unit
 
+    override fun answerHeld(time: Duration) = Unit
+
     override fun answerContradicted(contradiction: AnswerContradiction) = Unit
 
     override fun connectionClosed(reason: ConnectionCloseReason) = Unit
--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/NoOpObservations.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/NoOpObservations.kt
@@ -40,6 +40,8 @@
 
     override fun foreignAnswer(owner: AnswerOwner) = Unit
 
+    override fun answerHeld(time: Duration) = Unit
+
     override fun answerContradicted(contradiction: AnswerContradiction) = Unit
 
     override fun connectionClosed(reason: ConnectionCloseReason) = Unit
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -244,7 +244,7 @@
             }
 
             HoldEnd.PassOn -> {
-                passOn(context, holding.answered, holding.end)
+                release(context, holding)
                 channelRead(context, message)
             }
 
@@ -282,7 +282,7 @@
     ) {
         when (end) {
             HoldEnd.PassOn -> {
-                passOn(context, holding.answered, holding.end)
+                release(context, holding)
                 context.fireChannelReadComplete()
             }
 
@@ -292,11 +292,20 @@
         }
     }
 
+    private fun release(
+        context: ChannelHandlerContext,
+        holding: Reading.Holding,
+    ) {
+        observer.holdEnded(holding.answered, clock.now())
+        passOn(context, holding.answered, holding.end)
+    }
+
     /** Drops the end of a held answer and closes the connection, which breaks its request off. */
     private fun reject(
         context: ChannelHandlerContext,
         holding: Reading.Holding,
     ) {
+        observer.holdEnded(holding.answered, clock.now())
         contradicted = holding.call
         reading = Reading.Nothing(last = null)
         ReferenceCountUtil.release(holding.end)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/MeteredObservations.kt
@@ -31,6 +31,7 @@
 ) : Observations {
     private val strayFrames = registry.counter(Meters.STRAY_FRAMES)
     private val heldBack = registry.counter(Meters.REQUESTS_HELD_BACK)
+    private val heldAnswers = registry.timer(Meters.ANSWERS_HELD)
     private val unreadableNotices = registry.counter(Meters.NOTICES_UNREADABLE)
 
     // A registry lookup costs more than an increment, so meters are cached.
@@ -79,6 +80,8 @@
 
     override fun foreignAnswer(owner: AnswerOwner) = count(Meters.ANSWERS_FOREIGN, "owner", owner.code)
 
+    override fun answerHeld(time: Duration) = heldAnswers.record(time.toJavaDuration())
+
     override fun answerContradicted(contradiction: AnswerContradiction) =
         count(Meters.ANSWERS_CONTRADICTED, "reason", contradiction.code)
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
@@ -24,6 +24,7 @@
     const val BACKENDS_ISOLATED = "acaciaflow.backends.isolated"
     const val ANSWERS_FOREIGN = "acaciaflow.backends.answers.foreign"
     const val ANSWERS_CONTRADICTED = "acaciaflow.backends.answers.contradicted"
+    const val ANSWERS_HELD = "acaciaflow.backends.answers.held"
     const val CONNECTIONS_CLOSED = "acaciaflow.backends.connections.closed"
     const val NOTICES_UNREADABLE = "acaciaflow.backends.notices.unreadable"
 
@@ -52,6 +53,7 @@
             NOTICES_UNREADABLE,
             ANSWERS_FOREIGN,
             ANSWERS_CONTRADICTED,
+            ANSWERS_HELD,
             CONNECTIONS_CLOSED,
         )
 }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/HeldAnswerTest.kt
@@ -226,6 +226,26 @@
         }
     }
 
+    /** Guards against holds that nobody can count, however they end. */
+    @Test
+    fun `each hold is counted once with its time`() {
+        val lone: RawBackend.(OutputStream, String) -> Unit = { output, id -> write(output, ok(id)) }
+        endBeside(lone, 100.milliseconds) shouldBe AttemptEvent.End
+        endBeside({ output, id -> write(output, ok(id) + ok(id)) }, LONG) shouldBe AttemptEvent.End
+        endBeside({ output, id -> write(output, ok(id) + failed(id)) }, LONG) shouldBe CONTRADICTED
+        val closing: RawBackend.(
+            OutputStream,
+            String,
+        ) -> Unit = { output, id -> write(output, ok(id)).also { output.close() } }
+        endBeside(closing, LONG) shouldBe CONTRADICTED
+        endBeside({ output, id -> write(output, failed(id)) }, LONG) shouldBe AttemptEvent.End
+
+        println("holds: ${recorded.holds}")
+        recorded.holds.size shouldBe 4
+        recorded.holds.max() shouldBeGreaterThanOrEqualTo 100.milliseconds
+        recorded.holds.max() shouldBeLessThan 1.seconds
+    }
+
     /** Guards against a wait that is longer than the setting, and against none. */
     @Test
     fun `an isolated server's lone answer is held for the time of the setting`() {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/RecordedConnections.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/RecordedConnections.kt
@@ -9,6 +9,7 @@
 import org.acaciaflow.coordination.relay.Decision
 import org.acaciaflow.transport.observation.MeteredObservations
 import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration
 
 /** Records what is told of connections and the answers on them. */
 internal class RecordedConnections(
@@ -19,7 +20,10 @@
 
     val owners = CopyOnWriteArrayList<AnswerOwner>()
 
+    val holds = CopyOnWriteArrayList<Duration>()
+
     fun clear() {
+        holds.clear()
         events.clear()
         owners.clear()
         decisions.clear()
@@ -29,6 +33,10 @@
         owners += owner
     }
 
+    override fun answerHeld(time: Duration) {
+        holds += time
+    }
+
     override fun event(event: Event) {
         events += event
     }
