--- a/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/NoOpObservations.kt
+++ b/protocol/src/test/kotlin/org/acaciaflow/protocol/execution/NoOpObservations.kt
@@ -41,6 +41,8 @@
 
     override fun foreignAnswer(owner: AnswerOwner) = Unit
 
+    override fun answerHeld(time: Duration) = Unit
+
     override fun answerContradicted(contradiction: AnswerContradiction) = Unit
 
     override fun callerConnectionFailed(reason: CallerConnectionFailure) = Unit
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import io.vertx.core.http.HttpConnection
@@ -115,7 +114,7 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        endHold(context, reading)
+        endHoldWithConnection(context)
         context.fireChannelInactive()
     }
 
@@ -123,7 +122,7 @@
         context: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        endHold(context, reading) // Vert.x breaks off an answer whose end has not passed
+        endHoldWithConnection(context) // Vert.x breaks off an answer whose end has not passed
         context.fireExceptionCaught(cause)
     }
 
@@ -148,25 +147,25 @@
         val answer = dialect.surplusAnswer(head)
         when (decide(awaiting, response, answer)) {
             ScreeningDecision.Pass -> {
-                val isRefusal = isRefusal(awaiting.call, head)
-                if (isRefusal && isContradicted(awaiting.call)) {
+                val call = awaiting.call
+                val isRefusal = isRefusal(call, head)
+                if (isRefusal && isContradicted(call)) {
                     ReferenceCountUtil.release(response)
                     closeContradicted(context)
                     return
                 }
                 contradicted = null
-                answer(
-                    context,
+                val answering =
                     Reading.Answering(
-                        awaiting.call,
+                        call,
                         head.status,
                         isRefusal,
                         answer.signature,
                         answer.form,
+                        announcesClose(response, call.order.call.method),
                         SmallBody(response),
-                    ),
-                    response,
-                )
+                    )
+                answer(context, answering, response)
             }
 
             ScreeningDecision.Skip -> {
@@ -206,7 +205,15 @@
         body: SmallBody,
     ) {
         val answering =
-            Reading.Answering(call, answer.status, isRefusal = false, answer.signature, answer.form, body)
+            Reading.Answering(
+                call,
+                answer.status,
+                isRefusal = false,
+                answer.signature,
+                answer.form,
+                announcesClose = false,
+                body,
+            )
         held.doubted(answering.ended(clock.now()))
         contradicted = call
     }
@@ -267,7 +274,7 @@
             }
 
             is HoldStart.Hold -> {
-                val holding = Reading.Holding(answering.call, answered, end)
+                val holding = Reading.Holding(answering.call, answered, end, answering.announcesClose)
                 reading = holding
                 context.after(start.duration) { endHold(context, holding) }
             }
@@ -303,7 +310,7 @@
             }
 
             HoldEnd.PassOn -> {
-                passOn(context, holding.answered, holding.end)
+                release(context, holding)
                 channelRead(context, message)
             }
 
@@ -322,12 +329,26 @@
     /** Ends the hold of an answer that stands alone if the connection is still in the state [holding]. */
     private fun endHold(
         context: ChannelHandlerContext,
-        holding: Reading,
+        holding: Reading.Holding,
     ) {
-        if (holding !is Reading.Holding || reading !== holding) return
-        when (held.ended(holding.answered)) {
+        if (reading === holding) endHold(context, holding, held.ended(holding.answered))
+    }
+
+    /** Ends the hold of an answer whose connection has ended. */
+    private fun endHoldWithConnection(context: ChannelHandlerContext) {
+        val holding = reading as? Reading.Holding ?: return
+        val isExpected = holding.announcesClose || open.isClosing(connection)
+        endHold(context, holding, held.connectionEnded(holding.answered, isExpected))
+    }
+
+    private fun endHold(
+        context: ChannelHandlerContext,
+        holding: Reading.Holding,
+        end: HoldEnd,
+    ) {
+        when (end) {
             HoldEnd.PassOn -> {
-                passOn(context, holding.answered, holding.end)
+                release(context, holding)
                 context.fireChannelReadComplete()
             }
 
@@ -337,11 +358,20 @@
         }
     }
 
+    private fun release(
+        context: ChannelHandlerContext,
+        holding: Reading.Holding,
+    ) {
+        observer.holdEnded(holding.answered, clock.now())
+        passOn(context, holding.answered, holding.end)
+    }
+
     /** Drops the end of a held answer and closes the connection, which breaks its request off. */
     private fun reject(
         context: ChannelHandlerContext,
         holding: Reading.Holding,
     ) {
+        observer.holdEnded(holding.answered, clock.now())
         contradicted = holding.call
         reading = Reading.Nothing(last = null)
         ReferenceCountUtil.release(holding.end)
@@ -410,14 +440,13 @@
         answer: SurplusAnswer,
     ): ScreeningDecision {
         val call = awaiting.call
-        val hasLength = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
         return AnswerScreening.decide(
             call.history,
             call.order.requestId,
             answer.requestIds,
             awaiting.skipped,
             isDoubted = forms.isDoubted(call, answer.form),
-            hasKnownEnd = endsAreKnown && hasLength,
+            hasKnownEnd = endsAreKnown && hasKnownEnd(response),
         )
     }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
@@ -24,6 +24,7 @@
     const val BACKENDS_ISOLATED = "acaciaflow.backends.isolated"
     const val ANSWERS_FOREIGN = "acaciaflow.backends.answers.foreign"
     const val ANSWERS_CONTRADICTED = "acaciaflow.backends.answers.contradicted"
+    const val ANSWERS_HELD = "acaciaflow.backends.answers.held"
     const val CONNECTIONS_CLOSED = "acaciaflow.backends.connections.closed"
     const val CALLER_CONNECTIONS_FAILED = "acaciaflow.callers.connections.failed"
     const val NOTICES_UNREADABLE = "acaciaflow.backends.notices.unreadable"
@@ -53,6 +54,7 @@
             NOTICES_UNREADABLE,
             ANSWERS_FOREIGN,
             ANSWERS_CONTRADICTED,
+            ANSWERS_HELD,
             CONNECTIONS_CLOSED,
             CALLER_CONNECTIONS_FAILED,
         )
