Read all keys anew when the store is in another era

Cause: the watch went on from a number of the former history, and what was written between the copy and that place was not seen until the next full read.

An answer to a watch of another era than its place is not applied: the place is lost and all keys are read after a random pause of up to 300 ms. A read that a return cuts in two begins anew, within a section and between them. Any answer of a new era, also to another call (StoreEraTracker), ends a watch that waits. The first watch after a failure waits for 100 ms only, so that a return in which the number didn't move is seen soon.

Real gateways were not run for this commit.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/ChangeFeed.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/ChangeFeed.kt
@@ -37,14 +37,20 @@
 
 /** Result of waiting for changes. */
 sealed interface StoreChanges {
+    /** The era of the store that answered. */
+    val era: StoreEra
+
     /** Changes in the order of their revisions, complete up to [revision]. */
     data class Batch(
         val changes: PersistentList<StoreChange>,
         val revision: StoreRevision,
-    ) : StoreChanges
+    ) : StoreChanges {
+        override val era: StoreEra
+            get() = revision.era
+    }
 
     /** The store, now in [era], no longer has the changes since the given revision; read all keys again. */
     data class HistoryLost(
-        val era: StoreEra,
+        override val era: StoreEra,
     ) : StoreChanges
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/EraCheckedFeed.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/EraCheckedFeed.kt
@@ -31,7 +31,7 @@
     override suspend fun changes(
         revision: StoreRevision,
         wait: Duration,
-    ): StoreResult<StoreChanges> = checked(feed.changes(revision, wait), ::eraOf, ::changesIn)
+    ): StoreResult<StoreChanges> = checked(feed.changes(revision, wait), { it.era }, ::changesIn)
 
     private fun <Value> checked(
         result: StoreResult<Value>,
@@ -53,12 +53,6 @@
             }
         }
 
-    private fun eraOf(changes: StoreChanges): StoreEra =
-        when (changes) {
-            is StoreChanges.Batch -> changes.revision.era
-            is StoreChanges.HistoryLost -> changes.era
-        }
-
     private fun pageIn(
         page: StorePage,
         era: StoreEra,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreEraTracker.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreEraTracker.kt
@@ -37,6 +37,7 @@
         call: suspend () -> Value,
     ): Value? =
         coroutineScope {
+            if (latest.value != era) return@coroutineScope null
             val result = async { call() }
             val left = async { latest.first { it != era } }
             select<Value?> {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreReadPolicy.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreReadPolicy.kt
@@ -73,6 +73,9 @@
         return pause * (1 - SPREAD / 2 + SPREAD * random.nextDouble())
     }
 
+    /** How long a process that sees a new era of the store waits, so that many do not read it in the same instant. */
+    fun pauseAfterReturn(random: Random): Duration = LONGEST_PAUSE_AFTER_RETURN * random.nextDouble()
+
     private const val FAILED_WATCHES = 2
     private const val LOST_PAGES = 2
     private const val MAXIMUM_DOUBLINGS = 10
@@ -81,6 +84,7 @@
     private val INCOMPLETE_READ_INTERVAL: Duration = 2.seconds
     private val SHORTEST_PAUSE: Duration = 125.milliseconds
     private val LONGEST_PAUSE: Duration = 1000.milliseconds
+    private val LONGEST_PAUSE_AFTER_RETURN: Duration = 300.milliseconds
     private val PAGE_TIMEOUT: Duration = 1.seconds // a slow store takes some hundred milliseconds to answer
     private val LONGEST_PAGE_TIMEOUT: Duration = 2.5.seconds
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreReader.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreReader.kt
@@ -34,6 +34,7 @@
 
                 is StoreResult.Success -> {
                     val page = answer.value
+                    if (revision != null && page.revision.era != revision.era) return SectionRead.Cut
                     onPage(page)
                     failures = 0
                     keys = keys.addAll(page.items.map { it.key })
@@ -67,6 +68,9 @@
         val reason: StoreFailure,
     ) : SectionRead
 
+    /** The store returned from a copy between two pages. */
+    data object Cut : SectionRead
+
     /** The store did not answer. */
     data object Unavailable : SectionRead
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -71,45 +71,48 @@
      * All keys are read again when that is due, or when the place among the changes is lost. A read that fails does not end the watch: changes are followed from the former place meanwhile.
      */
     suspend fun run() {
-        var place: Place? = null
+        var place: StorePlace? = null
         var reads = 0
+        var pause = Duration.ZERO
         while (true) {
-            delay(StoreReadPolicy.pauseBefore(reads, random))
+            delay(pause)
             val read = readAll()
             val start = placeAfter(read, place)
             if (start == null) {
                 if (read.available) reads += 1
+                pause = StoreReadPolicy.pauseBefore(reads, random)
             } else {
                 val followed = follow(start)
-                reads = if (read.available) readsAfter(followed, reads) else 0
+                reads = if (read.available) followed.readsAfter(reads) else 0
                 place = followed.place
+                pause = pauseAfter(followed, reads)
             }
         }
     }
 
+    private fun pauseAfter(
+        followed: FollowedChanges,
+        reads: Int,
+    ): Duration =
+        if (followed.returned) StoreReadPolicy.pauseAfterReturn(random) else StoreReadPolicy.pauseBefore(reads, random)
+
     /** Where to go on after [read]; an incomplete read leaves a former place that is not lost as it is. */
     private fun placeAfter(
         read: FullRead,
-        former: Place?,
-    ): Place? {
+        former: StorePlace?,
+    ): StorePlace? {
         val nextReadAt = clock.now() + StoreReadPolicy.readInterval(read.complete, random)
         return when {
             read.revision == null -> former?.copy(nextReadAt = nextReadAt)
-            former != null && !former.lost && !read.complete -> former.copy(nextReadAt = nextReadAt)
-            else -> Place(read.revision, nextReadAt, lost = false)
+            former != null &&
+                former.holdsBeside(
+                    read.revision,
+                ) &&
+                !read.complete -> former.copy(nextReadAt = nextReadAt)
+            else -> StorePlace(read.revision, nextReadAt, lost = false)
         }
     }
 
-    private fun readsAfter(
-        followed: Followed,
-        reads: Int,
-    ): Int =
-        when {
-            !followed.place.lost -> 0
-            followed.changed -> 1
-            else -> reads + 1
-        }
-
     /** Logs at [now] that the knowledge of the store is stale, once a [STALE_REPORT_INTERVAL] while it is. */
     fun reportStaleness(now: Instant) {
         val known = knowledge.snapshot()
@@ -136,6 +139,7 @@
         for (section in feed.sections) {
             when (val read = reader.read(section)) {
                 is SectionRead.Complete -> {
+                    if (revision != null && read.revision.era != revision.era) return cutRead()
                     applier.removeAbsent(section, read.keys)
                     revision = earlierOf(revision ?: read.revision, read.revision)
                     sectionsRead = sectionsRead.add(section)
@@ -146,6 +150,10 @@
                     complete = false
                 }
 
+                SectionRead.Cut -> {
+                    return cutRead()
+                }
+
                 SectionRead.Unavailable -> {
                     return FullRead(revision, complete = false, available = false)
                 }
@@ -155,12 +163,15 @@
         return FullRead(revision, complete, available = true)
     }
 
+    /** The store has returned meanwhile, so that what was read is of two histories. */
+    private fun cutRead(): FullRead = FullRead(revision = null, complete = false, available = true)
+
     /** Applies the changes after [start] until all keys must be read again. */
-    private suspend fun follow(start: Place): Followed {
+    private suspend fun follow(start: StorePlace): FollowedChanges {
         var place = start.copy(lost = false)
         var failures = 0
         while (clock.now() < place.nextReadAt) {
-            when (val result = feed.changes(place.revision, WATCH_WAIT)) {
+            when (val result = changesAfter(place.revision) ?: return returned(place)) {
                 is StoreResult.Failure -> {
                     failures += 1
                     backOff(result.reason)
@@ -177,27 +188,39 @@
                 is StoreResult.Success -> {
                     failures = 0
                     markAvailable()
+                    if (result.value.era != place.revision.era) return returned(place)
                     val next = revisionAfter(result.value, place.revision)
                     if (next == null) return lost(place, start, Event.StoreHistoryLost(place.revision))
                     place = place.copy(revision = next)
                 }
             }
         }
-        return Followed(place, changed = true)
+        return FollowedChanges(place, changed = true, returned = false)
+    }
+
+    /** Asks for the changes after [revision]; null as soon as any answer of the store is of another era. */
+    private suspend fun changesAfter(revision: StoreRevision): StoreResult<StoreChanges>? {
+        // The first watch after a failure shows soon whether the store has returned.
+        val wait = if (knowledge.snapshot().failingSince == null) WATCH_WAIT else FIRST_WATCH_WAIT
+        return eras.unlessLeft(revision.era) { feed.changes(revision, wait) }
     }
 
+    private fun returned(place: StorePlace): FollowedChanges =
+        FollowedChanges(place.copy(lost = true), changed = true, returned = true)
+
     private fun earlierOf(
         one: StoreRevision,
         other: StoreRevision,
     ): StoreRevision = if (other.orderTo(one) == RevisionOrder.EARLIER) other else one
 
     private fun lost(
-        place: Place,
-        start: Place,
+        place: StorePlace,
+        start: StorePlace,
         event: Event,
-    ): Followed {
+    ): FollowedChanges {
         if (!start.lost) observations.event(event) // once for a series of attempts that all fail
-        return Followed(place.copy(lost = true), changed = place.revision != start.revision)
+        val changed = place.revision != start.revision
+        return FollowedChanges(place.copy(lost = true), changed, returned = false)
     }
 
     /** Applies [changes] after [revision]; returns the revision to go on from, or null if all keys must be read. */
@@ -243,30 +266,11 @@
         delay(RETRY_DELAY + RETRY_JITTER * random.nextDouble())
     }
 
-    /** Outcome of a read; [revision] is the lowest of the sections that were read, null if there was none. */
-    private data class FullRead(
-        val revision: StoreRevision?,
-        val complete: Boolean,
-        val available: Boolean,
-    )
-
-    /** All changes up to [revision] are applied; [lost] if those after it could not be had. */
-    private data class Place(
-        val revision: StoreRevision,
-        val nextReadAt: Instant,
-        val lost: Boolean,
-    )
-
-    /** Where following ended, and whether it brought any change. */
-    private data class Followed(
-        val place: Place,
-        val changed: Boolean,
-    )
-
     private companion object {
         val STALE_REPORT_INTERVAL: Duration = 60.seconds
 
         val WATCH_WAIT: Duration = 1500.milliseconds // detects a dead connection within the drain time
+        val FIRST_WATCH_WAIT: Duration = 100.milliseconds
         val BATCH_PAUSE: Duration = 150.milliseconds // so that one call returns several changes
         val RETRY_DELAY: Duration = 150.milliseconds
         val RETRY_JITTER: Duration = 150.milliseconds
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
@@ -450,7 +450,7 @@
 }
 
 /** Decodes documents whose text is an entry's state or a configuration's version. */
-private object PlainDocuments : StoredDocuments {
+internal object PlainDocuments : StoredDocuments {
     override fun kindOf(key: StoreKey): StoredKeyKind =
         when {
             key.path == "configuration" -> StoredKeyKind.Configuration
