Keep servers that are missing in the store's copy in use for two seconds

An outage leaves them in use for two seconds; a return that no failure announced, or that was noticed after the first answer, did not, since the doubt counted from the end of the failures only.

The doubt now also counts from the first answer of a new era.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/EraCheckedFeed.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/EraCheckedFeed.kt
@@ -12,12 +12,14 @@
 import org.acaciaflow.coordination.port.StoreResult
 import org.acaciaflow.state.store.StoreEra
 import org.acaciaflow.state.store.StoreRevision
+import kotlin.time.Clock
 import kotlin.time.Duration
 
 /** Fails answers of a past era of the store; those without an era belong to the latest one. */
 internal class EraCheckedFeed(
     private val feed: ChangeFeed,
     private val eras: StoreEraTracker,
+    private val clock: Clock,
 ) : ChangeFeed {
     override val sections: PersistentList<StoreKey>
         get() = feed.sections
@@ -45,7 +47,7 @@
 
             is StoreResult.Success -> {
                 val answered = eraOf(result.value)
-                when (val era = eras.admit(answered)) {
+                when (val era = eras.admit(answered, clock.now())) {
                     null -> StoreResult.Failure(StoreFailure.PAST_ERA)
                     answered -> result
                     else -> StoreResult.Success(inEra(result.value, era))
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreEraTracker.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreEraTracker.kt
@@ -10,6 +10,7 @@
 import org.acaciaflow.state.store.StoreKnowledge
 import org.acaciaflow.state.table.SharedTable
 import org.acaciaflow.state.table.Transition
+import kotlin.time.Instant
 
 /** Follows the era of the store over the answers to all calls of a process. */
 class StoreEraTracker(
@@ -17,13 +18,16 @@
 ) {
     private val latest = MutableStateFlow(knowledge.snapshot().era)
 
-    /** Returns the era that an answer of [answered] belongs to, or null if the answer is of a past one. */
-    fun admit(answered: StoreEra): StoreEra? {
+    /** Returns the era that an answer of [answered] at [now] belongs to, or null if the answer is of a past one. */
+    fun admit(
+        answered: StoreEra,
+        now: Instant,
+    ): StoreEra? {
         val era =
             knowledge.transition { known ->
                 when (StoreEras.verdict(known.era, answered)) {
                     EraVerdict.CURRENT -> Transition(known, known.era)
-                    EraVerdict.NEW -> Transition(known.copy(era = answered), answered)
+                    EraVerdict.NEW -> Transition(StoreFreshness.returned(known, answered, now), answered)
                     EraVerdict.PAST -> Transition(known, null)
                 }
             }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreFreshness.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreFreshness.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.store
 
+import org.acaciaflow.state.store.StoreEra
 import org.acaciaflow.state.store.StoreKnowledge
 import org.acaciaflow.state.store.StoreRevision
 import kotlin.time.Duration
@@ -41,6 +42,17 @@
             else -> knowledge.copy(failingSince = null, recoveredAt = now)
         }
 
+    /** Records that the store answered in [era] for the first time at [now]; entries need a moment to be back. */
+    fun returned(
+        knowledge: StoreKnowledge,
+        era: StoreEra,
+        now: Instant,
+    ): StoreKnowledge =
+        when (knowledge.era) {
+            null -> knowledge.copy(era = era)
+            else -> knowledge.copy(era = era, recoveredAt = now)
+        }
+
     /** Records a failed call; [StoreKnowledge.failingSince] keeps the first failure since the last answer. */
     fun failed(
         knowledge: StoreKnowledge,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -48,7 +48,7 @@
     private val clock: Clock,
     private val random: Random,
 ) {
-    private val feed: ChangeFeed = EraCheckedFeed(feed, eras)
+    private val feed: ChangeFeed = EraCheckedFeed(feed, eras, clock)
 
     @Volatile
     private var staleReportedAt: Instant? = null
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/ReturningStore.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/ReturningStore.kt
@@ -36,7 +36,8 @@
     instance: String,
     revision: Long,
     era: Long = NEW,
-) = StoreItem.Written(StoreKey("backend/$instance"), "ready".encodeToByteString(), revisionAt(revision, era))
+    state: String = "ready",
+) = StoreItem.Written(StoreKey("backend/$instance"), state.encodeToByteString(), revisionAt(revision, era))
 
 internal fun configuration(
     version: Long,
@@ -51,7 +52,7 @@
 ) = StoreChange.Removed(StoreKey("backend/$instance"), revisionAt(revision, era))
 
 internal fun page(
-    era: Long,
+    era: Long?,
     revision: Long,
     vararg items: StoreItem,
 ) = StoreResult.Success(StorePage(items.toList().toPersistentList(), revisionAt(revision, era), next = null))
@@ -80,7 +81,7 @@
     val waits = mutableListOf<Duration>()
     val tables = createRelayTables()
     val observations = FakeObservations()
-    val eras = StoreEraTracker(tables.store)
+    private val eras = StoreEraTracker(tables.store)
 
     private val watcher =
         StoreWatcher(
@@ -118,6 +119,11 @@
         return this
     }
 
+    /** Shows the new era in an answer to another call. */
+    fun showNewEra() {
+        eras.admit(eraOf(NEW), clock.now())
+    }
+
     fun pass(time: Duration) {
         scope.advanceTimeBy(time)
         watcher.removeLapsedEntries(clock.now())
@@ -131,6 +137,12 @@
             .map { it.life.instance }
             .sorted()
 
+    fun lives(): List<Long> =
+        tables.fleet
+            .snapshot()
+            .usableIn(SERVICE_POOL)
+            .map { it.life.startedAtMilliseconds }
+
     fun version(): Long =
         tables.routing
             .snapshot()
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreReturnTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreReturnTest.kt
@@ -85,7 +85,7 @@
             val store = ReturningStore(this, listOf(known, copy), listOf()).follow()
             val before = store.usable()
 
-            store.eras.admit(eraOf(NEW))
+            store.showNewEra()
             store.pass(400.milliseconds)
 
             before shouldBe listOf("one")
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
@@ -463,6 +463,8 @@
     ): Decoded<BackendEntry> =
         when (document.decodeToString()) {
             "ready" -> Decoded.Valid(backend(instance))
+            "draining" -> Decoded.Valid(backend(instance, draining = true))
+            "restarted" -> Decoded.Valid(backend(instance, startedAt = 2))
             else -> Decoded.Invalid(DocumentFault("state"))
         }
 
