Give no work to lives that had left when a copy of the store shows them again

Nothing of a removed life was kept, nor of one that was replaced, and an entry that lapsed in an outage was renewed by the copy.

Fleet.gone keeps the lives that were removed or replaced for a minute, with the revision of their last write. An entry of another era counts as the copy's if it is of such a life, its number is not above that write, and it is not later than the first read of the era; it is treated as missing. Any later write brings the server back. Leaving lives stay leaving, as before.

StoreCopyTest, 7 more tests: without isOfCopy 3 fail (a removed, a replaced and a lapsed life get work), without the bound of the first read 1 fails (a server that writes again gets none). FleetChanges.lapsedRemoved has one more argument in an existing test.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/FleetChanges.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/fleet/FleetChanges.kt
@@ -29,6 +29,7 @@
             revisions = fleet.revisions.put(instance, revision),
             leaving = leaving,
             lapsed = if (known == null) fleet.lapsed else fleet.lapsed.remove(known.life),
+            gone = fleet.gone.remove(entry.life),
         )
     }
 
@@ -99,15 +100,16 @@
         return fleet.copy(lapsed = fleet.lapsed.put(known.life, now))
     }
 
-    /** Removes the backend servers whose entries lapsed at [latest] or before. */
+    /** Removes the backend servers whose entries lapsed at [latest] or before, and remembers them as gone. */
     fun lapsedRemoved(
         fleet: Fleet,
         latest: Instant,
+        now: Instant,
     ): Fleet =
         fleet.lapsed
             .filterValues { it <= latest }
             .keys
-            .fold(fleet) { rest, life -> removed(rest, life.instance) }
+            .fold(fleet) { rest, life -> GoneLives.removed(rest, life.instance, lastWrite = null, now) }
 
     /** Marks [life] as leaving, whether this gateway or a peer observed it. */
     fun leaving(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
@@ -1,8 +1,8 @@
 package org.acaciaflow.coordination.store
 
-import kotlinx.collections.immutable.PersistentSet
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.fleet.FleetChanges
+import org.acaciaflow.coordination.fleet.GoneLives
 import org.acaciaflow.coordination.port.Decoded
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreChange
@@ -100,8 +100,14 @@
             }
 
             is Decoded.Valid -> {
+                if (GoneLives.isOfCopy(fleet.snapshot(), decoded.value.life, stored.revision)) {
+                    return handleMissing(instance)
+                }
                 val former = fleet.snapshot().entries[instance]
-                fleet.update { FleetChanges.registered(it, decoded.value, stored.revision) }
+                fleet.update {
+                    val registered = FleetChanges.registered(it, decoded.value, stored.revision)
+                    GoneLives.replaced(it, registered, instance, clock.now())
+                }
                 val current = fleet.snapshot().entries[instance]
                 if (former != current) {
                     observations.event(Event.BackendRegistered(decoded.value, stored.revision))
@@ -118,7 +124,10 @@
         if (!FleetChanges.isOlder(fleet.snapshot(), instance, revision)) handleMissing(instance)
     }
 
-    private fun handleMissing(instance: String) {
+    private fun handleMissing(
+        instance: String,
+        lastWrite: StoreRevision? = null,
+    ) {
         val known = fleet.snapshot().entries[instance]
         if (known == null) {
             fleet.update { FleetChanges.removed(it, instance) }
@@ -127,7 +136,13 @@
         val now = clock.now()
         val doubtful = StoreFreshness.isInDoubt(knowledge.snapshot(), now)
         observations.event(Event.BackendMissing(known.life, doubtful))
-        fleet.update { if (doubtful) FleetChanges.lapsed(it, instance, now) else FleetChanges.removed(it, instance) }
+        fleet.update {
+            if (doubtful) {
+                FleetChanges.lapsed(it, instance, now)
+            } else {
+                GoneLives.removed(it, instance, lastWrite, now)
+            }
+        }
     }
 
     private fun applyGateway(
@@ -142,26 +157,32 @@
         }
     }
 
-    /** Removes what is known of [section] and is not among its [keys]. */
+    /** Removes what is known of [section] and is not among the keys of [read]. */
     fun removeAbsent(
         section: StoreKey,
-        keys: PersistentSet<StoreKey>,
+        read: SectionRead.Complete,
     ) {
-        val present = keys.map { documents.kindOf(it) }
+        val present = read.keys.map { documents.kindOf(it) }
         when (documents.kindOf(section)) {
-            is StoredKeyKind.Backend -> removeAbsentServers(present.filterIsInstance<StoredKeyKind.Backend>())
+            is StoredKeyKind.Backend ->
+                removeAbsentServers(
+                    present.filterIsInstance<StoredKeyKind.Backend>(),
+                    read.revision,
+                )
             is StoredKeyKind.Gateway -> removeAbsentGateways(present.filterIsInstance<StoredKeyKind.Gateway>())
             StoredKeyKind.Configuration, StoredKeyKind.Other -> Unit
         }
     }
 
-    private fun removeAbsentServers(present: List<StoredKeyKind.Backend>) {
+    private fun removeAbsentServers(
+        present: List<StoredKeyKind.Backend>,
+        revision: StoreRevision,
+    ) {
         val instances = present.map { it.instance }.toSet()
-        fleet
-            .snapshot()
-            .revisions.keys
+        val known = fleet.snapshot()
+        known.revisions.keys
             .filterNot { it in instances }
-            .forEach { handleMissing(it) }
+            .forEach { handleMissing(it, lastWrite = revision) }
     }
 
     private fun removeAbsentGateways(present: List<StoredKeyKind.Gateway>) {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.delay
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.fleet.FleetChanges
+import org.acaciaflow.coordination.fleet.GoneLives
 import org.acaciaflow.coordination.port.ChangeFeed
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreChanges
@@ -128,8 +129,10 @@
 
     /** Removes the servers whose entries have lapsed for so long that they are taken as gone at [now]. */
     fun removeLapsedEntries(now: Instant) {
-        val latest = StoreFreshness.latestCertainLapse(knowledge.snapshot(), now) ?: return
-        if (fleet.snapshot().lapsed.isNotEmpty()) fleet.update { FleetChanges.lapsedRemoved(it, latest) }
+        val latest = StoreFreshness.latestCertainLapse(knowledge.snapshot(), now)
+        val known = fleet.snapshot()
+        if (latest != null && known.lapsed.isNotEmpty()) fleet.update { FleetChanges.lapsedRemoved(it, latest, now) }
+        if (known.gone.isNotEmpty()) fleet.update { GoneLives.forgotten(it, now) }
     }
 
     /** Reads and applies the sections in turn; one that can't be decoded does not hold back the others. */
@@ -140,7 +143,7 @@
             when (val read = reader.read(section)) {
                 is SectionRead.Complete -> {
                     if (revision != null && read.revision.era != revision.era) return cutRead()
-                    applier.removeAbsent(section, read.keys)
+                    applier.removeAbsent(section, read)
                     revision = earlierOf(revision ?: read.revision, read.revision)
                     sectionsRead = sectionsRead.add(section)
                 }
@@ -244,7 +247,7 @@
 
     private fun applyPage(page: StorePage) {
         markAvailable()
-        fleet.update { FleetChanges.reorderedFor(it, page.revision) }
+        fleet.update { GoneLives.read(FleetChanges.reorderedFor(it, page.revision), page.revision) }
         val followed = knowledge.snapshot().revision
         page.items.forEach { item ->
             applier.reportMissed(item, followed)
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/FleetChangesTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/fleet/FleetChangesTest.kt
@@ -162,7 +162,7 @@
         instance: String,
     ): Fleet = FleetChanges.lapsed(fleet, instance, LAPSED_AT)
 
-    private fun lapsedRemoved(fleet: Fleet): Fleet = FleetChanges.lapsedRemoved(fleet, LAPSED_AT)
+    private fun lapsedRemoved(fleet: Fleet): Fleet = FleetChanges.lapsedRemoved(fleet, LAPSED_AT, LAPSED_AT)
 
     private fun registered(
         fleet: Fleet,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreCopyTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreCopyTest.kt
@@ -4,14 +4,22 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import org.acaciaflow.coordination.fleet.FleetChanges
+import org.acaciaflow.coordination.fleet.GoneLives
 import org.acaciaflow.coordination.port.StoreChanges
+import org.acaciaflow.coordination.port.StoreFailure
 import org.acaciaflow.coordination.port.StorePage
 import org.acaciaflow.coordination.port.StoreResult
+import org.acaciaflow.coordination.relay.backend
+import org.acaciaflow.state.fleet.Fleet
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** What the entries of an older copy change of what a gateway knows. */
 class StoreCopyTest : AnnotationSpec() {
     private val known = page(FORMER, 90, entry("one", 80, FORMER))
+    private val copy = page(NEW, 95, entry("one", 80))
 
     /** Guards against servers that lose their work because their entries were written after the copy. */
     @Test
@@ -33,6 +41,85 @@
             store.usable() shouldBe listOf("one")
         }
 
+    /** Guards against work for a server that had left, because a copy from before its leaving shows its entry. */
+    @Test
+    fun `a life that was removed gets no work when the copy shows it`() =
+        runTest {
+            val left = changes(91, removal("one", 91, FORMER), era = FORMER)
+
+            val store = store(copy, left, changes(95)).follow(1.seconds)
+            val soon = store.usable()
+            store.pass(5.seconds)
+
+            soon shouldBe listOf()
+            store.usable() shouldBe listOf()
+        }
+
+    @Test
+    fun `a life that was removed gets work again once it writes in the new era`() =
+        runTest {
+            val late = changes(120, entry("one", 120, FORMER), era = FORMER)
+            val left = changes(121, removal("one", 121, FORMER), era = FORMER)
+            val again = changes(96, entry("one", 96))
+
+            val store = store(copy, late, left, changes(95), again).follow(2.seconds)
+
+            store.usable() shouldBe listOf("one")
+        }
+
+    /** Guards against a server that is back before all keys are read and is taken for its entry in the copy. */
+    @Test
+    fun `a life that was removed gets work if it wrote again before all keys are read`() =
+        runTest {
+            val left = changes(91, removal("one", 91, FORMER), era = FORMER)
+
+            val store = store(page(NEW, 95, entry("one", 88)), left, changes(95)).follow(2.seconds)
+
+            store.usable() shouldBe listOf("one")
+        }
+
+    @Test
+    fun `a life that was seen draining gets no work when the copy shows it ready`() =
+        runTest {
+            val draining = changes(91, entry("one", 91, FORMER, "draining"), era = FORMER)
+            val removed = changes(92, removal("one", 92, FORMER), era = FORMER)
+
+            val inUse = store(copy, draining, changes(95)).follow(2.seconds)
+            val gone = store(copy, draining, removed, changes(95)).follow(2.seconds)
+
+            inUse.usable() shouldBe listOf()
+            gone.usable() shouldBe listOf()
+        }
+
+    /** Guards against work for a former life at an address where another one is, because the copy shows the former. */
+    @Test
+    fun `a life that was replaced gets no work when the copy shows it, and the present one keeps its work`() =
+        runTest {
+            val restarted = changes(91, entry("one", 91, FORMER, "restarted"), era = FORMER)
+
+            val store = store(copy, restarted, changes(95)).follow(1.seconds)
+            val soon = store.lives()
+            store.pass(2.seconds)
+
+            soon shouldBe listOf(2L)
+            store.lives() shouldBe listOf()
+        }
+
+    /** Guards against a server that lapsed in an outage and stays in use since a copy from before it shows its entry. */
+    @Test
+    fun `an entry that lapsed stays lapsed when the copy shows it, until it is written again`() =
+        runTest {
+            val outage = StoreResult.Failure(StoreFailure.REJECTED)
+            val lapse = changes(91, removal("one", 91, FORMER), era = FORMER)
+            val again = changes(96, entry("one", 96))
+
+            val silent = store(copy, outage, lapse, changes(95)).follow(5.seconds)
+            val present = store(copy, outage, lapse, changes(95), again).follow(5.seconds)
+
+            silent.usable() shouldBe listOf()
+            present.usable() shouldBe listOf("one")
+        }
+
     /** Guards against an entry that is written anew with a smaller number and is taken for an older one. */
     @Test
     fun `an entry of the new era counts, whatever its number`() =
@@ -44,6 +131,17 @@
             store.usable() shouldBe listOf("two")
         }
 
+    @Test
+    fun `a life that was removed is remembered for a minute`() {
+        val start = Instant.fromEpochMilliseconds(1_000_000)
+        val registered = FleetChanges.registered(Fleet.NONE, backend("one"), revisionAt(80, FORMER))
+
+        val removed = GoneLives.removed(registered, "one", lastWrite = null, start)
+
+        GoneLives.forgotten(removed, start + 60.seconds).gone.size shouldBe 1
+        GoneLives.forgotten(removed, start + 60.seconds + 1.milliseconds).gone.size shouldBe 0
+    }
+
     private fun TestScope.store(
         read: StoreResult<StorePage>,
         vararg watches: StoreResult<StoreChanges>,
--- a/state/src/main/kotlin/org/acaciaflow/state/fleet/Fleet.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/fleet/Fleet.kt
@@ -13,7 +13,8 @@
  *
  * A server in [leaving] was seen draining and gets no new work, whatever its later entries say. A server in [lapsed]
  * lost its entry at that time, during a store outage, and stays in use. For a server in [rejected], another instance
- * responded at its address. [revisions] has the store's revision of each entry, by instance name.
+ * responded at its address. [revisions] has the store's revision of each entry, by instance name. The lifetimes in [gone]
+ * were removed lately. [eraRead] is where the entries were first read in the store's present era.
  */
 data class Fleet(
     val entries: PersistentMap<String, BackendEntry>,
@@ -21,6 +22,8 @@
     val leaving: PersistentSet<BackendLife>,
     val lapsed: PersistentMap<BackendLife, Instant>,
     val rejected: PersistentSet<BackendLife>,
+    val gone: PersistentMap<BackendLife, GoneLife>,
+    val eraRead: StoreRevision,
 ) {
     /** True if new work may be sent to [entry]. */
     fun usable(entry: BackendEntry): Boolean = !entry.draining && entry.life !in leaving && entry.life !in rejected
@@ -39,6 +42,8 @@
                 leaving = persistentSetOf(),
                 lapsed = persistentMapOf(),
                 rejected = persistentSetOf(),
+                gone = persistentMapOf(),
+                eraRead = StoreRevision.NONE,
             )
     }
 }
