Remove absent servers also after the order of their writes was forgotten

A store without eras whose revision goes back makes a gateway forget the order of all writes. Servers that were absent after it were looked for among the remembered revisions, so none was found missing, and they stayed in use until their next write. They are looked for among the entries too.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
@@ -180,7 +180,7 @@
     ) {
         val instances = present.map { it.instance }.toSet()
         val known = fleet.snapshot()
-        known.revisions.keys
+        (known.entries.keys + known.revisions.keys)
             .filterNot { it in instances }
             .forEach { handleMissing(it, lastWrite = revision) }
     }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreCopyTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreCopyTest.kt
@@ -12,6 +12,7 @@
 import org.acaciaflow.coordination.port.StoreResult
 import org.acaciaflow.coordination.relay.backend
 import org.acaciaflow.state.fleet.Fleet
+import org.acaciaflow.state.store.StoreEra
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -131,6 +132,18 @@
             store.usable() shouldBe listOf("two")
         }
 
+    /** Guards against servers that are never removed because the order of their writes was forgotten. */
+    @Test
+    fun `a server that is absent after the revision of a store without eras went back is not used any more`() =
+        runTest {
+            val first = page(null, 90, entry("one", 80).copy(revision = revisionAt(80)))
+            val lost = StoreResult.Success(StoreChanges.HistoryLost(StoreEra.Unknown))
+
+            val store = ReturningStore(this, listOf(first, page(null, 5)), listOf(lost)).follow(5.seconds)
+
+            store.usable() shouldBe listOf()
+        }
+
     @Test
     fun `a life that was removed is remembered for a minute`() {
         val start = Instant.fromEpochMilliseconds(1_000_000)
