Register a gateway anew in each era of the store

A lease is a number that another gateway can hold after the return; renewing it succeeds, so the gateway kept no entry of its own, and an entry could be bound to another's lease.

A lease and an expected revision carry their era. A renewal, write or watch that shows another one ends the registration, and the gateway registers anew after a random pause of up to 2 s (two writes each; 390 gateways share 400 writes/s). Answers of a past era count as failures.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/LeasedWrites.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/LeasedWrites.kt
@@ -36,14 +36,20 @@
 
 /** Outcome of a leased compare-and-swap that the store answered. */
 sealed interface LeasedSwap {
+    /** The era of the store that answered. */
+    val era: StoreEra
+
     /** Written; the key is now at [revision]. */
     data class Written(
         val revision: StoreRevision,
-    ) : LeasedSwap
+    ) : LeasedSwap {
+        override val era: StoreEra
+            get() = revision.era
+    }
 
-    /** Not written because the key, in [era], was at another revision; [current] is null when the key is absent. */
+    /** Not written because the key was at another revision; [current] is null when the key is absent. */
     data class Conflict(
-        val era: StoreEra,
+        override val era: StoreEra,
         val current: StoreRevision?,
     ) : LeasedSwap
 }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -86,6 +86,7 @@
             self = settings.peers,
         )
     val relay = createRequestRelay(tables, ports, settings.dataCentre, settings.retryBounds)
+    val eras = StoreEraTracker(tables.store)
     val updater = RoutingUpdater(adapters.documents, tables.routing, runtime.observations)
     val frontEnd =
         ConfiguredFrontEnd(
@@ -100,13 +101,16 @@
         self = newProcessIdentity(settings.peers),
         runtime = runtime,
         tables = tables,
-        watcher = createStoreWatcher(settings, adapters, store, runtime, tables, updater, clock, random),
+        watcher = createStoreWatcher(settings, adapters, store, eras, runtime, tables, updater, clock, random),
         registration =
             PeerRegistration(
                 store = store.writes,
                 key = adapters.registrationKey,
                 value = settings.name.encodeToByteString(),
+                eras = eras,
                 observations = runtime.observations,
+                clock = clock,
+                random = random,
             ),
         peers = createPeerExchange(settings, runtime, tables, clock),
         configurations =
@@ -132,6 +136,7 @@
     settings: EntryHostSettings,
     adapters: EntryGatewayAdapters,
     store: PlatformStorePorts,
+    eras: StoreEraTracker,
     runtime: DaemonRuntime,
     tables: RelayTables,
     updater: RoutingUpdater,
@@ -141,7 +146,7 @@
     StoreWatcher(
         self = settings.peers,
         feed = store.changes,
-        eras = StoreEraTracker(tables.store),
+        eras = eras,
         documents = adapters.documents,
         routing = updater,
         fleet = tables.fleet,
