--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -116,6 +116,18 @@
         val revision: StoreRevision,
     ) : Event(EventKind.STORE_HISTORY_LOST)
 
+    /** The store is in another era than at [former], and was read as of [current]; all keys are read anew. */
+    data class StoreReturned(
+        val former: StoreRevision,
+        val current: StoreRevision,
+    ) : Event(EventKind.STORE_RETURNED)
+
+    /** The entry of [life] as written at [revision] may be of a copy from before its removal and is not used. */
+    data class BackendEntryOfCopy(
+        val life: BackendLife,
+        val revision: StoreRevision,
+    ) : Event(EventKind.BACKEND_ENTRY_OF_COPY)
+
     /** The store has not answered for [age]; all changes up to [revision] are known. */
     data class StoreKnowledgeStale(
         val revision: StoreRevision,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
@@ -101,6 +101,7 @@
 
             is Decoded.Valid -> {
                 if (GoneLives.isOfCopy(fleet.snapshot(), decoded.value.life, stored.revision)) {
+                    observations.event(Event.BackendEntryOfCopy(decoded.value.life, stored.revision))
                     return handleMissing(instance)
                 }
                 val former = fleet.snapshot().entries[instance]
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -20,6 +20,7 @@
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.peer.Peers
 import org.acaciaflow.state.store.RevisionOrder
+import org.acaciaflow.state.store.StoreEra
 import org.acaciaflow.state.store.StoreKnowledge
 import org.acaciaflow.state.store.StoreRevision
 import org.acaciaflow.state.table.SharedTable
@@ -54,6 +55,10 @@
     @Volatile
     private var staleReportedAt: Instant? = null
 
+    /** The era of the last page. */
+    @Volatile
+    private var eraRead: StoreEra? = null
+
     @Volatile
     private var sectionsRead: PersistentSet<StoreKey> = persistentSetOf()
 
@@ -247,6 +252,7 @@
 
     private fun applyPage(page: StorePage) {
         markAvailable()
+        reportReturn(page.revision)
         fleet.update { GoneLives.read(FleetChanges.reorderedFor(it, page.revision), page.revision) }
         val followed = knowledge.snapshot().revision
         page.items.forEach { item ->
@@ -255,6 +261,14 @@
         }
     }
 
+    /** Logs once for each era, by its first page, that the store has returned from a copy. */
+    private fun reportReturn(current: StoreRevision) {
+        val former = eraRead
+        eraRead = current.era
+        if (former == null || former == current.era) return
+        observations.event(Event.StoreReturned(knowledge.snapshot().revision, current))
+    }
+
     private fun markAvailable() {
         if (knowledge.snapshot().failingSince == null) return
         knowledge.update { StoreFreshness.available(it, clock.now()) }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreCopyTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreCopyTest.kt
@@ -144,6 +144,23 @@
             store.usable() shouldBe listOf()
         }
 
+    /** Guards against a gateway that goes back to a version that its callers have seen replaced (CONFIG). */
+    @Test
+    fun `a version in force stays when the copy has an older one, until a higher one is written`() =
+        runTest {
+            val first = page(FORMER, 90, configuration(7, 88, FORMER))
+            val older = page(NEW, 85, configuration(3, 70))
+            val below = changes(86, configuration(6, 86))
+            val same = changes(87, configuration(7, 87))
+            val higher = changes(88, configuration(9, 88))
+
+            val onCopy = ReturningStore(this, listOf(first, older), listOf(changes(85), below, same)).follow()
+            val next = ReturningStore(this, listOf(first, older), listOf(changes(85), below, same, higher)).follow()
+
+            onCopy.version() shouldBe 7
+            next.version() shouldBe 9
+        }
+
     @Test
     fun `a life that was removed is remembered for a minute`() {
         val start = Instant.fromEpochMilliseconds(1_000_000)
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreReturnTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreReturnTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.test.runTest
+import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.StoreFailure
 import org.acaciaflow.coordination.port.StoreKey
 import org.acaciaflow.coordination.port.StorePage
@@ -117,6 +118,21 @@
         pauses.count { it < 30.milliseconds } shouldBeLessThan 80
     }
 
+    /** Guards against a return that can't be told from changes that a watch left out. */
+    @Test
+    fun `a return is logged once with the revisions before and after it`() =
+        runTest {
+            val sections = persistentListOf(StoreKey("configuration"), StoreKey("backend/"))
+            val before = listOf(page(FORMER, 90), page(FORMER, 91, entry("one", 80, FORMER)))
+            val after = listOf(page(NEW, 85), page(NEW, 86, entry("one", 80)))
+            val watches = listOf(changes(92, era = FORMER), changes(84))
+
+            val store = ReturningStore(this, before + after, watches, sections).follow()
+
+            store.observations.events.filterIsInstance<Event.StoreReturned>() shouldBe
+                listOf(Event.StoreReturned(revisionAt(92, FORMER), revisionAt(85, NEW)))
+        }
+
     /** Guards against two returns one after the other, the second before all keys have been read. */
     @Test
     fun `a second return begins the read of all keys anew`() =
--- a/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/observation/Meters.kt
@@ -14,6 +14,7 @@
     const val STORE_CALLS = "acaciaflow.store.calls"
     const val STORE_ANSWER_AGE = "acaciaflow.store.answer.age"
     const val STORE_REVISION = "acaciaflow.store.revision"
+    const val STORE_ERA = "acaciaflow.store.era"
     const val CONFIGURATION_VERSION = "acaciaflow.configuration.version"
     const val STRAY_FRAMES = "acaciaflow.frames.stray"
     const val BACKENDS_LEAVING = "acaciaflow.backends.leaving"
@@ -41,6 +42,7 @@
             STORE_CALLS,
             STORE_ANSWER_AGE,
             STORE_REVISION,
+            STORE_ERA,
             CONFIGURATION_VERSION,
             STRAY_FRAMES,
             BACKENDS_LEAVING,
