Repeat at once a read of all keys in a new era that the store breaks off

After a return, a read whose later sections the store refused made the new place that of the sections read. The former place is kept, whose era any answer has left, so that the read begins anew after its pause.

StoreReturnTest's test of it failed before (the second server was missing one second after the return).

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StorePlace.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StorePlace.kt
@@ -9,8 +9,17 @@
     val nextReadAt: Instant,
     val lost: Boolean,
 ) {
-    /** True if changes may be followed from here beside a read of keys as of [read]. */
-    fun holdsBeside(read: StoreRevision): Boolean = !lost && revision.era == read.era
+    /**
+     * True if changes are to be followed from here after [read], which is not complete.
+     *
+     * Where the store broke off the read in another era than this place, asking from here makes all keys be read at once.
+     */
+    fun outlasts(read: FullRead): Boolean =
+        when {
+            read.complete -> false
+            read.revision?.era == revision.era -> !lost
+            else -> !read.available
+        }
 }
 
 /** Outcome of a read of all keys; [revision] is the lowest of the sections that were read, null if there was none. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -102,21 +102,14 @@
     ): Duration =
         if (followed.returned) StoreReadPolicy.pauseAfterReturn(random) else StoreReadPolicy.pauseBefore(reads, random)
 
-    /** Where to go on after [read]; an incomplete read leaves a former place that is not lost as it is. */
+    /** Where to go on after [read]; an incomplete read leaves a former place that [StorePlace.outlasts] it as it is. */
     private fun placeAfter(
         read: FullRead,
         former: StorePlace?,
     ): StorePlace? {
         val nextReadAt = clock.now() + StoreReadPolicy.readInterval(read.complete, random)
-        return when {
-            read.revision == null -> former?.copy(nextReadAt = nextReadAt)
-            former != null &&
-                former.holdsBeside(
-                    read.revision,
-                ) &&
-                !read.complete -> former.copy(nextReadAt = nextReadAt)
-            else -> StorePlace(read.revision, nextReadAt, lost = false)
-        }
+        val next = read.revision?.let { StorePlace(it, nextReadAt, lost = false) }
+        return if (next == null || former?.outlasts(read) == true) former?.copy(nextReadAt = nextReadAt) else next
     }
 
     /** Logs at [now] that the knowledge of the store is stale, once a [STALE_REPORT_INTERVAL] while it is. */
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreReturnTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreReturnTest.kt
@@ -78,6 +78,21 @@
             store.usable() shouldBe listOf("five", "four", "six")
         }
 
+    /** Guards against sections that are not read for two seconds after a return, since the store failed between them. */
+    @Test
+    fun `a read of all keys in a new era that the store breaks off is repeated at once`() =
+        runTest {
+            val sections = persistentListOf(StoreKey("configuration"), StoreKey("backend/"))
+            val rejected = StoreResult.Failure(StoreFailure.REJECTED)
+            val before = listOf(page(FORMER, 90), page(FORMER, 90, entry("one", 80, FORMER)))
+            val brokenOff = listOf(page(NEW, 85), rejected)
+            val anew = listOf(page(NEW, 85), page(NEW, 85, entry("one", 80), entry("two", 84)))
+
+            val store = ReturningStore(this, before + brokenOff + anew, listOf(changes(85)), sections).follow()
+
+            store.usable() shouldBe listOf("one", "two")
+        }
+
     /** Guards against a watch that waits on a connection of the former era while a lease shows the new one. */
     @Test
     fun `an answer to another call that shows a new era ends the watch that waits`() =
