--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
@@ -1,8 +1,8 @@
 package org.acaciaflow.coordination.store
 
-import kotlinx.collections.immutable.PersistentSet
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.fleet.FleetChanges
+import org.acaciaflow.coordination.fleet.GoneLives
 import org.acaciaflow.coordination.port.Decoded
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreChange
@@ -10,14 +10,15 @@
 import org.acaciaflow.coordination.port.StoreKey
 import org.acaciaflow.coordination.port.StoredDocuments
 import org.acaciaflow.coordination.port.StoredKeyKind
-import org.acaciaflow.coordination.port.StoredValue
 import org.acaciaflow.coordination.routing.ConfigurationOrigin
 import org.acaciaflow.coordination.routing.RoutingUpdater
 import org.acaciaflow.state.fleet.Fleet
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.identity.parseHostAddress
 import org.acaciaflow.state.peer.Peers
+import org.acaciaflow.state.store.RevisionOrder
 import org.acaciaflow.state.store.StoreKnowledge
+import org.acaciaflow.state.store.StoreRevision
 import org.acaciaflow.state.table.SharedTable
 import kotlin.time.Clock
 
@@ -36,7 +37,7 @@
     fun apply(change: StoreChange) {
         if (isApplied(change)) return
         when (change) {
-            is StoreItem.Written -> applyWrite(change.value)
+            is StoreItem.Written -> applyWrite(change)
             is StoreItem.Unreadable -> applyUnreadable(change)
             is StoreChange.Removed -> applyRemoval(change)
         }
@@ -45,11 +46,12 @@
     /** Logs a server's entry that changes up to the revision [followed] should have brought, and did not. */
     fun reportMissed(
         item: StoreItem,
-        followed: Long,
+        followed: StoreRevision,
     ) {
         val kind = documents.kindOf(item.key) as? StoredKeyKind.Backend ?: return
         val known = fleet.snapshot().revisions[kind.instance] ?: return
-        if (item.revision in known + 1..followed) observations.event(Event.StoreChangeMissed(item.key, item.revision))
+        val missed = item.revision.orderTo(known) == RevisionOrder.LATER && item.revision.isUpTo(followed)
+        if (missed) observations.event(Event.StoreChangeMissed(item.key, item.revision))
     }
 
     /** True for a server's entry that the fleet shows already; reading all keys again mostly finds such. */
@@ -58,7 +60,7 @@
         return FleetChanges.isApplied(fleet.snapshot(), kind.instance, change.revision)
     }
 
-    private fun applyWrite(stored: StoredValue) {
+    private fun applyWrite(stored: StoreItem.Written) {
         when (val kind = documents.kindOf(stored.key)) {
             StoredKeyKind.Configuration -> routing.offer(stored.value, ConfigurationOrigin.STORE)
             is StoredKeyKind.Backend -> applyEntry(kind.instance, stored)
@@ -88,7 +90,7 @@
 
     private fun applyEntry(
         instance: String,
-        stored: StoredValue,
+        stored: StoreItem.Written,
     ) {
         when (val decoded = documents.readEntry(instance, stored.value)) {
             is Decoded.Invalid -> {
@@ -98,8 +100,15 @@
             }
 
             is Decoded.Valid -> {
+                if (GoneLives.isOfCopy(fleet.snapshot(), decoded.value.life, stored.revision)) {
+                    observations.event(Event.BackendEntryOfCopy(decoded.value.life, stored.revision))
+                    return handleMissing(instance)
+                }
                 val former = fleet.snapshot().entries[instance]
-                fleet.update { FleetChanges.registered(it, decoded.value, stored.revision) }
+                fleet.update {
+                    val registered = FleetChanges.registered(it, decoded.value, stored.revision)
+                    GoneLives.replaced(it, registered, instance, clock.now())
+                }
                 val current = fleet.snapshot().entries[instance]
                 if (former != current) {
                     observations.event(Event.BackendRegistered(decoded.value, stored.revision))
@@ -111,12 +120,15 @@
     /** Removes a server, unless its entry was written again after [revision], as a page may show before the watch. */
     private fun removeUnlessNewer(
         instance: String,
-        revision: Long,
+        revision: StoreRevision,
     ) {
         if (!FleetChanges.isOlder(fleet.snapshot(), instance, revision)) handleMissing(instance)
     }
 
-    private fun handleMissing(instance: String) {
+    private fun handleMissing(
+        instance: String,
+        lastWrite: StoreRevision? = null,
+    ) {
         val known = fleet.snapshot().entries[instance]
         if (known == null) {
             fleet.update { FleetChanges.removed(it, instance) }
@@ -125,7 +137,13 @@
         val now = clock.now()
         val doubtful = StoreFreshness.isInDoubt(knowledge.snapshot(), now)
         observations.event(Event.BackendMissing(known.life, doubtful))
-        fleet.update { if (doubtful) FleetChanges.lapsed(it, instance, now) else FleetChanges.removed(it, instance) }
+        fleet.update {
+            if (doubtful) {
+                FleetChanges.lapsed(it, instance, now)
+            } else {
+                GoneLives.removed(it, instance, lastWrite, now)
+            }
+        }
     }
 
     private fun applyGateway(
@@ -140,26 +158,32 @@
         }
     }
 
-    /** Removes what is known of [section] and is not among its [keys]. */
+    /** Removes what is known of [section] and is not among the keys of [read]. */
     fun removeAbsent(
         section: StoreKey,
-        keys: PersistentSet<StoreKey>,
+        read: SectionRead.Complete,
     ) {
-        val present = keys.map { documents.kindOf(it) }
+        val present = read.keys.map { documents.kindOf(it) }
         when (documents.kindOf(section)) {
-            is StoredKeyKind.Backend -> removeAbsentServers(present.filterIsInstance<StoredKeyKind.Backend>())
+            is StoredKeyKind.Backend ->
+                removeAbsentServers(
+                    present.filterIsInstance<StoredKeyKind.Backend>(),
+                    read.revision,
+                )
             is StoredKeyKind.Gateway -> removeAbsentGateways(present.filterIsInstance<StoredKeyKind.Gateway>())
             StoredKeyKind.Configuration, StoredKeyKind.Other -> Unit
         }
     }
 
-    private fun removeAbsentServers(present: List<StoredKeyKind.Backend>) {
+    private fun removeAbsentServers(
+        present: List<StoredKeyKind.Backend>,
+        revision: StoreRevision,
+    ) {
         val instances = present.map { it.instance }.toSet()
-        fleet
-            .snapshot()
-            .revisions.keys
+        val known = fleet.snapshot()
+        (known.entries.keys + known.revisions.keys)
             .filterNot { it in instances }
-            .forEach { handleMissing(it) }
+            .forEach { handleMissing(it, lastWrite = revision) }
     }
 
     private fun removeAbsentGateways(present: List<StoredKeyKind.Gateway>) {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreFreshness.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreFreshness.kt
@@ -1,6 +1,8 @@
 package org.acaciaflow.coordination.store
 
+import org.acaciaflow.state.store.StoreEra
 import org.acaciaflow.state.store.StoreKnowledge
+import org.acaciaflow.state.store.StoreRevision
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -19,14 +21,14 @@
     /** Records that everything up to [revision] was applied at [now]. */
     fun answered(
         knowledge: StoreKnowledge,
-        revision: Long,
+        revision: StoreRevision,
         now: Instant,
     ): StoreKnowledge = available(knowledge, now).copy(revision = revision, answeredAt = now)
 
     /** Records that all keys were read at [now], as of [revision] or later. */
     fun read(
         knowledge: StoreKnowledge,
-        revision: Long,
+        revision: StoreRevision,
         now: Instant,
     ): StoreKnowledge = answered(knowledge, revision, now).copy(readAt = now)
 
@@ -40,6 +42,17 @@
             else -> knowledge.copy(failingSince = null, recoveredAt = now)
         }
 
+    /** Records that the store answered in [era] for the first time at [now]; entries need a moment to be back. */
+    fun returned(
+        knowledge: StoreKnowledge,
+        era: StoreEra,
+        now: Instant,
+    ): StoreKnowledge =
+        when (knowledge.era) {
+            null -> knowledge.copy(era = era)
+            else -> knowledge.copy(era = era, recoveredAt = now)
+        }
+
     /** Records a failed call; [StoreKnowledge.failingSince] keeps the first failure since the last answer. */
     fun failed(
         knowledge: StoreKnowledge,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.delay
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.fleet.FleetChanges
+import org.acaciaflow.coordination.fleet.GoneLives
 import org.acaciaflow.coordination.port.ChangeFeed
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.port.StoreChanges
@@ -18,7 +19,10 @@
 import org.acaciaflow.state.fleet.Fleet
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.peer.Peers
+import org.acaciaflow.state.store.RevisionOrder
+import org.acaciaflow.state.store.StoreEra
 import org.acaciaflow.state.store.StoreKnowledge
+import org.acaciaflow.state.store.StoreRevision
 import org.acaciaflow.state.table.SharedTable
 import kotlin.random.Random
 import kotlin.time.Clock
@@ -35,7 +39,8 @@
  */
 class StoreWatcher(
     self: HostAddress,
-    private val feed: ChangeFeed,
+    feed: ChangeFeed,
+    private val eras: StoreEraTracker,
     private val documents: StoredDocuments,
     routing: RoutingUpdater,
     private val fleet: SharedTable<Fleet>,
@@ -45,9 +50,15 @@
     private val clock: Clock,
     private val random: Random,
 ) {
+    private val feed: ChangeFeed = EraCheckedFeed(feed, eras, clock)
+
     @Volatile
     private var staleReportedAt: Instant? = null
 
+    /** The era of the last page. */
+    @Volatile
+    private var eraRead: StoreEra? = null
+
     @Volatile
     private var sectionsRead: PersistentSet<StoreKey> = persistentSetOf()
 
@@ -58,7 +69,7 @@
     private val applier =
         StoreChangeApplier(self, documents, routing, fleet, peers, knowledge, observations, clock)
 
-    private val reader = StoreReader(feed, onFailure = ::backOff, onPage = ::applyPage)
+    private val reader = StoreReader(this.feed, onFailure = ::backOff, onPage = ::applyPage)
 
     /**
      * Follows the store until cancelled.
@@ -66,45 +77,41 @@
      * All keys are read again when that is due, or when the place among the changes is lost. A read that fails does not end the watch: changes are followed from the former place meanwhile.
      */
     suspend fun run() {
-        var place: Place? = null
+        var place: StorePlace? = null
         var reads = 0
+        var pause = Duration.ZERO
         while (true) {
-            delay(StoreReadPolicy.pauseBefore(reads, random))
+            delay(pause)
             val read = readAll()
             val start = placeAfter(read, place)
             if (start == null) {
                 if (read.available) reads += 1
+                pause = StoreReadPolicy.pauseBefore(reads, random)
             } else {
                 val followed = follow(start)
-                reads = if (read.available) readsAfter(followed, reads) else 0
+                reads = if (read.available) followed.readsAfter(reads) else 0
                 place = followed.place
+                pause = pauseAfter(followed, reads)
             }
         }
     }
 
-    /** Where to go on after [read]; an incomplete read leaves a former place that is not lost as it is. */
+    private fun pauseAfter(
+        followed: FollowedChanges,
+        reads: Int,
+    ): Duration =
+        if (followed.returned) StoreReadPolicy.pauseAfterReturn(random) else StoreReadPolicy.pauseBefore(reads, random)
+
+    /** Where to go on after [read]; an incomplete read leaves a former place that [StorePlace.outlasts] it as it is. */
     private fun placeAfter(
         read: FullRead,
-        former: Place?,
-    ): Place? {
+        former: StorePlace?,
+    ): StorePlace? {
         val nextReadAt = clock.now() + StoreReadPolicy.readInterval(read.complete, random)
-        return when {
-            read.revision == null -> former?.copy(nextReadAt = nextReadAt)
-            former != null && !former.lost && !read.complete -> former.copy(nextReadAt = nextReadAt)
-            else -> Place(read.revision, nextReadAt, lost = false)
-        }
+        val next = read.revision?.let { StorePlace(it, nextReadAt, lost = false) }
+        return if (next == null || former?.outlasts(read) == true) former?.copy(nextReadAt = nextReadAt) else next
     }
 
-    private fun readsAfter(
-        followed: Followed,
-        reads: Int,
-    ): Int =
-        when {
-            !followed.place.lost -> 0
-            followed.changed -> 1
-            else -> reads + 1
-        }
-
     /** Logs at [now] that the knowledge of the store is stale, once a [STALE_REPORT_INTERVAL] while it is. */
     fun reportStaleness(now: Instant) {
         val known = knowledge.snapshot()
@@ -120,19 +127,22 @@
 
     /** Removes the servers whose entries have lapsed for so long that they are taken as gone at [now]. */
     fun removeLapsedEntries(now: Instant) {
-        val latest = StoreFreshness.latestCertainLapse(knowledge.snapshot(), now) ?: return
-        if (fleet.snapshot().lapsed.isNotEmpty()) fleet.update { FleetChanges.lapsedRemoved(it, latest) }
+        val latest = StoreFreshness.latestCertainLapse(knowledge.snapshot(), now)
+        val known = fleet.snapshot()
+        if (latest != null && known.lapsed.isNotEmpty()) fleet.update { FleetChanges.lapsedRemoved(it, latest, now) }
+        if (known.gone.isNotEmpty()) fleet.update { GoneLives.forgotten(it, now) }
     }
 
     /** Reads and applies the sections in turn; one that can't be decoded does not hold back the others. */
     private suspend fun readAll(): FullRead {
-        var revision: Long? = null
+        var revision: StoreRevision? = null
         var complete = true
         for (section in feed.sections) {
             when (val read = reader.read(section)) {
                 is SectionRead.Complete -> {
-                    applier.removeAbsent(section, read.keys)
-                    revision = minOf(revision ?: read.revision, read.revision)
+                    if (revision != null && read.revision.era != revision.era) return cutRead()
+                    applier.removeAbsent(section, read)
+                    revision = earlierOf(revision ?: read.revision, read.revision)
                     sectionsRead = sectionsRead.add(section)
                 }
 
@@ -141,6 +151,10 @@
                     complete = false
                 }
 
+                SectionRead.Cut -> {
+                    return cutRead()
+                }
+
                 SectionRead.Unavailable -> {
                     return FullRead(revision, complete = false, available = false)
                 }
@@ -150,12 +164,15 @@
         return FullRead(revision, complete, available = true)
     }
 
+    /** The store has returned meanwhile, so that what was read is of two histories. */
+    private fun cutRead(): FullRead = FullRead(revision = null, complete = false, available = true)
+
     /** Applies the changes after [start] until all keys must be read again. */
-    private suspend fun follow(start: Place): Followed {
+    private suspend fun follow(start: StorePlace): FollowedChanges {
         var place = start.copy(lost = false)
         var failures = 0
         while (clock.now() < place.nextReadAt) {
-            when (val result = feed.changes(place.revision, WATCH_WAIT)) {
+            when (val result = changesAfter(place.revision) ?: return returned(place)) {
                 is StoreResult.Failure -> {
                     failures += 1
                     backOff(result.reason)
@@ -172,36 +189,53 @@
                 is StoreResult.Success -> {
                     failures = 0
                     markAvailable()
+                    if (result.value.era != place.revision.era) return returned(place)
                     val next = revisionAfter(result.value, place.revision)
                     if (next == null) return lost(place, start, Event.StoreHistoryLost(place.revision))
                     place = place.copy(revision = next)
                 }
             }
         }
-        return Followed(place, changed = true)
+        return FollowedChanges(place, changed = true, returned = false)
     }
 
+    /** Asks for the changes after [revision]; null as soon as any answer of the store is of another era. */
+    private suspend fun changesAfter(revision: StoreRevision): StoreResult<StoreChanges>? {
+        // The first watch after a failure shows soon whether the store has returned.
+        val wait = if (knowledge.snapshot().failingSince == null) WATCH_WAIT else FIRST_WATCH_WAIT
+        return eras.unlessLeft(revision.era) { feed.changes(revision, wait) }
+    }
+
+    private fun returned(place: StorePlace): FollowedChanges =
+        FollowedChanges(place.copy(lost = true), changed = true, returned = true)
+
+    private fun earlierOf(
+        one: StoreRevision,
+        other: StoreRevision,
+    ): StoreRevision = if (other.orderTo(one) == RevisionOrder.EARLIER) other else one
+
     private fun lost(
-        place: Place,
-        start: Place,
+        place: StorePlace,
+        start: StorePlace,
         event: Event,
-    ): Followed {
+    ): FollowedChanges {
         if (!start.lost) observations.event(event) // once for a series of attempts that all fail
-        return Followed(place.copy(lost = true), changed = place.revision > start.revision)
+        val changed = place.revision != start.revision
+        return FollowedChanges(place.copy(lost = true), changed, returned = false)
     }
 
     /** Applies [changes] after [revision]; returns the revision to go on from, or null if all keys must be read. */
     private suspend fun revisionAfter(
         changes: StoreChanges,
-        revision: Long,
-    ): Long? =
+        revision: StoreRevision,
+    ): StoreRevision? =
         when (changes) {
-            StoreChanges.HistoryLost -> {
+            is StoreChanges.HistoryLost -> {
                 null
             }
 
             is StoreChanges.Batch -> {
-                if (changes.revision < revision) return null
+                if (changes.revision.orderTo(revision) == RevisionOrder.EARLIER) return null
                 changes.changes.forEach { applier.apply(it) }
                 knowledge.update { StoreFreshness.answered(it, changes.revision, clock.now()) }
                 if (changes.changes.isNotEmpty()) delay(BATCH_PAUSE)
@@ -211,7 +245,8 @@
 
     private fun applyPage(page: StorePage) {
         markAvailable()
-        fleet.update { FleetChanges.reorderedFor(it, page.revision) }
+        reportReturn(page.revision)
+        fleet.update { GoneLives.read(FleetChanges.reorderedFor(it, page.revision), page.revision) }
         val followed = knowledge.snapshot().revision
         page.items.forEach { item ->
             applier.reportMissed(item, followed)
@@ -219,6 +254,14 @@
         }
     }
 
+    /** Logs once for each era, by its first page, that the store has returned from a copy. */
+    private fun reportReturn(current: StoreRevision) {
+        val former = eraRead
+        eraRead = current.era
+        if (former == null || former == current.era) return
+        observations.event(Event.StoreReturned(knowledge.snapshot().revision, current))
+    }
+
     private fun markAvailable() {
         if (knowledge.snapshot().failingSince == null) return
         knowledge.update { StoreFreshness.available(it, clock.now()) }
@@ -233,30 +276,11 @@
         delay(RETRY_DELAY + RETRY_JITTER * random.nextDouble())
     }
 
-    /** Outcome of a read; [revision] is the lowest of the sections that were read, null if there was none. */
-    private data class FullRead(
-        val revision: Long?,
-        val complete: Boolean,
-        val available: Boolean,
-    )
-
-    /** All changes up to [revision] are applied; [lost] if those after it could not be had. */
-    private data class Place(
-        val revision: Long,
-        val nextReadAt: Instant,
-        val lost: Boolean,
-    )
-
-    /** Where following ended, and whether it brought any change. */
-    private data class Followed(
-        val place: Place,
-        val changed: Boolean,
-    )
-
     private companion object {
         val STALE_REPORT_INTERVAL: Duration = 60.seconds
 
         val WATCH_WAIT: Duration = 1500.milliseconds // detects a dead connection within the drain time
+        val FIRST_WATCH_WAIT: Duration = 100.milliseconds
         val BATCH_PAUSE: Duration = 150.milliseconds // so that one call returns several changes
         val RETRY_DELAY: Duration = 150.milliseconds
         val RETRY_JITTER: Duration = 150.milliseconds
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -15,6 +15,7 @@
 import org.acaciaflow.coordination.relay.createRelayTables
 import org.acaciaflow.coordination.relay.createRequestRelay
 import org.acaciaflow.coordination.routing.RoutingUpdater
+import org.acaciaflow.coordination.store.StoreEraTracker
 import org.acaciaflow.coordination.store.StoreWatcher
 import org.acaciaflow.protocol.http.RefusalEncoder
 import org.acaciaflow.protocol.http.ServerSentEvents
@@ -86,6 +87,7 @@
             self = settings.peers,
         )
     val relay = createRequestRelay(tables, ports, settings.dataCentre, settings.retryBounds)
+    val eras = StoreEraTracker(tables.store)
     val updater = RoutingUpdater(adapters.documents, tables.routing, runtime.observations)
     val frontEnd =
         ConfiguredFrontEnd(
@@ -100,13 +102,16 @@
         self = newProcessIdentity(settings.peers),
         runtime = runtime,
         tables = tables,
-        watcher = createStoreWatcher(settings, adapters, store, runtime, tables, updater, clock, random),
+        watcher = createStoreWatcher(settings, adapters, store, eras, runtime, tables, updater, clock, random),
         registration =
             PeerRegistration(
                 store = store.writes,
                 key = adapters.registrationKey,
                 value = settings.name.encodeToByteString(),
+                eras = eras,
                 observations = runtime.observations,
+                clock = clock,
+                random = random,
             ),
         peers = createPeerExchange(settings, runtime, tables, clock),
         configurations =
@@ -132,6 +137,7 @@
     settings: EntryHostSettings,
     adapters: EntryGatewayAdapters,
     store: PlatformStorePorts,
+    eras: StoreEraTracker,
     runtime: DaemonRuntime,
     tables: RelayTables,
     updater: RoutingUpdater,
@@ -141,6 +147,7 @@
     StoreWatcher(
         self = settings.peers,
         feed = store.changes,
+        eras = eras,
         documents = adapters.documents,
         routing = updater,
         fleet = tables.fleet,
