Let the stand-in of the store return from an older copy

The stand-in keeps its content as one immutable value, so that a copy is a value to return to. After a return revisions and lease numbers are given out again, a watch from a revision that the store doesn't have gets 410, waiting watches are cut, and all answers carry the era. Calls can be cut off for a while, and writes are carried out on request; both are off by default.

--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/StoreServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/StoreServer.kt
@@ -5,22 +5,24 @@
 import java.net.InetSocketAddress
 import java.net.URLDecoder
 import java.util.Base64
-import java.util.TreeMap
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicInteger
 
 /**
- * The platform's store: items with revisions, pages of a range, and watches. Leases are granted, writes are refused.
+ * The platform's store: items with revisions, pages of a range, watches, and returns to an older copy.
  *
- * The bounds of a page are those of the platform; an answer to a watch has none.
+ * The bounds of a page are those of the platform; an answer to a watch has none. All answers have the header `Store-Era`
+ * if [tellsEra]. Calls that write are carried out if [takesWrites]; otherwise they are refused, and leases are granted
+ * that nothing is bound to. Leases do not expire.
  */
-internal class StoreServer : AutoCloseable {
+internal class StoreServer(
+    private val tellsEra: Boolean = false,
+    private val takesWrites: Boolean = false,
+) : AutoCloseable {
     private val threads = Executors.newCachedThreadPool { Thread(it, "store").apply { isDaemon = true } }
     private val server = HttpServer.create(InetSocketAddress("127.0.0.1", 0), BACKLOG)
-    private val items = TreeMap<String, String>()
-    private val history = mutableListOf<Change>()
-    private var revision = 1L
-    private var oldestRevision = 0L
+    private var content = StoreContent()
+    private var era = 1L
 
     /** While true, watches do not answer, as for a process that is frozen. */
     private var holdsWatches = false
@@ -37,7 +39,13 @@
     @Volatile
     var refusesWatches = false
 
+    /** While true, calls get no answer and their connections are closed; [put] and [remove] go on working. */
+    private var cutsOff = false
+
     val reads = AtomicInteger()
+
+    /** The calls that asked to renew a lease. */
+    val renewals = AtomicInteger()
     val port: Int get() = server.address.port
 
     init {
@@ -62,19 +70,41 @@
     fun putEncoded(
         key: String,
         encoded: String,
-    ) {
-        revision += 1
-        val item = """{"key":"$key","value":"$encoded","revision":$revision,"create_revision":$revision,"lease":0}"""
-        items[key] = item
-        history += Change(revision, item)
-        (this as Object).notifyAll()
+    ) = change(content.put(key, encoded))
+
+    @Synchronized
+    fun remove(key: String) = change(content.remove(key))
+
+    /** What the store holds now, to return to. */
+    @Synchronized
+    fun copy(): StoreContent = content
+
+    /**
+     * Goes on from [copy]: what was written since is gone, its leases too, and their numbers are given out again.
+     *
+     * The era rises by one, and watches that wait get no answer.
+     */
+    @Synchronized
+    fun returnTo(copy: StoreContent) {
+        era += 1
+        change(copy)
+    }
+
+    /** Lets calls go unanswered while [action] runs. */
+    fun cutOffDuring(action: () -> Unit) {
+        cutOff(true)
+        action()
+        cutOff(false)
     }
 
     @Synchronized
-    fun remove(key: String) {
-        items.remove(key) ?: return
-        revision += 1
-        history += Change(revision, """{"key":"$key","revision":$revision,"tombstone":true}""")
+    private fun cutOff(isCutOff: Boolean) {
+        cutsOff = isCutOff
+        (this as Object).notifyAll()
+    }
+
+    private fun change(changed: StoreContent) {
+        content = changed
         (this as Object).notifyAll()
     }
 
@@ -98,99 +128,111 @@
     }
 
     private fun handle(exchange: HttpExchange) {
-        exchange.requestBody.readAllBytes()
-        val query = queryOf(exchange)
-        when (exchange.requestURI.path) {
-            "/-/kv-range" -> range(exchange, query)
-            "/-/kv-watch" -> watch(exchange, query)
-            "/-/kv-key" -> key(exchange, query)
-            "/-/kv-lease" -> answer(exchange, 200, """{"lease":1,"ttl_ms":15000}""")
-            "/-/kv-txn" -> answer(exchange, 503, "{}")
-            else -> answer(exchange, 200, "{}")
-        }
+        val body = exchange.requestBody.readAllBytes().decodeToString()
+        val eraAtStart = currentEra()
+        val answer = answerTo(exchange.requestURI.path, queryOf(exchange), body)
+        if (answer == null || eraAtStart == null || currentEra() != eraAtStart) return exchange.close()
+        if (tellsEra) exchange.responseHeaders.add("Store-Era", eraAtStart.toString())
+        val bytes = answer.body.toByteArray()
+        exchange.sendResponseHeaders(answer.status, bytes.size.toLong())
+        exchange.responseBody.use { it.write(bytes) }
     }
 
-    private fun key(
-        exchange: HttpExchange,
+    /** The present era; null while calls are cut off. */
+    @Synchronized
+    private fun currentEra(): Long? = if (cutsOff) null else era
+
+    /** Returns the answer to a call; null if it is cut. */
+    private fun answerTo(
+        path: String,
         query: Map<String, String>,
-    ) {
+        body: String,
+    ): StoreAnswer? =
+        when (path) {
+            "/-/kv-range" -> range(query)
+            "/-/kv-watch" -> watch(query)
+            "/-/kv-key" -> key(query)
+            else -> if (takesWrites) written(path, body) else refused(path)
+        }
+
+    private fun refused(path: String): StoreAnswer =
+        when (path) {
+            "/-/kv-lease" -> StoreAnswer(200, """{"lease":1,"ttl_ms":15000}""")
+            "/-/kv-txn" -> StoreAnswer(503)
+            else -> StoreAnswer(200)
+        }
+
+    @Synchronized
+    private fun written(
+        path: String,
+        body: String,
+    ): StoreAnswer {
+        val lease = path.substringAfterLast('/').toLongOrNull()
+        val (answer, changed) =
+            when (path.substringBeforeLast("/$lease")) {
+                "/-/kv-lease" ->
+                    content.grantLease().let { StoreAnswer(200, """{"lease":${it.lastLease},"ttl_ms":15000}""") to it }
+                "/-/kv-keep" -> StoreAnswer(if (lease in content.leases) 200 else 404) to content
+                "/-/kv-lease-end" -> StoreAnswer(200) to content.endLease(checkNotNull(lease))
+                "/-/kv-txn" -> StoreTransaction(body).runOn(content)
+                else -> StoreAnswer(404) to content
+            }
+        if (path.startsWith("/-/kv-keep/")) renewals.incrementAndGet()
+        change(changed)
+        return answer
+    }
+
+    private fun key(query: Map<String, String>): StoreAnswer {
         reads.incrementAndGet()
-        val item = synchronized(this) { items[query.getValue("key")]?.dropLast(1)?.plus(""","as_of":$revision}""") }
-        if (item == null) answer(exchange, 404, "{}") else answer(exchange, 200, item)
+        val now = copy()
+        val item = now.items[query.getValue("key")]?.json?.dropLast(1) ?: return StoreAnswer(404)
+        return StoreAnswer(200, """$item,"as_of":${now.revision}}""")
     }
 
-    private fun range(
-        exchange: HttpExchange,
-        query: Map<String, String>,
-    ) {
+    private fun range(query: Map<String, String>): StoreAnswer {
         reads.incrementAndGet()
-        if (refusesReads) answer(exchange, 503, "{}") else answer(exchange, 200, pageOf(query))
+        return if (refusesReads) StoreAnswer(503) else StoreAnswer(200, pageOf(query))
     }
 
-    @Synchronized
     private fun pageOf(query: Map<String, String>): String {
-        val rest =
-            items
-                .tailMap(query["after"].orEmpty(), false)
-                .filterKeys { it.startsWith(query["prefix"].orEmpty()) }
-                .values
-                .toList()
+        val now = copy()
+        val rest = now.range(query["prefix"].orEmpty(), query["after"].orEmpty()).map { it.json }
         val page = mutableListOf<String>()
         while (page.size < minOf(rest.size, PAGE_ITEMS) &&
             page.sumOf { it.length } < PAGE_BYTES
         ) {
             page += rest[page.size]
         }
-        return """{"items":[${page.joinToString(",")}],"has_more":${page.size < rest.size},"as_of":$revision}"""
+        return """{"items":[${page.joinToString(",")}],"has_more":${page.size < rest.size},"as_of":${now.revision}}"""
     }
 
-    private fun watch(
-        exchange: HttpExchange,
-        query: Map<String, String>,
-    ) {
-        if (refusesWatches) return answer(exchange, 503, "{}")
+    private fun watch(query: Map<String, String>): StoreAnswer? {
+        if (refusesWatches) return StoreAnswer(503)
         val after = query.getValue("after").toLong()
-        when (val changes = awaitChanges(after, query["prefix"].orEmpty(), query.getValue("wait_ms").toLong())) {
-            null -> answer(exchange, 410, "{}")
-            else -> answer(exchange, 200, changes)
-        }
+        return awaitChanges(after, query["prefix"].orEmpty(), query.getValue("wait_ms").toLong())
     }
 
+    /** Returns the answer to a watch; null if it is cut. */
     @Synchronized
     private fun awaitChanges(
         after: Long,
         prefix: String,
         waitMilliseconds: Long,
-    ): String? {
+    ): StoreAnswer? {
+        val eraAtStart = era
         val end = System.nanoTime() + waitMilliseconds * NANOSECONDS_PER_MILLISECOND
         while (true) {
-            if (forgets || after < oldestRevision) return null
-            val found =
-                history
-                    .filter {
-                        it.revision > after &&
-                            it.json.startsWith(
-                                "{\"key\":\"$prefix",
-                            )
-                    }.map { it.json }
+            if (cutsOff || era != eraAtStart) return null
+            if (forgets || after > content.revision) return StoreAnswer(410)
+            val found = content.changes(prefix, after).map { it.json }
             val left = (end - System.nanoTime()) / NANOSECONDS_PER_MILLISECOND
             if (!holdsWatches && (found.isNotEmpty() || left <= 0)) {
-                return """{"events":[${found.joinToString(",")}],"as_of":$revision}"""
+                return StoreAnswer(200, """{"events":[${found.joinToString(",")}],"as_of":${content.revision}}""")
             }
             (this as Object).wait(left.coerceAtLeast(1))
         }
     }
 
-    private fun answer(
-        exchange: HttpExchange,
-        status: Int,
-        body: String,
-    ) {
-        val bytes = body.toByteArray()
-        exchange.sendResponseHeaders(status, bytes.size.toLong())
-        exchange.responseBody.use { it.write(bytes) }
-    }
-
     private fun queryOf(exchange: HttpExchange): Map<String, String> =
         exchange.requestURI.rawQuery
             .orEmpty()
@@ -198,11 +240,6 @@
             .filter { '=' in it }
             .associate { it.substringBefore('=') to URLDecoder.decode(it.substringAfter('='), Charsets.UTF_8) }
 
-    private data class Change(
-        val revision: Long,
-        val json: String,
-    )
-
     private companion object {
         const val BACKLOG = 64
         const val HOLD_MILLISECONDS = 300L
