Hold successes of an unusual form before any second answer is known

Callers got a success for a run that its server ended with a failure, if that was the first second answer that any gateway read: its server was not isolated, and no form was known to be that of second answers.

Now a plain success is held if another form is usual for such calls and its own is not. It is passed on unless the server contradicts it.

Evidence: SecondAnswerFormTest, a success of unusual form with a failure 100 ms behind it (GET, POST): passed on before, answer-contradicted after.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/AnswerHold.kt
@@ -16,7 +16,8 @@
      * Decides on the answer to [order], which has just [answered] it.
      *
      * Only a plain one that [isDoubtful] is held, for [longest] or a share of the time left: one of an isolated server,
-     * or with a body that its server was seen to write as a second answer. A refusal is held if a second run would harm.
+     * with a body that its server was seen to write as a second answer, or of a form that is unusual for its call. A refusal
+     * is held if a second run would harm.
      * A call that may be sent to another server keeps the time for that.
      */
     fun begin(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SecondAnswerForms.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SecondAnswerForms.kt
@@ -114,7 +114,27 @@
         form: Long,
         now: Instant,
     ): Boolean {
-        if (isUsual(known, scope, form, now) || !isOfSecondAnswers(known, form, now)) return false
+        if (!isOfSecondAnswers(known, form, now)) return false
+        return isUnusual(known, scope, form, now)
+    }
+
+    /** Returns true if [answered] has no usual form although its scope has one, whether it is that of second answers or not. */
+    fun isUnusual(
+        known: AnswerForms,
+        answered: AnsweredRequest,
+        now: Instant,
+    ): Boolean {
+        val scope = answered.scope ?: return false
+        return isUnusual(known, scope, answered.form.fingerprint, now)
+    }
+
+    private fun isUnusual(
+        known: AnswerForms,
+        scope: AnswerScope,
+        form: Long,
+        now: Instant,
+    ): Boolean {
+        if (isUsual(known, scope, form, now)) return false
         return known.passedOn[scope]
             .orEmpty()
             .keys
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/HeldAnswers.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/HeldAnswers.kt
@@ -26,7 +26,8 @@
         answered: AnsweredRequest,
     ): HoldStart {
         val mayBeSecond = open.isIsolated(answered.life) && !forms.isRecognisable(answered)
-        val isDoubtful = mayBeSecond || hasSecondAnswerBody(answered)
+        val isUnusualSuccess = !answered.isRefusal && forms.isUnusual(answered)
+        val isDoubtful = mayBeSecond || hasSecondAnswerBody(answered) || isUnusualSuccess
         return AnswerHold.begin(call.order, call.purpose, answered, isDoubtful, open.holdLength(answered.pool, longest))
     }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/ObservedForms.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/ObservedForms.kt
@@ -43,6 +43,10 @@
         form: AnswerForm,
     ): Boolean = SecondAnswerForms.isDoubted(table.snapshot(), call.order, call.purpose, form, clock.now())
 
+    /** Returns true if [answered] has no usual form although like calls have one. */
+    fun isUnusual(answered: AnsweredRequest): Boolean =
+        SecondAnswerForms.isUnusual(table.snapshot(), answered, clock.now())
+
     /** Returns true if [answered] can be told from the second answers of its server. */
     fun isRecognisable(answered: AnsweredRequest): Boolean =
         SecondAnswerForms.isRecognisable(table.snapshot(), answered, clock.now())
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/SecondAnswerFormTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/SecondAnswerFormTest.kt
@@ -171,6 +171,76 @@
         }
     }
 
+    /** Guards against the first wrong success of all, before any gateway has seen a second answer. */
+    @Test
+    fun `a success of unusual form that a failure follows is not believed before any second answer is known`() {
+        for (method in listOf("GET", "POST")) {
+            val answer =
+                afterUsual(method) { output, id ->
+                    write(output, bare(id))
+                    Thread.sleep(100)
+                    write(output, failed(id))
+                }
+
+            withClue(method) { answer.end shouldBe AttemptEvent.Broken(MayHaveRun.ANSWER_CONTRADICTED) }
+        }
+    }
+
+    /** Guards against true successes that are lost because their form is new. */
+    @Test
+    fun `a success of unusual form that nothing contradicts is passed on`() {
+        afterUsual(hold = 100.milliseconds) { output, id -> write(output, bare(id)) } shouldBe
+            Answer(200, "of its own", AttemptEvent.End)
+        afterUsual { output, id ->
+            write(output, bare(id))
+            output.close()
+        } shouldBe Answer(200, "of its own", AttemptEvent.End)
+    }
+
+    /** Guards against callers that wait at each answer of a form which is new. */
+    @Test
+    fun `a form that was passed on often is not held`() {
+        RawBackend {
+            output,
+            id,
+            _,
+            ->
+            write(output, if (id.startsWith("true")) full(id) else bare(id))
+        }.use { backend ->
+            runBlocking {
+                val connections = createDirectConnections(vertx, ConnectionObserver(recorded), answerHold = SHORT)
+                repeat(SecondAnswerForms.USUAL_COUNT) { read(connections, backend, "true-$it") }
+                repeat(SecondAnswerForms.USUAL_COUNT) { read(connections, backend, "new-$it") }
+                val times = List(10) { measureTimedValue { read(connections, backend, "later-$it") }.duration }
+
+                println("a form that was new: $times")
+                times.min() shouldBeLessThan SHORT / 2
+            }
+        }
+    }
+
+    /** Returns what a request gets whose server answers by [script]; usual answers are known, second ones are not. */
+    private fun afterUsual(
+        method: String = "POST",
+        hold: Duration = LONG,
+        script: RawBackend.(OutputStream, String) -> Unit,
+    ): Answer =
+        RawBackend { output, id, _ ->
+            if (id ==
+                "request"
+            ) {
+                script(output, id)
+            } else {
+                write(output, full(id))
+            }
+        }.use { backend ->
+            runBlocking {
+                val connections = createDirectConnections(vertx, ConnectionObserver(recorded), answerHold = hold)
+                repeat(SecondAnswerForms.USUAL_COUNT) { read(connections, backend, "true-$it", method) }
+                read(connections, backend, "request", method)
+            }
+        }
+
     /** Returns what a request gets whose server, which nobody saw answer twice, answers by [script]. */
     private fun afterLearning(
         method: String = "POST",
@@ -250,6 +320,7 @@
     private companion object {
         const val BARE = "HTTP/1.1 200 Status\r\nServer-Stamp: a\r\nRequest-Id: %s\r\n"
         val LONG = 2.seconds
+        val SHORT = 300.milliseconds
         val CONTRADICTED = Answer(null, "", AttemptEvent.Broken(MayHaveRun.ANSWER_CONTRADICTED))
     }
 }
