--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/KeyValueStore.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/KeyValueStore.kt
@@ -6,7 +6,7 @@
 import kotlin.time.Duration
 
 /**
- * The product's own key-value service, whose history is never restored, so that its revisions have no era.
+ * The product's own key-value service. Its revisions have no era, so it must not return from an older copy.
  *
  * Every call has a timeout and returns failures as a [StoreResult].
  */
