--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/StoreReturnTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/StoreReturnTest.kt
@@ -119,7 +119,7 @@
 
     /** The same where the gateways reach the store at once. */
     @Test
-    fun `a server that left before a return of the store that is seen at once gets no calls although the copy shows it`() {
+    fun `a server that left before a seen return of the store gets no calls although the copy shows it`() {
         start()
         val (left) = stage.servers
         val copy = stage.store.copy()
