--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServerTest.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/PlainSoakServerTest.kt
@@ -6,7 +6,6 @@
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.longs.shouldBeGreaterThan
-import io.kotest.matchers.longs.shouldBeInRange
 import io.kotest.matchers.maps.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
@@ -196,64 +195,6 @@
         }
     }
 
-    // Guards against mixes whose second answers can be told from true ones by their fields, or by bodies that return.
-    @Test
-    fun `a second answer with an own body and the head of a true success differs in the body only`() {
-        for (length in OwnLength.entries) {
-            val mix =
-                stuttering(StutterMomentKind.SOON_AFTER_ARRIVAL, StutterContent.OwnBody(OwnHead.TRUE_FORM, length))
-            val texts = List(2) { index -> readTwoAnswers(mix, "i-$index") }
-
-            for ((truth, second) in texts) {
-                withClue(length) {
-                    fieldNames(second) shouldContainExactly fieldNames(truth)
-                    second.body shouldNotBe truth.body
-                    second.body.length shouldBe if (length == OwnLength.SHORT) 2 else truth.body.length
-                }
-            }
-            texts.map { (_, second) -> second.body }.toSet().size shouldBe 2
-        }
-    }
-
-    // Guards against a bare head that has more than the bench's second answers.
-    @Test
-    fun `a bare second answer has a stamp, an id and a length only`() {
-        val bare = StutterContent.OwnBody(OwnHead.BARE, OwnLength.SHORT)
-
-        val (truth, second) = readTwoAnswers(stuttering(StutterMomentKind.SOON_AFTER_ARRIVAL, bare), "i-1")
-
-        fieldNames(second) shouldContainExactly listOf("Server-Stamp", "Request-Id", "Content-Length")
-        fieldNames(truth) shouldContainExactly
-            listOf("Request-Id", "Server-Stamp", "Content-Type", "Server-Load", "Content-Length")
-        second.body.length shouldBe 2
-    }
-
-    // Guards against lone successes whose connection ends long behind them only.
-    @Test
-    fun `a connection whose failure is lost soon ends soon behind the second answer`() {
-        val mix =
-            FaultMix(
-                stutter = 1.0,
-                stutterMoments = persistentListOf(StutterMomentKind.SOON_AFTER_ARRIVAL),
-                stutterContents = persistentListOf(StutterContent.OwnBody(OwnHead.TRUE_FORM, OwnLength.SHORT)),
-                slowFailures = SlowFailures(lostSoon = 1.0),
-            )
-        val plans = List(ARRIVALS) { mix.draw(soakRun(7).randomFor("i-1.1.$it")) }
-
-        for (plan in plans) {
-            plan.verdict.extraMilliseconds shouldBeInRange 100L..140L
-            (plan.stutter?.moment as StutterMoment.AfterArrival).milliseconds shouldBeInRange 60L..100L
-        }
-        val entries =
-            play(mix) {
-                send("a")
-                val text = readRest()
-                answers(text) shouldBe listOf(200)
-                text shouldEndWith RawCaller.ENDED
-            }
-        entries.outcomes["i-1.1.1"] shouldBe Answered(500, "failed i-1.1.1", wroteWhole = false)
-    }
-
     @Test
     fun `an answer that is not written whole is so in the account`() {
         val mixes = listOf(FaultMix(reset = 1.0), FaultMix(mute = 1.0), FaultMix(lost = 1.0), FaultMix(cutShort = 1.0))
@@ -416,26 +357,6 @@
                 moment.milliseconds + CLEARANCE_MILLISECONDS < plan.verdict.extraMilliseconds
         }
 
-    /** The true answer and the second one behind it that the server [instance] with [mix] gives to its first request. */
-    private fun readTwoAnswers(
-        mix: FaultMix,
-        instance: String,
-    ): List<String> {
-        var text = ""
-        PlainSoakServer(instance, "register", soakRun(seed = 1), mix).use { server ->
-            RawCaller(server).use {
-                it.send("a")
-                text = it.readAnswers(2)
-            }
-        }
-        return text.split("HTTP/1.1 200 Answer\r\n").drop(1)
-    }
-
-    private fun fieldNames(answer: String): List<String> =
-        answer.substringBefore("\r\n\r\n").lines().map { it.substringBefore(':') }
-
-    private val String.body: String get() = substringAfter("\r\n\r\n")
-
     private fun stuttering(
         moment: StutterMomentKind,
         content: StutterContent,
