Believe a server whose answers all have the form of second answers

Callers lost every plain success of a server whose true answers have the form of second answers, where another form was usual: after a new version changed its head, for 10 minutes after the last second answer of any server. Successes that were not believed did not count as answers of their form, so it never became usual.

A server that writes second answers beside others is doubted as before.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SecondAnswerForms.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SecondAnswerForms.kt
@@ -24,15 +24,16 @@
         known: AnswerForms,
         answered: AnsweredRequest,
     ): AnswerForms {
-        val scope = answered.scope
-        if (scope == null || answered.status !in AnswerHold.SUCCESSES) return known
+        val scope = answered.scope ?: return known
+        val remembered = DoubtedForms.passedOn(known, answered)
+        if (answered.status !in AnswerHold.SUCCESSES) return remembered
         val form = answered.form.fingerprint
         val former = known.passedOn[scope] ?: persistentHashMapOf()
         val counted = aged(former.put(form, (former[form] ?: 0) + 1))
         val bounded = if (counted.size > KEPT_FORMS) counted.remove(rarest(counted, form)) else counted
         val isFull = scope !in known.passedOn && known.passedOn.size >= KEPT_SCOPES
         val others = if (isFull) known.passedOn.remove(known.passedOn.keys.first()) else known.passedOn
-        return known.copy(passedOn = others.put(scope, bounded))
+        return remembered.copy(passedOn = others.put(scope, bounded))
     }
 
     /**
@@ -54,8 +55,9 @@
         val isFirstFalse =
             SecondAnswerBodies.isContradiction(first, second) ||
                 (isUsual(known, scope, secondForm, now) && !isUsual(known, scope, firstForm, now))
+        val next = if (isFirstFalse) DoubtedForms.contradicted(known, first) else known
         return when {
-            isFirstFalse -> recorded(known, scope, first.life, firstForm, firstForm == secondForm, now)
+            isFirstFalse -> recorded(next, scope, first.life, firstForm, firstForm == secondForm, now)
             second.status !in AnswerHold.SUCCESSES -> known
             else -> recorded(known, scope, first.life, secondForm, firstForm == secondForm, now)
         }
@@ -94,7 +96,8 @@
      * Returns true if an answer of [form] to [order] is not believed: it is a plain success, second answers have that form,
      * and true answers have another one.
      *
-     * Where too little is known of the true answers it is believed, since they may have that form.
+     * Where too little is known of the true answers it is believed, since they may have that form; so it is from a server
+     * that answers in no other form.
      */
     fun isDoubted(
         known: AnswerForms,
@@ -105,17 +108,10 @@
     ): Boolean {
         val scope = scopeOf(order, purpose)
         if (scope == null || form.status !in AnswerHold.SUCCESSES) return false
-        return isDoubted(known, scope, form.fingerprint, now)
-    }
-
-    private fun isDoubted(
-        known: AnswerForms,
-        scope: AnswerScope,
-        form: Long,
-        now: Instant,
-    ): Boolean {
-        if (!isOfSecondAnswers(known, form, now)) return false
-        return isUnusual(known, scope, form, now)
+        val fingerprint = form.fingerprint
+        return isOfSecondAnswers(known, fingerprint, now) &&
+            isUnusual(known, scope, fingerprint, now) &&
+            !DoubtedForms.isBelieved(known, order.backend.life, scope, fingerprint)
     }
 
     /** Returns true if [answered] has no usual form although its scope has one, whether it is that of second answers or not. */
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/SecondAnswerFormsTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/SecondAnswerFormsTest.kt
@@ -153,6 +153,26 @@
         told.recognises(full, server = "another") shouldBe false
     }
 
+    /** Guards against a pool whose new version answers in the form of second answers and loses all its successes. */
+    @Test
+    fun `a server that answers in the form of second answers only is believed after some`() {
+        val first = (1..<DoubtedForms.SUFFICIENT).fold(learned) { known, _ -> known.doubting(bare) }
+
+        first.doubts(bare) shouldBe true
+        first.doubting(bare).doubts(bare) shouldBe false
+    }
+
+    /** Guards against a server that is believed although some of its answers have another form. */
+    @Test
+    fun `a server that answers in another form between is doubted on`() {
+        val doubted = (1..<DoubtedForms.SUFFICIENT).fold(learned) { known, _ -> known.doubting(bare) }
+
+        doubted.passing(full, count = 1).doubting(bare).doubts(bare) shouldBe true
+        doubted.passing(failure, count = 1).doubting(bare).doubts(bare) shouldBe true
+        doubted.doubting(bare, server = "another").doubts(bare) shouldBe true
+        doubted.doubting(bare).seeing(bare, failure).doubts(bare) shouldBe true
+    }
+
     /** Guards against tables that grow with what servers and callers send. */
     @Test
     fun `what is known is bounded`() {
@@ -163,6 +183,9 @@
         val scopes =
             (0..2 * SecondAnswerForms.KEPT_SCOPES).fold(lives) { known, it -> known.passing(full, 1, method = "M$it") }
 
+        val doubted = (0..2 * DoubtedForms.KEPT_SOURCES).fold(learned) { known, it -> known.doubting(bare, "s$it") }
+
+        doubted.doubted.size shouldBeLessThanOrEqualTo DoubtedForms.KEPT_SOURCES
         scopes.passedOn.size shouldBeLessThanOrEqualTo SecondAnswerForms.KEPT_SCOPES
         scopes.second.size shouldBeLessThanOrEqualTo SecondAnswerForms.KEPT_LIVES
         seen.second.values.maxOf { it.differing.size } shouldBe SecondAnswerForms.KEPT_FORMS
@@ -212,6 +235,11 @@
         return SecondAnswerForms.seen(this, answered(first, server = server), answer, now)
     }
 
+    private fun AnswerForms.doubting(
+        form: AnswerForm,
+        server: String = SERVER,
+    ): AnswerForms = DoubtedForms.recorded(this, answered(form, server = server))
+
     private fun AnswerForms.doubts(
         form: AnswerForm,
         route: String = ROUTE,
--- a/state/src/main/kotlin/org/acaciaflow/state/connection/AnswerForms.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/connection/AnswerForms.kt
@@ -14,18 +14,31 @@
     val method: String,
 )
 
+/** The server [life] and the calls to it whose answers have like forms. */
+data class AnswerSource(
+    val life: BackendLife,
+    val scope: AnswerScope,
+)
+
+/** A form that was not believed [count] times, without an answer of another form between. */
+data class DoubtedForm(
+    val form: Long,
+    val count: Int,
+)
+
 /**
  * The forms of answers by [AnswerForm.fingerprint].
  *
  * [passedOn] has how often each was that of a plain success which a caller got, [second] those of second answers by their
- * servers.
+ * servers, [doubted] those of successes that were not believed.
  */
 data class AnswerForms(
     val passedOn: PersistentMap<AnswerScope, PersistentMap<Long, Int>>,
     val second: PersistentMap<BackendLife, SecondForms>,
+    val doubted: PersistentMap<AnswerSource, DoubtedForm>,
 ) {
     companion object {
-        val NONE = AnswerForms(persistentHashMapOf(), persistentHashMapOf())
+        val NONE = AnswerForms(persistentHashMapOf(), persistentHashMapOf(), persistentHashMapOf())
     }
 }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/HeldAnswers.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/HeldAnswers.kt
@@ -53,8 +53,16 @@
         return end
     }
 
-    /** Reports that [answered], which has the form of second answers, is not believed. */
-    fun doubted(answered: AnsweredRequest) {
+    /**
+     * Reports that [answered], which has the form of second answers, is not believed.
+     *
+     * It is the first answer to its request if [isFirst].
+     */
+    fun doubted(
+        answered: AnsweredRequest,
+        isFirst: Boolean,
+    ) {
+        if (isFirst) forms.doubted(answered)
         open.surplusAnswered(answered.life) // first, so that the connection carries no other request
         report(answered, second = null, AnswerContradiction.SECOND_ANSWER_FORM)
     }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -207,7 +207,7 @@
     ) {
         val answering =
             Reading.Answering(call, answer.status, isRefusal = false, answer.signature, answer.form, body)
-        held.doubted(answering.ended(clock.now()))
+        held.doubted(answering.ended(clock.now()), isFirst = !isContradicted(call))
         contradicted = call
     }
 
--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/ObservedForms.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/ObservedForms.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.transport.direct
 
 import org.acaciaflow.coordination.connection.AnsweredRequest
+import org.acaciaflow.coordination.connection.DoubtedForms
 import org.acaciaflow.coordination.connection.SecondAnswerForms
 import org.acaciaflow.coordination.connection.SurplusAnswer
 import org.acaciaflow.coordination.port.RunOrder
@@ -19,6 +20,11 @@
         table.update { SecondAnswerForms.passedOn(it, answered) }
     }
 
+    /** Notes that the success [answered] was not believed. */
+    fun doubted(answered: AnsweredRequest) {
+        table.update { DoubtedForms.recorded(it, answered) }
+    }
+
     /** Notes that the request of [first] was answered again by [second]. */
     fun secondSeen(
         first: AnsweredRequest,
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/SecondAnswerFormTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/SecondAnswerFormTest.kt
@@ -12,6 +12,7 @@
 import org.acaciaflow.coordination.connection.AnswerContradiction
 import org.acaciaflow.coordination.connection.ConnectionCloseReason
 import org.acaciaflow.coordination.connection.ConnectionObserver
+import org.acaciaflow.coordination.connection.DoubtedForms
 import org.acaciaflow.coordination.connection.SecondAnswerForms
 import org.acaciaflow.coordination.port.AttemptEvent
 import org.acaciaflow.state.refusal.MayHaveRun
@@ -126,6 +127,22 @@
         answer.end shouldBe AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED)
     }
 
+    /** Guards against a server of a new version that loses all its successes since they have the form of second answers. */
+    @Test
+    fun `a server whose answers all have the form of second answers is believed after some`() {
+        RawBackend { output, id, _ -> write(output, bare(id)) }.use { backend ->
+            runBlocking {
+                val (connections, learning) = learned(hold = 30.milliseconds)
+                learning.use {
+                    val answers = List(30) { read(connections, backend, "request-$it").status }
+
+                    println("successes of a new version: ${answers.count { it == 200 }} of 30")
+                    answers.drop(DoubtedForms.SUFFICIENT).toSet() shouldBe setOf(200)
+                }
+            }
+        }
+    }
+
     /** Guards against sound pools whose true answers have the form of second answers elsewhere. */
     @Test
     fun `true answers are passed on where they have the form of second answers`() {
