--- a/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/direct/LateAnswerFilter.kt
@@ -214,7 +214,7 @@
                 announcesClose = false,
                 body,
             )
-        held.doubted(answering.ended(clock.now()))
+        held.doubted(answering.ended(clock.now()), isFirst = !isContradicted(call))
         contradicted = call
     }
 
