Hold usual successes of isolated servers where second answers have their form

Callers got a success of the usual form before its failure from an isolated server whose one known second answer had another form: its usual successes were not held any more. Each server that writes second answers of both forms could do so once.

Now a usual success is held also if a second answer of any server had its form.

Evidence: SecondAnswerFormTest, a server with one bare second answer writes a usual success and 50 ms later a failure, after another server did the same: passed on before, answer-contradicted after. The first one of a gateway remains.

--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SecondAnswerForms.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/SecondAnswerForms.kt
@@ -140,7 +140,8 @@
     /**
      * Returns true if [answered] can be told from the second answers of its server.
      *
-     * At least one of them must have been seen by this gateway, and none with the form of true answers.
+     * At least one of them must have been seen by this gateway, and none with the form of true answers, nor one of any
+     * server with the form of this answer.
      */
     fun isRecognisable(
         known: AnswerForms,
@@ -150,7 +151,9 @@
         val scope = answered.scope ?: return false
         val second = known.second[answered.life] ?: return false
         if (second.like.values.any { isFresh(it, now) }) return false
-        if (!isUsual(known, scope, answered.form.fingerprint, now)) return false
+        val form = answered.form.fingerprint
+        if (known.second.values.any { other -> other.like[form]?.let { isFresh(it, now) } == true }) return false
+        if (!isUsual(known, scope, form, now)) return false
         val differing = second.differing.filterValues { isFresh(it, now) }.keys
         return differing.isNotEmpty() && differing.none { isUsual(known, scope, it, now) }
     }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/SecondAnswerFormsTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/connection/SecondAnswerFormsTest.kt
@@ -127,6 +127,14 @@
         AnswerForms.NONE.passing(full).recognises(full) shouldBe false
     }
 
+    /** Guards against a usual success that is passed on before its failure, once at each server that answers twice. */
+    @Test
+    fun `a usual success is not recognisable once any server has written second answers of its form`() {
+        val learnedOfBoth = learned.seeing(full, bare, server = "another").seeing(full, failure)
+
+        learnedOfBoth.recognises(full, server = "another") shouldBe false
+    }
+
     /** Guards against a late answer that is skipped and tells nothing of its form. */
     @Test
     fun `the form of a late answer that was skipped is known`() {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/SecondAnswerFormTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/SecondAnswerFormTest.kt
@@ -258,6 +258,33 @@
             }
         }
 
+    /** Guards against a usual success that is passed on before its failure, once at each server that answers twice. */
+    @Test
+    fun `a usual success before its failure is not believed once another server wrote one`() {
+        RawBackend { output, id, _ ->
+            write(output, if (id == "doubled") full(id) + bare(id) else full(id))
+            if (id == "failed") {
+                Thread.sleep(50)
+                write(output, failed(id))
+            }
+        }.use { backend ->
+            runBlocking {
+                val (connections, learning) = learned()
+                learning.use {
+                    RawBackend { output, id, _ -> write(output, full(id) + failed(id)) }.use { other ->
+                        read(connections, other, "other")
+                        withTimeout(2.seconds) { while (connections.isolatedServers != 2) delay(5.milliseconds) }
+                    }
+                    read(connections, backend, "doubled")
+                    withTimeout(2.seconds) { while (connections.isolatedServers != 3) delay(5.milliseconds) }
+
+                    read(connections, backend, "failed").end shouldBe
+                        AttemptEvent.Broken(MayHaveRun.ANSWER_CONTRADICTED)
+                }
+            }
+        }
+    }
+
     /** Returns what a request gets whose server, which nobody saw answer twice, answers by [script]. */
     private fun afterLearning(
         method: String = "POST",
