Let the store of the soak return from an older copy

A disturbance takes a copy, returns to it up to 2 s later while the gateways are cut off for up to 0.7 s, and the operator and the servers write everything again in a drawn order. It takes the place of one of three equal pauses of a gateway, so the other disturbances of a seed stay as they were. All answers of the soak's store name its era.

--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Disturbance.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Disturbance.kt
@@ -41,6 +41,17 @@
     data class RefuseAtStore(
         val milliseconds: Long,
     ) : Disturbance
+
+    /**
+     * The store returns to a copy that is [ageMilliseconds] old, cut off from the gateways for [cutMilliseconds].
+     *
+     * What the operator and the servers wrote since is written again, in an order drawn from [seed], during the cut.
+     */
+    data class ReturnStore(
+        val ageMilliseconds: Long,
+        val cutMilliseconds: Long,
+        val seed: Long,
+    ) : Disturbance
 }
 
 /** A disturbance and when it begins, in milliseconds since the start of the calls. */
@@ -78,6 +89,7 @@
         4 -> Disturbance.Reconfigure
         5 -> Disturbance.RefuseAtStore(long)
         6 -> Disturbance.PauseGateway(gateway, long)
+        7 -> Disturbance.ReturnStore(long, short, random.nextLong())
         else -> Disturbance.PauseGateway(gateway, short)
     }
 }
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakPlay.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakPlay.kt
@@ -7,7 +7,6 @@
 import java.util.concurrent.Executors
 import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 
 /** How large a soak is and what its servers do. */
@@ -42,14 +41,15 @@
 ) : AutoCloseable {
     private val run = soakRun(shape.seed)
     private val servers = plainServers() + engines(EngineStage.PREFILL) + engines(EngineStage.DECODE)
-    private val store = StoreServer()
-    private val version = AtomicInteger(1)
+    private val store = StoreServer(tellsEra = true)
+    private val returns = Any()
+    private var version = 1
     private val mayRestart = Semaphore(shape.gateways - 1)
     private val threads = Executors.newCachedThreadPool { Thread(it, "soak-disturbance").apply { isDaemon = true } }
     private val gateways: List<SoakGateway>
 
     init {
-        store.put(CONFIGURATION_KEY, soakConfiguration(version.get()))
+        configure(version)
         servers.forEach { register(it) }
         gateways = gatewayPlaces(shape.gateways, RETRY_SLACK).map { SoakGateway(store.port, it) }
     }
@@ -82,8 +82,19 @@
             EngineSoakServer("i-${stage.text}-$it", ENGINE_SERVICE, stage, run, shape.mix.faults)
         }
 
+    /** Writes the entry of [server]; the store's last one is always that of its present life. */
+    @Synchronized
     private fun register(server: SoakServer) = store.put("servers/${server.instance}", server.entry())
 
+    @Synchronized
+    private fun configure(newVersion: Int) {
+        version = newVersion
+        store.put(CONFIGURATION_KEY, soakConfiguration(newVersion))
+    }
+
+    @Synchronized
+    private fun configureNext() = configure(version + 1)
+
     /** Begins each disturbance at its time, and waits until all of them are over. */
     private fun disturb() {
         val start = run.clock()
@@ -105,8 +116,9 @@
             is Disturbance.KillGateway -> restart(gateways[disturbance.gateway], "KILL")
             is Disturbance.RestartServer -> restart(servers[disturbance.server], disturbance.milliseconds)
             is Disturbance.DrainServer -> drain(servers[disturbance.server], disturbance.milliseconds)
-            Disturbance.Reconfigure -> store.put(CONFIGURATION_KEY, soakConfiguration(version.incrementAndGet()))
+            Disturbance.Reconfigure -> configureNext()
             is Disturbance.RefuseAtStore -> refuseAtStore(disturbance.milliseconds)
+            is Disturbance.ReturnStore -> returnStore(disturbance)
         }
 
     /** Restarts [gateway], unless it is the last one that serves. */
@@ -170,6 +182,23 @@
         store.refusesWatches = false
     }
 
+    /** Returns to a copy, one such disturbance after the other; the writers write everything again. */
+    private fun returnStore(disturbance: Disturbance.ReturnStore) =
+        synchronized(returns) {
+            val copy = store.copy()
+            Thread.sleep(disturbance.ageMilliseconds)
+            println("the store returns from revision ${store.copy().revision} to ${copy.revision}: $disturbance")
+            store.cutOffDuring {
+                store.returnTo(copy)
+                val writes: List<() -> Unit> = servers.map { { register(it) } } + { configureAgain() }
+                writes.shuffled(Random(disturbance.seed)).forEach { it() }
+                Thread.sleep(disturbance.cutMilliseconds)
+            }
+        }
+
+    @Synchronized
+    private fun configureAgain() = configure(version)
+
     private companion object {
         const val CONFIGURATION_KEY = "op/config"
         const val RETRY_SLACK = 400
