--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/DoubtedForms.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/connection/DoubtedForms.kt
@@ -32,13 +32,7 @@
     ): AnswerForms {
         val source = sourceOf(answered) ?: return known
         val doubted = known.doubted[source] ?: return known
-        return if (doubted.form ==
-            answered.form.fingerprint
-        ) {
-            known
-        } else {
-            known.copy(doubted = known.doubted.remove(source))
-        }
+        return if (doubted.form == answered.form.fingerprint) known else contradicted(known, answered)
     }
 
     /** Forgets the doubted form of the server of [answered], which was contradicted. */
