--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -1,10 +1,9 @@
 package org.acaciaflow.coordination.relay
 
+import kotlinx.coroutines.CancellationException
 import org.acaciaflow.coordination.buffer.BufferLimits
 import org.acaciaflow.coordination.buffer.BufferReservation
-import org.acaciaflow.coordination.crash.CrashRecorder
 import org.acaciaflow.coordination.fleet.BackendAvailability
-import org.acaciaflow.coordination.fleet.FleetChanges
 import org.acaciaflow.coordination.fleet.SendPermission
 import org.acaciaflow.coordination.gateway.StreamFraming
 import org.acaciaflow.coordination.gateway.sendWhole
@@ -15,13 +14,9 @@
 import org.acaciaflow.coordination.port.CallerWrite
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.coordination.port.SocketReads
-import org.acaciaflow.coordination.reliability.ReliabilityPolicy
-import org.acaciaflow.coordination.reliability.RunVerdict
 import org.acaciaflow.coordination.stream.StreamOrigins
 import org.acaciaflow.state.fleet.BackendEntry
-import org.acaciaflow.state.fleet.BackendLife
 import org.acaciaflow.state.load.JobIdentity
-import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.refusal.MayHaveRun
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -32,7 +27,7 @@
 internal class BackendRun(
     private val tables: RelayTables,
     private val availability: BackendAvailability,
-    private val crashes: CrashRecorder,
+    private val verdicts: RunVerdicts,
     private val connections: BackendConnections,
     private val framing: StreamFraming,
     private val origins: StreamOrigins,
@@ -44,6 +39,8 @@
     /**
      * Executes [order], whose first result is predicted to take [work], unless its server may get no new work.
      *
+     * It is hedged as [hedging] says while it exceeds one of [stallTimeouts].
+     *
      * Records the load and the outcome in the shared tables.
      */
     suspend fun run(
@@ -52,6 +49,7 @@
         work: Duration,
         stallTimeouts: StallTimeouts,
         tracker: RelayProgressTracker,
+        hedging: Hedging,
     ): RunOutcome {
         when (val permission = availability.claim(order)) {
             is SendPermission.Denied -> return RunOutcome.NotExecuted(permission.reason)
@@ -60,39 +58,78 @@
         val life = order.backend.life
         val job = jobs.next()
         tables.load.update { LoadLedger.sent(it, life, job, work, tokensOf(request), clock.now()) }
-        tracker.update { it.copy(attemptInFlight = true) }
+        tracker.update { it.copy(attemptsInFlight = it.attemptsInFlight + 1) }
         try {
-            val stream = connections.open(order, request.body)
-            val watchdog = StallWatchdog(tables, life, job, stallTimeouts, socketReads, clock)
-            val quarantine = QuarantineWatch(tables, request, job, tracker, clock)
-            val memory = BufferReservation(tables.answerBuffers, bufferLimits, life)
-            val relayOutcome =
-                try {
-                    watchdog.during(stream) { watched ->
-                        quarantine.during(
-                            watched,
-                        ) { relayAnswer(it, request, order.backend, job, watchdog, tracker, memory) }
-                    }
-                } finally {
-                    memory.release()
-                    stream.cancel()
-                }
-            val outcome =
-                when {
-                    relayOutcome !is RunOutcome.Broken -> relayOutcome
-                    quarantine.givenUp -> RunOutcome.Broken(MayHaveRun.CRASH_SUSPECT)
-                    relayOutcome.reason == MayHaveRun.STREAM_UNRECORDED -> relayOutcome
-                    watchdog.stalled -> RunOutcome.Broken(MayHaveRun.STREAM_STALLED)
-                    else -> relayOutcome
-                }
-            tracker.update { it.copy(attemptInFlight = false) }
-            recordVerdict(request, life, job, outcome)
-            return outcome
+            // A request that may run once must not be run by a former attempt any more.
+            if (!request.route.kind.repeatable) hedging.supersedeFormer()
+            val result = attempt(request, order, job, stallTimeouts, tracker, hedging)
+            tracker.update { it.copy(attemptsInFlight = it.attemptsInFlight - 1) }
+            return when (result) {
+                is AttemptResult.Own -> result.result
+                is AttemptResult.Superseded -> RunOutcome.Superseded(result.conclusion)
+            }
+        } catch (cancellation: CancellationException) {
+            tracker.update { it.withReached(life).copy(mayHaveRun = it.mayHaveRun ?: MayHaveRun.ANSWER_INCOMPLETE) }
+            throw cancellation
         } finally {
             tables.load.update { LoadLedger.ended(it, life, job, clock.now()) }
         }
     }
 
+    private suspend fun attempt(
+        request: RelayedRequest,
+        order: RunOrder,
+        job: JobIdentity,
+        stallTimeouts: StallTimeouts,
+        tracker: RelayProgressTracker,
+        hedging: Hedging,
+    ): AttemptResult<RunOutcome> {
+        val life = order.backend.life
+        val stream = connections.open(order, request.body)
+        val stalls = RunStallDetector(tables, life, job, stallTimeouts, stream, clock)
+        val attempt = HedgedAttempt(stalls, hedging, socketReads, clock)
+        try {
+            return attempt.during(
+                mayHedge = { tracker.progress.mayGoOnElsewhere },
+                stop = stream::cancel,
+                isFinal = { it is RunOutcome.Delivered || it == RunOutcome.CallerGone },
+            ) {
+                val outcome = relayAttempt(request, order.backend, job, stalls, attempt, tracker)
+                verdicts.record(request, life, job, outcome, clock.now())
+                tables.load.update { LoadLedger.ended(it, life, job, clock.now()) }
+                outcome
+            }
+        } finally {
+            stream.cancel()
+        }
+    }
+
+    private suspend fun relayAttempt(
+        request: RelayedRequest,
+        backend: BackendEntry,
+        job: JobIdentity,
+        stalls: RunStallDetector,
+        attempt: HedgedAttempt,
+        tracker: RelayProgressTracker,
+    ): RunOutcome {
+        val quarantine = QuarantineWatch(tables, request, job, tracker, clock)
+        val memory = BufferReservation(tables.answerBuffers, bufferLimits, backend.life)
+        val outcome =
+            try {
+                quarantine.during(stalls.watchedStream) { stream ->
+                    relayAnswer(stream, request, backend, job, stalls, attempt, tracker, memory)
+                }
+            } finally {
+                memory.release()
+            }
+        return when {
+            outcome !is RunOutcome.Broken -> outcome
+            quarantine.givenUp -> RunOutcome.Broken(MayHaveRun.CRASH_SUSPECT)
+            attempt.superseded -> RunOutcome.Broken(MayHaveRun.STREAM_STALLED)
+            else -> outcome
+        }
+    }
+
     private fun tokensOf(request: RelayedRequest): Int =
         request.facts.prompt?.let { it.promptTokens + it.maximumOutputTokens } ?: 0
 
@@ -101,7 +138,8 @@
         request: RelayedRequest,
         backend: BackendEntry,
         job: JobIdentity,
-        watchdog: StallWatchdog,
+        stalls: RunStallDetector,
+        attempt: HedgedAttempt,
         tracker: RelayProgressTracker,
         memory: BufferReservation,
     ): RunOutcome =
@@ -113,9 +151,9 @@
             is AttemptEvent.Head -> {
                 tracker.update { it.copy(mayHaveRun = MayHaveRun.ANSWER_INCOMPLETE) }
                 if (framing.isEventStream(first.head)) {
-                    relayEvents(stream, first, request, backend, job, watchdog, tracker, memory)
+                    relayEvents(stream, first, request, backend, job, stalls, attempt, tracker, memory)
                 } else {
-                    relayBuffered(stream, first, request, tracker, memory)
+                    relayBuffered(stream, first, request, attempt, tracker, memory)
                 }
             }
 
@@ -135,12 +173,13 @@
         request: RelayedRequest,
         backend: BackendEntry,
         job: JobIdentity,
-        watchdog: StallWatchdog,
+        stalls: RunStallDetector,
+        attempt: HedgedAttempt,
         tracker: RelayProgressTracker,
         memory: BufferReservation,
     ): RunOutcome {
-        val start = StreamStart(origins, request, backend, tracker, watchdog)
-        val delivery = EventDelivery(request.exchange, framing, tracker, first, start, memory, clock)
+        val start = StreamStart(origins, request, backend, tracker, stalls)
+        val delivery = EventDelivery(request.exchange, framing, tracker, first, start, attempt, memory, clock)
         var recordedAt = Instant.DISTANT_PAST
         while (true) {
             when (val event = stream.next()) {
@@ -151,8 +190,9 @@
                         recordedAt = now
                     }
                     when (val forwarded = delivery.forward(event.bytes)) {
-                        is Forwarded.Written -> if (forwarded.progressed) watchdog.recordProgress(clock.now())
+                        is Forwarded.Written -> if (forwarded.progressed) stalls.recordProgress(clock.now())
                         Forwarded.CallerGone -> return RunOutcome.CallerGone
+                        Forwarded.Superseded -> return RunOutcome.Broken(MayHaveRun.STREAM_STALLED)
                         Forwarded.Unrecorded -> return RunOutcome.Broken(MayHaveRun.STREAM_UNRECORDED)
                         Forwarded.OutOfOrder -> return RunOutcome.Broken(MayHaveRun.STREAM_NOT_RESUMED)
                         Forwarded.MemorySpent -> return RunOutcome.Broken(MayHaveRun.ANSWER_MEMORY_SPENT)
@@ -182,6 +222,7 @@
         stream: AttemptStream,
         first: AttemptEvent.Head,
         request: RelayedRequest,
+        attempt: HedgedAttempt,
         tracker: RelayProgressTracker,
         memory: BufferReservation,
     ): RunOutcome {
@@ -199,91 +240,27 @@
         if (head.status >= FIRST_FAILURE_STATUS || tracker.progress.begun) {
             return RunOutcome.Failed(answer, first.origin)
         }
-        tracker.update { it.copy(begunAt = clock.now(), origin = first.origin, resumable = false) }
-        return outcomeOf(request.exchange.sendWhole(answer), head.status)
+        val written =
+            attempt.answer(isAdvance = { true }) {
+                tracker.update { it.copy(begunAt = clock.now(), origin = first.origin, resumable = false) }
+                request.exchange.sendWhole(answer)
+            }
+        return outcomeOf(written, head.status)
     }
 
+    /** Returns the outcome of a run whose answer was [written] to its end; null if another attempt has superseded it. */
     private fun outcomeOf(
-        written: CallerWrite,
+        written: CallerWrite?,
         status: Int,
     ): RunOutcome =
         when (written) {
             CallerWrite.WRITTEN -> RunOutcome.Delivered(status)
             CallerWrite.CALLER_GONE -> RunOutcome.CallerGone
+            null -> RunOutcome.Broken(MayHaveRun.STREAM_STALLED)
         }
 
-    private fun recordVerdict(
-        request: RelayedRequest,
-        life: BackendLife,
-        job: JobIdentity,
-        outcome: RunOutcome,
-    ) {
-        val now = clock.now()
-        val verdict =
-            when (outcome) {
-                is RunOutcome.Delivered -> RunVerdict.SUCCEEDED
-                RunOutcome.CallerGone -> return
-                is RunOutcome.NotExecuted -> verdictOf(life, outcome.reason) ?: return
-                is RunOutcome.Broken -> if (outcome.reason in NO_FAULT_OF_SERVER) return else RunVerdict.FAILED
-                is RunOutcome.Failed -> RunVerdict.FAILED
-            }
-        tables.reliability.update { ReliabilityPolicy.recorded(it, life, verdict, now) }
-        recordCrashEvidence(request, life, job, outcome, now)
-    }
-
-    private fun recordCrashEvidence(
-        request: RelayedRequest,
-        life: BackendLife,
-        job: JobIdentity,
-        outcome: RunOutcome,
-        now: Instant,
-    ) {
-        when (outcome) {
-            is RunOutcome.Delivered -> {
-                if (outcome.status < FIRST_FAILURE_STATUS) crashes.served(request.crashSubjects, now)
-            }
-
-            is RunOutcome.Broken -> {
-                val mayBeCause = outcome.reason in CRASH_SIGNS && wasStarting(life, job, now)
-                if (mayBeCause) crashes.crashed(request.crashSubjects, life, now)
-            }
-
-            RunOutcome.CallerGone, is RunOutcome.NotExecuted, is RunOutcome.Failed -> {
-                Unit
-            }
-        }
-    }
-
-    /** Returns true if [job] at [life] has no result as of [now] or had its first one just before. */
-    private fun wasStarting(
-        life: BackendLife,
-        job: JobIdentity,
-        now: Instant,
-    ): Boolean {
-        val jobs =
-            tables.load
-                .snapshot()
-                .ownAt(life)
-                .jobs
-        val firstResultAt = jobs[job]?.firstResultAt ?: return true
-        return now - firstResultAt < START_PERIOD
-    }
-
-    /** Returns the verdict on a server that did not execute a request; null when nothing was sent to it. */
-    private fun verdictOf(
-        life: BackendLife,
-        reason: AttemptRefusal,
-    ): RunVerdict? {
-        if (reason in SendPermission.DENIALS) return null
-        if (reason == AttemptRefusal.OTHER_LIFE) tables.fleet.update { FleetChanges.rejected(it, life) }
-        return if (reason == AttemptRefusal.CONNECTION_REFUSED) RunVerdict.UNREACHABLE else RunVerdict.REFUSED
-    }
-
     private companion object {
         const val FIRST_FAILURE_STATUS = 400
-        val NO_FAULT_OF_SERVER = setOf(MayHaveRun.CRASH_SUSPECT, MayHaveRun.STREAM_UNRECORDED)
-        val CRASH_SIGNS = setOf(MayHaveRun.BACKEND_CRASHED, MayHaveRun.ANSWER_INCOMPLETE)
-        val START_PERIOD: Duration = 250.milliseconds // the first event may arrive before the server has crashed
         val LOAD_UPDATE_INTERVAL: Duration = 50.milliseconds // load predictions need no finer resolution
     }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Conclusions.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Conclusions.kt
@@ -71,7 +71,7 @@
 internal fun timedOut(progress: RelayProgress): Conclusion =
     when {
         progress.begun -> Conclusion.Aborted(MayHaveRun.DEADLINE_PASSED)
-        progress.mayHaveRun != null || progress.attemptInFlight -> Conclusion.Uncertain(MayHaveRun.DEADLINE_PASSED)
+        progress.mayHaveRun != null || progress.attemptsInFlight > 0 -> Conclusion.Uncertain(MayHaveRun.DEADLINE_PASSED)
         else -> Conclusion.NotExecuted(NotRun.DEADLINE_PASSED, RETRY_AFTER)
     }
 
@@ -79,16 +79,23 @@
 internal fun stopped(progress: RelayProgress): Conclusion =
     when {
         progress.begun -> Conclusion.Aborted(MayHaveRun.STOPPING)
-        progress.mayHaveRun != null || progress.attemptInFlight -> Conclusion.Uncertain(MayHaveRun.STOPPING)
+        progress.mayHaveRun != null || progress.attemptsInFlight > 0 -> Conclusion.Uncertain(MayHaveRun.STOPPING)
         else -> Conclusion.NotExecuted(NotRun.STOPPING, RETRY_AFTER)
     }
 
-/** Forwards the error answer of a backend server to the caller. */
+/**
+ * Forwards the error answer of a backend server to the caller.
+ *
+ * While an attempt that was hedged may still have an answer, that is waited for.
+ */
 internal suspend fun forwardFailure(
     request: RelayedRequest,
     failed: RunOutcome.Failed,
     tracker: RelayProgressTracker,
+    hedging: Hedging,
 ): Conclusion {
+    hedging.former?.awaitEnd()
+    hedging.supersedeFormer()
     tracker.update { it.copy(origin = failed.origin) }
     return when (request.exchange.sendWhole(failed.answer)) {
         CallerWrite.WRITTEN -> Conclusion.Delivered(failed.answer.status)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Decision.kt
@@ -132,6 +132,17 @@
             get() = request.facts.requestId
     }
 
+    /** The attempt at [backend] exceeds the limit [stall], so that other servers are tried beside it. */
+    data class Stalled(
+        val request: RelayedRequest,
+        val backend: BackendEntry,
+        val stall: Stall,
+        override val at: Instant,
+    ) : Decision {
+        override val requestId: String
+            get() = request.facts.requestId
+    }
+
     /** The stream that [request] takes up began at [origin], as far as that could be proved. */
     data class OriginLookedUp(
         val request: RelayedRequest,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -14,6 +14,7 @@
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 
 /** Serves generations: plans prefill and decode, including KV cache transfers, and resumes broken streams. */
 internal class EngineRelay(
@@ -36,7 +37,17 @@
         properties: EngineProperties,
         tracker: RelayProgressTracker,
     ): Conclusion {
-        var reason = RetryReason.ATTEMPT_REFUSED
+        val generation = Generation(request, prompt, properties, tracker, former = null)
+        return relay(generation, RetryReason.ATTEMPT_REFUSED)
+    }
+
+    /** Serves [generation]; its first attempt is a retry for [firstReason] unless it is the first of all. */
+    private suspend fun relay(
+        generation: Generation,
+        firstReason: RetryReason,
+    ): Conclusion {
+        val (request, prompt, properties, tracker) = generation
+        var reason = firstReason
         while (true) {
             val now = clock.now()
             if (now >= request.deadline) return timedOut(tracker.progress)
@@ -51,11 +62,11 @@
                 val refusal = admission.refusalAtArrival(request, prompt, view, path, now)
                 if (refusal != null) return refusal
             }
-            if (!retryLimiter.tryAcquire(request, tracker.progress, reason, now)) return noAttemptLeft(tracker.progress)
+            if (!tryAcquire(generation, reason, now)) return noAttemptLeft(tracker.progress)
             val step =
                 when (path) {
-                    is EnginePath.LocalPrefill -> send(request, prompt, properties, path.engine, null, path, tracker)
-                    is EnginePath.RemotePrefill -> prefillRemotely(request, prompt, properties, path, tracker)
+                    is EnginePath.LocalPrefill -> send(generation, path.engine, null, path)
+                    is EnginePath.RemotePrefill -> prefillRemotely(generation, path)
                 }
             when (step) {
                 is EngineStep.Finished -> return step.conclusion
@@ -66,37 +77,54 @@
     }
 
     private suspend fun prefillRemotely(
-        request: RelayedRequest,
-        prompt: Prompt,
-        properties: EngineProperties,
+        generation: Generation,
         path: EnginePath.RemotePrefill,
-        tracker: RelayProgressTracker,
     ): EngineStep {
+        val (request, prompt, properties, tracker) = generation
         val sentAt = clock.now()
         quarantine.conclusionBeforeSend(request, tracker.progress, sentAt)?.let { return EngineStep.Finished(it) }
         observations.decided(
             Decision.Sent(request, path.prefillEngine, path.predicted, setAside = 0, tables.load.snapshot(), sentAt),
         )
         val order = runOrderFor(request, path.prefillEngine, source = null, tracker.progress, sentAt)
-        return when (val outcome = prefillRun.run(request, order, path, prompt, properties)) {
+        val hedge =
+            Hedge { stalled, stall ->
+                observations.decided(Decision.Stalled(request, path.prefillEngine, stall, clock.now()))
+                tracker.update { it.copy(excluded = it.excluded.add(path.prefillEngine.life)) }
+                relay(generation.copy(former = stalled), RetryReason.RUN_STALLED)
+            }
+        val result = prefillRun.run(request, order, path, prompt, properties, Hedging(generation.former, hedge))
+        observations.decided(Decision.Ran(request, path.prefillEngine, result.toString(), clock.now()))
+        return when (result) {
+            is AttemptResult.Own -> stepAfterPrefill(generation, path, result.result, sentAt)
+            is AttemptResult.Superseded -> EngineStep.Finished(result.conclusion)
+        }
+    }
+
+    private suspend fun stepAfterPrefill(
+        generation: Generation,
+        path: EnginePath.RemotePrefill,
+        outcome: PrefillOutcome,
+        sentAt: Instant,
+    ): EngineStep {
+        val tracker = generation.tracker
+        return when (outcome) {
             is PrefillOutcome.Ready -> {
                 tracker.update { it.copy(prefillCalls = it.prefillCalls + 1) }
-                decode(request, prompt, properties, path, outcome.source, tracker)
+                decode(generation, path, outcome.source)
             }
 
             is PrefillOutcome.Refused -> {
                 if (outcome.reason == AttemptRefusal.LIMITED) {
-                    retryLimiter.giveBack(request, tracker.progress, sentAt)
+                    giveBack(generation, sentAt)
                 } else {
                     recordFailedPrefill(tracker, path.prefillEngine, outcome.reason)
                 }
-                observations.decided(Decision.Ran(request, path.prefillEngine, outcome.toString(), clock.now()))
                 EngineStep.Retry(RetryReason.ATTEMPT_REFUSED)
             }
 
             is PrefillOutcome.Broken -> {
                 recordFailedPrefill(tracker, path.prefillEngine, reason = null)
-                observations.decided(Decision.Ran(request, path.prefillEngine, outcome.toString(), clock.now()))
                 EngineStep.Retry(RetryReason.ANSWER_INCOMPLETE)
             }
         }
@@ -104,27 +132,22 @@
 
     /** Decodes from [source]; as long as it could not be sent, another engine is chosen for the same KV cache. */
     private suspend fun decode(
-        request: RelayedRequest,
-        prompt: Prompt,
-        properties: EngineProperties,
+        generation: Generation,
         path: EnginePath.RemotePrefill,
         source: CacheSource,
-        tracker: RelayProgressTracker,
     ): EngineStep {
         while (true) {
-            val step = decodeOnce(request, prompt, properties, path, source, tracker)
+            val step = decodeOnce(generation, path, source)
             if (step != EngineStep.NotSent) return step
         }
     }
 
     private suspend fun decodeOnce(
-        request: RelayedRequest,
-        prompt: Prompt,
-        properties: EngineProperties,
+        generation: Generation,
         path: EnginePath.RemotePrefill,
         source: CacheSource,
-        tracker: RelayProgressTracker,
     ): EngineStep {
+        val (request, prompt, properties, tracker) = generation
         val now = clock.now()
         if (now >= request.deadline) {
             prefillRun.release(source)
@@ -137,43 +160,38 @@
             prefillRun.release(source)
             return EngineStep.Retry(RetryReason.ATTEMPT_REFUSED)
         }
-        if (!retryLimiter.tryAcquire(request, tracker.progress, RetryReason.ATTEMPT_REFUSED, now)) {
+        if (!tryAcquire(generation, RetryReason.ATTEMPT_REFUSED, now)) {
             prefillRun.release(source)
             return EngineStep.Finished(noAttemptLeft(tracker.progress))
         }
-        val step = send(request, prompt, properties, chosen, source, path, tracker)
+        val step = send(generation, chosen, source, path)
         if (step is EngineStep.Retry && step.reason == RetryReason.CACHE_UNAVAILABLE) {
-            if (!retryLimiter.tryAcquire(request, tracker.progress, step.reason, clock.now())) {
+            if (!tryAcquire(generation, step.reason, clock.now())) {
                 return EngineStep.Finished(noAttemptLeft(tracker.progress))
             }
-            return localPrefillAfterFetch(request, prompt, properties, chosen, path, tracker)
+            return localPrefillAfterFetch(generation, chosen, path)
         }
         return step
     }
 
     /** Prefills at [engine] itself after it could not fetch the KV cache; plans anew if it may get no new work. */
     private suspend fun localPrefillAfterFetch(
-        request: RelayedRequest,
-        prompt: Prompt,
-        properties: EngineProperties,
+        generation: Generation,
         engine: BackendEntry,
         path: EnginePath,
-        tracker: RelayProgressTracker,
     ): EngineStep =
-        when (val step = send(request, prompt, properties, engine, null, path, tracker)) {
+        when (val step = send(generation, engine, null, path)) {
             EngineStep.NotSent -> EngineStep.Retry(RetryReason.ATTEMPT_REFUSED)
             is EngineStep.Finished, is EngineStep.Retry -> step
         }
 
     private suspend fun send(
-        request: RelayedRequest,
-        prompt: Prompt,
-        properties: EngineProperties,
+        generation: Generation,
         engine: BackendEntry,
         source: CacheSource?,
         path: EnginePath,
-        tracker: RelayProgressTracker,
     ): EngineStep {
+        val (request, prompt, properties, tracker) = generation
         val quarantined = quarantine.conclusionBeforeSend(request, tracker.progress, clock.now())
         if (quarantined != null) {
             source?.let(prefillRun::release)
@@ -186,7 +204,9 @@
         prefillRun.recordCachedParts(engine.life, prompt, properties, now)
         val backlog = tables.load.snapshot().backlogAt(engine.life, now)
         val begunBefore = tracker.progress.begun
-        val outcome = backendRun.run(request, order, work, stallTimeoutsFor(request, tracker, work + backlog), tracker)
+        val timeouts = stallTimeoutsFor(request, tracker, work + backlog)
+        val hedging = Hedging(generation.former, hedgeOf(generation, engine))
+        val outcome = backendRun.run(request, order, work, timeouts, tracker, hedging)
         if (source == null && backlog == Duration.ZERO && !begunBefore) {
             prefillRun.recordLocalPrefill(request, engine, work, tracker.progress, now)
         }
@@ -199,29 +219,35 @@
             return EngineStep.Retry(RetryReason.CACHE_UNAVAILABLE)
         }
         recordAttempt(tracker, engine, outcome)
-        if (isHeldBack(outcome)) retryLimiter.giveBack(request, tracker.progress, now)
+        if (isHeldBack(outcome)) giveBack(generation, now)
         if (outcome is RunOutcome.NotExecuted && isNotSent(outcome.reason)) return EngineStep.NotSent
-        return nextStep(request, outcome, tracker)
+        return nextStep(request, outcome, tracker, hedging)
     }
 
+    /** Returns how the run of [generation] at [engine] is hedged: by planning it anew without that engine. */
+    private fun hedgeOf(
+        generation: Generation,
+        engine: BackendEntry,
+    ): Hedge =
+        Hedge { stalled, stall ->
+            observations.decided(Decision.Stalled(generation.request, engine, stall, clock.now()))
+            generation.tracker.update { it.withReached(engine.life) }
+            relay(generation.copy(former = stalled), RetryReason.RUN_STALLED)
+        }
+
     private suspend fun nextStep(
         request: RelayedRequest,
         outcome: RunOutcome,
         tracker: RelayProgressTracker,
-    ): EngineStep =
-        when (
-            val step =
-                nextStepAfter(
-                    outcome,
-                    request,
-                    tracker.progress,
-                    mayRetryFailure(request, outcome, tracker),
-                )
-        ) {
+        hedging: Hedging,
+    ): EngineStep {
+        val mayRetryFailure = mayRetryFailure(request, outcome, tracker)
+        return when (val step = nextStepAfter(outcome, request, tracker.progress, mayRetryFailure)) {
             is NextStep.Finish -> EngineStep.Finished(step.conclusion)
             is NextStep.Retry -> EngineStep.Retry(step.reason)
-            is NextStep.ForwardFailure -> EngineStep.Finished(forwardFailure(request, step.failed, tracker))
+            is NextStep.ForwardFailure -> EngineStep.Finished(forwardFailure(request, step.failed, tracker, hedging))
         }
+    }
 
     private fun mayRetryFailure(
         request: RelayedRequest,
@@ -259,6 +285,24 @@
         return StallTimeouts.forStream(request.route, predicted, request.deadline - clock.now())
     }
 
+    private fun tryAcquire(
+        generation: Generation,
+        reason: RetryReason,
+        now: Instant,
+    ): Boolean {
+        val isFirst = isFirst(generation.former, generation.tracker.progress)
+        return retryLimiter.tryAcquire(generation.request, isFirst, reason, now)
+    }
+
+    private fun giveBack(
+        generation: Generation,
+        countedAt: Instant,
+    ) = retryLimiter.giveBack(
+        generation.request,
+        isFirst(generation.former, generation.tracker.progress),
+        countedAt,
+    )
+
     private fun recordFailedPrefill(
         tracker: RelayProgressTracker,
         prefillEngine: BackendEntry,
@@ -275,20 +319,6 @@
         }
     }
 
-    /** What to do after an attempt. */
-    private sealed interface EngineStep {
-        data class Finished(
-            val conclusion: Conclusion,
-        ) : EngineStep
-
-        data class Retry(
-            val reason: RetryReason,
-        ) : EngineStep
-
-        /** Nothing was sent; KV cache that was to be fetched is still held for the request. */
-        data object NotSent : EngineStep
-    }
-
     private companion object {
         const val FIRST_SERVER_ERROR = 500
         val CACHE_FETCH_WORK: Duration = 5.milliseconds
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
@@ -1,7 +1,7 @@
 package org.acaciaflow.coordination.relay
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.io.bytestring.ByteString
-import kotlinx.io.bytestring.isEmpty
 import org.acaciaflow.coordination.buffer.BufferReservation
 import org.acaciaflow.coordination.gateway.StreamEvent
 import org.acaciaflow.coordination.gateway.StreamFraming
@@ -22,6 +22,7 @@
     private val tracker: RelayProgressTracker,
     private val first: AttemptEvent.Head,
     private val start: StreamStart,
+    private val attempt: HedgedAttempt,
     private val memory: BufferReservation,
     private val clock: Clock,
 ) {
@@ -43,7 +44,12 @@
         val events = splitter.split(bytes)
         if (splitter.incompleteSize > MAXIMUM_EVENT_BYTES) return Forwarded.EventTooLarge
         if (!memory.covers(splitter.incompleteSize.toLong())) return Forwarded.MemorySpent
-        if (events.isEmpty()) return Forwarded.Written(progressed = false)
+        // A comment is no answer yet.
+        if (events.isEmpty() || (attempt.waitsForFormer && events.all { it.isComment })) return NO_PROGRESS
+        return attempt.answer(isAdvance = { it != NO_PROGRESS }) { write(events) } ?: Forwarded.Superseded
+    }
+
+    private suspend fun write(events: PersistentList<StreamEvent>): Forwarded {
         when (begin()) {
             Begin.BEGUN -> Unit
             Begin.CALLER_GONE -> return Forwarded.CallerGone
@@ -97,8 +103,8 @@
         former: String?,
     ): Boolean = !event.isComment && (event.identity == null || event.identity != former)
 
-    /** Ends the caller's stream, which has begun. */
-    suspend fun end(): CallerWrite = exchange.end()
+    /** Ends the caller's stream, which has begun; returns null if another attempt has superseded this one. */
+    suspend fun end(): CallerWrite? = attempt.answer(isAdvance = { true }) { exchange.end() }
 
     /** Whether the caller's answer has begun. */
     private enum class Begin {
@@ -108,6 +114,7 @@
     }
 
     private companion object {
+        val NO_PROGRESS = Forwarded.Written(progressed = false)
         const val MAXIMUM_EVENT_BYTES = 256 * 1024 // an event holds a few tokens
     }
 }
@@ -121,6 +128,9 @@
 
     data object CallerGone : Forwarded
 
+    /** Another attempt answers the caller, so nothing was written. */
+    data object Superseded : Forwarded
+
     /** The stream's origin could not be recorded, so that nothing of it may be forwarded. */
     data object Unrecorded : Forwarded
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/NextStep.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/NextStep.kt
@@ -39,6 +39,7 @@
     when (outcome) {
         is RunOutcome.Delivered -> NextStep.Finish(Conclusion.Delivered(outcome.status))
         RunOutcome.CallerGone -> NextStep.Finish(Conclusion.CallerGone)
+        is RunOutcome.Superseded -> NextStep.Finish(outcome.conclusion)
         is RunOutcome.NotExecuted -> NextStep.Retry(RetryReason.ATTEMPT_REFUSED)
         is RunOutcome.Broken -> stepAfterBroken(outcome, request.route.kind, progress)
         is RunOutcome.Failed -> stepAfterFailed(outcome, progress, mayRetryFailure)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -33,8 +33,16 @@
     suspend fun relay(
         request: RelayedRequest,
         tracker: RelayProgressTracker,
+    ): Conclusion = relay(request, tracker, former = null, RetryReason.ATTEMPT_REFUSED)
+
+    /** Serves [request] by attempts that hedge [former], if any; the first of them is a retry for [firstReason]. */
+    private suspend fun relay(
+        request: RelayedRequest,
+        tracker: RelayProgressTracker,
+        former: HedgedAttempt?,
+        firstReason: RetryReason,
     ): Conclusion {
-        var reason = RetryReason.ATTEMPT_REFUSED
+        var reason = firstReason
         while (true) {
             val now = clock.now()
             if (now >= request.deadline) return timedOut(tracker.progress)
@@ -46,13 +54,15 @@
                 restWait.waitOrConclude(request, tracker.progress, now)?.let { return it }
                 continue
             }
-            if (!retryLimiter.tryAcquire(request, tracker.progress, reason, now)) return noAttemptLeft(tracker.progress)
+            val isFirst = isFirst(former, tracker.progress)
+            if (!retryLimiter.tryAcquire(request, isFirst, reason, now)) return noAttemptLeft(tracker.progress)
             quarantine.conclusionBeforeSend(request, tracker.progress, now)?.let { return it }
-            val outcome = send(request, chosen, tracker)
+            val hedging = Hedging(former, hedgeOf(request, chosen.backend, tracker))
+            val outcome = send(request, chosen, tracker, hedging)
             val mayRetryFailure = mayRetryFailure(request, tracker, outcome)
             when (val step = nextStepAfter(outcome, request, tracker.progress, mayRetryFailure)) {
                 is NextStep.Finish -> return step.conclusion
-                is NextStep.ForwardFailure -> return forwardFailure(request, step.failed, tracker)
+                is NextStep.ForwardFailure -> return forwardFailure(request, step.failed, tracker, hedging)
                 is NextStep.Retry -> reason = step.reason
             }
         }
@@ -76,19 +86,33 @@
         request: RelayedRequest,
         choice: PlainChoice,
         tracker: RelayProgressTracker,
+        hedging: Hedging,
     ): RunOutcome {
         val now = clock.now()
         val chosen = choice.backend
         val order = runOrderFor(request, chosen, source = null, tracker.progress, now)
         val sent = Decision.Sent(request, chosen, NO_PREDICTION, choice.setAside, tables.load.snapshot(), now)
         observations.decided(sent)
-        val outcome = backendRun.run(request, order, TYPICAL_WORK, stallTimeoutsFor(request, tracker, now), tracker)
+        val timeouts = stallTimeoutsFor(request, tracker, now)
+        val outcome = backendRun.run(request, order, TYPICAL_WORK, timeouts, tracker, hedging)
         recordAttempt(tracker, chosen, outcome)
-        if (isHeldBack(outcome)) retryLimiter.giveBack(request, tracker.progress, now)
+        if (isHeldBack(outcome)) retryLimiter.giveBack(request, isFirst(hedging.former, tracker.progress), now)
         observations.decided(Decision.Ran(request, chosen, outcome.toString(), clock.now()))
         return outcome
     }
 
+    /** Returns how the run of [request] at [backend] is hedged: by attempts at other servers. */
+    private fun hedgeOf(
+        request: RelayedRequest,
+        backend: BackendEntry,
+        tracker: RelayProgressTracker,
+    ): Hedge =
+        Hedge { stalled, stall ->
+            observations.decided(Decision.Stalled(request, backend, stall, clock.now()))
+            tracker.update { it.withReached(backend.life) }
+            relay(request, tracker, stalled, RetryReason.RUN_STALLED)
+        }
+
     /** Returns the stall timeout of a request that may be retried on another server, and none otherwise. */
     private fun stallTimeoutsFor(
         request: RelayedRequest,
@@ -136,12 +160,23 @@
     tracker.update { progress ->
         progress.copy(
             reached = if (notSent) progress.reached else progress.reached.add(backend.life),
-            countedAttempts = if (notSent) progress.countedAttempts else progress.countedAttempts + 1,
+            countedAttempts =
+                if (notSent || backend.life in progress.excluded) {
+                    progress.countedAttempts
+                } else {
+                    progress.countedAttempts + 1
+                },
             excluded = if (takesNoneNow(outcome)) progress.excluded else progress.excluded.add(backend.life),
         )
     }
 }
 
+/** Returns true if the next attempt is the first that counts of a request with [progress]; one that hedges [former] never is. */
+internal fun isFirst(
+    former: HedgedAttempt?,
+    progress: RelayProgress,
+): Boolean = former == null && progress.countedAttempts == 0
+
 /** Returns true if nothing was sent because the server rests or is limited, so that it may be sent to later. */
 private fun takesNoneNow(outcome: RunOutcome): Boolean =
     outcome is RunOutcome.NotExecuted &&
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
@@ -1,5 +1,11 @@
 package org.acaciaflow.coordination.relay
 
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import org.acaciaflow.coordination.engine.EnginePath
 import org.acaciaflow.coordination.engine.PromptCaches
 import org.acaciaflow.coordination.engine.RateEstimator
@@ -38,6 +44,8 @@
     /**
      * Prefills the prompt of [request] on the prefill engine of [path], unless it may get no new work.
      *
+     * It is hedged as [hedging] says while it takes much longer than predicted.
+     *
      * Records the load and the outcome in the shared tables.
      */
     suspend fun run(
@@ -46,9 +54,10 @@
         path: EnginePath.RemotePrefill,
         prompt: Prompt,
         properties: EngineProperties,
-    ): PrefillOutcome {
+        hedging: Hedging,
+    ): AttemptResult<PrefillOutcome> {
         when (val permission = availability.claim(order)) {
-            is SendPermission.Denied -> return PrefillOutcome.Refused(permission.reason)
+            is SendPermission.Denied -> return AttemptResult.Own(PrefillOutcome.Refused(permission.reason))
             SendPermission.Granted, SendPermission.GrantedAsTrial -> Unit
         }
         val life = order.backend.life
@@ -58,24 +67,48 @@
         tables.load.update { LoadLedger.sent(it, life, job, path.work, prompt.promptTokens, sentAt) }
         recordCachedParts(life, prompt, properties, sentAt)
         try {
-            val timeout = StallTimeouts.forPrefill(path.predicted)
-            val outcome =
-                resultWithin(timeout, socketReads) { connections.prefill(order, request.body) }
-                    ?: PrefillOutcome.Broken(MayHaveRun.STREAM_STALLED)
-            val now = clock.now()
-            verdictOf(life, outcome)?.let { verdict ->
-                tables.reliability.update { ReliabilityPolicy.recorded(it, life, verdict, now) }
-            }
-            if (outcome is PrefillOutcome.Ready) {
-                recordDelay(request, path, now - sentAt)
-                if (wasIdle) updateRate(request, order.backend.role, path.work, now - sentAt)
+            val stalls = PrefillStallDetector(sentAt, StallTimeouts.forPrefill(path.predicted))
+            val attempt = HedgedAttempt(stalls, hedging, socketReads, clock)
+            return coroutineScope {
+                val prefill = async { connections.prefill(order, request.body) }
+                attempt.during(
+                    mayHedge = { true },
+                    stop = prefill::cancel,
+                    isFinal = { it is PrefillOutcome.Ready },
+                ) { outcomeOf(prefill).also { recordOutcome(request, order.backend, path, it, wasIdle, sentAt) } }
             }
-            return outcome
         } finally {
             tables.load.update { LoadLedger.ended(it, life, job, clock.now()) }
         }
     }
 
+    /** Waits for the outcome of [prefill], which is cancelled if another attempt serves its request. */
+    private suspend fun outcomeOf(prefill: Deferred<PrefillOutcome>): PrefillOutcome =
+        try {
+            prefill.await()
+        } catch (_: CancellationException) {
+            currentCoroutineContext().ensureActive()
+            PrefillOutcome.Broken(MayHaveRun.STREAM_STALLED)
+        }
+
+    private fun recordOutcome(
+        request: RelayedRequest,
+        engine: BackendEntry,
+        path: EnginePath.RemotePrefill,
+        outcome: PrefillOutcome,
+        wasIdle: Boolean,
+        sentAt: Instant,
+    ) {
+        val now = clock.now()
+        verdictOf(engine.life, outcome)?.let { verdict ->
+            tables.reliability.update { ReliabilityPolicy.recorded(it, engine.life, verdict, now) }
+        }
+        if (outcome is PrefillOutcome.Ready) {
+            recordDelay(request, path, now - sentAt)
+            if (wasIdle) updateRate(request, engine.role, path.work, now - sentAt)
+        }
+    }
+
     /** Records that the KV cache of engine [life] will hold the parts of [prompt]. */
     fun recordCachedParts(
         life: BackendLife,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayFactory.kt
@@ -87,7 +87,7 @@
     BackendRun(
         tables = tables,
         availability = availability,
-        crashes = CrashRecorder(tables.crashes, tables.startingAttempts, ports.observations),
+        verdicts = RunVerdicts(tables, CrashRecorder(tables.crashes, tables.startingAttempts, ports.observations)),
         connections = ports.connections,
         framing = ports.framing,
         origins = ports.origins,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayProgress.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayProgress.kt
@@ -13,8 +13,8 @@
  *
  * [reached] holds the backend servers that received the request (prefills aside), [excluded] those that it must not be
  * sent to again. [countedAttempts] is the number of attempts subject to the retry limit; refused connections and
- * successful prefills are not counted. [prefillCalls] is the number of prefill attempts. [attemptInFlight] is true
- * while an attempt other than a prefill is in progress. [mayHaveRun] is set once a backend server may have started to
+ * successful prefills are not counted. [prefillCalls] is the number of prefill attempts. [attemptsInFlight] is the number of
+ * attempts in progress other than prefills. [mayHaveRun] is set once a backend server may have started to
  * execute the request. [begunAt] is when the first part of the answer was sent to the caller, [origin] where the head
  * that the caller got comes from, and [lastEvent] the identity of the last event sent to it. [resumable] is false once
  * a part was sent after which no server can be asked to continue: a part of a plain answer, or an event without an
@@ -25,7 +25,7 @@
     val excluded: PersistentSet<BackendLife>,
     val countedAttempts: Int,
     val prefillCalls: Int,
-    val attemptInFlight: Boolean,
+    val attemptsInFlight: Int,
     val mayHaveRun: MayHaveRun?,
     val begunAt: Instant?,
     val origin: AnswerOrigin?,
@@ -36,10 +36,22 @@
     val begun: Boolean
         get() = begunAt != null
 
+    /** True unless the caller has a part of an answer that no other server can continue. */
+    val mayGoOnElsewhere: Boolean
+        get() = !begun || resumable
+
     /** True until anything was sent to a server. */
     val untried: Boolean
         get() = copy(versions = VersionConstraint.Any) == INITIAL
 
+    /** This progress after an attempt at [life] that reached it, and after which it must not be sent to again. */
+    fun withReached(life: BackendLife): RelayProgress =
+        copy(
+            reached = reached.add(life),
+            excluded = excluded.add(life),
+            countedAttempts = if (life in excluded) countedAttempts else countedAttempts + 1,
+        )
+
     companion object {
         val INITIAL =
             RelayProgress(
@@ -47,7 +59,7 @@
                 excluded = persistentSetOf(),
                 countedAttempts = 0,
                 prefillCalls = 0,
-                attemptInFlight = false,
+                attemptsInFlight = 0,
                 mayHaveRun = null,
                 begunAt = null,
                 origin = null,
@@ -64,6 +76,8 @@
     var progress: RelayProgress = RelayProgress.INITIAL
         private set
 
+    /** Replaces the progress; attempts that hedge each other may do so at the same time. */
+    @Synchronized
     fun update(change: (RelayProgress) -> RelayProgress) {
         progress = change(progress)
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RetryLimiter.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RetryLimiter.kt
@@ -24,15 +24,15 @@
     /**
      * Returns true when one more attempt of [request] is allowed, and counts it as a retry.
      *
-     * While [RelayProgress.countedAttempts] is zero, an attempt is always allowed and not counted.
+     * An attempt that [isFirst] is always allowed and not counted.
      */
     fun tryAcquire(
         request: RelayedRequest,
-        progress: RelayProgress,
+        isFirst: Boolean,
         reason: RetryReason,
         now: Instant,
     ): Boolean {
-        if (progress.countedAttempts == 0) return true
+        if (isFirst) return true
         val permitted =
             tables.retryWindows.transition {
                 RetryWindows.tryCountRetry(it, request.pool, bounds, candidates.gatewayCount(), now)
@@ -41,13 +41,13 @@
         return permitted
     }
 
-    /** Takes back the count of a retry at [countedAt] that was not sent because of a limit. */
+    /** Takes back the count at [countedAt] of an attempt that was not sent because of a limit, unless it [wasFirst]. */
     fun giveBack(
         request: RelayedRequest,
-        progress: RelayProgress,
+        wasFirst: Boolean,
         countedAt: Instant,
     ) {
-        if (progress.countedAttempts == 0) return
+        if (wasFirst) return
         tables.retryWindows.update { RetryWindows.withoutRetry(it, request.pool, countedAt) }
     }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RunOutcome.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RunOutcome.kt
@@ -24,6 +24,11 @@
         val reason: MayHaveRun,
     ) : RunOutcome
 
+    /** The server was silent until another one answered the caller, with which the request ended in [conclusion]. */
+    data class Superseded(
+        val conclusion: Conclusion,
+    ) : RunOutcome
+
     /** The answer was not forwarded: it is an error, or it cannot continue a stream that the caller is receiving. */
     data class Failed(
         val answer: StoredAnswer,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StallTimeouts.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StallTimeouts.kt
@@ -5,10 +5,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Timeouts after which a run without progress is aborted so that it can be retried on another backend server; null means none.
+ * Timeouts after which a run without progress is hedged by another backend server; null means none.
  *
  * [firstData] limits the time to the first event of an event stream, or to the end of an answer that is buffered.
- * [betweenData] limits the gaps between events, whatever other bytes arrive meanwhile. A run is also aborted when its server has streams in progress
+ * [betweenData] limits the gaps between events, whatever other bytes arrive meanwhile. A run is also hedged when its server has streams in progress
  * and has sent data on none of them for [serverSilence], which allows for the prefill of the prompts queued there.
  */
 data class StallTimeouts(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StreamStart.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StreamStart.kt
@@ -10,14 +10,14 @@
     private val request: RelayedRequest,
     private val backend: BackendEntry,
     private val tracker: RelayProgressTracker,
-    private val watchdog: StallWatchdog,
+    private val stalls: RunStallDetector,
 ) {
     /** Called before the first part of the answer is passed to the caller; returns false if it must not be. */
     suspend fun beforeFirstPart(): Boolean {
         tracker.update { it.copy(versions = VersionConstraint.Only(backend.software)) }
         val stream = request.stream ?: return true
         if (!request.isTakeUp) {
-            return watchdog.suspendedDuring { origins.began(stream, request.pool, backend.software) }
+            return stalls.suspendedDuring { origins.began(stream, request.pool, backend.software) }
         }
         origins.wentOn(stream, request.pool, backend.software)
         return true
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/retry/RetryReason.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/retry/RetryReason.kt
@@ -7,6 +7,7 @@
     ATTEMPT_REFUSED("attempt-refused"),
     LINK_LOST("link-lost"),
     BACKEND_CRASHED("backend-crashed"),
+    RUN_STALLED("run-stalled"),
     ANSWER_INCOMPLETE("answer-incomplete"),
     STREAM_RESUMED("stream-resumed"),
     NEVER_STARTED("never-started"),
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
@@ -53,6 +53,13 @@
         val status: Int = LetterFraming.STREAM_STATUS,
     ) : Reaction
 
+    /** Passes on the parts of [reaction]; those from number [part] on, the head being 0, come [silence] later. */
+    data class FallsSilent(
+        val reaction: Reaction,
+        val part: Int,
+        val silence: Duration,
+    ) : Reaction
+
     /** Streams all letters, whatever the last one received. */
     data object StartsOver : Reaction
 
@@ -67,7 +74,11 @@
     private val reactions: MutableList<Reaction>,
 ) : BackendConnections {
     val orders = mutableListOf<RunOrder>()
+    val prefills = mutableListOf<RunOrder>()
     val released = mutableListOf<CacheSource>()
+
+    /** How long each prefill takes, by its number; those without an entry take no time. */
+    val prefillTimes = mutableListOf<Duration>()
     var prefill: PrefillOutcome? = null
     var mayHaveRun = 0
         private set
@@ -81,6 +92,8 @@
         if (reaction !is Reaction.Refuses) mayHaveRun += 1
         return when (reaction) {
             is Reaction.Paces -> PacedStream(reaction)
+            is Reaction.FallsSilent ->
+                SilentStream(ScriptedStream(eventsOf(reaction.reaction, order)), reaction.part, reaction.silence)
             is Reaction.Held -> HeldStream(ScriptedStream(eventsOf(Reaction.Answers(OK), order)), reaction.time)
             else -> ScriptedStream(eventsOf(reaction, order))
         }
@@ -89,7 +102,11 @@
     override suspend fun prefill(
         order: RunOrder,
         body: WholeBody,
-    ): PrefillOutcome = prefill ?: PrefillOutcome.Ready(CacheSource(order.backend.address, "handle"), tokens = 1)
+    ): PrefillOutcome {
+        prefills += order
+        prefillTimes.getOrNull(prefills.size - 1)?.let { delay(it) }
+        return prefill ?: PrefillOutcome.Ready(CacheSource(order.backend.address, "handle"), tokens = 1)
+    }
 
     override fun release(cache: CacheSource) {
         released += cache
@@ -110,7 +127,7 @@
                     AttemptEvent.Broken(MayHaveRun.ANSWER_CONTRADICTED),
                 )
             Reaction.StaysSilent -> emptyList()
-            is Reaction.Paces, is Reaction.Held -> error("its stream makes its own events")
+            is Reaction.Paces, is Reaction.Held, is Reaction.FallsSilent -> error("its stream makes its own events")
             Reaction.StartsOver -> eventsOf(Reaction.Streams(breakAt = null), order.copy(resumeAfter = null))
             is Reaction.Streams -> listOf(head(LetterFraming.STREAM_STATUS)) + letters(reaction, order)
         }
@@ -178,6 +195,26 @@
     }
 }
 
+/** Passes on [stream]; its parts from number [silentPart] on come [silence] later. */
+private class SilentStream(
+    private val stream: AttemptStream,
+    private val silentPart: Int,
+    private val silence: Duration,
+) : AttemptStream by stream {
+    private val cancelled = CompletableDeferred<Unit>()
+    private var read = 0
+
+    override suspend fun next(): AttemptEvent {
+        if (read++ == silentPart) withTimeoutOrNull(silence) { cancelled.await() }
+        return if (cancelled.isCompleted) AttemptEvent.Broken(MayHaveRun.BACKEND_CRASHED) else stream.next()
+    }
+
+    override fun cancel() {
+        cancelled.complete(Unit)
+        stream.cancel()
+    }
+}
+
 private class PacedStream(
     private val paces: Reaction.Paces,
 ) : AttemptStream {
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TestRelay.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TestRelay.kt
@@ -28,6 +28,7 @@
     origins: StreamOrigins = tables.rememberedOrigins(clock),
     firstAttempt: String? = null,
     observations: FakeObservations = FakeObservations(),
+    bounds: RetryBounds = RetryBounds(0.2, 1000.0, 10.seconds),
 ): RequestRelay {
     val ports =
         RelayPorts(
@@ -43,7 +44,7 @@
             stop,
             bufferLimits,
         )
-    return createRequestRelay(tables, ports, OWN_DATA_CENTRE, RetryBounds(0.2, 1000.0, 10.seconds))
+    return createRequestRelay(tables, ports, OWN_DATA_CENTRE, bounds)
 }
 
 /** The virtual time of this scope. */
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/VersionedServer.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/VersionedServer.kt
@@ -9,13 +9,15 @@
 /**
  * A backend server of [version] that registers as [instance] and streams [EVENTS] events, one each [pauseMilliseconds].
  *
- * Each event names the version. If [breaksOff], each stream that is not gone on with ends behind its fourth event.
+ * Each event names the version. If [breaksOff], each stream that is not gone on with ends behind its fourth event. Each
+ * answer falls silent for [silenceMilliseconds] behind its fourth event.
  */
 internal class VersionedServer(
     val instance: String,
     version: String,
     private val pauseMilliseconds: Long,
     private val breaksOff: Boolean,
+    private val silenceMilliseconds: Long = 0,
 ) : AutoCloseable {
     private val threads = Executors.newCachedThreadPool { Thread(it, instance).apply { isDaemon = true } }
     private var server = started(InetSocketAddress("127.0.0.1", 0))
@@ -64,6 +66,7 @@
             exchange.responseBody.flush()
             Thread.sleep(pauseMilliseconds)
             if (breaksOff && last == null && number == BREAKS_BEHIND) throw IOException("the server breaks off")
+            if (number == (last ?: 0) + BREAKS_BEHIND) Thread.sleep(silenceMilliseconds)
         }
         exchange.close()
     }
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/VersionedStage.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/VersionedStage.kt
@@ -94,11 +94,13 @@
         fun configuration(
             areEngines: Boolean,
             timeoutMilliseconds: Long,
+            gapAimMilliseconds: Long = 400,
+            version: Int = 1,
         ): String =
-            """{"version":1,"routes":[{"name":"draft","host":"streams.example","prefix":"/draft/",""" +
+            """{"version":$version,"routes":[{"name":"draft","host":"streams.example","prefix":"/draft/",""" +
                 """"kind":"streaming","timeout_ms":$timeoutMilliseconds,"target_latency_ms":1000,"priority":1,""" +
                 """"service":"writer","max_attempts":3,"sticky":$areEngines,"resumable":true,""" +
-                """"gap_aim_ms":400}],"services":[{"name":"writer","health_path":"/healthz","max_conns":110,""" +
+                """"gap_aim_ms":$gapAimMilliseconds}],"services":[{"name":"writer","health_path":"/healthz","max_conns":110,""" +
                 """"protocol":"h1","tls":false${if (areEngines) ENGINE else ""}}],""" +
                 """"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,""" +
                 """"idle_timeout_ms":15000}}"""
--- a/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/log/DecisionFormatter.kt
@@ -28,6 +28,7 @@
             is Decision.PassedOn -> passedOn(decision)
             is Decision.Disconnected -> disconnected(decision)
             is Decision.Ran -> ran(decision)
+            is Decision.Stalled -> stalled(decision)
             is Decision.OriginLookedUp -> originLookedUp(decision)
             is Decision.HeldBack -> heldBack(decision)
             is Decision.Refused -> refused(decision)
@@ -119,6 +120,11 @@
         commonFields("ran", decision) + " backend=${decision.backend.life.instance} outcome=\"${decision.outcome}\"" +
             " shared-parts=${sharedParts(decision.request)}"
 
+    private fun stalled(decision: Decision.Stalled): String =
+        commonFields("stalled", decision) + requestFields(decision.request) +
+            " backend=${decision.backend.life.instance} limit=${decision.stall.code}" +
+            " left-ms=${(decision.request.deadline - decision.at).inWholeMilliseconds}"
+
     /** The keys of the prompt parts that other requests may share, or `none`. */
     private fun sharedParts(request: RelayedRequest): String =
         request.facts.prompt
