--- a/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/store/EtcdKeyValueStore.kt
@@ -147,11 +147,14 @@
                     .setURI(EtcdJson.WATCH_PATH)
             val request = watchClient.request(options)
             request
-                .compose { it.send(Buffer.buffer(body)) }
-                .onFailure { close() }
-                .onSuccess { response ->
-                    response.handler(lines).endHandler { close() }.exceptionHandler { close() }
-                }
+                .compose { call ->
+                    // Set before the request is sent: parts of an answer that has no handler yet are lost.
+                    val answer =
+                        call.response().onSuccess { response ->
+                            response.handler(lines).endHandler { close() }.exceptionHandler { close() }
+                        }
+                    call.end(Buffer.buffer(body)).compose { answer }
+                }.onFailure { close() }
             awaitClose { request.onSuccess { it.reset() } }
         }
 
