--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
@@ -51,6 +51,7 @@
         val options =
             HttpServerOptions()
                 .setHandle100ContinueAutomatically(true)
+                .setHttp2ClearTextEnabled(false) // its detection hides a connection until its first head is read
                 .setMaxInitialLineLength(LINE_BYTES)
                 .setMaxHeaderSize(HEADER_BYTES)
                 .setAcceptBacklog(ACCEPT_BACKLOG)
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/CallerServerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/CallerServerTest.kt
@@ -77,6 +77,21 @@
         shouldThrow<ConnectException> { Socket("127.0.0.1", port).close() }
     }
 
+    /** Guards against a stop that waits for its whole time, and takes a call at its end, for connections without a call so far. */
+    @Test
+    suspend fun `a shutdown closes connections that have sent no whole head at once`() {
+        val server = server(work = Duration.ZERO)
+        val port = server.start(HostAddress("127.0.0.1", 0)).actualPort()
+        for (written in listOf("", "POST /call HTTP/1.1\r\nHost: a\r\n")) {
+            Socket("127.0.0.1", port).getOutputStream().write(written.toByteArray())
+        }
+        delay(100)
+
+        val took = measureTime { server.shutdown(5.seconds) }
+
+        took shouldBeLessThan 2.seconds
+    }
+
     /** Guards against a body that is cut at a limit and then run, under a length that fits what is left of it. */
     @Test
     suspend fun `a body is accepted whole or refused as too large`() {
