--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/ClaimsConfiguration.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/ClaimsConfiguration.kt
@@ -5,11 +5,13 @@
     kind: String,
     hosts: List<String> = listOf("127.0.0.1"),
     timeoutMilliseconds: Long = 2000,
+    headTimeoutMilliseconds: Long = 3000,
+    idleTimeoutMilliseconds: Long = 15000,
 ): String =
     """{"version":1,"routes":[${hosts.joinToString(",") { claimsRoute(kind, it, timeoutMilliseconds) }}],""" +
         """"services":[{"name":"register","health_path":"/healthz","max_conns":110,"protocol":"h1",""" +
         """"tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,""" +
-        """"header_timeout_ms":3000,"idle_timeout_ms":15000}}"""
+        """"header_timeout_ms":$headTimeoutMilliseconds,"idle_timeout_ms":$idleTimeoutMilliseconds}}"""
 
 private fun claimsRoute(
     kind: String,
--- a/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
+++ b/protocol/src/main/kotlin/org/acaciaflow/protocol/http/RefusalAnswer.kt
@@ -81,6 +81,8 @@
 
                 NotRun.BODY_TOO_LARGE -> CONTENT_TOO_LARGE
 
+                NotRun.HEAD_LATE, NotRun.BODY_LATE -> REQUEST_TIMEOUT
+
                 NotRun.CRASH_SUSPECT -> UNPROCESSABLE_CONTENT
 
                 NotRun.NO_CONFIGURATION,
@@ -102,6 +104,7 @@
 
         private const val BAD_REQUEST = 400
         private const val NOT_FOUND = 404
+        private const val REQUEST_TIMEOUT = 408
         private const val CONTENT_TOO_LARGE = 413
         private const val UNPROCESSABLE_CONTENT = 422
         private const val SERVICE_UNAVAILABLE = 503
--- a/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/refusal/NotRun.kt
@@ -6,6 +6,12 @@
 ) : Refusal {
     UNKNOWN_CALL("unknown-call"),
     BODY_TOO_LARGE("body-too-large"),
+
+    /** The head of the call was incomplete for too long. */
+    HEAD_LATE("head-late"),
+
+    /** The body of the call was incomplete when its caller's time was over, or paused for too long. */
+    BODY_LATE("body-late"),
     IDENTITY_MISSING("identity-missing"),
     NO_CONFIGURATION("no-configuration"),
     QUEUE_FULL("queue-full"),
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerAnswer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerAnswer.kt
@@ -19,11 +19,17 @@
     private val onWritten: () -> Unit,
 ) {
     private val response: HttpServerResponse = request.response()
+    private var closesConnection = false
 
     /** True while the caller's connection takes no more bytes. */
     val isQueueFull: Boolean
         get() = response.writeQueueFull()
 
+    /** Closes the caller's connection once the answer was written. */
+    fun closeConnectionAfter() {
+        closesConnection = true
+    }
+
     /** Sets status and headers, which are written with the first part of the body or the end. */
     fun begin(head: AnswerHead) {
         val fields = HopByHopHeaders.strip(head.headers)
@@ -51,7 +57,10 @@
         response.statusCode = answer.status
         answer.headers.forEach { response.headers().add(it.name, it.value) }
         announceClose()
-        return response.end(answer.body.toBuffer()).onComplete { onWritten() }
+        return response.end(answer.body.toBuffer()).onComplete {
+            onWritten()
+            if (closesConnection) request.connection().close()
+        }
     }
 
     /** Ends an answer that cannot be completed for [reason]: refuses if nothing was written, cuts it otherwise. */
@@ -72,9 +81,9 @@
         }
     }
 
-    /** Asks the caller to close this connection when the process is stopping. */
+    /** Asks the caller to close this connection when the process is stopping, or no further call can follow on it. */
     private fun announceClose() {
-        if (frontEnd.stopping) response.headers().set("Connection", "close")
+        if (frontEnd.stopping || closesConnection) response.headers().set("Connection", "close")
     }
 
     private fun mayHaveBody(head: AnswerHead): Boolean =
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/CallerServer.kt
@@ -25,6 +25,8 @@
 import org.acaciaflow.state.work.HeaderField
 import java.io.IOException
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -35,6 +37,7 @@
     private val observations: Observations,
     private val scope: CoroutineScope,
     private val frontEnd: FrontEnd,
+    private val clock: Clock,
 ) {
     private val open = OpenCalls()
 
@@ -58,6 +61,7 @@
         return vertx
             .createHttpServer(options)
             .requestHandler(router)
+            .connectionHandler { CallerConnectionTimer.addTo(it, frontEnd, observations, clock) }
             .exceptionHandler { noteFailure(it) }
             .listen(address.port, address.ip)
             .coAwait()
@@ -82,7 +86,7 @@
     private fun handle(request: HttpServerRequest) {
         val closed = CompletableDeferred<Unit>()
         val channel = BodyChannel(request.pause())
-        val end = open.begin()
+        val end = endOf(request)
         val answer = CallerAnswer(request, frontEnd, observations, onWritten = end)
         request.response().closeHandler {
             end()
@@ -92,6 +96,19 @@
         scope.launch { acceptOrAbort(request, channel, answer, closed) }
     }
 
+    /** Counts [request] as open until the returned function is run. */
+    private fun endOf(request: HttpServerRequest): () -> Unit {
+        val endCall = open.begin()
+        val endOnConnection = CallerConnectionTimer.of(request.connection())?.begin(request)
+        val ended = AtomicBoolean()
+        return {
+            if (ended.compareAndSet(false, true)) {
+                endCall()
+                endOnConnection?.invoke()
+            }
+        }
+    }
+
     private suspend fun acceptOrAbort(
         request: HttpServerRequest,
         channel: BodyChannel,
@@ -119,10 +136,13 @@
         val isDeclaredTooLarge = declared > limits.maximumBytes
         val isTargetMalformed = !isVisibleAscii(request.uri())
         val isRefused = isDeclaredTooLarge || isTargetMalformed
-        val start = if (isRefused) BodyStart.UNREAD else readStart(channel, limits.bufferedBytes)
+        val head = headOf(request)
+        val read = if (isRefused) BodyStart.UNREAD else readInTime(channel, limits.bufferedBytes, head)
+        val start = read ?: BodyStart.UNREAD
         val body = VertxCallBody(channel, start, limits.maximumBytes)
-        val exchange = VertxCallerExchange(headOf(request), body, answer, closed)
+        val exchange = VertxCallerExchange(head, body, answer, closed)
         when {
+            read == null -> refuseLate(exchange, answer)
             start.broken -> observations.refused(NotRun.CALLER_GONE)
             isTargetMalformed -> refuse(exchange, NotRun.TARGET_MALFORMED)
             isDeclaredTooLarge || start.bytes.size > limits.maximumBytes -> refuse(exchange, limits.excess)
@@ -130,6 +150,25 @@
         }
     }
 
+    /** Buffers the start of a body; returns null if that takes longer than the caller waits, or a part of it too long. */
+    private suspend fun readInTime(
+        channel: BodyChannel,
+        bufferedBytes: Long,
+        head: CallHead,
+    ): BodyStart? {
+        val limit = frontEnd.timeLimitOf(head) ?: Duration.INFINITE
+        return withTimeoutOrNull(limit) { readStart(channel, bufferedBytes, frontEnd.timeouts.idle) }
+    }
+
+    /** Refuses a call whose body is incomplete; the rest of it may never come, so no further call can follow. */
+    private suspend fun refuseLate(
+        exchange: VertxCallerExchange,
+        answer: CallerAnswer,
+    ) {
+        answer.closeConnectionAfter()
+        refuse(exchange, NotRun.BODY_LATE)
+    }
+
     private fun noteFailure(failure: Throwable) =
         observations.callerConnectionFailed(
             when (failure) {
--- a/transport/src/main/kotlin/org/acaciaflow/transport/http/VertxCallBody.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/http/VertxCallBody.kt
@@ -2,10 +2,12 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.coordination.port.BodyPart
 import org.acaciaflow.coordination.port.CallBody
 import org.acaciaflow.state.bytes.concatenate
+import kotlin.time.Duration
 
 /** A caller's body: its start is buffered, the rest is streamed; more than [limitBytes] in total end it as broken. */
 internal class VertxCallBody(
@@ -29,15 +31,20 @@
     }
 }
 
-/** Buffers the start of a body, up to and including the first part that exceeds [bufferedBytes]. */
+/**
+ * Buffers the start of a body, up to and including the first part that exceeds [bufferedBytes].
+ *
+ * Returns null if a part takes longer than [longestPause].
+ */
 internal suspend fun readStart(
     channel: BodyChannel,
     bufferedBytes: Long,
-): BodyStart {
+    longestPause: Duration,
+): BodyStart? {
     var parts: PersistentList<ByteString> = persistentListOf()
     var size = 0L
     while (size <= bufferedBytes) {
-        when (val part = channel.next()) {
+        when (val part = withTimeoutOrNull(longestPause) { channel.next() } ?: return null) {
             is BodyPart.Data -> {
                 parts = parts.add(part.bytes)
                 size += part.bytes.size
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.transport.process
 
 import kotlinx.io.bytestring.encodeToByteString
+import org.acaciaflow.coordination.caller.CallerTimeouts
 import org.acaciaflow.coordination.connection.ConnectionObserver
 import org.acaciaflow.coordination.fleet.BackendAvailability
 import org.acaciaflow.coordination.limit.LimitBudget
@@ -8,6 +9,8 @@
 import org.acaciaflow.coordination.peer.LoadExchange
 import org.acaciaflow.coordination.peer.PeerGossip
 import org.acaciaflow.coordination.peer.PeerRegistration
+import org.acaciaflow.coordination.port.CallerDialect
+import org.acaciaflow.coordination.port.Decoded
 import org.acaciaflow.coordination.relay.InitialConfigurationWait
 import org.acaciaflow.coordination.relay.RelayPorts
 import org.acaciaflow.coordination.relay.RelayTables
@@ -21,6 +24,7 @@
 import org.acaciaflow.protocol.http.ServerSentEvents
 import org.acaciaflow.protocol.settings.EntryHostSettings
 import org.acaciaflow.state.refusal.NotRun
+import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.transport.direct.DirectConnections
 import org.acaciaflow.transport.direct.VertxHttpCalls
 import org.acaciaflow.transport.http.BodyLimits
@@ -36,6 +40,7 @@
 import org.acaciaflow.transport.rehearsal.RehearsalDependencies
 import kotlin.random.Random
 import kotlin.time.Clock
+import kotlin.time.Duration
 
 /** Builds a gateway for a platform's entry host. */
 fun createEntryGatewayDaemon(
@@ -96,6 +101,7 @@
     val frontEnd =
         ConfiguredFrontEnd(
             adapters.refusals,
+            adapters.callers,
             tables,
             InitialConfigurationWait(tables.routing, clock.now()),
             stop,
@@ -131,7 +137,7 @@
                 scope = runtime.workers.scope,
                 clock = clock,
             ),
-        callers = CallerServer(runtime.vertx, relay, runtime.observations, runtime.workers.scope, frontEnd),
+        callers = CallerServer(runtime.vertx, relay, runtime.observations, runtime.workers.scope, frontEnd, clock),
         rehearsal = createRehearsal(adapters, runtime, connections, calls, clock),
         stop = stop,
         clock = clock,
@@ -213,6 +219,7 @@
 /** A front end whose limits come from the configuration in force when a call arrives. */
 private class ConfiguredFrontEnd(
     override val refusals: RefusalEncoder,
+    private val dialect: CallerDialect,
     private val tables: RelayTables,
     private val initialConfiguration: InitialConfigurationWait,
     private val stop: StopSignal,
@@ -221,6 +228,21 @@
     override val stopping: Boolean
         get() = stop.requested
 
+    override val timeouts: CallerTimeouts
+        get() {
+            val limits =
+                tables.routing
+                    .snapshot()
+                    .configuration.limits
+            return CallerTimeouts(limits.headerTimeout, limits.idleTimeout)
+        }
+
+    override fun timeLimitOf(call: CallHead): Duration? =
+        when (val decoded = dialect.read(call)) {
+            is Decoded.Invalid -> null
+            is Decoded.Valid -> decoded.value.timeLimit
+        }
+
     /** Buffers the whole body, since a retry sends it again. Without a configuration, no limit of it is exceeded. */
     override suspend fun bodyLimits(): BodyLimits {
         initialConfiguration.await(clock)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/GatewayDaemonFactory.kt
@@ -67,7 +67,7 @@
         configuration = updater,
         hosts = HostListWatcher(hosts, runner, runtime.observations, runtime.workers, random),
         core = core,
-        callers = createCallerServer(settings, runtime, core, stop),
+        callers = createCallerServer(settings, runtime, core, stop, clock),
         stop = stop,
         clock = clock,
     )
@@ -123,6 +123,7 @@
     runtime: DaemonRuntime,
     core: GatewayCore,
     stop: StopSignal,
+    clock: Clock,
 ): CallerServer =
     CallerServer(
         vertx = runtime.vertx,
@@ -130,6 +131,7 @@
         observations = runtime.observations,
         scope = runtime.workers.scope,
         frontEnd = FixedFrontEnd(RefusalAnswer::of, settings.bodyLimitBytes, BUFFERED_BYTES, stop),
+        clock = clock,
     )
 
 private const val SAMPLED_SERVERS = 3
--- a/transport/src/main/kotlin/org/acaciaflow/transport/rehearsal/Rehearsal.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/rehearsal/Rehearsal.kt
@@ -89,7 +89,8 @@
             )
         val relay = createRequestRelay(tables, ports, RehearsalFleet.DATA_CENTRE, RetryBounds(1.0, 1.0, TIME_LIMIT))
         val frontEnd = FixedFrontEnd(dependencies.refusals, BODY_LIMIT.toLong(), BODY_LIMIT, ports.stop)
-        val server = CallerServer(dependencies.vertx, relay, observations, dependencies.scope, frontEnd)
+        val server =
+            CallerServer(dependencies.vertx, relay, observations, dependencies.scope, frontEnd, dependencies.clock)
         val gateway = server.start(HostAddress(LOOPBACK, 0))
         try {
             runCallers(HostAddress(LOOPBACK, gateway.actualPort()), shouldContinue, answered)
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/BytesOfHeadsTest.kt
@@ -175,7 +175,7 @@
             val acceptor = PassingAcceptor(connections, backend.address)
             val frontEnd = FixedFrontEnd(RefusalAnswer::of, bodyLimitBytes = 1000, bufferedBytes = 1000, StopSignal())
             val observations = MeteredObservations(SimpleMeterRegistry())
-            val server = CallerServer(vertx, acceptor, observations, callScope, frontEnd)
+            val server = CallerServer(vertx, acceptor, observations, callScope, frontEnd, createSteadyClock())
             val port = runBlocking { server.start(HostAddress("127.0.0.1", 0)).actualPort() }
             check(port, backend)
         }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/CallerServerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/CallerServerTest.kt
@@ -19,6 +19,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
 import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.coordination.caller.CallerTimeouts
+import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.coordination.port.CallAcceptor
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.port.wholeBodyOf
@@ -28,6 +30,7 @@
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.work.AnswerHead
+import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.transport.observation.MeteredObservations
 import java.net.ConnectException
 import java.net.Socket
@@ -163,6 +166,9 @@
         private val calls = AtomicInteger()
         override val refusals = RefusalEncoder(RefusalAnswer::of)
         override val stopping = false
+        override val timeouts = CallerTimeouts.UNBOUNDED
+
+        override fun timeLimitOf(call: CallHead): Duration? = null
 
         override suspend fun bodyLimits(): BodyLimits {
             val limit = if (calls.getAndIncrement() == 0) bytes else later
@@ -186,7 +192,14 @@
                     exchange.end()
                 }
             }
-        return CallerServer(vertx, acceptor, MeteredObservations(SimpleMeterRegistry()), callScope, frontEnd)
+        return CallerServer(
+            vertx,
+            acceptor,
+            MeteredObservations(SimpleMeterRegistry()),
+            callScope,
+            frontEnd,
+            createSteadyClock(),
+        )
     }
 
     private companion object {
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/FaultAnswerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/FaultAnswerTest.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancel
 import kotlinx.io.bytestring.encodeToByteString
+import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.coordination.port.CallAcceptor
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.relay.StopSignal
@@ -108,7 +109,7 @@
             }
         val frontEnd = FixedFrontEnd(RefusalAnswer::of, bodyLimitBytes = 1000, bufferedBytes = 1000, StopSignal())
         val observations = MeteredObservations(SimpleMeterRegistry())
-        val server = CallerServer(vertx, acceptor, observations, callScope, frontEnd)
+        val server = CallerServer(vertx, acceptor, observations, callScope, frontEnd, createSteadyClock())
         val port = server.start(HostAddress("127.0.0.1", 0)).actualPort()
         return Socket("127.0.0.1", port).use { socket ->
             socket.soTimeout = SILENCE_MILLISECONDS
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/HeldUpGateway.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/HeldUpGateway.kt
@@ -181,7 +181,7 @@
         )
     val relay = createRequestRelay(tables, ports, DATA_CENTRE, RetryBounds(1.0, 1.0, 1.seconds))
     val frontEnd = FixedFrontEnd(RefusalAnswer::of, bodyLimitBytes = 1024, bufferedBytes = 1024, ports.stop)
-    return CallerServer(runtime.vertx, relay, observations, runtime.workers.scope, frontEnd)
+    return CallerServer(runtime.vertx, relay, observations, runtime.workers.scope, frontEnd, ports.clock)
         .start(HostAddress(LOOPBACK, 0))
         .actualPort()
 }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/ShutdownCrossingTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/ShutdownCrossingTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.coordination.port.CallAcceptor
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.relay.StopSignal
@@ -104,7 +105,14 @@
                 }
             }
         val frontEnd = FixedFrontEnd(RefusalAnswer::of, bodyLimitBytes = 1000, bufferedBytes = 1000, StopSignal())
-        return CallerServer(vertx, acceptor, MeteredObservations(SimpleMeterRegistry()), callScope, frontEnd)
+        return CallerServer(
+            vertx,
+            acceptor,
+            MeteredObservations(SimpleMeterRegistry()),
+            callScope,
+            frontEnd,
+            createSteadyClock(),
+        )
     }
 
     private companion object {
