--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -207,7 +207,8 @@
         val timeouts = stallTimeoutsFor(request, tracker, work + backlog)
         val hedging = Hedging(generation.former, hedgeOf(generation, engine))
         val outcome = backendRun.run(request, order, work, timeouts, tracker, hedging)
-        if (source == null && backlog == Duration.ZERO && !begunBefore) {
+        val hasOwnResult = !begunBefore && outcome !is RunOutcome.Superseded
+        if (source == null && backlog == Duration.ZERO && hasOwnResult) {
             prefillRun.recordLocalPrefill(request, engine, work, tracker.progress, now)
         }
         observations.decided(Decision.Ran(request, engine, outcome.toString(), clock.now()))
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/SilentServerTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/SilentServerTest.kt
@@ -100,6 +100,21 @@
             connections.orders.map { it.resumeAfter } shouldBe listOf(null, "2")
         }
 
+    /** Guards against an engine that is taken for slow in reading prompts because another one answered late in its place. */
+    @Test
+    fun `the first event of another engine tells nothing of the silent one`() =
+        runTest {
+            val servers = listOf(engine("one"), engine("second"))
+            val rates =
+                listOf(listOf(silent(whole, part = 0, 1.days), whole), listOf(whole)).map { reactions ->
+                    val tables = tablesWith(route(resumable, ENGINE_POOL), servers)
+                    relay(tables, ScriptedConnections(reactions.toMutableList()), promptTokens = 12_000).accept(FakeCaller())
+                    tables.rates.snapshot()[ENGINE_POOL]
+                }
+
+            rates[0] shouldBe rates[1]
+        }
+
     /** Guards against a plain call that is given up, though its answer is on its way, since no other server is left (LOST). */
     @Test
     fun `an idempotent call whose only server is silent for a second is delivered`() =
@@ -250,9 +265,16 @@
         connections: ScriptedConnections,
         promptTokens: Int = 100,
         bounds: RetryBounds = RetryBounds(0.2, 1000.0, 10.seconds),
+    ): RequestRelay = relay(tablesWith(route, servers), connections, promptTokens, bounds)
+
+    private fun TestScope.relay(
+        tables: RelayTables,
+        connections: ScriptedConnections,
+        promptTokens: Int = 100,
+        bounds: RetryBounds = RetryBounds(0.2, 1000.0, 10.seconds),
     ): RequestRelay {
         val prompt = Prompt(persistentListOf(PromptPart(1, promptTokens)), promptTokens, 10)
-        return createTestRelay(tablesWith(route, servers), connections, prompt, bounds = bounds)
+        return createTestRelay(tables, connections, prompt, bounds = bounds)
     }
 
     private companion object {
