--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -62,7 +62,15 @@
                 val refusal = admission.refusalAtArrival(request, prompt, view, path, now)
                 if (refusal != null) return refusal
             }
-            if (!tryAcquire(generation, reason, now)) return noAttemptLeft(tracker.progress)
+            if (!retryLimiter.tryAcquire(
+                    request,
+                    generation.isNextFirst,
+                    reason,
+                    now,
+                )
+            ) {
+                return noAttemptLeft(tracker.progress)
+            }
             val step =
                 when (path) {
                     is EnginePath.LocalPrefill -> send(generation, path.engine, null, path)
@@ -94,7 +102,12 @@
                 relay(generation.copy(former = stalled), RetryReason.RUN_STALLED)
             }
         val result = prefillRun.run(request, order, path, prompt, properties, Hedging(generation.former, hedge))
-        observations.decided(Decision.Ran(request, path.prefillEngine, result.toString(), clock.now()))
+        val outcome =
+            when (result) {
+                is AttemptResult.Own -> result.result
+                is AttemptResult.Superseded -> result
+            }
+        observations.decided(Decision.Ran(request, path.prefillEngine, outcome.toString(), clock.now()))
         return when (result) {
             is AttemptResult.Own -> stepAfterPrefill(generation, path, result.result, sentAt)
             is AttemptResult.Superseded -> EngineStep.Finished(result.conclusion)
@@ -116,15 +129,15 @@
 
             is PrefillOutcome.Refused -> {
                 if (outcome.reason == AttemptRefusal.LIMITED) {
-                    giveBack(generation, sentAt)
+                    retryLimiter.giveBack(generation.request, generation.isNextFirst, sentAt)
                 } else {
-                    recordFailedPrefill(tracker, path.prefillEngine, outcome.reason)
+                    generation.recordFailedPrefill(path.prefillEngine, outcome.reason)
                 }
                 EngineStep.Retry(RetryReason.ATTEMPT_REFUSED)
             }
 
             is PrefillOutcome.Broken -> {
-                recordFailedPrefill(tracker, path.prefillEngine, reason = null)
+                generation.recordFailedPrefill(path.prefillEngine, reason = null)
                 EngineStep.Retry(RetryReason.ANSWER_INCOMPLETE)
             }
         }
@@ -160,13 +173,13 @@
             prefillRun.release(source)
             return EngineStep.Retry(RetryReason.ATTEMPT_REFUSED)
         }
-        if (!tryAcquire(generation, RetryReason.ATTEMPT_REFUSED, now)) {
+        if (!retryLimiter.tryAcquire(request, generation.isNextFirst, RetryReason.ATTEMPT_REFUSED, now)) {
             prefillRun.release(source)
             return EngineStep.Finished(noAttemptLeft(tracker.progress))
         }
         val step = send(generation, chosen, source, path)
         if (step is EngineStep.Retry && step.reason == RetryReason.CACHE_UNAVAILABLE) {
-            if (!tryAcquire(generation, step.reason, clock.now())) {
+            if (!retryLimiter.tryAcquire(request, generation.isNextFirst, step.reason, clock.now())) {
                 return EngineStep.Finished(noAttemptLeft(tracker.progress))
             }
             return localPrefillAfterFetch(generation, chosen, path)
@@ -220,7 +233,7 @@
             return EngineStep.Retry(RetryReason.CACHE_UNAVAILABLE)
         }
         recordAttempt(tracker, engine, outcome)
-        if (isHeldBack(outcome)) giveBack(generation, now)
+        if (isHeldBack(outcome)) retryLimiter.giveBack(request, generation.isNextFirst, now)
         if (outcome is RunOutcome.NotExecuted && isNotSent(outcome.reason)) return EngineStep.NotSent
         return nextStep(request, outcome, tracker, hedging)
     }
@@ -258,12 +271,7 @@
         outcome is RunOutcome.Failed &&
             request.route.kind.repeatable &&
             outcome.answer.status >= FIRST_SERVER_ERROR &&
-            hasCandidateLeft(request, tracker)
-
-    private fun hasCandidateLeft(
-        request: RelayedRequest,
-        tracker: RelayProgressTracker,
-    ): Boolean = candidates.of(request, tracker.progress, clock.now()).isNotEmpty()
+            candidates.of(request, tracker.progress, clock.now()).isNotEmpty()
 
     private fun isCacheRefusal(reason: AttemptRefusal): Boolean =
         reason == AttemptRefusal.CACHE_UNAVAILABLE || reason == AttemptRefusal.AT_CAPACITY
@@ -286,40 +294,6 @@
         return StallTimeouts.forStream(request.route, predicted, request.deadline - clock.now())
     }
 
-    private fun tryAcquire(
-        generation: Generation,
-        reason: RetryReason,
-        now: Instant,
-    ): Boolean {
-        val isFirst = isFirst(generation.former, generation.tracker.progress)
-        return retryLimiter.tryAcquire(generation.request, isFirst, reason, now)
-    }
-
-    private fun giveBack(
-        generation: Generation,
-        countedAt: Instant,
-    ) = retryLimiter.giveBack(
-        generation.request,
-        isFirst(generation.former, generation.tracker.progress),
-        countedAt,
-    )
-
-    private fun recordFailedPrefill(
-        tracker: RelayProgressTracker,
-        prefillEngine: BackendEntry,
-        reason: AttemptRefusal?,
-    ) {
-        val counted = reason == null || !isNotSent(reason)
-        val rests = reason == AttemptRefusal.RESTING
-        tracker.update { progress ->
-            progress.copy(
-                excluded = if (rests) progress.excluded else progress.excluded.add(prefillEngine.life),
-                prefillCalls = progress.prefillCalls + 1,
-                countedAttempts = if (counted) progress.countedAttempts + 1 else progress.countedAttempts,
-            )
-        }
-    }
-
     private companion object {
         const val FIRST_SERVER_ERROR = 500
         val CACHE_FETCH_WORK: Duration = 5.milliseconds
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Generation.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Generation.kt
@@ -1,7 +1,9 @@
 package org.acaciaflow.coordination.relay
 
 import org.acaciaflow.coordination.retry.RetryReason
+import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.prompt.Prompt
+import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.route.EngineProperties
 
 /** A generation that is served by engines with [properties]; its attempts hedge [former], if any. */
@@ -11,7 +13,27 @@
     val properties: EngineProperties,
     val tracker: RelayProgressTracker,
     val former: HedgedAttempt?,
-)
+) {
+    /** True if the next attempt is the first of all. */
+    val isNextFirst: Boolean
+        get() = isFirst(former, tracker.progress)
+
+    /** Records that [prefillEngine] has not prefilled the prompt; it refused for [reason], null if it failed otherwise. */
+    fun recordFailedPrefill(
+        prefillEngine: BackendEntry,
+        reason: AttemptRefusal?,
+    ) {
+        val counted = reason == null || !isNotSent(reason)
+        val rests = reason == AttemptRefusal.RESTING
+        tracker.update { progress ->
+            progress.copy(
+                excluded = if (rests) progress.excluded else progress.excluded.add(prefillEngine.life),
+                prefillCalls = progress.prefillCalls + 1,
+                countedAttempts = if (counted) progress.countedAttempts + 1 else progress.countedAttempts,
+            )
+        }
+    }
+}
 
 /** What follows an attempt at a generation. */
 internal sealed interface EngineStep {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/HedgedAttempt.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/HedgedAttempt.kt
@@ -32,7 +32,11 @@
     private val former = hedging.former
     private val ended = CompletableDeferred<Unit>()
     private val answering = Mutex()
+
+    @Volatile
     private var advances = 0L
+
+    @Volatile
     private var advancesBeforeHedge = 0L
     private var stop: () -> Unit = {}
 
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/SilentServerTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/SilentServerTest.kt
@@ -108,7 +108,11 @@
             val rates =
                 listOf(listOf(silent(whole, part = 0, 1.days), whole), listOf(whole)).map { reactions ->
                     val tables = tablesWith(route(resumable, ENGINE_POOL), servers)
-                    relay(tables, ScriptedConnections(reactions.toMutableList()), promptTokens = 12_000).accept(FakeCaller())
+                    relay(
+                        tables,
+                        ScriptedConnections(reactions.toMutableList()),
+                        promptTokens = 12_000,
+                    ).accept(FakeCaller())
                     tables.rates.snapshot()[ENGINE_POOL]
                 }
 
