--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/AnswerWriter.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/AnswerWriter.kt
@@ -13,14 +13,20 @@
     ) {
         val joined = second.takeIf { plan.stutter?.moment == StutterMoment.SameWrite }
         when (val delivery = plan.delivery) {
-            Delivery.Whole, Delivery.Early -> connection.write(reply, WritingKind.TRUE_ANSWER, joined)
+            Delivery.Whole, Delivery.Early ->
+                connection.write(
+                    reply,
+                    WritingKind.TRUE_ANSWER,
+                    joined,
+                    plan.silenceMilliseconds,
+                )
             Delivery.NonsenseBefore -> {
                 connection.write(nonsense, WritingKind.NONSENSE)
-                connection.write(reply, WritingKind.TRUE_ANSWER, joined)
+                connection.write(reply, WritingKind.TRUE_ANSWER, joined, plan.silenceMilliseconds)
             }
             is Delivery.AfterInterim -> {
                 connection.write(interimReply(delivery.status), WritingKind.INTERIM_ANSWER)
-                connection.write(reply, WritingKind.TRUE_ANSWER, joined)
+                connection.write(reply, WritingKind.TRUE_ANSWER, joined, plan.silenceMilliseconds)
             }
             Delivery.NonsenseInstead -> connection.write(nonsense, WritingKind.NONSENSE, joined)
             is Delivery.CutShort -> connection.write(reply.cut(), WritingKind.TRUE_ANSWER)
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/ArrivalPlan.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/ArrivalPlan.kt
@@ -9,6 +9,8 @@
     val closesAfterwards: Boolean,
     val workMilliseconds: Long,
     val losesHandle: Boolean,
+    /** How long the true answer falls silent halfway. */
+    val silenceMilliseconds: Long = 0,
 ) {
     /** The fields of a true answer that say whether the connection ends. */
     val closingFields: List<String>
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/FaultMix.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/FaultMix.kt
@@ -33,6 +33,8 @@
     val handleLost: Double = 0.0,
     val longestWorkMilliseconds: Long = 0,
     val slowFailures: SlowFailures = SlowFailures(),
+    /** Answers that fall silent for half a second to nearly two, and go on. */
+    val silent: Double = 0.0,
 ) {
     /** Draws the plan for one arrival; each call takes its choices from [random] in the same order. */
     fun draw(random: Random): ArrivalPlan {
@@ -44,6 +46,8 @@
         val work = random.nextLong(longestWorkMilliseconds + 1)
         val losesHandle = random.nextDouble() < handleLost
         val slowFailure = slowFailures.draw(random)
+        val silence = random.nextLong(SHORTEST_SILENCE_MILLISECONDS, LONGEST_SILENCE_MILLISECONDS)
+        val isSilent = random.nextDouble() < silent
         val delivery = slowFailure?.delivery ?: drawnDelivery
         val stutter = drawnStutter?.takeIf { mayStutter(it.moment, delivery) }
         // After a body that ends with its connection, a second answer would belong to it, and its cut end would look whole.
@@ -57,6 +61,7 @@
             closesAfterwards = stutter == null && (closes || framing == Framing.UNTIL_CLOSE),
             workMilliseconds = work,
             losesHandle = losesHandle,
+            silenceMilliseconds = if (isSilent) silence else 0,
         )
     }
 
@@ -140,6 +145,8 @@
         private const val LATEST_AFTER_ARRIVAL = 200L
         private const val EARLIEST_SOON = 60L
         private const val LATEST_SOON = 100L
+        private const val SHORTEST_SILENCE_MILLISECONDS = 500L
+        private const val LONGEST_SILENCE_MILLISECONDS = 1_800L
         private const val CONTINUE = 100
         private const val EARLY_HINTS = 103
     }
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Reply.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/Reply.kt
@@ -20,6 +20,9 @@
     /** The same bytes in one piece. */
     fun joined(): Reply = copy(pieces = persistentListOf(text))
 
+    /** The same bytes in two pieces. */
+    fun halved(): Reply = copy(pieces = persistentListOf(text.take(text.length / 2), text.drop(text.length / 2)))
+
     /** The bytes up to some characters before the end of the body or, in a stream, up to the middle of an event. */
     fun cut(): Reply =
         when (pieces.size) {
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakConnection.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakConnection.kt
@@ -19,16 +19,21 @@
     val number = run.newConnection()
     val reader = RequestReader(socket.getInputStream())
 
-    /** Writes [reply] as [kind], and [second] in one write with its last piece. */
+    /** Writes [reply] as [kind], silent for [silenceMilliseconds] halfway, and [second] in one write with its last piece. */
     @Synchronized
     fun write(
         reply: Reply,
         kind: WritingKind,
         second: Reply? = null,
+        silenceMilliseconds: Long = 0,
     ) {
+        if (silenceMilliseconds > 0 && reply.pieces.size == 1) {
+            return write(reply.halved(), kind, second, silenceMilliseconds)
+        }
         reply.pieces.forEachIndexed { index, piece ->
             val isLast = index == reply.pieces.lastIndex
             if (index > 0) Thread.sleep(PIECE_PAUSE_MILLISECONDS)
+            if (index == reply.pieces.size / 2) Thread.sleep(silenceMilliseconds)
             send(if (isLast) piece + second?.text.orEmpty() else piece)
             if (index == 0) record(reply, kind)
         }
--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakMix.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/SoakMix.kt
@@ -15,6 +15,9 @@
     QUIET("quiet", SOUND_SERVERS),
     STUTTER("stutter", SOUND_SERVERS.copy(stutter = 0.4)),
     STUTTER_AND_FAILURES("stutter-and-failures", FAILING_SERVERS.copy(stutter = 0.4)),
+
+    /** Servers that fail, answer twice, and fall silent within a fifth of their answers and go on. */
+    SILENCES("silences", FAILING_SERVERS.copy(stutter = 0.1, silent = 0.2)),
     LOST_ANSWERS(
         "lost-answers",
         FAILING_SERVERS.copy(lost = 0.06, mute = 0.03, reset = 0.05, cutShort = 0.06, stutter = 0.2),
--- a/soak.sh
+++ b/soak.sh
@@ -11,7 +11,7 @@
               streams that are taken up (answers)
   --seeds     the seed or seeds to play, one after the other (1)
   --seconds   how long each of them sends requests (20; versions 12, and the last release is finished)
-  --mix       answers only: quiet, stutter, stutter-and-failures, lost-answers, everything, early-second-answers,
+  --mix       answers only: quiet, stutter, stutter-and-failures, silences, lost-answers, everything, early-second-answers,
               early-second-answers-half, rare-own-bodies, rare-own-bodies-most, rare-bare-heads,
               rare-own-bodies-many, rare-bare-heads-many, dense-own-bodies, lone-successes,
               second-late-failures or second-late-failures-half
