--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/FaultMix.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/soak/FaultMix.kt
@@ -50,8 +50,9 @@
         val isSilent = random.nextDouble() < silent
         val delivery = slowFailure?.delivery ?: drawnDelivery
         val stutter = drawnStutter?.takeIf { mayStutter(it.moment, delivery) }
-        // After a body that ends with its connection, a second answer would belong to it, and its cut end would look whole.
-        val hasEnd = stutter == null && delivery.writesWhole
+        // After a body that ends with its connection, a second answer would belong to it, and its cut end would look whole:
+        // also if the server's life ends while the answer is silent.
+        val hasEnd = stutter == null && delivery.writesWhole && !isSilent
         val framing = if (hasEnd || drawnFraming != Framing.UNTIL_CLOSE) drawnFraming else Framing.LENGTH
         return ArrivalPlan(
             verdict = slowFailure?.verdict ?: drawnVerdict,
