--- /dev/null
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Generation.kt
@@ -0,0 +1,50 @@
+package org.acaciaflow.coordination.relay
+
+import org.acaciaflow.coordination.retry.RetryReason
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.prompt.Prompt
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.route.EngineProperties
+
+/** A generation that is served by engines with [properties]; its attempts hedge [former], if any. */
+internal data class Generation(
+    val request: RelayedRequest,
+    val prompt: Prompt,
+    val properties: EngineProperties,
+    val tracker: RelayProgressTracker,
+    val former: HedgedAttempt?,
+) {
+    /** True if the next attempt is the first of all. */
+    val isNextFirst: Boolean
+        get() = isFirst(former, tracker.progress)
+
+    /** Records that [prefillEngine] has not prefilled the prompt; it refused for [reason], null if it failed otherwise. */
+    fun recordFailedPrefill(
+        prefillEngine: BackendEntry,
+        reason: AttemptRefusal?,
+    ) {
+        val counted = reason == null || !isNotSent(reason)
+        val rests = reason == AttemptRefusal.RESTING
+        tracker.update { progress ->
+            progress.copy(
+                excluded = if (rests) progress.excluded else progress.excluded.add(prefillEngine.life),
+                prefillCalls = progress.prefillCalls + 1,
+                countedAttempts = if (counted) progress.countedAttempts + 1 else progress.countedAttempts,
+            )
+        }
+    }
+}
+
+/** What follows an attempt at a generation. */
+internal sealed interface EngineStep {
+    data class Finished(
+        val conclusion: Conclusion,
+    ) : EngineStep
+
+    data class Retry(
+        val reason: RetryReason,
+    ) : EngineStep
+
+    /** Nothing was sent; KV cache that was to be fetched is still held for the request. */
+    data object NotSent : EngineStep
+}
--- a/transport/src/test/kotlin/org/acaciaflow/transport/http/CallerServerTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/http/CallerServerTest.kt
@@ -19,6 +19,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
 import kotlinx.io.bytestring.ByteString
+import org.acaciaflow.coordination.caller.CallerTimeouts
+import org.acaciaflow.coordination.clock.createSteadyClock
 import org.acaciaflow.coordination.port.CallAcceptor
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.port.wholeBodyOf
@@ -28,6 +30,7 @@
 import org.acaciaflow.state.identity.HostAddress
 import org.acaciaflow.state.refusal.NotRun
 import org.acaciaflow.state.work.AnswerHead
+import org.acaciaflow.state.work.CallHead
 import org.acaciaflow.transport.observation.MeteredObservations
 import java.net.ConnectException
 import java.net.Socket
@@ -77,6 +80,21 @@
         shouldThrow<ConnectException> { Socket("127.0.0.1", port).close() }
     }
 
+    /** Guards against a stop that waits for its whole time, and takes a call at its end, for connections without a call so far. */
+    @Test
+    suspend fun `a shutdown closes connections that have sent no whole head at once`() {
+        val server = server(work = Duration.ZERO)
+        val port = server.start(HostAddress("127.0.0.1", 0)).actualPort()
+        for (written in listOf("", "POST /call HTTP/1.1\r\nHost: a\r\n")) {
+            Socket("127.0.0.1", port).getOutputStream().write(written.toByteArray())
+        }
+        delay(100)
+
+        val took = measureTime { server.shutdown(5.seconds) }
+
+        took shouldBeLessThan 2.seconds
+    }
+
     /** Guards against a body that is cut at a limit and then run, under a length that fits what is left of it. */
     @Test
     suspend fun `a body is accepted whole or refused as too large`() {
@@ -148,6 +166,9 @@
         private val calls = AtomicInteger()
         override val refusals = RefusalEncoder(RefusalAnswer::of)
         override val stopping = false
+        override val timeouts = CallerTimeouts.UNBOUNDED
+
+        override fun timeLimitOf(call: CallHead): Duration? = null
 
         override suspend fun bodyLimits(): BodyLimits {
             val limit = if (calls.getAndIncrement() == 0) bytes else later
@@ -171,7 +192,14 @@
                     exchange.end()
                 }
             }
-        return CallerServer(vertx, acceptor, MeteredObservations(SimpleMeterRegistry()), callScope, frontEnd)
+        return CallerServer(
+            vertx,
+            acceptor,
+            MeteredObservations(SimpleMeterRegistry()),
+            callScope,
+            frontEnd,
+            createSteadyClock(),
+        )
     }
 
     private companion object {
