--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -15,7 +15,6 @@
 import org.acaciaflow.coordination.port.RunOrder
 import org.acaciaflow.coordination.port.SocketReads
 import org.acaciaflow.coordination.stream.StreamOrigins
-import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.load.JobIdentity
 import org.acaciaflow.state.refusal.MayHaveRun
 import kotlin.time.Clock
@@ -88,13 +87,15 @@
         val stream = connections.open(order, request.body)
         val stalls = RunStallDetector(tables, life, job, stallTimeouts, stream, clock)
         val attempt = HedgedAttempt(stalls, hedging, socketReads, clock)
+        val memory = BufferReservation(tables.answerBuffers, bufferLimits, life)
+        val run = RunInProgress(request, order.backend, job, tracker, stalls, attempt, memory)
         try {
             return attempt.during(
                 mayHedge = { tracker.progress.mayGoOnElsewhere },
                 stop = stream::cancel,
                 isFinal = { it is RunOutcome.Delivered || it == RunOutcome.CallerGone },
             ) {
-                val outcome = relayAttempt(request, order.backend, job, stalls, attempt, tracker)
+                val outcome = relayUnlessSuspect(run)
                 verdicts.record(request, life, job, outcome, clock.now())
                 tables.load.update { LoadLedger.ended(it, life, job, clock.now()) }
                 outcome
@@ -104,28 +105,18 @@
         }
     }
 
-    private suspend fun relayAttempt(
-        request: RelayedRequest,
-        backend: BackendEntry,
-        job: JobIdentity,
-        stalls: RunStallDetector,
-        attempt: HedgedAttempt,
-        tracker: RelayProgressTracker,
-    ): RunOutcome {
-        val quarantine = QuarantineWatch(tables, request, job, tracker, clock)
-        val memory = BufferReservation(tables.answerBuffers, bufferLimits, backend.life)
+    private suspend fun relayUnlessSuspect(run: RunInProgress): RunOutcome {
+        val quarantine = QuarantineWatch(tables, run.request, run.job, run.tracker, clock)
         val outcome =
             try {
-                quarantine.during(stalls.watchedStream) { stream ->
-                    relayAnswer(stream, request, backend, job, stalls, attempt, tracker, memory)
-                }
+                quarantine.during(run.stalls.watchedStream) { relayAnswer(it, run) }
             } finally {
-                memory.release()
+                run.memory.release()
             }
         return when {
             outcome !is RunOutcome.Broken -> outcome
             quarantine.givenUp -> RunOutcome.Broken(MayHaveRun.CRASH_SUSPECT)
-            attempt.superseded -> RunOutcome.Broken(MayHaveRun.STREAM_STALLED)
+            run.attempt.superseded -> RunOutcome.Broken(MayHaveRun.STREAM_STALLED)
             else -> outcome
         }
     }
@@ -135,13 +126,7 @@
 
     private suspend fun relayAnswer(
         stream: AttemptStream,
-        request: RelayedRequest,
-        backend: BackendEntry,
-        job: JobIdentity,
-        stalls: RunStallDetector,
-        attempt: HedgedAttempt,
-        tracker: RelayProgressTracker,
-        memory: BufferReservation,
+        run: RunInProgress,
     ): RunOutcome =
         when (val first = stream.next()) {
             is AttemptEvent.Refused -> {
@@ -149,16 +134,16 @@
             }
 
             is AttemptEvent.Head -> {
-                tracker.update { it.copy(mayHaveRun = MayHaveRun.ANSWER_INCOMPLETE) }
+                run.tracker.update { it.copy(mayHaveRun = MayHaveRun.ANSWER_INCOMPLETE) }
                 if (framing.isEventStream(first.head)) {
-                    relayEvents(stream, first, request, backend, job, stalls, attempt, tracker, memory)
+                    relayEvents(stream, first, run)
                 } else {
-                    relayBuffered(stream, first, request, attempt, tracker, memory)
+                    relayBuffered(stream, first, run)
                 }
             }
 
             is AttemptEvent.Broken -> {
-                tracker.update { it.copy(mayHaveRun = first.reason) }
+                run.tracker.update { it.copy(mayHaveRun = first.reason) }
                 RunOutcome.Broken(first.reason)
             }
 
@@ -170,27 +155,21 @@
     private suspend fun relayEvents(
         stream: AttemptStream,
         first: AttemptEvent.Head,
-        request: RelayedRequest,
-        backend: BackendEntry,
-        job: JobIdentity,
-        stalls: RunStallDetector,
-        attempt: HedgedAttempt,
-        tracker: RelayProgressTracker,
-        memory: BufferReservation,
+        run: RunInProgress,
     ): RunOutcome {
-        val start = StreamStart(origins, request, backend, tracker, stalls)
-        val delivery = EventDelivery(request.exchange, framing, tracker, first, start, attempt, memory, clock)
+        val start = StreamStart(origins, run.request, run.backend, run.tracker, run.stalls)
+        val delivery = EventDelivery(run, framing, first, start, clock)
         var recordedAt = Instant.DISTANT_PAST
         while (true) {
             when (val event = stream.next()) {
                 is AttemptEvent.Data -> {
                     val now = clock.now()
                     if (now - recordedAt > LOAD_UPDATE_INTERVAL) {
-                        tables.load.update { LoadLedger.producing(it, backend.life, job, now) }
+                        tables.load.update { LoadLedger.producing(it, run.backend.life, run.job, now) }
                         recordedAt = now
                     }
                     when (val forwarded = delivery.forward(event.bytes)) {
-                        is Forwarded.Written -> if (forwarded.progressed) stalls.recordProgress(clock.now())
+                        is Forwarded.Written -> if (forwarded.progressed) run.stalls.recordProgress(clock.now())
                         Forwarded.CallerGone -> return RunOutcome.CallerGone
                         Forwarded.Superseded -> return RunOutcome.Broken(MayHaveRun.STREAM_STALLED)
                         Forwarded.Unrecorded -> return RunOutcome.Broken(MayHaveRun.STREAM_UNRECORDED)
@@ -221,13 +200,10 @@
     private suspend fun relayBuffered(
         stream: AttemptStream,
         first: AttemptEvent.Head,
-        request: RelayedRequest,
-        attempt: HedgedAttempt,
-        tracker: RelayProgressTracker,
-        memory: BufferReservation,
+        run: RunInProgress,
     ): RunOutcome {
         val head = first.head
-        val buffer = BufferedAnswer(head, memory)
+        val buffer = BufferedAnswer(head, run.memory)
         while (true) {
             when (val event = stream.next()) {
                 is AttemptEvent.Data -> buffer.append(event.bytes)?.let { return RunOutcome.Broken(it) }
@@ -237,13 +213,13 @@
             }
         }
         val answer = buffer.toStoredAnswer()
-        if (head.status >= FIRST_FAILURE_STATUS || tracker.progress.begun) {
+        if (head.status >= FIRST_FAILURE_STATUS || run.tracker.progress.begun) {
             return RunOutcome.Failed(answer, first.origin)
         }
         val written =
-            attempt.answer(isAdvance = { true }) {
-                tracker.update { it.copy(begunAt = clock.now(), origin = first.origin, resumable = false) }
-                request.exchange.sendWhole(answer)
+            run.attempt.answer(isAdvance = { true }) {
+                run.tracker.update { it.copy(begunAt = clock.now(), origin = first.origin, resumable = false) }
+                run.request.exchange.sendWhole(answer)
             }
         return outcomeOf(written, head.status)
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
@@ -2,11 +2,9 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.io.bytestring.ByteString
-import org.acaciaflow.coordination.buffer.BufferReservation
 import org.acaciaflow.coordination.gateway.StreamEvent
 import org.acaciaflow.coordination.gateway.StreamFraming
 import org.acaciaflow.coordination.port.AttemptEvent
-import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.port.CallerWrite
 import org.acaciaflow.state.bytes.concatenate
 import kotlin.time.Clock
@@ -17,15 +15,15 @@
  * The caller gets the head of the first attempt only; an attempt that resumes the stream adds only its events.
  */
 internal class EventDelivery(
-    private val exchange: CallerExchange,
+    private val run: RunInProgress,
     framing: StreamFraming,
-    private val tracker: RelayProgressTracker,
     private val first: AttemptEvent.Head,
     private val start: StreamStart,
-    private val attempt: HedgedAttempt,
-    private val memory: BufferReservation,
     private val clock: Clock,
 ) {
+    private val tracker = run.tracker
+    private val attempt = run.attempt
+    private val exchange = run.request.exchange
     private val splitter = framing.newSplitter()
 
     /** True until the first event of an attempt that resumes the stream has been checked against the last one sent. */
@@ -43,7 +41,7 @@
     suspend fun forward(bytes: ByteString): Forwarded {
         val events = splitter.split(bytes)
         if (splitter.incompleteSize > MAXIMUM_EVENT_BYTES) return Forwarded.EventTooLarge
-        if (!memory.covers(splitter.incompleteSize.toLong())) return Forwarded.MemorySpent
+        if (!run.memory.covers(splitter.incompleteSize.toLong())) return Forwarded.MemorySpent
         // A comment is no answer yet.
         if (events.isEmpty() || (attempt.waitsForFormer && events.all { it.isComment })) return NO_PROGRESS
         return attempt.answer(isAdvance = { it != NO_PROGRESS }) { write(events) } ?: Forwarded.Superseded
