--- /dev/null
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
@@ -0,0 +1,63 @@
+package org.acaciaflow.coordination.relay
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import kotlinx.collections.immutable.persistentListOf
+import org.acaciaflow.coordination.retry.RetryBounds
+import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.identity.SoftwareVersion
+import org.acaciaflow.state.prompt.Prompt
+import org.acaciaflow.state.prompt.PromptPart
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.route.RequestKind
+import org.acaciaflow.state.route.Route
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Failures found in the review of hedged attempts. */
+class ReviewHedgeTest : AnnotationSpec() {
+    private val resumable = RequestKind.EventStream(resumable = true)
+    private val whole = Reaction.Streams(breakAt = null)
+
+    /** Guards against a prefill and its hedge that are both lost: the cancelled hedge excludes the only decode engine (LOST). */
+    @Test
+    fun `a stream whose silent prefill goes on is served by the only decode engine`() =
+        runTest {
+            val engines = listOf(backend("prefill", ENGINE_POOL, EngineRole.PREFILL), engine("decode"))
+            val connections = ScriptedConnections(mutableListOf(silent(whole, part = 0, 2.seconds), whole))
+            connections.prefillTimes += 2.seconds
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL), engines, connections, promptTokens = 12_000).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+        }
+
+    private fun silent(
+        reaction: Reaction,
+        part: Int,
+        silence: Duration = 1100.milliseconds,
+    ) = Reaction.FallsSilent(reaction, part, silence)
+
+    private fun engine(name: String): BackendEntry = backend(name, ENGINE_POOL, EngineRole.DECODE)
+
+    private fun TestScope.relay(
+        route: Route,
+        servers: List<BackendEntry>,
+        connections: ScriptedConnections,
+        promptTokens: Int = 100,
+        bounds: RetryBounds = RetryBounds(0.2, 1000.0, 10.seconds),
+    ): RequestRelay {
+        val prompt = Prompt(persistentListOf(PromptPart(1, promptTokens)), promptTokens, 10)
+        return createTestRelay(tablesWith(route, servers), connections, prompt, bounds = bounds)
+    }
+}
