--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
@@ -42,6 +42,19 @@
             caller.text shouldBe "abcdefgh"
         }
 
+    /** Guards against a stream that is cut as its server breaks off later, since a cancelled hedge excludes the sound one (LOST). */
+    @Test
+    fun `a stream whose server was silent and breaks off later goes on at the server that was tried meanwhile`() =
+        runTest {
+            val first = silent(Reaction.Streams(breakAt = 'f'), part = 4)
+            val connections = ScriptedConnections(mutableListOf(first, silent(whole, part = 0, 1.seconds), whole))
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL), listOf(engine("one"), engine("second")), connections).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+        }
+
     private fun silent(
         reaction: Reaction,
         part: Int,
