--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
@@ -55,6 +55,18 @@
             caller.text shouldBe "abcdefgh"
         }
 
+    /** Guards against a silent attempt that is stopped for events of its hedge that do not go on with the stream (LOST). */
+    @Test
+    fun `a silent attempt is not stopped for a hedge whose events are out of order`() =
+        runTest {
+            val connections = ScriptedConnections(mutableListOf(silent(whole, part = 4), Reaction.StartsOver))
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL), listOf(engine("one"), engine("second")), connections).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+        }
+
     private fun silent(
         reaction: Reaction,
         part: Int,
