--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
@@ -67,6 +67,21 @@
             caller.text shouldBe "abcdefgh"
         }
 
+    /** Guards against a prefill that is ready and whose decode is denied, since its cancelled hedge spent the retry (LOST). */
+    @Test
+    fun `a stream whose silent prefill goes on is decoded though its hedge has spent the last retry`() =
+        runTest {
+            val engines = listOf(backend("prefill", ENGINE_POOL, EngineRole.PREFILL), engine("one"), engine("second"))
+            val connections = ScriptedConnections(mutableListOf(silent(whole, part = 0, 2.seconds), whole))
+            connections.prefillTimes += 2.seconds
+            val caller = FakeCaller()
+            val bounds = RetryBounds(ratio = 0.0, slack = 2.0, window = 10.seconds)
+
+            relay(route(resumable, ENGINE_POOL), engines, connections, promptTokens = 12_000, bounds).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+        }
+
     private fun silent(
         reaction: Reaction,
         part: Int,
