--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
@@ -82,6 +82,20 @@
             caller.text shouldBe "abcdefgh"
         }
 
+    /** Guards against a good hedge that is dropped since the silent attempt sent events out of order, which reach no caller (LOST). */
+    @Test
+    fun `an attempt that resumes out of order does not end its hedge`() =
+        runTest {
+            val reactions =
+                mutableListOf(Reaction.Streams(breakAt = 'd'), silent(Reaction.StartsOver, part = 0, 2100.milliseconds), silent(whole, part = 0, 700.milliseconds))
+            val connections = ScriptedConnections(reactions)
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL, maximumAttempts = 3), List(3) { engine("e$it") }, connections).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+        }
+
     private fun silent(
         reaction: Reaction,
         part: Int,
