--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
@@ -96,6 +96,23 @@
             caller.text shouldBe "abcdefgh"
         }
 
+    /** Guards against a stream of two software versions: a comment of one begins it, the hedge of another goes on (ORDER). */
+    @Test
+    fun `a stream begun by a comment has events of one software version`() =
+        runTest {
+            val first = Reaction.Paces(listOf("."), 1200.milliseconds, endless = false)
+            val second = silent(Reaction.Streams(breakAt = 'e'), part = 0, 1300.milliseconds)
+            val servers =
+                (0..3).map { engine("e$it").copy(software = SoftwareVersion("${it % 2 + 1}")) }
+            val connections = ScriptedConnections(mutableListOf(first, second, whole))
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL, maximumAttempts = 3), servers, connections).accept(caller)
+
+            val versions = connections.orders.map { it.backend.software }
+            versions.drop(1).distinct().size shouldBe 1
+        }
+
     private fun silent(
         reaction: Reaction,
         part: Int,
