--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
@@ -113,6 +113,20 @@
             versions.drop(1).distinct().size shouldBe 1
         }
 
+    /** Guards against a stream that is cut by an internal fault: an error answer of a hedge is written behind a comment of the silent attempt. */
+    @Test
+    fun `a failure of the other server is not written into a stream that has begun with a comment`() =
+        runTest {
+            val first = Reaction.Paces(listOf("."), 1200.milliseconds, endless = false, breaks = true)
+            val connections = ScriptedConnections(mutableListOf(first, Reaction.Answers(404), whole))
+            val caller = FakeCaller()
+
+            val servers = List(3) { engine("e$it") }
+            relay(route(resumable, ENGINE_POOL, maximumAttempts = 3), servers, connections).accept(caller)
+
+            caller.text shouldBe ".abcdefgh"
+        }
+
     private fun silent(
         reaction: Reaction,
         part: Int,
