--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
@@ -127,6 +127,26 @@
             caller.text shouldBe ".abcdefgh"
         }
 
+    /** Guards against a request that goes on at another engine while the one before works on it for long (TWICE, model runners). */
+    @Test
+    fun `a generation does not go on at another engine while the silent one still works on it 400 ms later`() =
+        runTest {
+            val reactions = mutableListOf<Reaction>(silent(whole, part = 4, 1.days), silent(whole, part = 0, 1500.milliseconds))
+            val connections = ScriptedConnections(reactions)
+            val route = route(resumable, ENGINE_POOL)
+            val tables = tablesWith(route, listOf(engine("one"), engine("second")))
+            val prompt = Prompt(persistentListOf(PromptPart(1, 100)), 100, 10)
+            val relay = createTestRelay(tables, connections, prompt, bounds = RetryBounds(0.2, 1000.0, 10.seconds))
+            val serving = launch { relay.accept(FakeCaller()) }
+
+            while (connections.orders.size < 2) delay(10.milliseconds)
+            delay(450.milliseconds)
+
+            val runs = connections.orders.map { tables.load.snapshot().ownAt(it.backend.life).jobs.size }
+            serving.join()
+            runs shouldBe listOf(0, 1)
+        }
+
     private fun silent(
         reaction: Reaction,
         part: Int,
