--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
@@ -147,6 +147,18 @@
             runs shouldBe listOf(0, 1)
         }
 
+    /** Guards against a refusal by a server that is withheld until the deadline for a server that is silent for good. */
+    @Test
+    fun `a proper failure of the other server is passed on though the first one is silent for good`() =
+        runTest {
+            val reactions = mutableListOf(silent(Reaction.Answers(200), part = 0, 1.days), Reaction.Answers(404))
+            val caller = FakeCaller()
+
+            relay(route(RequestKind.Idempotent), listOf(backend("one"), backend("second")), ScriptedConnections(reactions)).accept(caller)
+
+            caller.status shouldBe 404
+        }
+
     private fun silent(
         reaction: Reaction,
         part: Int,
