--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
@@ -159,6 +159,22 @@
             caller.status shouldBe 404
         }
 
+    /** Guards against an error answer that is dropped for another attempt, which then is denied (same cause as issue 58). */
+    @Test
+    fun `an error answer reaches the caller if no retry is allowed, or the other server refuses`() {
+        for ((slack, second) in listOf(0.0 to Reaction.Answers(200), 1000.0 to Reaction.Refuses(AttemptRefusal.AT_CAPACITY))) {
+            runTest {
+                val connections = ScriptedConnections(mutableListOf(Reaction.Answers(500), second))
+                val caller = FakeCaller()
+                val servers = listOf(backend("one"), backend("second"))
+
+                relay(route(RequestKind.Idempotent), servers, connections, bounds = RetryBounds(0.0, slack, 10.seconds)).accept(caller)
+
+                withClue("$slack, refusal ${caller.refusal}") { caller.status shouldBe 500 }
+            }
+        }
+    }
+
     private fun silent(
         reaction: Reaction,
         part: Int,
