--- /dev/null
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ReviewHedgeTest.kt
@@ -0,0 +1,196 @@
+package org.acaciaflow.coordination.relay
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import kotlinx.collections.immutable.persistentListOf
+import org.acaciaflow.coordination.retry.RetryBounds
+import org.acaciaflow.state.backend.EngineRole
+import org.acaciaflow.state.fleet.BackendEntry
+import org.acaciaflow.state.identity.SoftwareVersion
+import org.acaciaflow.state.prompt.Prompt
+import org.acaciaflow.state.prompt.PromptPart
+import org.acaciaflow.state.refusal.AttemptRefusal
+import org.acaciaflow.state.route.RequestKind
+import org.acaciaflow.state.route.Route
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Failures found in the review of hedged attempts. */
+class ReviewHedgeTest : AnnotationSpec() {
+    private val resumable = RequestKind.EventStream(resumable = true)
+    private val whole = Reaction.Streams(breakAt = null)
+
+    /** Guards against a prefill and its hedge that are both lost: the cancelled hedge excludes the only decode engine (LOST). */
+    @Test
+    fun `a stream whose silent prefill goes on is served by the only decode engine`() =
+        runTest {
+            val engines = listOf(backend("prefill", ENGINE_POOL, EngineRole.PREFILL), engine("decode"))
+            val connections = ScriptedConnections(mutableListOf(silent(whole, part = 0, 2.seconds), whole))
+            connections.prefillTimes += 2.seconds
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL), engines, connections, promptTokens = 12_000).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+        }
+
+    /** Guards against a stream that is cut as its server breaks off later, since a cancelled hedge excludes the sound one (LOST). */
+    @Test
+    fun `a stream whose server was silent and breaks off later goes on at the server that was tried meanwhile`() =
+        runTest {
+            val first = silent(Reaction.Streams(breakAt = 'f'), part = 4)
+            val connections = ScriptedConnections(mutableListOf(first, silent(whole, part = 0, 1.seconds), whole))
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL), listOf(engine("one"), engine("second")), connections).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+        }
+
+    /** Guards against a silent attempt that is stopped for events of its hedge that do not go on with the stream (LOST). */
+    @Test
+    fun `a silent attempt is not stopped for a hedge whose events are out of order`() =
+        runTest {
+            val connections = ScriptedConnections(mutableListOf(silent(whole, part = 4), Reaction.StartsOver))
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL), listOf(engine("one"), engine("second")), connections).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+        }
+
+    /** Guards against a prefill that is ready and whose decode is denied, since its cancelled hedge spent the retry (LOST). */
+    @Test
+    fun `a stream whose silent prefill goes on is decoded though its hedge has spent the last retry`() =
+        runTest {
+            val engines = listOf(backend("prefill", ENGINE_POOL, EngineRole.PREFILL), engine("one"), engine("second"))
+            val connections = ScriptedConnections(mutableListOf(silent(whole, part = 0, 2.seconds), whole))
+            connections.prefillTimes += 2.seconds
+            val caller = FakeCaller()
+            val bounds = RetryBounds(ratio = 0.0, slack = 2.0, window = 10.seconds)
+
+            relay(route(resumable, ENGINE_POOL), engines, connections, promptTokens = 12_000, bounds).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+        }
+
+    /** Guards against a good hedge that is dropped since the silent attempt sent events out of order, which reach no caller (LOST). */
+    @Test
+    fun `an attempt that resumes out of order does not end its hedge`() =
+        runTest {
+            val reactions =
+                mutableListOf(Reaction.Streams(breakAt = 'd'), silent(Reaction.StartsOver, part = 0, 2100.milliseconds), silent(whole, part = 0, 700.milliseconds))
+            val connections = ScriptedConnections(reactions)
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL, maximumAttempts = 3), List(3) { engine("e$it") }, connections).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+        }
+
+    /** Guards against a stream of two software versions: a comment of one begins it, the hedge of another goes on (ORDER). */
+    @Test
+    fun `a stream begun by a comment has events of one software version`() =
+        runTest {
+            val first = Reaction.Paces(listOf("."), 1200.milliseconds, endless = false)
+            val second = silent(Reaction.Streams(breakAt = 'e'), part = 0, 1300.milliseconds)
+            val servers =
+                (0..3).map { engine("e$it").copy(software = SoftwareVersion("${it % 2 + 1}")) }
+            val connections = ScriptedConnections(mutableListOf(first, second, whole))
+            val caller = FakeCaller()
+
+            relay(route(resumable, ENGINE_POOL, maximumAttempts = 3), servers, connections).accept(caller)
+
+            val versions = connections.orders.map { it.backend.software }
+            versions.drop(1).distinct().size shouldBe 1
+        }
+
+    /** Guards against a stream that is cut by an internal fault: an error answer of a hedge is written behind a comment of the silent attempt. */
+    @Test
+    fun `a failure of the other server is not written into a stream that has begun with a comment`() =
+        runTest {
+            val first = Reaction.Paces(listOf("."), 1200.milliseconds, endless = false, breaks = true)
+            val connections = ScriptedConnections(mutableListOf(first, Reaction.Answers(404), whole))
+            val caller = FakeCaller()
+
+            val servers = List(3) { engine("e$it") }
+            relay(route(resumable, ENGINE_POOL, maximumAttempts = 3), servers, connections).accept(caller)
+
+            caller.text shouldBe ".abcdefgh"
+        }
+
+    /** Guards against a request that goes on at another engine while the one before works on it for long (TWICE, model runners). */
+    @Test
+    fun `a generation does not go on at another engine while the silent one still works on it 400 ms later`() =
+        runTest {
+            val reactions = mutableListOf<Reaction>(silent(whole, part = 4, 1.days), silent(whole, part = 0, 1500.milliseconds))
+            val connections = ScriptedConnections(reactions)
+            val route = route(resumable, ENGINE_POOL)
+            val tables = tablesWith(route, listOf(engine("one"), engine("second")))
+            val prompt = Prompt(persistentListOf(PromptPart(1, 100)), 100, 10)
+            val relay = createTestRelay(tables, connections, prompt, bounds = RetryBounds(0.2, 1000.0, 10.seconds))
+            val serving = launch { relay.accept(FakeCaller()) }
+
+            while (connections.orders.size < 2) delay(10.milliseconds)
+            delay(450.milliseconds)
+
+            val runs = connections.orders.map { tables.load.snapshot().ownAt(it.backend.life).jobs.size }
+            serving.join()
+            runs shouldBe listOf(0, 1)
+        }
+
+    /** Guards against a refusal by a server that is withheld until the deadline for a server that is silent for good. */
+    @Test
+    fun `a proper failure of the other server is passed on though the first one is silent for good`() =
+        runTest {
+            val reactions = mutableListOf(silent(Reaction.Answers(200), part = 0, 1.days), Reaction.Answers(404))
+            val caller = FakeCaller()
+
+            relay(route(RequestKind.Idempotent), listOf(backend("one"), backend("second")), ScriptedConnections(reactions)).accept(caller)
+
+            caller.status shouldBe 404
+        }
+
+    /** Guards against an error answer that is dropped for another attempt, which then is denied (same cause as issue 58). */
+    @Test
+    fun `an error answer reaches the caller if no retry is allowed, or the other server refuses`() {
+        for ((slack, second) in listOf(0.0 to Reaction.Answers(200), 1000.0 to Reaction.Refuses(AttemptRefusal.AT_CAPACITY))) {
+            runTest {
+                val connections = ScriptedConnections(mutableListOf(Reaction.Answers(500), second))
+                val caller = FakeCaller()
+                val servers = listOf(backend("one"), backend("second"))
+
+                relay(route(RequestKind.Idempotent), servers, connections, bounds = RetryBounds(0.0, slack, 10.seconds)).accept(caller)
+
+                withClue("$slack, refusal ${caller.refusal}") { caller.status shouldBe 500 }
+            }
+        }
+    }
+
+    private fun silent(
+        reaction: Reaction,
+        part: Int,
+        silence: Duration = 1100.milliseconds,
+    ) = Reaction.FallsSilent(reaction, part, silence)
+
+    private fun engine(name: String): BackendEntry = backend(name, ENGINE_POOL, EngineRole.DECODE)
+
+    private fun TestScope.relay(
+        route: Route,
+        servers: List<BackendEntry>,
+        connections: ScriptedConnections,
+        promptTokens: Int = 100,
+        bounds: RetryBounds = RetryBounds(0.2, 1000.0, 10.seconds),
+    ): RequestRelay {
+        val prompt = Prompt(persistentListOf(PromptPart(1, promptTokens)), promptTokens, 10)
+        return createTestRelay(tablesWith(route, servers), connections, prompt, bounds = bounds)
+    }
+}
