--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -68,7 +68,7 @@
                 is AttemptResult.Superseded -> RunOutcome.Superseded(result.conclusion)
             }
         } catch (cancellation: CancellationException) {
-            tracker.update { it.withReached(life).copy(mayHaveRun = it.mayHaveRun ?: MayHaveRun.ANSWER_INCOMPLETE) }
+            tracker.update { it.withCancelled(life) }
             throw cancellation
         } finally {
             tables.load.update { LoadLedger.ended(it, life, job, clock.now()) }
@@ -88,7 +88,7 @@
         val stalls = RunStallDetector(tables, life, job, stallTimeouts, stream, clock)
         val attempt = HedgedAttempt(stalls, hedging, socketReads, clock)
         val memory = BufferReservation(tables.answerBuffers, bufferLimits, life)
-        val run = RunInProgress(request, order.backend, job, tracker, stalls, attempt, memory)
+        val run = RunInProgress(request, order, job, tracker, stalls, attempt, memory)
         try {
             return attempt.during(
                 mayHedge = { tracker.progress.mayGoOnElsewhere },
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Conclusions.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Conclusions.kt
@@ -84,9 +84,9 @@
     }
 
 /**
- * Forwards the error answer of a backend server to the caller.
+ * Forwards the error answer of a backend server to the caller, in place of the attempt that [hedging] hedges.
  *
- * While an attempt that was hedged may still have an answer, that is waited for.
+ * A server's own failure is only kept while that attempt may still have a success.
  */
 internal suspend fun forwardFailure(
     request: RelayedRequest,
@@ -94,8 +94,20 @@
     tracker: RelayProgressTracker,
     hedging: Hedging,
 ): Conclusion {
-    hedging.former?.awaitEnd()
+    if (hedging.isFormerOpen && failed.answer.status >= FIRST_SERVER_ERROR) {
+        tracker.keepFailure(failed)
+        return uncertain(tracker.progress, MayHaveRun.ANSWER_INCOMPLETE)
+    }
     hedging.supersedeFormer()
+    return forwardFailure(request, failed, tracker)
+}
+
+/** Forwards the error answer of a backend server to the caller. */
+internal suspend fun forwardFailure(
+    request: RelayedRequest,
+    failed: RunOutcome.Failed,
+    tracker: RelayProgressTracker,
+): Conclusion {
     tracker.update { it.copy(origin = failed.origin) }
     return when (request.exchange.sendWhole(failed.answer)) {
         CallerWrite.WRITTEN -> Conclusion.Delivered(failed.answer.status)
@@ -103,4 +115,6 @@
     }
 }
 
+/** The first status by which a server says that the failure is its own. */
+internal const val FIRST_SERVER_ERROR = 500
 private val RETRY_AFTER: Duration = 250.milliseconds // the set of usable backend servers may have changed by then
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -90,6 +90,7 @@
     ): EngineStep {
         val (request, prompt, properties, tracker) = generation
         val sentAt = clock.now()
+        val isFirst = generation.isNextFirst // a hedge that is cancelled counts its own attempts
         quarantine.conclusionBeforeSend(request, tracker.progress, sentAt)?.let { return EngineStep.Finished(it) }
         observations.decided(
             Decision.Sent(request, path.prefillEngine, path.predicted, setAside = 0, tables.load.snapshot(), sentAt),
@@ -109,7 +110,7 @@
             }
         observations.decided(Decision.Ran(request, path.prefillEngine, outcome.toString(), clock.now()))
         return when (result) {
-            is AttemptResult.Own -> stepAfterPrefill(generation, path, result.result, sentAt)
+            is AttemptResult.Own -> stepAfterPrefill(generation, path, result.result, isFirst, sentAt)
             is AttemptResult.Superseded -> EngineStep.Finished(result.conclusion)
         }
     }
@@ -118,13 +119,14 @@
         generation: Generation,
         path: EnginePath.RemotePrefill,
         outcome: PrefillOutcome,
+        isFirst: Boolean,
         sentAt: Instant,
     ): EngineStep {
         val tracker = generation.tracker
         return when (outcome) {
             is PrefillOutcome.Ready -> {
                 tracker.update { it.copy(prefillCalls = it.prefillCalls + 1) }
-                decode(generation, path, outcome.source)
+                decode(generation, path, outcome.source, isFirst)
             }
 
             is PrefillOutcome.Refused -> {
@@ -148,9 +150,10 @@
         generation: Generation,
         path: EnginePath.RemotePrefill,
         source: CacheSource,
+        isFirst: Boolean,
     ): EngineStep {
         while (true) {
-            val step = decodeOnce(generation, path, source)
+            val step = decodeOnce(generation, path, source, isFirst)
             if (step != EngineStep.NotSent) return step
         }
     }
@@ -159,6 +162,7 @@
         generation: Generation,
         path: EnginePath.RemotePrefill,
         source: CacheSource,
+        isFirst: Boolean,
     ): EngineStep {
         val (request, prompt, properties, tracker) = generation
         val now = clock.now()
@@ -173,7 +177,7 @@
             prefillRun.release(source)
             return EngineStep.Retry(RetryReason.ATTEMPT_REFUSED)
         }
-        if (!retryLimiter.tryAcquire(request, generation.isNextFirst, RetryReason.ATTEMPT_REFUSED, now)) {
+        if (!retryLimiter.tryAcquire(request, isFirst, RetryReason.ATTEMPT_REFUSED, now)) {
             prefillRun.release(source)
             return EngineStep.Finished(noAttemptLeft(tracker.progress))
         }
@@ -258,7 +262,10 @@
         val mayRetryFailure = mayRetryFailure(request, outcome, tracker)
         return when (val step = nextStepAfter(outcome, request, tracker.progress, mayRetryFailure)) {
             is NextStep.Finish -> EngineStep.Finished(step.conclusion)
-            is NextStep.Retry -> EngineStep.Retry(step.reason)
+            is NextStep.Retry -> {
+                step.failed?.let(tracker::keepFailure)
+                EngineStep.Retry(step.reason)
+            }
             is NextStep.ForwardFailure -> EngineStep.Finished(forwardFailure(request, step.failed, tracker, hedging))
         }
     }
@@ -295,7 +302,6 @@
     }
 
     private companion object {
-        const val FIRST_SERVER_ERROR = 500
         val CACHE_FETCH_WORK: Duration = 5.milliseconds
     }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EventDelivery.kt
@@ -44,7 +44,11 @@
         if (!run.memory.covers(splitter.incompleteSize.toLong())) return Forwarded.MemorySpent
         // A comment is no answer yet.
         if (events.isEmpty() || (attempt.waitsForFormer && events.all { it.isComment })) return NO_PROGRESS
-        return attempt.answer(isAdvance = { it != NO_PROGRESS }) { write(events) } ?: Forwarded.Superseded
+        val begunBefore = tracker.progress.begun
+        if (resuming && events.any { !continues(it, run.order.resumeAfter) }) return Forwarded.OutOfOrder
+        // The first part binds the stream to a software version, also if it is a comment.
+        val isAdvance = { written: Forwarded -> written is Forwarded.Written && (written.progressed || !begunBefore) }
+        return attempt.answer(isAdvance) { write(events) } ?: Forwarded.Superseded
     }
 
     private suspend fun write(events: PersistentList<StreamEvent>): Forwarded {
@@ -54,7 +58,6 @@
             Begin.UNRECORDED -> return Forwarded.Unrecorded
         }
         val former = tracker.progress.lastEvent
-        if (resuming && events.any { !continues(it, former) }) return Forwarded.OutOfOrder
         val last = events.lastOrNull { it.identity != null }?.identity
         val identified = events.all { it.isComment || it.isEndMark || it.identity != null }
         if (last != null) resuming = false
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Hedge.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Hedge.kt
@@ -20,6 +20,10 @@
     val former: HedgedAttempt?,
     val hedge: Hedge,
 ) {
+    /** True while the caller still waits for the attempt that is hedged. */
+    val isFormerOpen: Boolean
+        get() = former != null && !former.superseded
+
     /** Stops the attempt that is hedged, and cancels the caller if that one has advanced meanwhile. */
     suspend fun supersedeFormer() {
         if (former?.supersede() == false) throw CancellationException("the stalled attempt has advanced")
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/HedgedAttempt.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/HedgedAttempt.kt
@@ -1,7 +1,6 @@
 package org.acaciaflow.coordination.relay
 
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
@@ -30,7 +29,6 @@
     private val clock: Clock,
 ) {
     private val former = hedging.former
-    private val ended = CompletableDeferred<Unit>()
     private val answering = Mutex()
 
     @Volatile
@@ -40,6 +38,9 @@
     private var advancesBeforeHedge = 0L
     private var stop: () -> Unit = {}
 
+    @Volatile
+    private var hasEnded = false
+
     /** True while [Hedge.serve] runs and may supersede this attempt. */
     @Volatile
     private var isHedged = false
@@ -51,7 +52,7 @@
 
     /** True while the caller still waits for the attempt that this one hedges. */
     val waitsForFormer: Boolean
-        get() = former != null && !former.superseded
+        get() = hedging.isFormerOpen
 
     /**
      * Runs [block], which makes the attempt; [stop] ends it early.
@@ -114,16 +115,10 @@
             }
         }
 
-    /** Waits until this attempt has ended without an answer, as have those that it hedges. */
-    suspend fun awaitEnd() {
-        former?.awaitEnd()
-        ended.await()
-    }
-
     /** Ends the attempt; returns true if the result of its hedge is to be awaited. */
     private suspend fun endsWithHedge(isFinal: Boolean): Boolean =
         answering.withLock {
-            ended.complete(Unit)
+            hasEnded = true
             if (isFinal && !superseded) isHedged = false
             isHedged || superseded
         }
@@ -141,7 +136,7 @@
             val stall = awaitStall(mayHedge)
             if (!beginHedge()) return null
             val conclusion = hedgeWhileStalled(stall)
-            if (superseded || ended.isCompleted) return conclusion
+            if (superseded || hasEnded) return conclusion
             delay(pause)
             pause = minOf(pause * 2, LONGEST_PAUSE)
         }
@@ -150,7 +145,7 @@
     private suspend fun beginHedge(): Boolean =
         answering.withLock {
             advancesBeforeHedge = advances
-            isHedged = !ended.isCompleted
+            isHedged = !hasEnded
             isHedged
         }
 
@@ -182,7 +177,7 @@
 
     private suspend fun awaitProgress() {
         while (superseded ||
-            ended.isCompleted ||
+            hasEnded ||
             (advances == advancesBeforeHedge && stallNow() != null)
         ) {
             delay(CHECK_INTERVAL)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/NextStep.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/NextStep.kt
@@ -14,8 +14,10 @@
         val conclusion: Conclusion,
     ) : NextStep
 
+    /** [failed] is the error answer for which the request is retried, if any; it is forwarded if nothing better comes. */
     data class Retry(
         val reason: RetryReason,
+        val failed: RunOutcome.Failed? = null,
     ) : NextStep
 
     /** The error answer of the backend server is forwarded to the caller. */
@@ -66,7 +68,7 @@
 ): NextStep =
     when {
         progress.begun -> NextStep.Finish(Conclusion.Aborted(MayHaveRun.ANSWER_INCOMPLETE))
-        mayRetry -> NextStep.Retry(RetryReason.BACKEND_FAILED)
+        mayRetry -> NextStep.Retry(RetryReason.BACKEND_FAILED, failed)
         else -> NextStep.ForwardFailure(failed)
     }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -63,7 +63,10 @@
             when (val step = nextStepAfter(outcome, request, tracker.progress, mayRetryFailure)) {
                 is NextStep.Finish -> return step.conclusion
                 is NextStep.ForwardFailure -> return forwardFailure(request, step.failed, tracker, hedging)
-                is NextStep.Retry -> reason = step.reason
+                is NextStep.Retry -> {
+                    reason = step.reason
+                    step.failed?.let(tracker::keepFailure)
+                }
             }
         }
     }
@@ -140,7 +143,6 @@
     }
 
     private companion object {
-        const val FIRST_SERVER_ERROR = 500
         val TYPICAL_WORK: Duration = 40.milliseconds
         val NO_PREDICTION: Duration = Duration.ZERO
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayProgress.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayProgress.kt
@@ -52,6 +52,15 @@
             countedAttempts = if (life in excluded) countedAttempts else countedAttempts + 1,
         )
 
+    /** This progress after an attempt at [life] that was cancelled for no fault of the server; it may be sent to again. */
+    fun withCancelled(life: BackendLife): RelayProgress =
+        copy(
+            reached = reached.add(life),
+            countedAttempts = countedAttempts + 1,
+            attemptsInFlight = attemptsInFlight - 1,
+            mayHaveRun = mayHaveRun ?: MayHaveRun.ANSWER_INCOMPLETE,
+        )
+
     companion object {
         val INITIAL =
             RelayProgress(
@@ -76,9 +85,23 @@
     var progress: RelayProgress = RelayProgress.INITIAL
         private set
 
+    /** A server's own failure that the caller gets if no other server answers. */
+    @Volatile
+    var failure: RunOutcome.Failed? = null
+        private set
+
+    /** Keeps [failed] unless it is large. */
+    fun keepFailure(failed: RunOutcome.Failed) {
+        if (failed.answer.body.size <= LARGEST_FAILURE_BYTES) failure = failed
+    }
+
     /** Replaces the progress; attempts that hedge each other may do so at the same time. */
     @Synchronized
     fun update(change: (RelayProgress) -> RelayProgress) {
         progress = change(progress)
     }
+
+    private companion object {
+        const val LARGEST_FAILURE_BYTES = 64 * 1024
+    }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RequestRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RequestRelay.kt
@@ -87,13 +87,27 @@
         retryLimiter.countRequest(request, request.arrivedAt)
         if (endsWithCaller(request.route.kind)) cancelOnDisconnect(request)
         try {
-            conclude(request, tracker, conclusionOf(request, tracker))
+            conclude(request, tracker, withFailure(request, tracker, conclusionOf(request, tracker)))
         } catch (cancellation: CancellationException) {
             recordConclusion(request, tracker, Conclusion.CallerGone)
             throw cancellation
         }
     }
 
+    /** Forwards the failure that a server answered with, where [conclusion] tells less than that. */
+    private suspend fun withFailure(
+        request: RelayedRequest,
+        tracker: RelayProgressTracker,
+        conclusion: Conclusion,
+    ): Conclusion {
+        val failure = tracker.failure
+        return if (conclusion is Conclusion.Uncertain && failure != null) {
+            forwardFailure(request, failure, tracker)
+        } else {
+            conclusion
+        }
+    }
+
     /** Relays [request] until its deadline at most; an exception on the way is a conclusion too. */
     private suspend fun conclusionOf(
         request: RelayedRequest,
