--- a/daemon/src/test/kotlin/org/acaciaflow/daemon/VersionedStage.kt
+++ b/daemon/src/test/kotlin/org/acaciaflow/daemon/VersionedStage.kt
@@ -100,8 +100,8 @@
             """{"version":$version,"routes":[{"name":"draft","host":"streams.example","prefix":"/draft/",""" +
                 """"kind":"streaming","timeout_ms":$timeoutMilliseconds,"target_latency_ms":1000,"priority":1,""" +
                 """"service":"writer","max_attempts":3,"sticky":$areEngines,"resumable":true,""" +
-                """"gap_aim_ms":$gapAimMilliseconds}],"services":[{"name":"writer","health_path":"/healthz","max_conns":110,""" +
-                """"protocol":"h1","tls":false${if (areEngines) ENGINE else ""}}],""" +
+                """"gap_aim_ms":$gapAimMilliseconds}],"services":[{"name":"writer","health_path":"/healthz",""" +
+                """"max_conns":110,"protocol":"h1","tls":false${if (areEngines) ENGINE else ""}}],""" +
                 """"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,""" +
                 """"idle_timeout_ms":15000}}"""
     }
