--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreFreshness.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreFreshness.kt
@@ -17,7 +17,7 @@
     /**
      * How long an entry may be missing after an outage or a return of the store although its server is alive.
      *
-     * Lapsed entries are removed every quarter of a second, and after two seconds none may be in use.
+     * [LapsedEntryRemoval] removes lapsed entries somewhat later, and after two seconds none may be in use.
      */
     val DOUBT: Duration = 1750.milliseconds
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreWatcher.kt
@@ -150,14 +150,6 @@
         observations.event(Event.StoreKnowledgeStale(known.revision, StoreFreshness.age(known, now) ?: return))
     }
 
-    /** Removes the servers whose entries have lapsed for so long that they are taken as gone at [now]. */
-    fun removeLapsedEntries(now: Instant) {
-        val latest = StoreFreshness.latestCertainLapse(knowledge.snapshot(), now)
-        val known = fleet.snapshot()
-        if (latest != null && known.lapsed.isNotEmpty()) fleet.update { FleetChanges.lapsedRemoved(it, latest, now) }
-        if (known.gone.isNotEmpty()) fleet.update { GoneLives.forgotten(it, now) }
-    }
-
     /**
      * Reads and applies the sections in turn; one that can't be decoded does not hold back the others.
      *
--- /dev/null
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/LapsedEntryRemovalTest.kt
@@ -0,0 +1,41 @@
+package org.acaciaflow.coordination.store
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.runTest
+import org.acaciaflow.coordination.fleet.FleetChanges
+import org.acaciaflow.coordination.relay.SERVICE_POOL
+import org.acaciaflow.coordination.relay.backend
+import org.acaciaflow.coordination.relay.createRelayTables
+import org.acaciaflow.coordination.relay.virtualClock
+import kotlin.time.Duration.Companion.milliseconds
+
+class LapsedEntryRemovalTest : AnnotationSpec() {
+    /**
+     * Guards against calls to a removed server two seconds after a return of the store: checks that were up to 250 ms
+     * late left a process 100 ms of the two seconds and the 100 ms of StoreReturnTest.
+     */
+    @Test
+    fun `a lapsed server gets no more work within a tenth of a second of the end of its doubt`() {
+        for (phase in 0..240 step 10) {
+            runTest {
+                val tables = createRelayTables()
+                val clock = virtualClock()
+                backgroundScope.launch { LapsedEntryRemoval(tables.fleet, tables.store, clock).run() }
+                advanceTimeBy(phase.milliseconds)
+                tables.store.update { it.copy(returnedAt = clock.now()) }
+                tables.fleet.update { FleetChanges.registered(it, backend("one"), revisionAt(1)) }
+                tables.fleet.update { FleetChanges.lapsed(it, "one", clock.now()) }
+
+                advanceTimeBy(StoreFreshness.DOUBT - 1.milliseconds)
+                val inDoubt = tables.fleet.snapshot().usableIn(SERVICE_POOL).size
+                advanceTimeBy(100.milliseconds)
+                val after = tables.fleet.snapshot().usableIn(SERVICE_POOL).size
+
+                listOf(inDoubt, after) shouldBe listOf(1, 0)
+            }
+        }
+    }
+}
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/ReturningStore.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/ReturningStore.kt
@@ -83,6 +83,8 @@
     val observations = FakeObservations()
     private val eras = StoreEraTracker(tables.store)
 
+    private val lapsedEntries = LapsedEntryRemoval(tables.fleet, tables.store, clock)
+
     private val watcher =
         StoreWatcher(
             self = HostAddress("10.0.0.1", 1),
@@ -127,7 +129,7 @@
 
     fun pass(time: Duration) {
         scope.advanceTimeBy(time)
-        watcher.removeLapsedEntries(clock.now())
+        lapsedEntries.removeDue(clock.now())
     }
 
     /** The servers to which new work may be sent. */
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
@@ -32,6 +32,7 @@
 import org.acaciaflow.coordination.relay.SERVICE_POOL
 import org.acaciaflow.coordination.relay.backend
 import org.acaciaflow.coordination.relay.createRelayTables
+import org.acaciaflow.coordination.relay.virtualClock
 import org.acaciaflow.coordination.routing.RoutingUpdater
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.identity.HostAddress
@@ -69,10 +70,10 @@
             val outage = StoreResult.Failure(StoreFailure.TIMED_OUT)
 
             val watcher = watch(tables, snapshot(entry), outage, snapshot())
-            watcher.removeLapsedEntries(now())
+            removeLapsed(tables)
             val duringGrace = usable(tables)
             advanceTimeBy(3.seconds)
-            watcher.removeLapsedEntries(now())
+            removeLapsed(tables)
 
             duringGrace shouldBe 1
             usable(tables) shouldBe 0
@@ -96,19 +97,18 @@
                     *flapping.toTypedArray(),
                     pace = 500.milliseconds,
                 )
-            val used = List(24) { usableAfter(watcher, tables, 500.milliseconds) }
+            val used = List(24) { usableAfter(tables, 500.milliseconds) }
 
             used.take(10) shouldBe List(10) { 1 }
             used.last() shouldBe 0
         }
 
     private fun TestScope.usableAfter(
-        watcher: StoreWatcher,
         tables: RelayTables,
         wait: Duration,
     ): Int {
         advanceTimeBy(wait)
-        watcher.removeLapsedEntries(now())
+        removeLapsed(tables)
         return usable(tables)
     }
 
@@ -120,7 +120,7 @@
 
             val watcher = watch(tables, snapshot(entry), outage, batch(removal), batch(entry))
             advanceTimeBy(3.seconds)
-            watcher.removeLapsedEntries(now())
+            removeLapsed(tables)
 
             usable(tables) shouldBe 1
         }
@@ -345,6 +345,9 @@
         return watcher
     }
 
+    private fun TestScope.removeLapsed(tables: RelayTables) =
+        LapsedEntryRemoval(tables.fleet, tables.store, virtualClock()).removeDue(now())
+
     private fun TestScope.now(): Instant = Instant.fromEpochMilliseconds(1_000_000 + currentTime)
 
     private fun usable(tables: RelayTables): Int =
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayDaemon.kt
@@ -13,6 +13,7 @@
 import org.acaciaflow.coordination.relay.RelayTables
 import org.acaciaflow.coordination.relay.StopNotice
 import org.acaciaflow.coordination.relay.StopSignal
+import org.acaciaflow.coordination.store.LapsedEntryRemoval
 import org.acaciaflow.coordination.store.StoreWatcher
 import org.acaciaflow.protocol.settings.EntryHostSettings
 import org.acaciaflow.state.identity.ProcessIdentity
@@ -34,6 +35,7 @@
     private val runtime: DaemonRuntime,
     private val tables: RelayTables,
     private val watcher: StoreWatcher,
+    private val lapsedEntries: LapsedEntryRemoval,
     private val registration: PeerRegistration,
     private val origins: OriginKeeping,
     private val peers: PeerExchange,
@@ -71,6 +73,7 @@
         workers.startLoop("stream-records") { origins.writer.run() }
         workers.startLoop("stream-record-reads") { origins.reader.run() }
         workers.startLoop("software-versions") { origins.keeper.run() }
+        workers.startLoop("lapsed-entries") { lapsedEntries.run() }
         workers.startLoop("table-pruning") { pruneTables() }
         workers.scope.launch { rehearse() }
     }
@@ -138,12 +141,11 @@
         }
     }
 
-    /** Periodically removes outdated entries from the fleet, load, prompt cache and crash tables. */
+    /** Periodically removes outdated entries from the load, prompt cache and crash tables. */
     private suspend fun pruneTables() {
         while (true) {
             delay(PRUNE_INTERVAL)
             val now = clock.now()
-            watcher.removeLapsedEntries(now)
             watcher.reportStaleness(now)
             val registered =
                 tables.fleet
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayFactory.kt
@@ -18,6 +18,7 @@
 import org.acaciaflow.coordination.relay.createRelayTables
 import org.acaciaflow.coordination.relay.createRequestRelay
 import org.acaciaflow.coordination.routing.RoutingUpdater
+import org.acaciaflow.coordination.store.LapsedEntryRemoval
 import org.acaciaflow.coordination.store.StoreEraTracker
 import org.acaciaflow.coordination.store.StoreWatcher
 import org.acaciaflow.protocol.http.RefusalEncoder
@@ -113,6 +114,7 @@
         runtime = runtime,
         tables = tables,
         watcher = createStoreWatcher(settings, adapters, store, eras, runtime, tables, updater, clock, random),
+        lapsedEntries = LapsedEntryRemoval(tables.fleet, tables.store, clock),
         registration =
             PeerRegistration(
                 store = store.writes,
