--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreFreshness.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreFreshness.kt
@@ -65,7 +65,8 @@
      * Records that the store answered in [era] for the first time at [now].
      *
      * It returned after its last answer of the former era and after the last failure, which this answer ends. So doubts
-     * count from there, however late the return is noticed.
+     * count from there. If they would be over, a store that answers so late tells nothing of that time, and they count
+     * from [now].
      */
     fun returned(
         knowledge: StoreKnowledge,
@@ -79,7 +80,8 @@
 
             else -> {
                 val before = listOfNotNull(knowledge.answeredAt, knowledge.failedAt).maxOrNull()
-                knowledge.copy(era = era, failingSince = null, returnedAt = before ?: now, firstOfEra = null)
+                val returnedAt = before?.takeIf { now - it < DOUBT } ?: now
+                knowledge.copy(era = era, failingSince = null, returnedAt = returnedAt, firstOfEra = null)
             }
         }
 
