--- a/transport/src/test/kotlin/org/acaciaflow/transport/direct/VertxHttpCallsTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/direct/VertxHttpCallsTest.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.sync.Semaphore
 import kotlinx.io.bytestring.ByteString
 import kotlinx.io.bytestring.decodeToString
 import org.acaciaflow.protocol.dialect.HttpResult
@@ -100,17 +101,20 @@
     @Test
     fun `a second answer that arrives before the next call is sent answers no call`() {
         for (pause in listOf(Duration.ZERO, 30.milliseconds)) {
+            val copies = Semaphore(10, acquiredPermits = 10)
             val backend =
                 RawBackend { output, _, number ->
                     write(output, answerBytes(200, "answer $number"))
                     Thread.sleep(pause.inWholeMilliseconds)
                     write(output, answerBytes(200, "copy $number"))
+                    copies.release()
                 }
             backend.use {
                 val bodies =
                     runBlocking {
                         List(10) {
                             val answer = call(backend).shouldBeInstanceOf<HttpResult.Answered>()
+                            copies.acquire()
                             delay(100.milliseconds)
                             answer.body.decodeToString()
                         }
