--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -363,6 +363,17 @@
         val pool: PoolName,
     ) : Event(EventKind.POOL_BASE_WITHDRAWN)
 
+    /** This gateway has written that streams of [host] without a record began in [pool]. */
+    data class HostBaseSet(
+        val host: String,
+        val pool: PoolName,
+    ) : Event(EventKind.HOST_BASE_SET)
+
+    /** This gateway has written that [host] has no base for now, so that each of its streams gets a record. */
+    data class HostBaseWithdrawn(
+        val host: String,
+    ) : Event(EventKind.HOST_BASE_WITHDRAWN)
+
     /** The store does not accept records of streams, of which [waiting] wait. */
     data class StreamRecordsRefused(
         val reason: StoreFailure,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/LineageDocuments.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/LineageDocuments.kt
@@ -2,9 +2,10 @@
 
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.store.StoreRevision
+import org.acaciaflow.state.stream.HostBase
 import org.acaciaflow.state.stream.PoolBase
 
-/** Writes the documents of the pools' bases, which a [ChangeFeed] brings. */
+/** Writes the documents of the bases of pools and of hosts, which a [ChangeFeed] brings. */
 interface LineageDocuments {
     /** Writes [base] for [pool] if its document is at revision [expected], or absent if that is null. */
     suspend fun swapBase(
@@ -12,4 +13,11 @@
         expected: StoreRevision?,
         base: PoolBase,
     ): StoreResult<LeasedSwap>
+
+    /** Writes [base] for [host] if its document is at revision [expected], or absent if that is null. */
+    suspend fun swapBase(
+        host: String,
+        expected: StoreRevision?,
+        base: HostBase,
+    ): StoreResult<LeasedSwap>
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/StoredDocuments.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/StoredDocuments.kt
@@ -4,6 +4,7 @@
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.route.RoutingConfiguration
+import org.acaciaflow.state.stream.HostBase
 import org.acaciaflow.state.stream.PoolBase
 
 /** Decodes the documents in the platform's store. */
@@ -22,6 +23,9 @@
 
     /** Decodes the base of a pool. */
     fun readBase(document: ByteString): Decoded<PoolBase>
+
+    /** Decodes the base of a host. */
+    fun readHostBase(document: ByteString): Decoded<HostBase>
 }
 
 /** Kind of document under a key of the store. */
@@ -42,6 +46,11 @@
         val pool: PoolName,
     ) : StoredKeyKind
 
+    /** The base of [host]. */
+    data class HostLineage(
+        val host: String,
+    ) : StoredKeyKind
+
     data object Other : StoredKeyKind
 }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/port/StreamRecords.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/port/StreamRecords.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.PersistentSet
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.store.StoreEra
+import org.acaciaflow.state.stream.HostBase
 import org.acaciaflow.state.stream.PoolBase
 import org.acaciaflow.state.stream.StreamKey
 import org.acaciaflow.state.stream.StreamRecord
@@ -18,17 +19,22 @@
     ): StoreResult<RecordWrite>
 
     /**
-     * Reads the records of [streams] and the bases of [pools] in one state of the store, which it has after this call.
+     * Reads the records of [streams] and the bases of [hosts] and [pools] in one state of the store, which it has after
+     * this call.
      *
      * At most [MAXIMUM_BATCH] at once.
      */
     suspend fun read(
         streams: PersistentSet<StreamKey>,
+        hosts: PersistentSet<String>,
         pools: PersistentSet<PoolName>,
     ): StoreResult<RecordedOrigins>
 
-    /** Reads the base of [pool] and whether any stream has a record, whichever its pool, after this call. */
-    suspend fun readAny(pool: PoolName): StoreResult<RecordedPool>
+    /** Reads the bases of [host] and [pool], and whether any stream has a record, whichever its pool, after this call. */
+    suspend fun readAny(
+        host: String,
+        pool: PoolName,
+    ): StoreResult<RecordedBases>
 
     companion object {
         /** The number of keys that one call may hold. */
@@ -42,16 +48,18 @@
     val written: Boolean,
 )
 
-/** One state of the store in [era]; what is in neither map is absent there. */
+/** One state of the store in [era]; what is in none of the maps is absent there. */
 data class RecordedOrigins(
     val era: StoreEra,
     val records: PersistentMap<StreamKey, Decoded<StreamRecord>>,
-    val bases: PersistentMap<PoolName, Decoded<PoolBase>>,
+    val hosts: PersistentMap<String, Decoded<HostBase>>,
+    val pools: PersistentMap<PoolName, Decoded<PoolBase>>,
 )
 
-/** The [base] of a pool in [era], null if it is absent, and whether any stream has a record. */
-data class RecordedPool(
+/** The bases of a host and a pool in [era], null if they are absent, and whether any stream has a record. */
+data class RecordedBases(
     val era: StoreEra,
-    val base: Decoded<PoolBase>?,
+    val host: Decoded<HostBase>?,
+    val pool: Decoded<PoolBase>?,
     val hasRecords: Boolean,
 )
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StreamVersions.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StreamVersions.kt
@@ -23,7 +23,7 @@
         }
 
     private suspend fun decideTakeUp(request: RelayedRequest): VersionDecision {
-        val origin = origins.originOf(request.earlierStream, request.pool)
+        val origin = origins.originOf(request.earlierStream, request.facts.host, request.pool)
         observations.decided(Decision.OriginLookedUp(request, origin, clock.now()))
         return when (origin) {
             is StreamOrigin.Known -> VersionDecision.Admitted(VersionConstraint.Only(origin.proof.version))
@@ -33,7 +33,7 @@
     }
 
     private fun decideStart(request: RelayedRequest): VersionDecision =
-        when (val start = origins.startOf(request.pool)) {
+        when (val start = origins.startOf(request.facts.host, request.pool)) {
             StartVersions.Any -> VersionDecision.Admitted(VersionConstraint.Any)
             is StartVersions.Only -> VersionDecision.Admitted(VersionConstraint.Only(start.version))
             is StartVersions.None ->
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/StoreChangeApplier.kt
@@ -69,6 +69,7 @@
             is StoredKeyKind.Backend -> applyEntry(kind.instance, stored)
             is StoredKeyKind.Gateway -> applyGateway(kind.address, present = true)
             is StoredKeyKind.Lineage -> applyLineage(kind.pool, stored)
+            is StoredKeyKind.HostLineage -> applyLineage(kind.host, stored)
             StoredKeyKind.Other -> Unit
         }
     }
@@ -81,6 +82,7 @@
             is StoredKeyKind.Backend -> fleet.update { FleetChanges.unreadable(it, kind.instance, item.revision) }
             is StoredKeyKind.Gateway -> applyGateway(kind.address, present = true)
             is StoredKeyKind.Lineage -> lineages.unreadable(kind.pool, item.revision)
+            is StoredKeyKind.HostLineage -> lineages.unreadable(kind.host, item.revision)
             StoredKeyKind.Configuration, StoredKeyKind.Other -> Unit
         }
     }
@@ -90,6 +92,7 @@
             is StoredKeyKind.Backend -> removeUnlessNewer(kind.instance, change.revision)
             is StoredKeyKind.Gateway -> applyGateway(kind.address, present = false)
             is StoredKeyKind.Lineage -> lineages.removed(kind.pool, change.revision)
+            is StoredKeyKind.HostLineage -> lineages.removed(kind.host, change.revision)
             StoredKeyKind.Configuration, StoredKeyKind.Other -> Unit
         }
     }
@@ -133,6 +136,16 @@
         }
     }
 
+    private fun applyLineage(
+        host: String,
+        stored: StoreItem.Written,
+    ) {
+        when (val decoded = documents.readHostBase(stored.value)) {
+            is Decoded.Valid -> lineages.written(host, decoded.value, stored.revision)
+            is Decoded.Invalid -> applyUnreadable(StoreItem.Unreadable(stored.key, stored.revision, decoded.fault))
+        }
+    }
+
     /** Removes a server, unless its entry was written again after [revision], as a page may show before the watch. */
     private fun removeUnlessNewer(
         instance: String,
@@ -193,8 +206,11 @@
                     read.revision,
                 )
             is StoredKeyKind.Gateway -> removeAbsentGateways(present.filterIsInstance<StoredKeyKind.Gateway>())
-            is StoredKeyKind.Lineage ->
-                lineages.absentExcept(present.filterIsInstance<StoredKeyKind.Lineage>().map { it.pool }.toSet())
+            is StoredKeyKind.Lineage, is StoredKeyKind.HostLineage ->
+                lineages.absentExcept(
+                    pools = present.filterIsInstance<StoredKeyKind.Lineage>().map { it.pool }.toSet(),
+                    hosts = present.filterIsInstance<StoredKeyKind.HostLineage>().map { it.host }.toSet(),
+                )
             StoredKeyKind.Configuration, StoredKeyKind.Other -> Unit
         }
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/LineagePolicy.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/LineagePolicy.kt
@@ -7,13 +7,13 @@
 import org.acaciaflow.state.store.StoreEra
 import org.acaciaflow.state.store.StoreKnowledge
 import org.acaciaflow.state.store.StoreRevision
-import org.acaciaflow.state.stream.PoolLineage
+import org.acaciaflow.state.stream.Lineage
 import org.acaciaflow.state.stream.PoolVersions
 import kotlin.time.Duration
 import kotlin.time.Instant
 
 /**
- * Decides what the base of a pool is.
+ * Decides what the bases of pools and of hosts are.
  *
  * A stream without a record counts as begun at the base, also at gateways that have not heard of a change. So a base is
  * withdrawn first, and the next one is named only when no gateway uses the former one any more, and each stream that
@@ -28,23 +28,45 @@
 ) {
     private val longestUse: Duration = OriginPolicy.BASE_VALIDITY + lifetime
 
-    /** What is due for [pool]. */
-    fun stepFor(pool: PoolName): LineageStep {
+    /** What is due for [pool], at whose most frequent version streams shall begin without a record. */
+    fun stepFor(pool: PoolName): LineageStep<SoftwareVersion> {
+        val lineage = versions.lineages[pool]
+        return stepFor(lineage, lineage?.base?.version, mostFrequentIn(pool)) { base ->
+            VersionSightings.areComplete(versions, knowledge, lifetime, now) &&
+                base !in VersionSightings.within(versions, fleet, pool, lifetime, now)
+        }
+    }
+
+    /** What is due for [host], whose streams are led to [destinations], the most weighty first. */
+    fun stepFor(
+        host: String,
+        destinations: List<PoolName>,
+    ): LineageStep<PoolName> {
+        val lineage = versions.hosts[host]
+        return stepFor(lineage, lineage?.base?.pool, destinations.firstOrNull()) { base -> base !in destinations }
+    }
+
+    /** What is due for [lineage], which names [base]; [isUnused] says whether streams begin elsewhere now. */
+    private fun <Value : Any> stepFor(
+        lineage: Lineage<*>?,
+        base: Value?,
+        candidate: Value?,
+        isUnused: (Value) -> Boolean,
+    ): LineageStep<Value> {
         if (versions.observedSince == null || StoreFreshness.isInDoubt(knowledge, now)) return LineageStep.Keep
-        val candidate = mostFrequentIn(pool) ?: return LineageStep.Keep
-        val lineage = versions.lineages[pool] ?: return stepWithoutBase(candidate)
-        val base = lineage.base?.version
+        if (candidate == null) return LineageStep.Keep
         return when {
+            lineage == null -> stepWithoutBase(candidate)
             lineage.revision.era != knowledge.era -> LineageStep.Keep
             base == null -> stepAfterUse(lineage, candidate)
             lineage.base?.era != knowledge.era -> stepAfterReturn(lineage, base, candidate)
-            isUnused(pool, lineage, base) -> LineageStep.Withdraw(lineage.revision)
+            now - lineage.since >= lifetime && isUnused(base) -> LineageStep.Withdraw(lineage.revision)
             else -> LineageStep.Keep
         }
     }
 
     /** A store that has lost the document in a return may have had a base that gateways still use. */
-    private fun stepWithoutBase(candidate: SoftwareVersion): LineageStep =
+    private fun <Value : Any> stepWithoutBase(candidate: Value): LineageStep<Value> =
         LineageStep.Create(candidate.takeIf { isFirstEra(knowledge.era) })
 
     private fun isFirstEra(era: StoreEra?): Boolean =
@@ -59,11 +81,11 @@
      *
      * After a lifetime they matter no more, and the base holds again if nothing else was the base before the return.
      */
-    private fun stepAfterReturn(
-        lineage: PoolLineage,
-        base: SoftwareVersion,
-        candidate: SoftwareVersion,
-    ): LineageStep {
+    private fun <Value : Any> stepAfterReturn(
+        lineage: Lineage<*>,
+        base: Value,
+        candidate: Value,
+    ): LineageStep<Value> {
         val returnedAt = versions.returnedAt
         val observedSince = versions.observedSince
         val isKnown =
@@ -75,21 +97,12 @@
         }
     }
 
-    private fun stepAfterUse(
-        lineage: PoolLineage,
-        candidate: SoftwareVersion,
-    ): LineageStep =
+    private fun <Value : Any> stepAfterUse(
+        lineage: Lineage<*>,
+        candidate: Value,
+    ): LineageStep<Value> =
         if (now - lineage.since >= longestUse) LineageStep.Replace(candidate, lineage.revision) else LineageStep.Keep
 
-    private fun isUnused(
-        pool: PoolName,
-        lineage: PoolLineage,
-        base: SoftwareVersion,
-    ): Boolean =
-        VersionSightings.areComplete(versions, knowledge, lifetime, now) &&
-            now - lineage.since >= lifetime &&
-            base !in VersionSightings.within(versions, fleet, pool, lifetime, now)
-
     private fun mostFrequentIn(pool: PoolName): SoftwareVersion? =
         VersionSightings
             .versionsIn(fleet)[pool]
@@ -103,23 +116,23 @@
     }
 }
 
-/** What is due for the lineage of a pool. */
-internal sealed interface LineageStep {
-    data object Keep : LineageStep
+/** What is due for the lineage of a pool or of a host. */
+internal sealed interface LineageStep<out Value : Any> {
+    data object Keep : LineageStep<Nothing>
 
-    /** The pool has no lineage; its streams shall count as begun at [base], or get records if it is null. */
-    data class Create(
-        val base: SoftwareVersion?,
-    ) : LineageStep
+    /** There is no lineage; streams without a record shall count as begun at [base], or all get records if it is null. */
+    data class Create<Value : Any>(
+        val base: Value?,
+    ) : LineageStep<Value>
 
     /** The lineage written at [expected] shall name no base, so that each stream gets a record. */
     data class Withdraw(
         val expected: StoreRevision,
-    ) : LineageStep
+    ) : LineageStep<Nothing>
 
     /** The lineage written at [expected] shall name [base]. */
-    data class Replace(
-        val base: SoftwareVersion,
+    data class Replace<Value : Any>(
+        val base: Value,
         val expected: StoreRevision,
-    ) : LineageStep
+    ) : LineageStep<Value>
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/OriginPolicy.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/OriginPolicy.kt
@@ -5,6 +5,7 @@
 import org.acaciaflow.state.identity.SoftwareVersion
 import org.acaciaflow.state.store.StoreKnowledge
 import org.acaciaflow.state.stream.PoolVersions
+import org.acaciaflow.state.stream.StreamBase
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -16,23 +17,29 @@
     private val knowledge: StoreKnowledge,
     private val now: Instant,
 ) {
-    /** True if a stream of [pool] that begins at [version] needs a record: without one it counts as begun at the base. */
+    /**
+     * True if a stream of [host] that begins at [version] of [pool] needs a record.
+     *
+     * Without one it counts as begun at the base version of the host's base.
+     */
     fun needsRecord(
+        host: String,
         pool: PoolName,
         version: SoftwareVersion,
-    ): Boolean = baseOf(pool) != version
+    ): Boolean = baseOf(host, pool) != version
 
     /**
-     * Returns where a new stream of [pool] may begin, whose servers have the versions in [serving].
+     * Returns where a new stream of [host] may begin in [pool], whose servers have the versions in [serving].
      *
      * Unless [recordable], only streams at the base can be taken up anywhere.
      */
     fun startOf(
+        host: String,
         pool: PoolName,
         serving: Set<SoftwareVersion>,
         recordable: Boolean,
     ): StartVersions {
-        val base = baseOf(pool)
+        val base = baseOf(host, pool)
         return when {
             recordable || serving.isEmpty() -> StartVersions.Any
             base != null && base in serving -> StartVersions.Only(base)
@@ -40,13 +47,26 @@
         }
     }
 
-    /** The base of [pool], if it can't have been replaced without this gateway's knowledge. */
-    private fun baseOf(pool: PoolName): SoftwareVersion? {
-        val base = versions.lineages[pool]?.base ?: return null
-        val holds = base.era == knowledge.era && StoreFreshness.isConfirmedWithin(BASE_VALIDITY, knowledge, now)
-        return base.version.takeIf { holds }
+    /** The base version of streams of [host] in [pool]; null if these need records. */
+    private fun baseOf(
+        host: String,
+        pool: PoolName,
+    ): SoftwareVersion? {
+        val isBaseOfHost =
+            versions.hosts[host]
+                ?.base
+                ?.takeIf(::holds)
+                ?.pool == pool
+        return versions.lineages[pool]
+            ?.base
+            ?.takeIf { isBaseOfHost && holds(it) }
+            ?.version
     }
 
+    /** True if [base] can't have been replaced without this gateway's knowledge. */
+    private fun holds(base: StreamBase): Boolean =
+        base.era == knowledge.era && StoreFreshness.isConfirmedWithin(BASE_VALIDITY, knowledge, now)
+
     companion object {
         /** How long a gateway without contact to the store goes on to use a base; only then may it be replaced elsewhere. */
         val BASE_VALIDITY: Duration = 5.minutes
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/OriginProof.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/OriginProof.kt
@@ -1,12 +1,13 @@
 package org.acaciaflow.coordination.stream
 
 import org.acaciaflow.coordination.port.Decoded
+import org.acaciaflow.coordination.port.RecordedBases
 import org.acaciaflow.coordination.port.RecordedOrigins
-import org.acaciaflow.coordination.port.RecordedPool
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.identity.SoftwareVersion
 import org.acaciaflow.state.store.StoreEra
 import org.acaciaflow.state.stream.BegunStream
+import org.acaciaflow.state.stream.HostBase
 import org.acaciaflow.state.stream.PoolBase
 import org.acaciaflow.state.stream.StreamKey
 
@@ -27,29 +28,40 @@
             pool: PoolName,
         ): OriginProof? = proofIf(begun.record.pool == pool, begun.record.version, OriginLookup.OWN)
 
-        /** The proof by [state] for [stream], whose take-up for [pool] had arrived before the state was read. */
+        /** The proof by [state] for [stream] of [host], whose take-up for [pool] had arrived before the state was read. */
         fun ofRecords(
             state: RecordedOrigins,
             stream: StreamKey,
+            host: String,
             pool: PoolName,
         ): OriginProof? =
             when (val record = state.records[stream]) {
-                null -> ofBase(state.bases[pool], state.era)
+                null -> ofBases(state.hosts[host], state.pools[pool], pool, state.era)
                 is Decoded.Valid -> proofIf(record.value.pool == pool, record.value.version, OriginLookup.FOUND)
                 is Decoded.Invalid -> null
             }
 
-        /** The proof by [state] for a stream that is not named: without any record, each began at the base. */
-        fun ofPool(state: RecordedPool): OriginProof? = if (state.hasRecords) null else ofBase(state.base, state.era)
+        /** The proof by [state] for a stream in [pool] that is not named: without any record, each began at the base. */
+        fun ofBases(
+            state: RecordedBases,
+            pool: PoolName,
+        ): OriginProof? = if (state.hasRecords) null else ofBases(state.host, state.pool, pool, state.era)
 
-        /** A stream that needs a record passes no event without it, so one without a record began at the base. */
-        private fun ofBase(
+        /**
+         * A stream that needs a record passes no event without it, so one without a record began in the pool that [host]
+         * names, at the version that [base] names.
+         */
+        private fun ofBases(
+            host: Decoded<HostBase>?,
             base: Decoded<PoolBase>?,
+            pool: PoolName,
             era: StoreEra,
         ): OriginProof? {
-            val known = (base as? Decoded.Valid)?.value ?: return null
-            val version = known.version ?: return null
-            return proofIf(known.era == era, version, OriginLookup.BASE)
+            val hostBase = (host as? Decoded.Valid)?.value ?: return null
+            val poolBase = (base as? Decoded.Valid)?.value ?: return null
+            val version = poolBase.version ?: return null
+            val holds = hostBase.pool == pool && hostBase.era == era && poolBase.era == era
+            return proofIf(holds, version, OriginLookup.BASE)
         }
 
         private fun proofIf(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/RememberedStreamOrigins.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/RememberedStreamOrigins.kt
@@ -21,7 +21,10 @@
     private val clock: Clock,
     private val maximumStreams: Int = MAXIMUM_STREAMS,
 ) : StreamOrigins {
-    override fun startOf(pool: PoolName): StartVersions = StartVersions.Any
+    override fun startOf(
+        host: String,
+        pool: PoolName,
+    ): StartVersions = StartVersions.Any
 
     override suspend fun began(
         stream: StreamIdentity,
@@ -45,6 +48,7 @@
 
     override suspend fun originOf(
         stream: StreamIdentity?,
+        host: String,
         pool: PoolName,
     ): StreamOrigin {
         val begun = stream?.let { memory.snapshot().streams[it] }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/StoredStreamOrigins.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/StoredStreamOrigins.kt
@@ -24,7 +24,8 @@
 /**
  * Keeps the origins of streams in the platform's store, so that they outlast all gateways.
  *
- * Only streams that began at another version than the base of their pool have a record.
+ * Only streams that began in another pool than the base of their host, or at another version than that pool's base, have
+ * a record.
  */
 class StoredStreamOrigins(
     private val tables: RelayTables,
@@ -37,11 +38,14 @@
 ) : StreamOrigins {
     private val admittance = EraAdmittance(eras, clock)
 
-    override fun startOf(pool: PoolName): StartVersions {
+    override fun startOf(
+        host: String,
+        pool: PoolName,
+    ): StartVersions {
         val now = clock.now()
         val failingSince = tables.store.snapshot().failingSince
         val isStoreDown = failingSince != null && now - failingSince >= LONGEST_WAIT
-        return policyAt(now).startOf(pool, versionsServing(pool), writer.isRecordable(now) && !isStoreDown)
+        return policyAt(now).startOf(host, pool, versionsServing(pool), writer.isRecordable(now) && !isStoreDown)
     }
 
     override suspend fun began(
@@ -51,7 +55,7 @@
     ): Boolean {
         val record = StreamRecord(StreamKeys.keyOf(stream), pool, version)
         val stored =
-            !policyAt(clock.now()).needsRecord(pool, version) ||
+            !policyAt(clock.now()).needsRecord(stream.host, pool, version) ||
                 withTimeoutOrNull(LONGEST_WAIT) { writer.write(record) } == true
         if (stored) note(record) else observations.recordsHandled(StreamRecordOutcome.GIVEN_UP, 1)
         return stored
@@ -65,42 +69,47 @@
         val record = StreamRecord(StreamKeys.keyOf(stream), pool, version)
         note(record)
         // Each attempt has a time limit of its own, so that the first record may expire before the stream ends.
-        if (policyAt(clock.now()).needsRecord(pool, version)) writer.rewrite(listOf(record))
+        if (policyAt(clock.now()).needsRecord(stream.host, pool, version)) writer.rewrite(listOf(record))
     }
 
     override suspend fun originOf(
         stream: StreamIdentity?,
+        host: String,
         pool: PoolName,
     ): StreamOrigin {
-        val key = stream?.let(StreamKeys::keyOf) ?: return originOfUnnamed(pool)
+        val key = stream?.let(StreamKeys::keyOf) ?: return originOfUnnamed(host, pool)
         val own = tables.begunStreams.snapshot()[key]
         if (own != null) return looked(OriginProof.ofOwn(own, pool))
-        return when (val result = reader.read(key, pool)) {
+        return when (val result = reader.read(key, host, pool)) {
             is StoreResult.Failure -> unavailable(result.reason)
-            is StoreResult.Success -> originBy(result.value, key, pool)
+            is StoreResult.Success -> originBy(result.value, key, host, pool)
         }
     }
 
-    private suspend fun originOfUnnamed(pool: PoolName): StreamOrigin =
-        when (val result = records.readAny(pool)) {
+    private suspend fun originOfUnnamed(
+        host: String,
+        pool: PoolName,
+    ): StreamOrigin =
+        when (val result = records.readAny(host, pool)) {
             is StoreResult.Failure -> unavailable(result.reason)
             is StoreResult.Success ->
                 when (val era = admittance.admit(result.value.era)) {
                     null -> unavailable(StoreFailure.PAST_ERA)
-                    else -> looked(OriginProof.ofPool(result.value.copy(era = era)))
+                    else -> looked(OriginProof.ofBases(result.value.copy(era = era), pool))
                 }
         }
 
     private fun originBy(
         state: RecordedOrigins,
         key: StreamKey,
+        host: String,
         pool: PoolName,
     ): StreamOrigin {
         val record = state.records[key]
         if (record is Decoded.Invalid) observations.event(Event.StreamRecordUnreadable(key, record.fault))
-        val base = (state.bases[pool] as? Decoded.Valid)?.value
-        val mayBeRewritten = record == null && base != null && base.era != state.era
-        return looked(OriginProof.ofRecords(state, key, pool), OriginPolicy.RETRY_AFTER.takeIf { mayBeRewritten })
+        val bases = listOf(state.hosts[host], state.pools[pool]).mapNotNull { (it as? Decoded.Valid)?.value }
+        val mayBeRewritten = record == null && bases.any { it.era != state.era }
+        return looked(OriginProof.ofRecords(state, key, host, pool), OriginPolicy.RETRY_AFTER.takeIf { mayBeRewritten })
     }
 
     private fun unavailable(reason: StoreFailure): StreamOrigin {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/StreamOrigins.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/StreamOrigins.kt
@@ -10,8 +10,11 @@
  * What two versions write does not fit together, so a stream may go on only at the version that began it.
  */
 interface StreamOrigins {
-    /** Returns at which versions of [pool] a new stream may begin. */
-    fun startOf(pool: PoolName): StartVersions
+    /** Returns at which versions of [pool] a new stream of [host] may begin. */
+    fun startOf(
+        host: String,
+        pool: PoolName,
+    ): StartVersions
 
     /**
      * Notes that [stream] begins at [version] of [pool].
@@ -33,12 +36,13 @@
     )
 
     /**
-     * Returns at which version of [pool] the earlier [stream] began; null if its caller does not name it.
+     * Returns at which version of [pool] the earlier [stream] of [host] began; null if its caller does not name it.
      *
      * A stream that began in another pool is unknown.
      */
     suspend fun originOf(
         stream: StreamIdentity?,
+        host: String,
         pool: PoolName,
     ): StreamOrigin
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/StreamRecordReader.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/StreamRecordReader.kt
@@ -32,12 +32,13 @@
     private val wakeUps = Channel<Unit>(Channel.CONFLATED)
     private val admittance = EraAdmittance(eras, clock)
 
-    /** Returns a state of the store, as of after this call, with the record of [stream] and the base of [pool]. */
+    /** Returns a state of the store, as of after this call, with the record of [stream] and the bases of [host] and [pool]. */
     suspend fun read(
         stream: StreamKey,
+        host: String,
         pool: PoolName,
     ): StoreResult<RecordedOrigins> {
-        val read = PendingRead(stream, pool)
+        val read = PendingRead(stream, host, pool)
         pending.update { it.add(read) }
         wakeUps.trySend(Unit)
         try {
@@ -61,17 +62,24 @@
         }
     }
 
-    /** Removes the reads that one call can answer: half of its keys are of streams, and each may have its own pool. */
+    /** Removes the first reads, as many as one call can answer; half of its keys are of streams at most. */
     private fun nextBatch(): List<PendingRead> =
         pending.transition { all ->
-            val batch = all.take(StreamRecords.MAXIMUM_BATCH / 2)
+            val most = all.take(StreamRecords.MAXIMUM_BATCH / 2)
+            val count = most.indices.lastOrNull { keysOf(most.take(it + 1)) <= StreamRecords.MAXIMUM_BATCH } ?: -1
+            val batch = most.take(count + 1)
             Transition(all.removeAll(batch), batch)
         }
 
+    /** The number of keys that [reads] ask for; many have the same host and pool. */
+    private fun keysOf(reads: List<PendingRead>): Int =
+        listOf<(PendingRead) -> Any>({ it.stream }, { it.host }, { it.pool }).sumOf { reads.distinctBy(it).size }
+
     private suspend fun readBatch(batch: List<PendingRead>): StoreResult<RecordedOrigins> {
         val streams = batch.map { it.stream }.toPersistentSet()
+        val hosts = batch.map { it.host }.toPersistentSet()
         val pools = batch.map { it.pool }.toPersistentSet()
-        return when (val result = records.read(streams, pools)) {
+        return when (val result = records.read(streams, hosts, pools)) {
             is StoreResult.Failure -> result
             is StoreResult.Success ->
                 when (val era = admittance.admit(result.value.era)) {
@@ -84,6 +92,7 @@
     /** A read that waits for its turn or its answer. */
     private class PendingRead(
         val stream: StreamKey,
+        val host: String,
         val pool: PoolName,
     ) {
         val result = CompletableDeferred<StoreResult<RecordedOrigins>>()
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/VersionKeeper.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/VersionKeeper.kt
@@ -1,7 +1,5 @@
 package org.acaciaflow.coordination.stream
 
-import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.delay
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.LeasedSwap
@@ -14,17 +12,16 @@
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.identity.SoftwareVersion
 import org.acaciaflow.state.store.StoreRevision
+import org.acaciaflow.state.stream.HostBase
 import org.acaciaflow.state.stream.PoolBase
 import org.acaciaflow.state.stream.PoolVersions
-import kotlin.concurrent.Volatile
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** Follows the software versions of each pool, and keeps the store's documents of their base versions. */
+/** Follows the software versions of each pool, and keeps the store's documents of the bases of pools and hosts. */
 class VersionKeeper(
     private val tables: RelayTables,
     private val documents: LineageDocuments,
@@ -32,14 +29,13 @@
     eras: StoreEraTracker,
     private val observations: Observations,
     private val clock: Clock,
-    private val random: Random,
+    random: Random,
 ) {
     private val admittance = EraAdmittance(eras, clock)
     private val lineages = LineageChanges(tables.versions, clock)
 
-    /** When this gateway takes the step that is due for a pool, unless another has. */
-    @Volatile
-    private var stepTimes: PersistentMap<PoolName, Instant> = persistentMapOf()
+    private val poolSteps = LineageSteps(random, ::swapPool)
+    private val hostSteps = LineageSteps(random, ::swapHost)
 
     /** Looks at the fleet every [INTERVAL] until cancelled. */
     suspend fun run() {
@@ -59,7 +55,7 @@
             tables.versions.update { VersionSightings.observed(it, fleet, knowledge, lifetime, now) }
         tables.begunStreams.update { BegunStreams.pruned(it, lifetime, now) }
         reportMixed(former, current)
-        if (current.returnedAt == now) rewriteRecords(now)
+        if (current.returnedAt == now) rewriteRecords()
     }
 
     private fun reportMixed(
@@ -72,99 +68,92 @@
         (former.mixed - current.mixed).forEach { observations.event(Event.PoolVersionsEqual(it)) }
     }
 
-    /** The copy that the store returned from may lack the latest records. */
-    private fun rewriteRecords(now: Instant) {
-        val policy = OriginPolicy(tables.versions.snapshot(), tables.store.snapshot(), now)
-        val own =
+    /** The copy that the store returned from may lack the latest records, and its bases do not hold. */
+    private fun rewriteRecords() =
+        writer.rewrite(
             tables.begunStreams
                 .snapshot()
                 .values
-                .map { it.record }
-        writer.rewrite(own.filter { policy.needsRecord(it.pool, it.version) })
-    }
+                .map { it.record },
+        )
 
     private suspend fun takeSteps() {
-        val pools =
-            tables.fleet
-                .snapshot()
-                .entries.values
-                .map { it.pool }
-                .toSet()
-        pools.forEach { pool ->
-            when (val step = stepFor(pool, clock.now())) {
-                LineageStep.Keep -> stepTimes = stepTimes.remove(pool)
-                is LineageStep.Create -> if (isDue(pool, CREATION_JITTER)) swap(pool, null, step.base)
-                is LineageStep.Withdraw -> if (isDue(pool, REPLACEMENT_JITTER)) swap(pool, step.expected, null)
-                is LineageStep.Replace -> if (isDue(pool, REPLACEMENT_JITTER)) swap(pool, step.expected, step.base)
+        tables.fleet
+            .snapshot()
+            .entries.values
+            .map { it.pool }
+            .toSet()
+            .forEach { pool ->
+                val now = clock.now()
+                poolSteps.take(pool, policyAt(now).stepFor(pool), now)
             }
+        StreamDestinations.byHost(tables.routing.snapshot().configuration).forEach { (host, destinations) ->
+            val now = clock.now()
+            hostSteps.take(host, policyAt(now).stepFor(host, destinations), now)
         }
     }
 
-    private fun stepFor(
-        pool: PoolName,
-        now: Instant,
-    ): LineageStep =
+    private fun policyAt(now: Instant) =
         LineagePolicy(
             tables.versions.snapshot(),
             tables.fleet.snapshot(),
             tables.store.snapshot(),
             lifetime(),
             now,
-        ).stepFor(pool)
+        )
 
-    /** True once a random part of [jitter] has passed: the watch shows meanwhile if another gateway has taken the step. */
-    private fun isDue(
-        pool: PoolName,
-        jitter: Duration,
-    ): Boolean {
-        val now = clock.now()
-        val at = stepTimes[pool] ?: (now + jitter * random.nextDouble())
-        val due = now >= at
-        stepTimes = if (due) stepTimes.remove(pool) else stepTimes.put(pool, at)
-        return due
-    }
-
-    private suspend fun swap(
+    private suspend fun swapPool(
         pool: PoolName,
         expected: StoreRevision?,
         version: SoftwareVersion?,
     ) {
         val base = PoolBase(version, tables.store.snapshot().era ?: return)
-        when (val result = documents.swapBase(pool, expected, base)) {
-            is StoreResult.Failure -> observations.storeFailed(result.reason)
-            is StoreResult.Success -> swapped(pool, expected, base, result.value)
-        }
+        val revision = revisionWritten(expected, documents.swapBase(pool, expected, base)) ?: return
+        lineages.written(pool, base, revision)
+        observations.event(version?.let { Event.PoolBaseSet(pool, it) } ?: Event.PoolBaseWithdrawn(pool))
     }
 
-    private fun swapped(
-        pool: PoolName,
+    private suspend fun swapHost(
+        host: String,
         expected: StoreRevision?,
-        base: PoolBase,
-        swap: LeasedSwap,
+        pool: PoolName?,
     ) {
-        val era = admittance.admit(swap.era)
-        when {
-            era == null -> {
-                observations.storeFailed(StoreFailure.PAST_ERA)
-            }
+        val base = HostBase(pool, tables.store.snapshot().era ?: return)
+        val revision = revisionWritten(expected, documents.swapBase(host, expected, base)) ?: return
+        lineages.written(host, base, revision)
+        observations.event(pool?.let { Event.HostBaseSet(host, it) } ?: Event.HostBaseWithdrawn(host))
+    }
 
-            // Another era's revision may have had the expected number: the watch brings what the document is now.
-            expected != null && era != expected.era -> {
-                Unit
+    /** Returns the revision at which a document was written that was at [expected]; null if [result] says that it was not. */
+    private fun revisionWritten(
+        expected: StoreRevision?,
+        result: StoreResult<LeasedSwap>,
+    ): StoreRevision? =
+        when (result) {
+            is StoreResult.Failure -> {
+                observations.storeFailed(result.reason)
+                null
             }
 
-            swap is LeasedSwap.Written -> {
-                lineages.written(pool, base, swap.revision.copy(era = era))
-                observations.event(base.version?.let { Event.PoolBaseSet(pool, it) } ?: Event.PoolBaseWithdrawn(pool))
+            is StoreResult.Success -> {
+                revisionWritten(expected, result.value)
             }
         }
+
+    private fun revisionWritten(
+        expected: StoreRevision?,
+        swap: LeasedSwap,
+    ): StoreRevision? {
+        val era = admittance.admit(swap.era)
+        if (era == null) observations.storeFailed(StoreFailure.PAST_ERA)
+        // Another era's revision may have had the expected number: the watch brings what the document is now.
+        val isOfExpectedEra = era != null && (expected == null || era == expected.era)
+        return if (isOfExpectedEra && swap is LeasedSwap.Written) swap.revision.copy(era = era) else null
     }
 
     private fun lifetime(): Duration = StreamLifetime.of(tables.routing.snapshot().configuration)
 
     private companion object {
         val INTERVAL: Duration = 250.milliseconds
-        val CREATION_JITTER: Duration = 1.seconds
-        val REPLACEMENT_JITTER: Duration = 10.seconds
     }
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FixedOrigins.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FixedOrigins.kt
@@ -26,7 +26,10 @@
     val noted = mutableListOf<StreamIdentity>()
     val asked = mutableListOf<StreamIdentity?>()
 
-    override fun startOf(pool: PoolName): StartVersions = start
+    override fun startOf(
+        host: String,
+        pool: PoolName,
+    ): StartVersions = start
 
     override suspend fun began(
         stream: StreamIdentity,
@@ -49,6 +52,7 @@
 
     override suspend fun originOf(
         stream: StreamIdentity?,
+        host: String,
         pool: PoolName,
     ): StreamOrigin {
         asked += stream
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/LapsedEntryRemovalTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/LapsedEntryRemovalTest.kt
@@ -30,9 +30,17 @@
                 tables.fleet.update { FleetChanges.lapsed(it, "one", clock.now()) }
 
                 advanceTimeBy(StoreFreshness.DOUBT - 1.milliseconds)
-                val inDoubt = tables.fleet.snapshot().usableIn(SERVICE_POOL).size
+                val inDoubt =
+                    tables.fleet
+                        .snapshot()
+                        .usableIn(SERVICE_POOL)
+                        .size
                 advanceTimeBy(100.milliseconds)
-                val after = tables.fleet.snapshot().usableIn(SERVICE_POOL).size
+                val after =
+                    tables.fleet
+                        .snapshot()
+                        .usableIn(SERVICE_POOL)
+                        .size
 
                 listOf(inDoubt, after) shouldBe listOf(1, 0)
             }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
@@ -41,6 +41,7 @@
 import org.acaciaflow.state.route.RoutingConfiguration
 import org.acaciaflow.state.store.StoreEra
 import org.acaciaflow.state.store.StoreRevision
+import org.acaciaflow.state.stream.HostBase
 import org.acaciaflow.state.stream.PoolBase
 import kotlin.random.Random
 import kotlin.time.Clock
@@ -483,4 +484,7 @@
 
     override fun readBase(document: ByteString): Decoded<PoolBase> =
         Decoded.Valid(PoolBase(SoftwareVersion(document.decodeToString()), StoreEra.Unknown))
+
+    override fun readHostBase(document: ByteString): Decoded<HostBase> =
+        Decoded.Valid(HostBase(PoolName(document.decodeToString()), StoreEra.Unknown))
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/FakeRecordStore.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/FakeRecordStore.kt
@@ -12,8 +12,8 @@
 import org.acaciaflow.coordination.port.LeasedWrites
 import org.acaciaflow.coordination.port.LineageDocuments
 import org.acaciaflow.coordination.port.RecordWrite
+import org.acaciaflow.coordination.port.RecordedBases
 import org.acaciaflow.coordination.port.RecordedOrigins
-import org.acaciaflow.coordination.port.RecordedPool
 import org.acaciaflow.coordination.port.StoreFailure
 import org.acaciaflow.coordination.port.StoreKey
 import org.acaciaflow.coordination.port.StoreLease
@@ -23,6 +23,7 @@
 import org.acaciaflow.state.identity.SoftwareVersion
 import org.acaciaflow.state.store.StoreEra
 import org.acaciaflow.state.store.StoreRevision
+import org.acaciaflow.state.stream.HostBase
 import org.acaciaflow.state.stream.PoolBase
 import org.acaciaflow.state.stream.StreamKey
 import org.acaciaflow.state.stream.StreamRecord
@@ -42,6 +43,7 @@
 
     val records = mutableMapOf<StreamKey, StreamRecord>()
     val bases = mutableMapOf<PoolName, Pair<PoolBase, StoreRevision>>()
+    val hosts = mutableMapOf<String, Pair<HostBase, StoreRevision>>()
     val batches = mutableListOf<Int>()
     val granted = mutableListOf<Duration>()
     var lookups = 0
@@ -72,6 +74,7 @@
         leases.clear()
         lastLease = 0
         bases.replaceAll { _, (base, revision) -> base to StoreRevision(currentEra(), revision.number) }
+        hosts.replaceAll { _, (base, revision) -> base to StoreRevision(currentEra(), revision.number) }
     }
 
     override suspend fun write(
@@ -90,6 +93,7 @@
 
     override suspend fun read(
         streams: PersistentSet<StreamKey>,
+        hosts: PersistentSet<String>,
         pools: PersistentSet<PoolName>,
     ): StoreResult<RecordedOrigins> =
         answer {
@@ -97,31 +101,49 @@
             RecordedOrigins(
                 currentEra(),
                 records.filterKeys { it in streams }.mapValues { Decoded.Valid(it.value) }.toPersistentMap(),
+                this.hosts
+                    .filterKeys { it in hosts }
+                    .mapValues { Decoded.Valid(it.value.first) }
+                    .toPersistentMap(),
                 bases.filterKeys { it in pools }.mapValues { Decoded.Valid(it.value.first) }.toPersistentMap(),
             )
         }
 
-    override suspend fun readAny(pool: PoolName): StoreResult<RecordedPool> =
+    override suspend fun readAny(
+        host: String,
+        pool: PoolName,
+    ): StoreResult<RecordedBases> =
         answer {
             lookups += 1
-            RecordedPool(currentEra(), bases[pool]?.let { Decoded.Valid(it.first) }, records.isNotEmpty())
+            val hostBase = hosts[host]?.let { Decoded.Valid(it.first) }
+            val poolBase = bases[pool]?.let { Decoded.Valid(it.first) }
+            RecordedBases(currentEra(), hostBase, poolBase, records.isNotEmpty())
         }
 
     override suspend fun swapBase(
         pool: PoolName,
         expected: StoreRevision?,
         base: PoolBase,
-    ): StoreResult<LeasedSwap> =
-        answer {
-            val current = bases[pool]?.second
-            if (current?.number == expected?.number) {
-                revision += 1
-                bases[pool] = base to StoreRevision(currentEra(), revision)
-                LeasedSwap.Written(StoreRevision(currentEra(), revision))
-            } else {
-                LeasedSwap.Conflict(currentEra(), current)
-            }
-        }
+    ): StoreResult<LeasedSwap> = answer { swap(bases, pool, expected, base) }
+
+    override suspend fun swapBase(
+        host: String,
+        expected: StoreRevision?,
+        base: HostBase,
+    ): StoreResult<LeasedSwap> = answer { swap(hosts, host, expected, base) }
+
+    private fun <Key, Base> swap(
+        documents: MutableMap<Key, Pair<Base, StoreRevision>>,
+        key: Key,
+        expected: StoreRevision?,
+        base: Base,
+    ): LeasedSwap {
+        val current = documents[key]?.second
+        if (current?.number != expected?.number) return LeasedSwap.Conflict(currentEra(), current)
+        revision += 1
+        documents[key] = base to StoreRevision(currentEra(), revision)
+        return LeasedSwap.Written(StoreRevision(currentEra(), revision))
+    }
 
     override suspend fun swap(
         key: StoreKey,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/OriginGateway.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/OriginGateway.kt
@@ -1,32 +1,43 @@
 package org.acaciaflow.coordination.stream
 
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
+import kotlinx.io.bytestring.ByteString
 import org.acaciaflow.coordination.fleet.FleetChanges
 import org.acaciaflow.coordination.relay.FakeObservations
 import org.acaciaflow.coordination.relay.SERVICE_POOL
 import org.acaciaflow.coordination.relay.backend
 import org.acaciaflow.coordination.relay.createRelayTables
+import org.acaciaflow.coordination.relay.route
+import org.acaciaflow.coordination.routing.KnownRouting
 import org.acaciaflow.coordination.store.StoreEraTracker
 import org.acaciaflow.coordination.store.StoreFreshness
 import org.acaciaflow.coordination.store.eraOf
 import org.acaciaflow.coordination.store.revisionAt
+import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.identity.SoftwareVersion
+import org.acaciaflow.state.route.RequestKind
+import org.acaciaflow.state.route.RoutingConfiguration
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 internal val OLD = SoftwareVersion("1.0")
 internal val NEW = SoftwareVersion("2.0")
 
-internal fun stream(number: Int) = StreamIdentity("attempt-$number", "service.example")
+internal const val HOST = "service.example"
 
-/** A gateway that keeps origins in [store]; what it knows of servers is set by the test. */
+internal fun stream(number: Int) = StreamIdentity("attempt-$number", HOST)
+
+/** A gateway that keeps origins in [store]; what it knows of servers is set by the test, and [HOST] leads to their pool. */
 internal class OriginGateway(
     private val scope: TestScope,
     private val store: FakeRecordStore,
@@ -53,12 +64,21 @@
     init {
         eras.admit(eraOf(era), clock.now())
         tables.store.update { StoreFreshness.read(it, revisionAt(1, era), clock.now()) }
+        route(SERVICE_POOL)
         processes.launch { writer.run() }
         processes.launch { reader.run() }
         processes.launch { keeper.run() }
         processes.launch { follow() }
     }
 
+    /** Leads the streams of [HOST] to [pool]. */
+    fun route(pool: PoolName) {
+        val route = route(RequestKind.EventStream(resumable = true), pool).copy(host = HOST, timeout = 50.seconds)
+        val routes = persistentMapOf(HOST to persistentListOf(route))
+        val configuration = RoutingConfiguration.NONE.copy(version = 1, routesByHost = routes)
+        tables.routing.update { KnownRouting(configuration, ByteString()) }
+    }
+
     /** Ends all that the gateway does, and what it remembers is of no use to others. */
     fun kill() = job.cancel()
 
@@ -79,11 +99,11 @@
         version: SoftwareVersion,
     ): Boolean = origins.began(stream, SERVICE_POOL, version)
 
-    suspend fun originOf(stream: StreamIdentity): StreamOrigin = origins.originOf(stream, SERVICE_POOL)
+    suspend fun originOf(stream: StreamIdentity): StreamOrigin = origins.originOf(stream, HOST, SERVICE_POOL)
 
     /** The version at which [stream] began; null if that can't be proved. */
     suspend fun versionOf(stream: StreamIdentity?): SoftwareVersion? =
-        when (val origin = origins.originOf(stream, SERVICE_POOL)) {
+        when (val origin = origins.originOf(stream, HOST, SERVICE_POOL)) {
             is StreamOrigin.Known -> origin.proof.version
             is StreamOrigin.Unknown -> null
         }
@@ -99,6 +119,7 @@
         while (true) {
             if (store.failure == null && !outOfTouch) {
                 store.bases.forEach { (pool, base) -> lineages.written(pool, base.first, base.second) }
+                store.hosts.forEach { (host, base) -> lineages.written(host, base.first, base.second) }
                 tables.store.update { StoreFreshness.answered(it, revisionAt(1, era = 1), clock.now()) }
             }
             delay(20.milliseconds)
--- a/state/src/main/kotlin/org/acaciaflow/state/stream/PoolVersions.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/stream/PoolVersions.kt
@@ -12,12 +12,14 @@
 /**
  * What a gateway knows of the software versions of each pool.
  *
+ * [lineages] has the bases of pools, and [hosts] those of hosts, which say in which pool streams without a record began.
  * [sightings] has when a server of each version was last registered. They are complete since [observedSince], null while
  * the knowledge of the store is stale. The store was last seen in [era]; it returned from an older copy at [returnedAt].
  * The pools in [mixed] have servers of more than one version.
  */
 data class PoolVersions(
-    val lineages: PersistentMap<PoolName, PoolLineage>,
+    val lineages: PersistentMap<PoolName, Lineage<PoolBase>>,
+    val hosts: PersistentMap<String, Lineage<HostBase>>,
     val sightings: PersistentMap<PoolName, PersistentMap<SoftwareVersion, Instant>>,
     val observedSince: Instant?,
     val era: StoreEra?,
@@ -28,6 +30,7 @@
         val NONE =
             PoolVersions(
                 lineages = persistentMapOf(),
+                hosts = persistentMapOf(),
                 sightings = persistentMapOf(),
                 observedSince = null,
                 era = null,
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayStatus.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/EntryGatewayStatus.kt
@@ -52,6 +52,7 @@
                 }
             }
             putJsonArray("versions") { VersionStatus.describe(this, fleet, tables.versions.snapshot()) }
+            putJsonArray("hosts") { VersionStatus.describeHosts(this, tables.versions.snapshot()) }
             putJsonArray("loops") {
                 for (loop in loopStatuses(loops)) add(Json.encodeToJsonElement(LoopStatus.serializer(), loop))
             }
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/VersionStatus.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/VersionStatus.kt
@@ -7,7 +7,7 @@
 import org.acaciaflow.state.fleet.Fleet
 import org.acaciaflow.state.stream.PoolVersions
 
-/** Describes the software versions of each pool as JSON. */
+/** Describes the software versions of each pool, and the bases of hosts, as JSON. */
 internal object VersionStatus {
     /** Adds an object for each pool with its base version, null if unknown, and its registered servers by version. */
     fun describe(
@@ -33,4 +33,17 @@
             }
         }
     }
+
+    /** Adds an object for each host with its base, the pool in which streams without a record began, null if unknown. */
+    fun describeHosts(
+        hosts: JsonArrayBuilder,
+        versions: PoolVersions,
+    ) {
+        for ((host, lineage) in versions.hosts) {
+            hosts.addJsonObject {
+                put("host", host)
+                put("base", lineage.base?.pool?.name)
+            }
+        }
+    }
 }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
@@ -32,10 +32,12 @@
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
+import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.identity.SoftwareVersion
 import org.acaciaflow.state.peer.Peer
 import org.acaciaflow.state.route.RoutingConfiguration
 import org.acaciaflow.state.store.StoreEra
+import org.acaciaflow.state.stream.HostBase
 import org.acaciaflow.state.stream.PoolBase
 import org.acaciaflow.transport.observation.MeteredObservations
 import java.io.IOException
@@ -295,4 +297,7 @@
 
     override fun readBase(document: ByteString): Decoded<PoolBase> =
         Decoded.Valid(PoolBase(SoftwareVersion(document.decodeToString()), StoreEra.Unknown))
+
+    override fun readHostBase(document: ByteString): Decoded<HostBase> =
+        Decoded.Valid(HostBase(PoolName(document.decodeToString()), StoreEra.Unknown))
 }
