--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.relay
 
+import kotlinx.coroutines.CancellationException
 import org.acaciaflow.coordination.engine.EnginePath
 import org.acaciaflow.coordination.engine.EnginePlanner
 import org.acaciaflow.coordination.port.CacheSource
@@ -97,7 +98,7 @@
         )
         val order = runOrderFor(request, path.prefillEngine, source = null, tracker.progress, sentAt)
         val hedge =
-            Hedge { stalled, stall ->
+            createHedge(tracker, observations) { stalled, stall ->
                 observations.decided(Decision.Stalled(request, path.prefillEngine, stall, clock.now()))
                 tracker.update { it.copy(excluded = it.excluded.add(path.prefillEngine.life)) }
                 relay(generation.copy(former = stalled), RetryReason.RUN_STALLED)
@@ -152,9 +153,15 @@
         source: CacheSource,
         isFirst: Boolean,
     ): EngineStep {
-        while (true) {
-            val step = decodeOnce(generation, path, source, isFirst)
-            if (step != EngineStep.NotSent) return step
+        try {
+            while (true) {
+                val step = decodeOnce(generation, path, source, isFirst)
+                if (step != EngineStep.NotSent) return step
+            }
+        } catch (cancellation: CancellationException) {
+            // The stream of an only attempt has begun once its engine has fetched the KV cache.
+            if (generation.former != null || !generation.tracker.progress.begun) prefillRun.release(source)
+            throw cancellation
         }
     }
 
@@ -247,7 +254,7 @@
         generation: Generation,
         engine: BackendEntry,
     ): Hedge =
-        Hedge { stalled, stall ->
+        createHedge(generation.tracker, observations) { stalled, stall ->
             observations.decided(Decision.Stalled(generation.request, engine, stall, clock.now()))
             generation.tracker.update { it.withReached(engine.life) }
             relay(generation.copy(former = stalled), RetryReason.RUN_STALLED)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Hedge.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Hedge.kt
@@ -1,6 +1,9 @@
 package org.acaciaflow.coordination.relay
 
 import kotlinx.coroutines.CancellationException
+import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.port.Observations
+import org.acaciaflow.state.refusal.MayHaveRun
 
 /** Serves a request at another server while one of its attempts is stalled. */
 internal fun interface Hedge {
@@ -15,6 +18,27 @@
     ): Conclusion
 }
 
+/**
+ * Creates a hedge of the request of [tracker] by [serve], an exception of which leaves the silent attempt as it is.
+ *
+ * A request that another attempt of the hedge has superseded by then ends as a fault of this process.
+ */
+internal fun createHedge(
+    tracker: RelayProgressTracker,
+    observations: Observations,
+    serve: suspend (stalled: HedgedAttempt, stall: Stall) -> Conclusion,
+): Hedge =
+    Hedge { stalled, stall ->
+        try {
+            serve(stalled, stall)
+        } catch (cancellation: CancellationException) {
+            throw cancellation
+        } catch (failure: Exception) {
+            observations.event(Event.WorkerFailed(failure))
+            uncertain(tracker.progress, MayHaveRun.GATEWAY_FAULT)
+        }
+    }
+
 /** The place of an attempt among those that hedge each other: it hedges [former], if any, and [hedge] hedges it. */
 internal class Hedging(
     val former: HedgedAttempt?,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/HedgedAttempt.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/HedgedAttempt.kt
@@ -137,6 +137,7 @@
             if (!beginHedge()) return null
             val conclusion = hedgeWhileStalled(stall)
             if (superseded || hasEnded) return conclusion
+            if (advances != advancesBeforeHedge) pause = SHORTEST_PAUSE
             delay(pause)
             pause = minOf(pause * 2, LONGEST_PAUSE)
         }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PlainRelay.kt
@@ -110,7 +110,7 @@
         backend: BackendEntry,
         tracker: RelayProgressTracker,
     ): Hedge =
-        Hedge { stalled, stall ->
+        createHedge(tracker, observations) { stalled, stall ->
             observations.decided(Decision.Stalled(request, backend, stall, clock.now()))
             tracker.update { it.withReached(backend.life) }
             relay(request, tracker, stalled, RetryReason.RUN_STALLED)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/PrefillRun.kt
@@ -71,11 +71,13 @@
             val attempt = HedgedAttempt(stalls, hedging, socketReads, clock)
             return coroutineScope {
                 val prefill = async { connections.prefill(order, request.body) }
-                attempt.during(
-                    mayHedge = { true },
-                    stop = prefill::cancel,
-                    isFinal = { it is PrefillOutcome.Ready },
-                ) { outcomeOf(prefill).also { recordOutcome(request, order.backend, path, it, wasIdle, sentAt) } }
+                val result =
+                    attempt.during(
+                        mayHedge = { true },
+                        stop = prefill::cancel,
+                        isFinal = { it is PrefillOutcome.Ready },
+                    ) { outcomeOf(prefill).also { recordOutcome(request, order.backend, path, it, wasIdle, sentAt) } }
+                result.also { if (it is AttemptResult.Superseded) releaseUnused(prefill) }
             }
         } finally {
             tables.load.update { LoadLedger.ended(it, life, job, clock.now()) }
@@ -91,6 +93,12 @@
             PrefillOutcome.Broken(MayHaveRun.STREAM_STALLED)
         }
 
+    /** Releases the KV cache of a [prefill] that was ready just before another attempt served its request. */
+    private suspend fun releaseUnused(prefill: Deferred<PrefillOutcome>) {
+        val outcome = outcomeOf(prefill)
+        if (outcome is PrefillOutcome.Ready) release(outcome.source)
+    }
+
     private fun recordOutcome(
         request: RelayedRequest,
         engine: BackendEntry,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/HedgedAttemptTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/HedgedAttemptTest.kt
@@ -2,12 +2,15 @@
 
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
+import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.fleet.BackendEntry
@@ -207,6 +210,63 @@
         }
     }
 
+    /** Guards against an answer of a silent server that is given up since the attempt beside it fails with an exception (LOST). */
+    @Test
+    fun `an exception in a hedge does not end the silent attempt`() {
+        for (pool in listOf(SERVICE_POOL, ENGINE_POOL)) {
+            runTest {
+                val connections = ScriptedConnections(mutableListOf(silent(whole, part = 4), Reaction.Throws))
+                val caller = FakeCaller()
+                val observations = FakeObservations()
+                val servers = listOf("one", "second").map { backend(it, pool, EngineRole.DECODE) }
+
+                relay(route(resumable, pool), servers, connections, observations = observations).accept(caller)
+
+                caller.text shouldBe "abcdefgh"
+                observations.events.filterIsInstance<Event.WorkerFailed>().size shouldBe 1
+            }
+        }
+    }
+
+    /** Guards against a stream that waits longer for another server after each silence that its server has ended. */
+    @Test
+    fun `a silence after others that have ended is hedged as soon as the first one`() =
+        runTest {
+            val parts = "abcdefgh".map { it.toString() }
+            val slow = Reaction.Paces(parts, 1100.milliseconds, endless = false)
+            val first = silent(slow, part = 7, 1.days)
+            val hedges = List(20) { silent(whole, part = 0, 600.milliseconds) } // longer than the rest of a silence
+            val connections = ScriptedConnections((listOf(first) + hedges).toMutableList())
+            val caller = FakeCaller()
+            val route = route(resumable, ENGINE_POOL).copy(timeout = 30.seconds)
+
+            relay(route, listOf(engine("one"), engine("second")), connections).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+            currentTime shouldBeLessThan 7 * 1100L + 2_000
+        }
+
+    /** Guards against KV cache that is kept for a while, and priced, after the prefill of a request that another engine serves. */
+    @Test
+    fun `KV cache of a cancelled hedge is released`() =
+        runTest {
+            val engines = listOf(backend("prefill", ENGINE_POOL, EngineRole.PREFILL), engine("one"), engine("second"))
+            val first = silent(whole, part = 0, 5.seconds)
+            val connections = ScriptedConnections(mutableListOf(first, silent(whole, part = 0, 6.seconds)))
+            val caller = FakeCaller()
+
+            relay(
+                route(resumable, ENGINE_POOL, maximumAttempts = 3).copy(timeout = 20.seconds),
+                engines,
+                connections,
+                promptTokens = 12_000,
+            ).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+            connections.orders.count { it.source != null } shouldBe 2
+            connections.released.size shouldBe 1
+        }
+
     private fun silent(
         reaction: Reaction,
         part: Int,
@@ -221,8 +281,9 @@
         connections: ScriptedConnections,
         promptTokens: Int = 100,
         bounds: RetryBounds = RetryBounds(0.2, 1000.0, 10.seconds),
+        observations: FakeObservations = FakeObservations(),
     ): RequestRelay {
         val prompt = Prompt(persistentListOf(PromptPart(1, promptTokens)), promptTokens, 10)
-        return createTestRelay(tablesWith(route, servers), connections, prompt, bounds = bounds)
+        return createTestRelay(tablesWith(route, servers), connections, prompt, bounds = bounds, observations = observations)
     }
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/ScriptedConnections.kt
@@ -35,6 +35,9 @@
 
     data object StaysSilent : Reaction
 
+    /** Fails with an exception of this process. */
+    data object Throws : Reaction
+
     /** Answers with success, the end of which is held back for [time]. */
     data class Held(
         val time: Duration,
@@ -90,14 +93,20 @@
         orders += order
         val reaction = if (reactions.isEmpty()) Reaction.Answers(OK) else reactions.removeAt(0)
         if (reaction !is Reaction.Refuses) mayHaveRun += 1
-        return when (reaction) {
+        return streamOf(reaction, order)
+    }
+
+    private fun streamOf(
+        reaction: Reaction,
+        order: RunOrder,
+    ): AttemptStream =
+        when (reaction) {
             is Reaction.Paces -> PacedStream(reaction)
-            is Reaction.FallsSilent ->
-                SilentStream(ScriptedStream(eventsOf(reaction.reaction, order)), reaction.part, reaction.silence)
+            is Reaction.FallsSilent -> SilentStream(streamOf(reaction.reaction, order), reaction.part, reaction.silence)
+            Reaction.Throws -> error("fault")
             is Reaction.Held -> HeldStream(ScriptedStream(eventsOf(Reaction.Answers(OK), order)), reaction.time)
             else -> ScriptedStream(eventsOf(reaction, order))
         }
-    }
 
     override suspend fun prefill(
         order: RunOrder,
@@ -127,7 +136,8 @@
                     AttemptEvent.Broken(MayHaveRun.ANSWER_CONTRADICTED),
                 )
             Reaction.StaysSilent -> emptyList()
-            is Reaction.Paces, is Reaction.Held, is Reaction.FallsSilent -> error("its stream makes its own events")
+            is Reaction.Paces, is Reaction.Held, is Reaction.FallsSilent, Reaction.Throws ->
+                error("its stream makes its own events")
             Reaction.StartsOver -> eventsOf(Reaction.Streams(breakAt = null), order.copy(resumeAfter = null))
             is Reaction.Streams -> listOf(head(LetterFraming.STREAM_STATUS)) + letters(reaction, order)
         }
