--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -228,7 +228,7 @@
         prefillRun.recordCachedParts(engine.life, prompt, properties, now)
         val backlog = tables.load.snapshot().backlogAt(engine.life, now)
         val begunBefore = tracker.progress.begun
-        val timeouts = stallTimeoutsFor(request, tracker, work + backlog)
+        val timeouts = generation.stallTimeouts(work + backlog, clock.now())
         val hedging = Hedging(generation.former, hedgeOf(generation, engine))
         val outcome = backendRun.run(request, order, work, timeouts, tracker, hedging)
         val hasOwnResult = !begunBefore && outcome !is RunOutcome.Superseded
@@ -287,9 +287,6 @@
             outcome.answer.status >= FIRST_SERVER_ERROR &&
             candidates.of(request, tracker.progress, clock.now()).isNotEmpty()
 
-    private fun isCacheRefusal(reason: AttemptRefusal): Boolean =
-        reason == AttemptRefusal.CACHE_UNAVAILABLE || reason == AttemptRefusal.AT_CAPACITY
-
     private fun predictedWork(
         request: RelayedRequest,
         properties: EngineProperties,
@@ -297,17 +294,6 @@
         prompt: Prompt,
     ): Duration = EnginePlanner.prefillTime(candidates.view(listOf(engine), properties, request), engine, prompt)
 
-    /** Returns the stall timeouts of a stream that may be resumed on another engine, and none otherwise. */
-    private fun stallTimeoutsFor(
-        request: RelayedRequest,
-        tracker: RelayProgressTracker,
-        predicted: Duration,
-    ): StallTimeouts {
-        val anotherAllowed = tracker.progress.reached.size + 1 < request.route.maximumAttempts
-        if (!request.route.kind.repeatable || !anotherAllowed) return StallTimeouts.UNBOUNDED
-        return StallTimeouts.forStream(request.route, predicted, request.deadline - clock.now())
-    }
-
     private companion object {
         val CACHE_FETCH_WORK: Duration = 5.milliseconds
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Generation.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Generation.kt
@@ -5,6 +5,8 @@
 import org.acaciaflow.state.prompt.Prompt
 import org.acaciaflow.state.refusal.AttemptRefusal
 import org.acaciaflow.state.route.EngineProperties
+import kotlin.time.Duration
+import kotlin.time.Instant
 
 /** A generation that is served by engines with [properties]; its attempts hedge [former], if any. */
 internal data class Generation(
@@ -18,6 +20,19 @@
     val isNextFirst: Boolean
         get() = isFirst(former, tracker.progress)
 
+    /**
+     * Returns the stall timeouts of a stream whose first event is predicted to take [predicted] from [now] on; none unless
+     * it may be resumed on another engine.
+     */
+    fun stallTimeouts(
+        predicted: Duration,
+        now: Instant,
+    ): StallTimeouts {
+        val anotherAllowed = tracker.progress.reached.size + 1 < request.route.maximumAttempts
+        if (!request.route.kind.repeatable || !anotherAllowed) return StallTimeouts.UNBOUNDED
+        return StallTimeouts.forStream(request.route, predicted, request.deadline - now)
+    }
+
     /** Records that [prefillEngine] has not prefilled the prompt; it refused for [reason], null if it failed otherwise. */
     fun recordFailedPrefill(
         prefillEngine: BackendEntry,
@@ -35,6 +50,10 @@
     }
 }
 
+/** Returns true if [reason] may mean that KV cache could not be fetched. */
+internal fun isCacheRefusal(reason: AttemptRefusal): Boolean =
+    reason == AttemptRefusal.CACHE_UNAVAILABLE || reason == AttemptRefusal.AT_CAPACITY
+
 /** What follows an attempt at a generation. */
 internal sealed interface EngineStep {
     data class Finished(
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/HedgedAttemptTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/HedgedAttemptTest.kt
@@ -284,6 +284,12 @@
         observations: FakeObservations = FakeObservations(),
     ): RequestRelay {
         val prompt = Prompt(persistentListOf(PromptPart(1, promptTokens)), promptTokens, 10)
-        return createTestRelay(tablesWith(route, servers), connections, prompt, bounds = bounds, observations = observations)
+        return createTestRelay(
+            tablesWith(route, servers),
+            connections,
+            prompt,
+            bounds = bounds,
+            observations = observations,
+        )
     }
 }
