--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/BackendRun.kt
@@ -70,6 +70,9 @@
         } catch (cancellation: CancellationException) {
             tracker.update { it.withCancelled(life) }
             throw cancellation
+        } catch (failure: Exception) {
+            tracker.update { it.withFault(life) }
+            throw failure
         } finally {
             tables.load.update { LoadLedger.ended(it, life, job, clock.now()) }
         }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/EngineRelay.kt
@@ -1,6 +1,5 @@
 package org.acaciaflow.coordination.relay
 
-import kotlinx.coroutines.CancellationException
 import org.acaciaflow.coordination.engine.EnginePath
 import org.acaciaflow.coordination.engine.EnginePlanner
 import org.acaciaflow.coordination.port.CacheSource
@@ -153,15 +152,9 @@
         source: CacheSource,
         isFirst: Boolean,
     ): EngineStep {
-        try {
-            while (true) {
-                val step = decodeOnce(generation, path, source, isFirst)
-                if (step != EngineStep.NotSent) return step
-            }
-        } catch (cancellation: CancellationException) {
-            // The stream of an only attempt has begun once its engine has fetched the KV cache.
-            if (generation.former != null || !generation.tracker.progress.begun) prefillRun.release(source)
-            throw cancellation
+        while (true) {
+            val step = decodeOnce(generation, path, source, isFirst)
+            if (step != EngineStep.NotSent) return step
         }
     }
 
@@ -180,7 +173,12 @@
         val view = candidates.view(candidates.of(request, tracker.progress, now), properties, request)
         val chosen = EnginePlanner.chooseDecodeEngine(view, prompt, now, random)
         if (chosen == null) {
-            if (restWait.waitsForToken(request, tracker.progress, now)) return EngineStep.NotSent
+            val waited =
+                generation.holding(
+                    source,
+                    prefillRun,
+                ) { restWait.waitsForToken(request, tracker.progress, now) }
+            if (waited) return EngineStep.NotSent
             prefillRun.release(source)
             return EngineStep.Retry(RetryReason.ATTEMPT_REFUSED)
         }
@@ -188,7 +186,7 @@
             prefillRun.release(source)
             return EngineStep.Finished(noAttemptLeft(tracker.progress))
         }
-        val step = send(generation, chosen, source, path)
+        val step = generation.holding(source, prefillRun) { send(generation, chosen, source, path) }
         if (step is EngineStep.Retry && step.reason == RetryReason.CACHE_UNAVAILABLE) {
             if (!retryLimiter.tryAcquire(request, generation.isNextFirst, step.reason, clock.now())) {
                 return EngineStep.Finished(noAttemptLeft(tracker.progress))
@@ -236,9 +234,7 @@
             prefillRun.recordLocalPrefill(request, engine, work, tracker.progress, now)
         }
         observations.decided(Decision.Ran(request, engine, outcome.toString(), clock.now()))
-        if (source != null && outcome is RunOutcome.NotExecuted && !isNotSent(outcome.reason)) {
-            prefillRun.release(source)
-        }
+        if (source != null && mayLeaveCache(outcome, tracker.progress)) prefillRun.release(source)
         if (source != null && outcome is RunOutcome.NotExecuted && isCacheRefusal(outcome.reason)) {
             tracker.update { it.copy(reached = it.reached.add(engine.life), countedAttempts = it.countedAttempts + 1) }
             return EngineStep.Retry(RetryReason.CACHE_UNAVAILABLE)
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Generation.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/Generation.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.relay
 
+import org.acaciaflow.coordination.port.CacheSource
 import org.acaciaflow.coordination.retry.RetryReason
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.prompt.Prompt
@@ -33,6 +34,20 @@
         return StallTimeouts.forStream(request.route, predicted, request.deadline - now)
     }
 
+    /** Runs [block], which is to use the KV cache of [source]; releases it if [block] fails or is cancelled before that. */
+    suspend fun <Result> holding(
+        source: CacheSource,
+        prefillRun: PrefillRun,
+        block: suspend () -> Result,
+    ): Result =
+        try {
+            block()
+        } catch (failure: Exception) {
+            // The stream of an only attempt has begun once its engine has fetched the KV cache.
+            if (former != null || !tracker.progress.begun) prefillRun.release(source)
+            throw failure
+        }
+
     /** Records that [prefillEngine] has not prefilled the prompt; it refused for [reason], null if it failed otherwise. */
     fun recordFailedPrefill(
         prefillEngine: BackendEntry,
@@ -54,6 +69,18 @@
 internal fun isCacheRefusal(reason: AttemptRefusal): Boolean =
     reason == AttemptRefusal.CACHE_UNAVAILABLE || reason == AttemptRefusal.AT_CAPACITY
 
+/** Returns true if a decode that ended with [outcome], after which the caller has [progress], may not have fetched its KV cache. */
+internal fun mayLeaveCache(
+    outcome: RunOutcome,
+    progress: RelayProgress,
+): Boolean =
+    when (outcome) {
+        is RunOutcome.NotExecuted -> !isNotSent(outcome.reason) // otherwise another engine fetches it
+        is RunOutcome.Broken -> !progress.begun
+        is RunOutcome.Superseded -> true
+        is RunOutcome.Delivered, RunOutcome.CallerGone, is RunOutcome.Failed -> false
+    }
+
 /** What follows an attempt at a generation. */
 internal sealed interface EngineStep {
     data class Finished(
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/HedgedAttempt.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/HedgedAttempt.kt
@@ -137,9 +137,17 @@
             if (!beginHedge()) return null
             val conclusion = hedgeWhileStalled(stall)
             if (superseded || hasEnded) return conclusion
-            if (advances != advancesBeforeHedge) pause = SHORTEST_PAUSE
-            delay(pause)
-            pause = minOf(pause * 2, LONGEST_PAUSE)
+            awaitPause(pause)
+            pause = if (advances == advancesBeforeHedge) minOf(pause * 2, LONGEST_PAUSE) else SHORTEST_PAUSE
+        }
+    }
+
+    /** Waits for [pause], or until the attempt has advanced since it was hedged. */
+    private suspend fun awaitPause(pause: Duration) {
+        var left = pause
+        while (left > Duration.ZERO && advances == advancesBeforeHedge) {
+            delay(minOf(left, CHECK_INTERVAL))
+            left -= CHECK_INTERVAL
         }
     }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayProgress.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayProgress.kt
@@ -61,6 +61,13 @@
             mayHaveRun = mayHaveRun ?: MayHaveRun.ANSWER_INCOMPLETE,
         )
 
+    /** This progress after an attempt at [life] that ended in an exception of this process. */
+    fun withFault(life: BackendLife): RelayProgress =
+        withReached(life).copy(
+            attemptsInFlight = attemptsInFlight - 1,
+            mayHaveRun = mayHaveRun ?: MayHaveRun.GATEWAY_FAULT,
+        )
+
     companion object {
         val INITIAL =
             RelayProgress(
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/HedgedAttemptTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/HedgedAttemptTest.kt
@@ -11,10 +11,17 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.acaciaflow.coordination.event.Event
+import org.acaciaflow.coordination.load.LoadLedger
+import org.acaciaflow.coordination.port.AttemptEvent
+import org.acaciaflow.coordination.port.AttemptStream
+import org.acaciaflow.coordination.port.BackendConnections
+import org.acaciaflow.coordination.port.RunOrder
+import org.acaciaflow.coordination.port.WholeBody
 import org.acaciaflow.coordination.retry.RetryBounds
 import org.acaciaflow.state.backend.EngineRole
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.identity.SoftwareVersion
+import org.acaciaflow.state.load.JobIdentity
 import org.acaciaflow.state.prompt.Prompt
 import org.acaciaflow.state.prompt.PromptPart
 import org.acaciaflow.state.refusal.AttemptRefusal
@@ -267,6 +274,133 @@
             connections.released.size shouldBe 1
         }
 
+    /** Guards against a request that runs at more servers than its route allows, since hedges that end in an exception are not counted (BUDGET). */
+    @Test
+    fun `hedges that end in an exception count as attempts`() =
+        runTest {
+            val scripted = ScriptedConnections(mutableListOf(silent(whole, part = 4, 1.days)))
+            val route = route(resumable, ENGINE_POOL, maximumAttempts = 2).copy(timeout = 20.seconds)
+            val tables = tablesWith(route, List(6) { engine("e$it") })
+            val clock = virtualClock()
+            val connections =
+                object : BackendConnections by scripted {
+                    override suspend fun open(
+                        order: RunOrder,
+                        body: WholeBody,
+                    ): AttemptStream {
+                        val stream = scripted.open(order, body)
+                        val sent = scripted.orders.size
+                        // Others keep each server busy that was tried, so that another one is chosen next.
+                        val job = JobIdentity(1000L + sent)
+                        tables.load.update {
+                            LoadLedger.sent(it, order.backend.life, job, 20.seconds, 1000, clock.now())
+                        }
+                        return if (sent == 1) stream else FaultyStream(stream)
+                    }
+                }
+            val prompt = Prompt(persistentListOf(PromptPart(1, 100)), 100, 10)
+            val bounds = RetryBounds(0.2, 1000.0, 10.seconds)
+
+            createTestRelay(tables, connections, prompt, bounds = bounds).accept(FakeCaller())
+
+            val servers = scripted.orders.map { it.backend.life.instance }
+            withClue(servers) { servers.distinct().size shouldBe 2 }
+        }
+
+    /** Guards against KV cache that is kept, and priced, after the decode of a hedge has ended in an exception. */
+    @Test
+    fun `KV cache of a hedge that ends in an exception is released`() =
+        runTest {
+            val engines = listOf(backend("prefill", ENGINE_POOL, EngineRole.PREFILL), engine("one"), engine("second"))
+            val first = silent(whole, part = 0, 5.seconds)
+            val connections = ScriptedConnections((listOf(first) + List(20) { Reaction.Throws }).toMutableList())
+            val caller = FakeCaller()
+
+            relay(
+                route(resumable, ENGINE_POOL, maximumAttempts = 3).copy(timeout = 20.seconds),
+                engines,
+                connections,
+                promptTokens = 12_000,
+            ).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+            connections.released.size shouldBe connections.prefills.size - 1
+        }
+
+    /** Guards against KV cache that is kept, and priced, after a silent decode that another engine's answer has superseded. */
+    @Test
+    fun `KV cache of a silent decode that is superseded is released`() =
+        runTest {
+            val engines = listOf(backend("prefill", ENGINE_POOL, EngineRole.PREFILL), engine("one"), engine("second"))
+            val connections = ScriptedConnections(mutableListOf(silent(whole, part = 0, 1.days), whole))
+            val caller = FakeCaller()
+
+            relay(
+                route(resumable, ENGINE_POOL, maximumAttempts = 3).copy(timeout = 20.seconds),
+                engines,
+                connections,
+                promptTokens = 12_000,
+            ).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+            connections.released.size shouldBe connections.prefills.size - 1
+        }
+
+    /** Guards against a caller that waits over 2 s for another server, since no server was left in a silence that has ended. */
+    @Test
+    fun `a silence after one without another server is hedged as soon as the first one`() =
+        runTest {
+            val letters = Reaction.Paces("abcdefgh".map { it.toString() }, 50.milliseconds, endless = false)
+            val first = silent(silent(letters, part = 3, 4.seconds), part = 5, 1.days)
+            val connections = ScriptedConnections(mutableListOf(first, whole))
+            val caller = FakeCaller()
+            val route = route(resumable, ENGINE_POOL).copy(timeout = 20.seconds)
+            val tables = tablesWith(route, listOf(engine("one")))
+            val prompt = Prompt(persistentListOf(PromptPart(1, 100)), 100, 10)
+            launch {
+                delay(4.seconds)
+                val second = engine("second")
+                tables.fleet.update { it.copy(entries = it.entries.put(second.life.instance, second)) }
+            }
+
+            createTestRelay(tables, connections, prompt).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+            currentTime shouldBeLessThan 4_300L + 2_000
+        }
+
+    /** Guards against a second call to a prefill engine for KV cache that was released when it could not be fetched. */
+    @Test
+    fun `KV cache that could not be fetched is released once though its request is cancelled later`() =
+        runTest {
+            val engines = listOf(backend("prefill", ENGINE_POOL, EngineRole.PREFILL), engine("one"))
+            val refuses = Reaction.Refuses(AttemptRefusal.CACHE_UNAVAILABLE)
+            val connections = ScriptedConnections(mutableListOf(refuses, silent(whole, part = 0, 1.days)))
+            val relay = relay(route(resumable, ENGINE_POOL), engines, connections, promptTokens = 12_000)
+            val serving = launch { relay.accept(FakeCaller()) }
+            while (connections.orders.size < 2) delay(10.milliseconds)
+
+            serving.cancel()
+            serving.join()
+
+            connections.released.size shouldBe 1
+        }
+
+    /** Guards against KV cache that is kept, and priced, after a decode whose connection breaks before its answer. */
+    @Test
+    fun `KV cache of a decode that breaks off before its first event is released`() =
+        runTest {
+            val engines = listOf(backend("prefill", ENGINE_POOL, EngineRole.PREFILL), engine("one"), engine("second"))
+            val connections = ScriptedConnections(mutableListOf(Reaction.BreaksConnection, whole))
+            val caller = FakeCaller()
+            val route = route(resumable, ENGINE_POOL, maximumAttempts = 3).copy(timeout = 20.seconds)
+
+            relay(route, engines, connections, promptTokens = 12_000).accept(caller)
+
+            caller.text shouldBe "abcdefgh"
+            connections.released.size shouldBe connections.prefills.size - 1
+        }
+
     private fun silent(
         reaction: Reaction,
         part: Int,
@@ -293,3 +427,12 @@
         )
     }
 }
+
+/** Passes on the head of [stream], after which this process fails. */
+private class FaultyStream(
+    private val stream: AttemptStream,
+) : AttemptStream by stream {
+    private var read = 0
+
+    override suspend fun next(): AttemptEvent = if (read++ == 0) stream.next() else error("fault")
+}
