--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/store/LapsedEntryRemoval.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/store/LapsedEntryRemoval.kt
@@ -20,7 +20,7 @@
     /** Removes servers when they are due, until cancelled. */
     suspend fun run() {
         while (true) {
-            delay(if (fleet.snapshot().lapsed.isEmpty()) IDLE_INTERVAL else LAPSED_INTERVAL)
+            delay(INTERVAL)
             removeDue(clock.now())
         }
     }
@@ -34,7 +34,6 @@
     }
 
     private companion object {
-        val IDLE_INTERVAL: Duration = 250.milliseconds // shorter than any doubt
-        val LAPSED_INTERVAL: Duration = 50.milliseconds // adds to the doubt, and both must end within the drain time
+        val INTERVAL: Duration = 50.milliseconds // adds to the doubt, and both must end within the drain time
     }
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/LapsedEntryRemovalTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/LapsedEntryRemovalTest.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.store
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.launch
@@ -46,4 +47,25 @@
             }
         }
     }
+
+    /** Guards against calls to a removed server two seconds after a return that is noticed late in its doubt (DRAIN). */
+    @Test
+    fun `a server that lapses late in the doubt gets no more work a tenth of a second after its end`() {
+        for (phase in 0..240 step 10) {
+            runTest {
+                val tables = createRelayTables()
+                val clock = virtualClock()
+                backgroundScope.launch { LapsedEntryRemoval(tables.fleet, tables.store, clock).run() }
+                advanceTimeBy(phase.milliseconds)
+                tables.store.update { it.copy(returnedAt = clock.now()) }
+                tables.fleet.update { FleetChanges.registered(it, backend("one"), revisionAt(1)) }
+                advanceTimeBy(StoreFreshness.DOUBT - 20.milliseconds)
+                tables.fleet.update { FleetChanges.lapsed(it, "one", clock.now()) }
+
+                advanceTimeBy(120.milliseconds)
+
+                withClue("phase $phase") { tables.fleet.snapshot().usableIn(SERVICE_POOL) shouldBe emptyList() }
+            }
+        }
+    }
 }
