--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/event/Event.kt
@@ -20,6 +20,7 @@
 import org.acaciaflow.state.refusal.Refusal
 import org.acaciaflow.state.store.StoreRevision
 import org.acaciaflow.state.stream.StreamKey
+import org.acaciaflow.state.stream.StreamRoute
 import org.acaciaflow.state.work.RequestDigest
 import kotlin.time.Duration
 
@@ -363,10 +364,10 @@
         val pool: PoolName,
     ) : Event(EventKind.POOL_BASE_WITHDRAWN)
 
-    /** This gateway has written that streams of [host] without a record began in [pool]. */
+    /** This gateway has written that streams of [host] without a record began where [routes] lead. */
     data class HostBaseSet(
         val host: String,
-        val pool: PoolName,
+        val routes: List<StreamRoute>,
     ) : Event(EventKind.HOST_BASE_SET)
 
     /** This gateway has written that [host] has no base for now, so that each of its streams gets a record. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayAdmission.kt
@@ -57,7 +57,7 @@
         now: Instant,
         deadline: Instant,
     ): RelayedRequest {
-        val pool = RouteLookup.poolOf(route, poolIdOf(route, facts))
+        val pool = RouteLookup.poolOf(route.destinations, poolIdOf(route, facts))
         val digest = fingerprintOf("${exchange.call.method} ${exchange.call.target} ", body.bytes)
         return RelayedRequest(
             exchange = exchange,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayedRequest.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/RelayedRequest.kt
@@ -5,6 +5,7 @@
 import org.acaciaflow.coordination.port.CallerExchange
 import org.acaciaflow.coordination.port.WholeBody
 import org.acaciaflow.coordination.stream.StreamIdentity
+import org.acaciaflow.coordination.stream.StreamPlace
 import org.acaciaflow.state.crash.CrashSubject
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.route.RequestKind
@@ -42,13 +43,17 @@
     val urgency: Int
         get() = if (isTakeUp) MOST_URGENT else route.urgency
 
+    /** Where its caller asks for a stream. */
+    val place: StreamPlace
+        get() = StreamPlace(facts.host, facts.path)
+
     /** The name of the stream that this request takes up; null if it takes up none, or one that it does not name. */
     val earlierStream: StreamIdentity?
-        get() = facts.firstAttempt?.takeIf { isTakeUp }?.let { StreamIdentity(it, facts.host) }
+        get() = facts.firstAttempt?.takeIf { isTakeUp }?.let { StreamIdentity(it, place) }
 
     /** The name of the stream that answers this request; null if no caller may take it up. */
     val stream: StreamIdentity?
-        get() = earlierStream ?: StreamIdentity(facts.requestId, facts.host).takeIf { mayBeTakenUp(route.kind) }
+        get() = earlierStream ?: StreamIdentity(facts.requestId, place).takeIf { mayBeTakenUp(route.kind) }
 
     /** Returns true when an answer that starts at [now] is late. */
     fun isLate(now: Instant): Boolean = now > dueAt
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StreamVersions.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/relay/StreamVersions.kt
@@ -2,6 +2,7 @@
 
 import org.acaciaflow.coordination.port.Observations
 import org.acaciaflow.coordination.stream.StartVersions
+import org.acaciaflow.coordination.stream.StreamIdentity
 import org.acaciaflow.coordination.stream.StreamOrigin
 import org.acaciaflow.coordination.stream.StreamOrigins
 import org.acaciaflow.coordination.stream.VersionConstraint
@@ -18,12 +19,11 @@
     suspend fun decide(request: RelayedRequest): VersionDecision =
         when {
             request.isTakeUp -> decideTakeUp(request)
-            request.stream != null -> decideStart(request)
-            else -> VersionDecision.Admitted(VersionConstraint.Any)
+            else -> request.stream?.let { decideStart(request, it) } ?: VersionDecision.Admitted(VersionConstraint.Any)
         }
 
     private suspend fun decideTakeUp(request: RelayedRequest): VersionDecision {
-        val origin = origins.originOf(request.earlierStream, request.facts.host, request.pool)
+        val origin = origins.originOf(request.earlierStream, request.place, request.pool)
         observations.decided(Decision.OriginLookedUp(request, origin, clock.now()))
         return when (origin) {
             is StreamOrigin.Known -> VersionDecision.Admitted(VersionConstraint.Only(origin.proof.version))
@@ -32,8 +32,11 @@
         }
     }
 
-    private fun decideStart(request: RelayedRequest): VersionDecision =
-        when (val start = origins.startOf(request.facts.host, request.pool)) {
+    private fun decideStart(
+        request: RelayedRequest,
+        stream: StreamIdentity,
+    ): VersionDecision =
+        when (val start = origins.startOf(stream, request.pool)) {
             StartVersions.Any -> VersionDecision.Admitted(VersionConstraint.Any)
             is StartVersions.Only -> VersionDecision.Admitted(VersionConstraint.Only(start.version))
             is StartVersions.None ->
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/routing/RouteLookup.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/routing/RouteLookup.kt
@@ -1,6 +1,7 @@
 package org.acaciaflow.coordination.routing
 
 import org.acaciaflow.state.identity.PoolName
+import org.acaciaflow.state.route.Destination
 import org.acaciaflow.state.route.Route
 import org.acaciaflow.state.route.RoutingConfiguration
 
@@ -13,17 +14,17 @@
         path: String,
     ): Route? = configuration.routesByHost[host]?.firstOrNull { path.startsWith(it.prefix) }
 
-    /** Chooses the destination of a request in proportion to the weights; equal request ids get the same pool. */
+    /** Chooses one of [destinations] for a request in proportion to the weights; equal request ids get the same pool. */
     fun poolOf(
-        route: Route,
+        destinations: List<Destination>,
         requestId: String,
     ): PoolName {
-        val total = route.destinations.sumOf { it.weight }
+        val total = destinations.sumOf { it.weight }
         var point = Math.floorMod(requestId.hashCode(), total)
-        for (destination in route.destinations) {
+        for (destination in destinations) {
             if (point < destination.weight) return destination.pool
             point -= destination.weight
         }
-        return route.destinations.last().pool
+        return destinations.last().pool
     }
 }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/LineagePolicy.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/LineagePolicy.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.stream
 
+import kotlinx.collections.immutable.PersistentList
 import org.acaciaflow.coordination.store.StoreFreshness
 import org.acaciaflow.state.fleet.Fleet
 import org.acaciaflow.state.identity.PoolName
@@ -9,6 +10,7 @@
 import org.acaciaflow.state.store.StoreRevision
 import org.acaciaflow.state.stream.Lineage
 import org.acaciaflow.state.stream.PoolVersions
+import org.acaciaflow.state.stream.StreamRoute
 import kotlin.time.Duration
 import kotlin.time.Instant
 
@@ -37,16 +39,16 @@
         }
     }
 
-    /** What is due for [host], whose streams are led to [destinations], the most weighty first. */
+    /** What is due for [host], whose streams are led by [routes]. */
     fun stepFor(
         host: String,
-        destinations: List<PoolName>,
-    ): LineageStep<PoolName> {
+        routes: PersistentList<StreamRoute>,
+    ): LineageStep<PersistentList<StreamRoute>> {
         val lineage = versions.hosts[host]
-        return stepFor(lineage, lineage?.base?.pool, destinations.firstOrNull()) { base -> base !in destinations }
+        return stepFor(lineage, lineage?.base?.routes, routes) { base -> base != routes }
     }
 
-    /** What is due for [lineage], which names [base]; [isUnused] says whether streams begin elsewhere now. */
+    /** What is due for [lineage], which names [base]; [isUnused] says whether streams begin elsewhere. */
     private fun <Value : Any> stepFor(
         lineage: Lineage<*>?,
         base: Value?,
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/OriginPolicy.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/OriginPolicy.kt
@@ -18,28 +18,28 @@
     private val now: Instant,
 ) {
     /**
-     * True if a stream of [host] that begins at [version] of [pool] needs a record.
+     * True if [stream], which begins at [version] of [pool], needs a record.
      *
-     * Without one it counts as begun at the base version of the host's base.
+     * Without one it counts as begun in the pool to which the base of its host leads, at the base of that pool.
      */
     fun needsRecord(
-        host: String,
+        stream: StreamIdentity,
         pool: PoolName,
         version: SoftwareVersion,
-    ): Boolean = baseOf(host, pool) != version
+    ): Boolean = baseOf(stream, pool) != version
 
     /**
-     * Returns where a new stream of [host] may begin in [pool], whose servers have the versions in [serving].
+     * Returns where the new [stream] may begin in [pool], whose servers have the versions in [serving].
      *
      * Unless [recordable], only streams at the base can be taken up anywhere.
      */
     fun startOf(
-        host: String,
+        stream: StreamIdentity,
         pool: PoolName,
         serving: Set<SoftwareVersion>,
         recordable: Boolean,
     ): StartVersions {
-        val base = baseOf(host, pool)
+        val base = baseOf(stream, pool)
         return when {
             recordable || serving.isEmpty() -> StartVersions.Any
             base != null && base in serving -> StartVersions.Only(base)
@@ -47,20 +47,16 @@
         }
     }
 
-    /** The base version of streams of [host] in [pool]; null if these need records. */
+    /** The version of [pool] at which [stream] needs no record; null if it needs one at each. */
     private fun baseOf(
-        host: String,
+        stream: StreamIdentity,
         pool: PoolName,
     ): SoftwareVersion? {
-        val isBaseOfHost =
-            versions.hosts[host]
-                ?.base
-                ?.takeIf(::holds)
-                ?.pool == pool
-        return versions.lineages[pool]
-            ?.base
-            ?.takeIf { isBaseOfHost && holds(it) }
-            ?.version
+        val place = stream.place
+        val hostBase = versions.hosts[place.host]?.base?.takeIf(::holds) ?: return null
+        if (StreamRoutes.poolOf(hostBase.routes.orEmpty(), place.path, stream) != pool) return null
+        val base = versions.lineages[pool]?.base?.takeIf(::holds)
+        return base?.version
     }
 
     /** True if [base] can't have been replaced without this gateway's knowledge. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/OriginProof.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/OriginProof.kt
@@ -9,7 +9,7 @@
 import org.acaciaflow.state.stream.BegunStream
 import org.acaciaflow.state.stream.HostBase
 import org.acaciaflow.state.stream.PoolBase
-import org.acaciaflow.state.stream.StreamKey
+import org.acaciaflow.state.stream.StreamRoute
 
 /**
  * Proves that a stream began at [version].
@@ -28,39 +28,48 @@
             pool: PoolName,
         ): OriginProof? = proofIf(begun.record.pool == pool, begun.record.version, OriginLookup.OWN)
 
-        /** The proof by [state] for [stream] of [host], whose take-up for [pool] had arrived before the state was read. */
+        /** The proof by [state] for [stream] at [place], whose take-up for [pool] had arrived before the state was read. */
         fun ofRecords(
             state: RecordedOrigins,
-            stream: StreamKey,
-            host: String,
+            stream: StreamIdentity,
+            place: StreamPlace,
             pool: PoolName,
         ): OriginProof? =
-            when (val record = state.records[stream]) {
-                null -> ofBases(state.hosts[host], state.pools[pool], pool, state.era)
+            when (val record = state.records[StreamKeys.keyOf(stream)]) {
+                null ->
+                    ofBases(state.hosts[place.host], state.pools[pool], state.era) {
+                        StreamRoutes.poolOf(it, place.path, stream) == pool
+                    }
                 is Decoded.Valid -> proofIf(record.value.pool == pool, record.value.version, OriginLookup.FOUND)
                 is Decoded.Invalid -> null
             }
 
-        /** The proof by [state] for a stream in [pool] that is not named: without any record, each began at the base. */
+        /** The proof by [state] for a stream at [path] in [pool] that is not named: without any record, each began at the base. */
         fun ofBases(
             state: RecordedBases,
+            path: String,
             pool: PoolName,
-        ): OriginProof? = if (state.hasRecords) null else ofBases(state.host, state.pool, pool, state.era)
+        ): OriginProof? =
+            if (state.hasRecords) {
+                null
+            } else {
+                ofBases(state.host, state.pool, state.era) { StreamRoutes.poolOf(it, path, stream = null) == pool }
+            }
 
         /**
-         * A stream that needs a record passes no event without it, so one without a record began in the pool that [host]
-         * names, at the version that [base] names.
+         * A stream that needs a record passes no event without it, so one without a record began where [host] leads it, at
+         * the version that [base] names; [leadsToPool] says whether that is the pool of [base].
          */
         private fun ofBases(
             host: Decoded<HostBase>?,
             base: Decoded<PoolBase>?,
-            pool: PoolName,
             era: StoreEra,
+            leadsToPool: (List<StreamRoute>) -> Boolean,
         ): OriginProof? {
             val hostBase = (host as? Decoded.Valid)?.value ?: return null
             val poolBase = (base as? Decoded.Valid)?.value ?: return null
             val version = poolBase.version ?: return null
-            val holds = hostBase.pool == pool && hostBase.era == era && poolBase.era == era
+            val holds = hostBase.era == era && poolBase.era == era && leadsToPool(hostBase.routes.orEmpty())
             return proofIf(holds, version, OriginLookup.BASE)
         }
 
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/RememberedStreamOrigins.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/RememberedStreamOrigins.kt
@@ -22,7 +22,7 @@
     private val maximumStreams: Int = MAXIMUM_STREAMS,
 ) : StreamOrigins {
     override fun startOf(
-        host: String,
+        stream: StreamIdentity,
         pool: PoolName,
     ): StartVersions = StartVersions.Any
 
@@ -48,7 +48,7 @@
 
     override suspend fun originOf(
         stream: StreamIdentity?,
-        host: String,
+        place: StreamPlace,
         pool: PoolName,
     ): StreamOrigin {
         val begun = stream?.let { memory.snapshot().streams[it] }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/StoredStreamOrigins.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/StoredStreamOrigins.kt
@@ -14,7 +14,6 @@
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.identity.SoftwareVersion
 import org.acaciaflow.state.stream.BegunStream
-import org.acaciaflow.state.stream.StreamKey
 import org.acaciaflow.state.stream.StreamRecord
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -24,8 +23,8 @@
 /**
  * Keeps the origins of streams in the platform's store, so that they outlast all gateways.
  *
- * Only streams that began in another pool than the base of their host, or at another version than that pool's base, have
- * a record.
+ * Only streams that began in another pool than that to which the base of their host leads, or at another version than
+ * that pool's base, have a record.
  */
 class StoredStreamOrigins(
     private val tables: RelayTables,
@@ -39,13 +38,13 @@
     private val admittance = EraAdmittance(eras, clock)
 
     override fun startOf(
-        host: String,
+        stream: StreamIdentity,
         pool: PoolName,
     ): StartVersions {
         val now = clock.now()
         val failingSince = tables.store.snapshot().failingSince
         val isStoreDown = failingSince != null && now - failingSince >= LONGEST_WAIT
-        return policyAt(now).startOf(host, pool, versionsServing(pool), writer.isRecordable(now) && !isStoreDown)
+        return policyAt(now).startOf(stream, pool, versionsServing(pool), writer.isRecordable(now) && !isStoreDown)
     }
 
     override suspend fun began(
@@ -55,7 +54,7 @@
     ): Boolean {
         val record = StreamRecord(StreamKeys.keyOf(stream), pool, version)
         val stored =
-            !policyAt(clock.now()).needsRecord(stream.host, pool, version) ||
+            !policyAt(clock.now()).needsRecord(stream, pool, version) ||
                 withTimeoutOrNull(LONGEST_WAIT) { writer.write(record) } == true
         if (stored) note(record) else observations.recordsHandled(StreamRecordOutcome.GIVEN_UP, 1)
         return stored
@@ -69,47 +68,52 @@
         val record = StreamRecord(StreamKeys.keyOf(stream), pool, version)
         note(record)
         // Each attempt has a time limit of its own, so that the first record may expire before the stream ends.
-        if (policyAt(clock.now()).needsRecord(stream.host, pool, version)) writer.rewrite(listOf(record))
+        if (policyAt(clock.now()).needsRecord(stream, pool, version)) writer.rewrite(listOf(record))
     }
 
     override suspend fun originOf(
         stream: StreamIdentity?,
-        host: String,
+        place: StreamPlace,
         pool: PoolName,
     ): StreamOrigin {
-        val key = stream?.let(StreamKeys::keyOf) ?: return originOfUnnamed(host, pool)
+        if (stream == null) return originOfUnnamed(place, pool)
+        val key = StreamKeys.keyOf(stream)
         val own = tables.begunStreams.snapshot()[key]
         if (own != null) return looked(OriginProof.ofOwn(own, pool))
-        return when (val result = reader.read(key, host, pool)) {
+        return when (val result = reader.read(key, place.host, pool)) {
             is StoreResult.Failure -> unavailable(result.reason)
-            is StoreResult.Success -> originBy(result.value, key, host, pool)
+            is StoreResult.Success -> originBy(result.value, stream, place, pool)
         }
     }
 
     private suspend fun originOfUnnamed(
-        host: String,
+        place: StreamPlace,
         pool: PoolName,
     ): StreamOrigin =
-        when (val result = records.readAny(host, pool)) {
+        when (val result = records.readAny(place.host, pool)) {
             is StoreResult.Failure -> unavailable(result.reason)
             is StoreResult.Success ->
                 when (val era = admittance.admit(result.value.era)) {
                     null -> unavailable(StoreFailure.PAST_ERA)
-                    else -> looked(OriginProof.ofBases(result.value.copy(era = era), pool))
+                    else -> looked(OriginProof.ofBases(result.value.copy(era = era), place.path, pool))
                 }
         }
 
     private fun originBy(
         state: RecordedOrigins,
-        key: StreamKey,
-        host: String,
+        stream: StreamIdentity,
+        place: StreamPlace,
         pool: PoolName,
     ): StreamOrigin {
+        val key = StreamKeys.keyOf(stream)
         val record = state.records[key]
         if (record is Decoded.Invalid) observations.event(Event.StreamRecordUnreadable(key, record.fault))
-        val bases = listOf(state.hosts[host], state.pools[pool]).mapNotNull { (it as? Decoded.Valid)?.value }
+        val bases = listOf(state.hosts[place.host], state.pools[pool]).mapNotNull { (it as? Decoded.Valid)?.value }
         val mayBeRewritten = record == null && bases.any { it.era != state.era }
-        return looked(OriginProof.ofRecords(state, key, host, pool), OriginPolicy.RETRY_AFTER.takeIf { mayBeRewritten })
+        return looked(
+            OriginProof.ofRecords(state, stream, place, pool),
+            OriginPolicy.RETRY_AFTER.takeIf { mayBeRewritten },
+        )
     }
 
     private fun unavailable(reason: StoreFailure): StreamOrigin {
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/StreamKeys.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/StreamKeys.kt
@@ -8,7 +8,8 @@
 internal object StreamKeys {
     fun keyOf(stream: StreamIdentity): StreamKey {
         // The length keeps an id that ends like a host from being taken for another id.
-        val text = "${stream.host.length}:${stream.host}${stream.requestId}"
+        val host = stream.place.host
+        val text = "${host.length}:$host${stream.requestId}"
         val digest = ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()))
         return StreamKey(high = digest.getLong(), low = digest.getLong())
     }
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/StreamOrigins.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/StreamOrigins.kt
@@ -10,9 +10,9 @@
  * What two versions write does not fit together, so a stream may go on only at the version that began it.
  */
 interface StreamOrigins {
-    /** Returns at which versions of [pool] a new stream of [host] may begin. */
+    /** Returns at which versions of [pool] the new [stream] may begin. */
     fun startOf(
-        host: String,
+        stream: StreamIdentity,
         pool: PoolName,
     ): StartVersions
 
@@ -36,21 +36,27 @@
     )
 
     /**
-     * Returns at which version of [pool] the earlier [stream] of [host] began; null if its caller does not name it.
+     * Returns at which version of [pool] the earlier [stream] at [place] began; null if its caller does not name it.
      *
      * A stream that began in another pool is unknown.
      */
     suspend fun originOf(
         stream: StreamIdentity?,
-        host: String,
+        place: StreamPlace,
         pool: PoolName,
     ): StreamOrigin
 }
 
-/** Names a stream by the caller's attempt that brought its first event, [requestId], at [host]. */
+/** Names a stream by the caller's attempt that brought its first event, [requestId], at the host of [place]. */
 data class StreamIdentity(
     val requestId: String,
+    val place: StreamPlace,
+)
+
+/** Where callers ask for a stream. */
+data class StreamPlace(
     val host: String,
+    val path: String,
 )
 
 /** Where a stream that is taken up began. */
--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/VersionKeeper.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/VersionKeeper.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.stream
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.coroutines.delay
 import org.acaciaflow.coordination.event.Event
 import org.acaciaflow.coordination.port.LeasedSwap
@@ -15,6 +16,7 @@
 import org.acaciaflow.state.stream.HostBase
 import org.acaciaflow.state.stream.PoolBase
 import org.acaciaflow.state.stream.PoolVersions
+import org.acaciaflow.state.stream.StreamRoute
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -87,9 +89,9 @@
                 val now = clock.now()
                 poolSteps.take(pool, policyAt(now).stepFor(pool), now)
             }
-        StreamDestinations.byHost(tables.routing.snapshot().configuration).forEach { (host, destinations) ->
+        StreamRoutes.byHost(tables.routing.snapshot().configuration).forEach { (host, routes) ->
             val now = clock.now()
-            hostSteps.take(host, policyAt(now).stepFor(host, destinations), now)
+            hostSteps.take(host, policyAt(now).stepFor(host, routes), now)
         }
     }
 
@@ -116,12 +118,12 @@
     private suspend fun swapHost(
         host: String,
         expected: StoreRevision?,
-        pool: PoolName?,
+        routes: PersistentList<StreamRoute>?,
     ) {
-        val base = HostBase(pool, tables.store.snapshot().era ?: return)
+        val base = HostBase(routes, tables.store.snapshot().era ?: return)
         val revision = revisionWritten(expected, documents.swapBase(host, expected, base)) ?: return
         lineages.written(host, base, revision)
-        observations.event(pool?.let { Event.HostBaseSet(host, it) } ?: Event.HostBaseWithdrawn(host))
+        observations.event(routes?.let { Event.HostBaseSet(host, it) } ?: Event.HostBaseWithdrawn(host))
     }
 
     /** Returns the revision at which a document was written that was at [expected]; null if [result] says that it was not. */
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FixedOrigins.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/FixedOrigins.kt
@@ -6,6 +6,7 @@
 import org.acaciaflow.coordination.stream.StreamIdentity
 import org.acaciaflow.coordination.stream.StreamOrigin
 import org.acaciaflow.coordination.stream.StreamOrigins
+import org.acaciaflow.coordination.stream.StreamPlace
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.identity.SoftwareVersion
 import org.acaciaflow.state.stream.BegunStream
@@ -27,7 +28,7 @@
     val asked = mutableListOf<StreamIdentity?>()
 
     override fun startOf(
-        host: String,
+        stream: StreamIdentity,
         pool: PoolName,
     ): StartVersions = start
 
@@ -52,7 +53,7 @@
 
     override suspend fun originOf(
         stream: StreamIdentity?,
-        host: String,
+        place: StreamPlace,
         pool: PoolName,
     ): StreamOrigin {
         asked += stream
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TakeUpTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/relay/TakeUpTest.kt
@@ -9,6 +9,7 @@
 import org.acaciaflow.coordination.stream.StreamIdentity
 import org.acaciaflow.coordination.stream.StreamOrigin
 import org.acaciaflow.coordination.stream.StreamOrigins
+import org.acaciaflow.coordination.stream.StreamPlace
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.identity.SoftwareVersion
 import org.acaciaflow.state.refusal.MayHaveRun
@@ -39,7 +40,7 @@
 
         caller.text shouldBe "defgh"
         connections.orders.map { it.backend.software } shouldContainExactly listOf(FORMER)
-        origins.asked shouldContainExactly listOf(StreamIdentity("first", "caller.example"))
+        origins.asked shouldContainExactly listOf(StreamIdentity("first", PLACE))
         observations.takeUps shouldContainExactly listOf(TakeUpOutcome.WENT_ON)
     }
 
@@ -76,7 +77,7 @@
 
         caller.text shouldBe "abcdefgh"
         origins.asked.shouldBeEmpty()
-        origins.noted shouldContainExactly listOf(StreamIdentity("request-1", "caller.example"))
+        origins.noted shouldContainExactly listOf(StreamIdentity("request-1", PLACE))
         observations.takeUps.shouldBeEmpty()
     }
 
@@ -87,7 +88,7 @@
 
         play(origins, resumeAfter = "2", firstAttempt = "first")
 
-        origins.noted shouldContainExactly listOf(StreamIdentity("first", "caller.example"))
+        origins.noted shouldContainExactly listOf(StreamIdentity("first", PLACE))
     }
 
     /** Guards against a caller that has an event whose origin is lost when the gateway is killed. */
@@ -162,6 +163,7 @@
     ): BackendEntry = backend(name).copy(software = version)
 
     private companion object {
+        val PLACE = StreamPlace("caller.example", "/calls/1")
         val FORMER = SoftwareVersion("5")
         val NEWER = SoftwareVersion("6")
     }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/store/StoreWatcherTest.kt
@@ -486,5 +486,5 @@
         Decoded.Valid(PoolBase(SoftwareVersion(document.decodeToString()), StoreEra.Unknown))
 
     override fun readHostBase(document: ByteString): Decoded<HostBase> =
-        Decoded.Valid(HostBase(PoolName(document.decodeToString()), StoreEra.Unknown))
+        Decoded.Valid(HostBase(persistentListOf(), StoreEra.Unknown))
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/LineageChangesTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/LineageChangesTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.acaciaflow.coordination.relay.SERVICE_POOL
 import org.acaciaflow.coordination.relay.createRelayTables
@@ -9,10 +10,12 @@
 import org.acaciaflow.coordination.store.eraOf
 import org.acaciaflow.coordination.store.revisionAt
 import org.acaciaflow.state.identity.SoftwareVersion
+import org.acaciaflow.state.route.Destination
 import org.acaciaflow.state.store.StoreKnowledge
 import org.acaciaflow.state.stream.HostBase
 import org.acaciaflow.state.stream.Lineage
 import org.acaciaflow.state.stream.PoolBase
+import org.acaciaflow.state.stream.StreamRoute
 import kotlin.time.Clock
 import kotlin.time.Instant
 
@@ -84,9 +87,11 @@
             val lineage = lineages[SERVICE_POOL] ?: return null
             val era = lineage.revision.era
             val knowledge = StoreFreshness.answered(StoreKnowledge.NONE.copy(era = era), lineage.revision, clock.now())
-            val host = Lineage(HostBase(SERVICE_POOL, checkNotNull(era)), lineage.revision, clock.now(), false)
+            val route = StreamRoute("/", persistentListOf(Destination(SERVICE_POOL, 1)))
+            val host =
+                Lineage(HostBase(persistentListOf(route), checkNotNull(era)), lineage.revision, clock.now(), false)
             val versions = tables.versions.snapshot().copy(hosts = persistentMapOf(HOST to host))
             val policy = OriginPolicy(versions, knowledge, clock.now())
-            return listOf(OLD, NEW).singleOrNull { !policy.needsRecord(HOST, SERVICE_POOL, it) }
+            return listOf(OLD, NEW).singleOrNull { !policy.needsRecord(stream(1), SERVICE_POOL, it) }
         }
 }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/MissingRecordTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/MissingRecordTest.kt
@@ -32,7 +32,7 @@
             store.bases[OTHER_POOL] = PoolBase(NEW, eraOf(1)) to StoreRevision(eraOf(1), 100)
             gateways[0].began(stream(1), OLD)
 
-            val origin = gateways[1].origins.originOf(stream(1), HOST, OTHER_POOL)
+            val origin = gateways[1].origins.originOf(stream(1), PLACE, OTHER_POOL)
 
             origin.shouldBeInstanceOf<StreamOrigin.Unknown>()
         }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/OriginGateway.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/OriginGateway.kt
@@ -1,5 +1,6 @@
 package org.acaciaflow.coordination.stream
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CoroutineScope
@@ -22,6 +23,7 @@
 import org.acaciaflow.coordination.store.revisionAt
 import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.identity.SoftwareVersion
+import org.acaciaflow.state.route.Destination
 import org.acaciaflow.state.route.RequestKind
 import org.acaciaflow.state.route.RoutingConfiguration
 import kotlin.random.Random
@@ -34,8 +36,9 @@
 internal val NEW = SoftwareVersion("2.0")
 
 internal const val HOST = "service.example"
+internal val PLACE = StreamPlace(HOST, "/calls/1")
 
-internal fun stream(number: Int) = StreamIdentity("attempt-$number", HOST)
+internal fun stream(number: Int) = StreamIdentity("attempt-$number", PLACE)
 
 /** A gateway that keeps origins in [store]; what it knows of servers is set by the test, and [HOST] leads to their pool. */
 internal class OriginGateway(
@@ -72,8 +75,13 @@
     }
 
     /** Leads the streams of [HOST] to [pool]. */
-    fun route(pool: PoolName) {
-        val route = route(RequestKind.EventStream(resumable = true), pool).copy(host = HOST, timeout = 50.seconds)
+    fun route(pool: PoolName) = route(persistentListOf(Destination(pool, 1)))
+
+    /** Leads the streams of [HOST] to [destinations]. */
+    fun route(destinations: PersistentList<Destination>) {
+        val route =
+            route(RequestKind.EventStream(resumable = true))
+                .copy(host = HOST, timeout = 50.seconds, destinations = destinations)
         val routes = persistentMapOf(HOST to persistentListOf(route))
         val configuration = RoutingConfiguration.NONE.copy(version = 1, routesByHost = routes)
         tables.routing.update { KnownRouting(configuration, ByteString()) }
@@ -99,11 +107,11 @@
         version: SoftwareVersion,
     ): Boolean = origins.began(stream, SERVICE_POOL, version)
 
-    suspend fun originOf(stream: StreamIdentity): StreamOrigin = origins.originOf(stream, HOST, SERVICE_POOL)
+    suspend fun originOf(stream: StreamIdentity): StreamOrigin = origins.originOf(stream, PLACE, SERVICE_POOL)
 
     /** The version at which [stream] began; null if that can't be proved. */
     suspend fun versionOf(stream: StreamIdentity?): SoftwareVersion? =
-        when (val origin = origins.originOf(stream, HOST, SERVICE_POOL)) {
+        when (val origin = origins.originOf(stream, PLACE, SERVICE_POOL)) {
             is StreamOrigin.Known -> origin.proof.version
             is StreamOrigin.Unknown -> null
         }
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/RecordingAvailabilityTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/RecordingAvailabilityTest.kt
@@ -35,7 +35,7 @@
             val begins =
                 (0 until 40).map {
                     delay(50.milliseconds)
-                    starts += gateway.origins.startOf(HOST, SERVICE_POOL)
+                    starts += gateway.origins.startOf(stream(1), SERVICE_POOL)
                     async { gateway.began(stream(it), NEW) }
                 }
 
@@ -56,10 +56,10 @@
                 StoreFreshness.failed(it, Instant.fromEpochMilliseconds(1_000_000 + currentTime))
             }
             gateway.began(stream(1), NEW)
-            val soon = gateway.origins.startOf(HOST, SERVICE_POOL)
+            val soon = gateway.origins.startOf(stream(1), SERVICE_POOL)
 
             advanceTimeBy(1.minutes)
-            val later = gateway.origins.startOf(HOST, SERVICE_POOL)
+            val later = gateway.origins.startOf(stream(1), SERVICE_POOL)
 
             soon shouldBe StartVersions.Only(OLD)
             later shouldBe StartVersions.Only(OLD)
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/RememberedStreamOriginsTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/RememberedStreamOriginsTest.kt
@@ -49,9 +49,9 @@
 
             origins.began(stream("first"), SERVICE_POOL, newer)
 
-            val foreign = StreamIdentity("first", "other.example")
-            origins.originOf(foreign, HOST, SERVICE_POOL) shouldBe StreamOrigin.Unknown(retryAfter = null)
-            val elsewhere = origins.originOf(stream("first"), HOST, PoolName("other"))
+            val foreign = StreamIdentity("first", StreamPlace("other.example", "/"))
+            origins.originOf(foreign, PLACE, SERVICE_POOL) shouldBe StreamOrigin.Unknown(retryAfter = null)
+            val elsewhere = origins.originOf(stream("first"), PLACE, PoolName("other"))
             elsewhere shouldBe StreamOrigin.Unknown(retryAfter = null)
         }
 
@@ -61,8 +61,8 @@
         runTest {
             val origins = tablesWith(server("a", former), server("b", former)).rememberedOrigins(clock)
 
-            origins.originOf(null, HOST, SERVICE_POOL) shouldBe StreamOrigin.Unknown(retryAfter = null)
-            origins.originOf(stream("first"), HOST, SERVICE_POOL) shouldBe StreamOrigin.Unknown(retryAfter = null)
+            origins.originOf(null, PLACE, SERVICE_POOL) shouldBe StreamOrigin.Unknown(retryAfter = null)
+            origins.originOf(stream("first"), PLACE, SERVICE_POOL) shouldBe StreamOrigin.Unknown(retryAfter = null)
         }
 
     /** Guards against a memory that grows with every stream. */
@@ -95,9 +95,9 @@
     private suspend fun versionOf(
         origins: StreamOrigins,
         stream: StreamIdentity,
-    ): SoftwareVersion? = (origins.originOf(stream, HOST, SERVICE_POOL) as? StreamOrigin.Known)?.proof?.version
+    ): SoftwareVersion? = (origins.originOf(stream, PLACE, SERVICE_POOL) as? StreamOrigin.Known)?.proof?.version
 
-    private fun stream(requestId: String) = StreamIdentity(requestId, "caller.example")
+    private fun stream(requestId: String) = StreamIdentity(requestId, PLACE)
 
     private fun server(
         name: String,
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/StoredStreamOriginsTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/StoredStreamOriginsTest.kt
@@ -166,9 +166,9 @@
 
             val begins = gateway.began(stream(1), NEW)
             val waited = currentTime - startedAt
-            val meanwhile = gateway.origins.startOf(HOST, SERVICE_POOL)
+            val meanwhile = gateway.origins.startOf(stream(1), SERVICE_POOL)
             gateway.showServers(listOf(NEW))
-            val withoutBase = gateway.origins.startOf(HOST, SERVICE_POOL)
+            val withoutBase = gateway.origins.startOf(stream(1), SERVICE_POOL)
             store.failure = null
             advanceTimeBy(1.seconds)
 
@@ -176,7 +176,7 @@
             waited shouldBe 1_000
             meanwhile shouldBe StartVersions.Only(OLD)
             withoutBase shouldBe StartVersions.None(500.milliseconds)
-            gateway.origins.startOf(HOST, SERVICE_POOL) shouldBe StartVersions.Any
+            gateway.origins.startOf(stream(1), SERVICE_POOL) shouldBe StartVersions.Any
             gateway.observations.recordOutcomes shouldBe
                 listOf(StreamRecordOutcome.GIVEN_UP, StreamRecordOutcome.WRITTEN)
         }
@@ -205,7 +205,7 @@
             val base = checkNotNull(store.baseOf(SERVICE_POOL))
             gateways[0].began(stream(1), if (base == OLD) NEW else OLD)
 
-            val origin = gateways[1].origins.originOf(stream(1), HOST, PoolName("other"))
+            val origin = gateways[1].origins.originOf(stream(1), PLACE, PoolName("other"))
 
             origin shouldBe StreamOrigin.Unknown(null)
         }
@@ -221,7 +221,7 @@
 
             val without = gateways[1].versionOf(null)
             gateways[0].began(stream(1), if (base == OLD) NEW else OLD)
-            val with = gateways[1].origins.originOf(null, HOST, SERVICE_POOL)
+            val with = gateways[1].origins.originOf(null, PLACE, SERVICE_POOL)
 
             without shouldBe base
             with shouldBe StreamOrigin.Unknown(null)
--- a/state/src/main/kotlin/org/acaciaflow/state/stream/PoolVersions.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/stream/PoolVersions.kt
@@ -12,7 +12,7 @@
 /**
  * What a gateway knows of the software versions of each pool.
  *
- * [lineages] has the bases of pools, and [hosts] those of hosts, which say in which pool streams without a record began.
+ * [lineages] has the bases of pools, and [hosts] those of hosts, which say where streams without a record began.
  * [sightings] has when a server of each version was last registered. They are complete since [observedSince], null while
  * the knowledge of the store is stale. The store was last seen in [era]; it returned from an older copy at [returnedAt].
  * The pools in [mixed] have servers of more than one version.
--- a/state/src/main/kotlin/org/acaciaflow/state/stream/StreamBase.kt
+++ b/state/src/main/kotlin/org/acaciaflow/state/stream/StreamBase.kt
@@ -1,7 +1,8 @@
 package org.acaciaflow.state.stream
 
-import org.acaciaflow.state.identity.PoolName
+import kotlinx.collections.immutable.PersistentList
 import org.acaciaflow.state.identity.SoftwareVersion
+import org.acaciaflow.state.route.Destination
 import org.acaciaflow.state.store.StoreEra
 
 /**
@@ -19,8 +20,18 @@
     override val era: StoreEra,
 ) : StreamBase
 
-/** Streams of a host that have no record began in [pool], or none has if it is null. */
+/** Streams of a host that have no record began where [routes] led them, or none has if it is null. */
 data class HostBase(
-    val pool: PoolName?,
+    val routes: PersistentList<StreamRoute>?,
     override val era: StoreEra,
 ) : StreamBase
+
+/**
+ * Led streams whose path begins with [prefix] to [destinations]; none if they could not be taken up.
+ *
+ * Of several routes the one with the longest prefix counts, which comes first.
+ */
+data class StreamRoute(
+    val prefix: String,
+    val destinations: PersistentList<Destination>,
+)
--- a/transport/src/main/kotlin/org/acaciaflow/transport/process/VersionStatus.kt
+++ b/transport/src/main/kotlin/org/acaciaflow/transport/process/VersionStatus.kt
@@ -1,11 +1,17 @@
 package org.acaciaflow.transport.process
 
 import kotlinx.serialization.json.JsonArrayBuilder
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.add
 import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
 import kotlinx.serialization.json.putJsonObject
 import org.acaciaflow.state.fleet.Fleet
 import org.acaciaflow.state.stream.PoolVersions
+import org.acaciaflow.state.stream.StreamRoute
 
 /** Describes the software versions of each pool, and the bases of hosts, as JSON. */
 internal object VersionStatus {
@@ -34,7 +40,12 @@
         }
     }
 
-    /** Adds an object for each host with its base, the pool in which streams without a record began, null if unknown. */
+    private fun poolsByPrefix(routes: List<StreamRoute>): JsonObject =
+        buildJsonObject {
+            for (route in routes) putJsonArray(route.prefix) { route.destinations.forEach { add(it.pool.name) } }
+        }
+
+    /** Adds an object for each host with the pools of its base by prefix, in which streams without a record began; null if unknown. */
     fun describeHosts(
         hosts: JsonArrayBuilder,
         versions: PoolVersions,
@@ -42,7 +53,8 @@
         for ((host, lineage) in versions.hosts) {
             hosts.addJsonObject {
                 put("host", host)
-                put("base", lineage.base?.pool?.name)
+                val routes = lineage.base?.routes
+                if (routes == null) put("base", JsonNull) else put("base", poolsByPrefix(routes))
             }
         }
     }
--- a/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
+++ b/transport/src/test/kotlin/org/acaciaflow/transport/peer/ConfigurationExchangeTest.kt
@@ -32,7 +32,6 @@
 import org.acaciaflow.state.fleet.BackendEntry
 import org.acaciaflow.state.identity.DataCentre
 import org.acaciaflow.state.identity.HostAddress
-import org.acaciaflow.state.identity.PoolName
 import org.acaciaflow.state.identity.SoftwareVersion
 import org.acaciaflow.state.peer.Peer
 import org.acaciaflow.state.route.RoutingConfiguration
@@ -299,5 +298,5 @@
         Decoded.Valid(PoolBase(SoftwareVersion(document.decodeToString()), StoreEra.Unknown))
 
     override fun readHostBase(document: ByteString): Decoded<HostBase> =
-        Decoded.Valid(HostBase(PoolName(document.decodeToString()), StoreEra.Unknown))
+        Decoded.Valid(HostBase(routes = null, StoreEra.Unknown))
 }
