--- a/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/LineagePolicy.kt
+++ b/coordination/src/main/kotlin/org/acaciaflow/coordination/stream/LineagePolicy.kt
@@ -39,13 +39,15 @@
         }
     }
 
-    /** What is due for [host], whose streams are led by [routes]. */
+    /** What is due for [host], whose streams are led by [routes]; its base stays while any of them is led as before. */
     fun stepFor(
         host: String,
         routes: PersistentList<StreamRoute>,
     ): LineageStep<PersistentList<StreamRoute>> {
         val lineage = versions.hosts[host]
-        return stepFor(lineage, lineage?.base?.routes, routes) { base -> base != routes }
+        return stepFor(lineage, lineage?.base?.routes, routes) { base ->
+            routes.none { it.destinations.isNotEmpty() && it in base }
+        }
     }
 
     /** What is due for [lineage], which names [base]; [isUnused] says whether streams begin elsewhere. */
--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/HostLineageTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/HostLineageTest.kt
@@ -91,6 +91,30 @@
             store.poolOf(HOST) shouldBe SERVICE_POOL
         }
 
+    /** Guards against a record for each stream, for minutes, after each configuration that adds or removes other routes. */
+    @Test
+    fun `the base of a host stays while any of its streams is led as before`() =
+        runTest {
+            val store = FakeRecordStore()
+            val gateway = gatewayOfTwoPools(store)
+            advanceTimeBy(2.minutes)
+
+            gateway.tables.routing.update { known ->
+                val routes = known.configuration.routesByHost.getValue(HOST)
+                val added = route(RequestKind.Idempotent).copy(host = HOST, prefix = "/added/")
+                val byHost = persistentMapOf(HOST to routes.removeAt(1).add(0, added))
+                known.copy(configuration = known.configuration.copy(routesByHost = byHost))
+            }
+            advanceTimeBy(10.minutes)
+            gateway.origins.began(streamAt(1, "/a/1"), SERVICE_POOL, OLD)
+
+            store.hosts
+                .getValue(HOST)
+                .first.routes
+                ?.size shouldBe 2
+            store.batches shouldBe emptyList()
+        }
+
     /** Guards against new streams that are refused while the store is away, since their host leads to a second pool as well. */
     @Test
     fun `streams at the base of each pool of a host begin while the store is away`() =
