--- a/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/HostLineageTest.kt
+++ b/coordination/src/test/kotlin/org/acaciaflow/coordination/stream/HostLineageTest.kt
@@ -105,7 +105,7 @@
                 val byHost = persistentMapOf(HOST to routes.removeAt(1).add(0, added))
                 known.copy(configuration = known.configuration.copy(routesByHost = byHost))
             }
-            advanceTimeBy(10.minutes)
+            advanceTimeBy(1.minutes)
             gateway.origins.began(streamAt(1, "/a/1"), SERVICE_POOL, OLD)
 
             store.hosts
